--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"trestlehub/internal/wire"
-	"trestlehub/policy"
+	"dahliarudder/internal/wire"
+	"dahliarudder/policy"
 )
 
 type host struct {
--- a/internal/wire/cursor.go
+++ b/internal/wire/cursor.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"trestlehub/policy"
+	"dahliarudder/policy"
 )
 
 // cursor reads fields off a record. Past the end it yields zeros and sets short.
--- a/internal/wire/encoder.go
+++ b/internal/wire/encoder.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"trestlehub/policy"
+	"dahliarudder/policy"
 )
 
 // Encoder gathers the actions of one batch and writes them as a reply.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"trestlehub/policy"
+	"dahliarudder/policy"
 )
 
 // facts is the settings text, as far as the module needs it; other keys are ignored.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"math"
 	"time"
 
-	"trestlehub/policy"
+	"dahliarudder/policy"
 )
 
 // Codes of the events.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"trestlehub/policy"
+	"dahliarudder/policy"
 )
 
 // frame builds a batch by hand.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"trestlehub/policy"
+	"dahliarudder/policy"
 )
 
 // proxy shows what a proxy does with the actions. This one only prints them.
