--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,105 @@
+// Package config reads what a relay is told at its start: the EDGE_* variables
+// and the JSON file that EDGE_CONFIG names. An operator's own file has the same
+// form, plus "fronts" and "store".
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"dahliarudder/internal/pool"
+	"dahliarudder/internal/settings"
+)
+
+// ErrInvalid is wrapped by every error about a configuration that cannot be used.
+var ErrInvalid = errors.New("invalid configuration")
+
+// Config is the whole configuration.
+type Config struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	decoded *settings.Settings
+	known   *pool.List
+}
+
+// Load reads the file, if path is not empty, and lets the variables that env
+// knows take precedence.
+func Load(path string, env func(string) string) (*Config, error) {
+	c := &Config{}
+	if path != "" {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %v", ErrInvalid, err)
+		}
+		if err := json.Unmarshal(text, c); err != nil {
+			return nil, fmt.Errorf("%w: %s: %v", ErrInvalid, path, err)
+		}
+	}
+	for _, v := range []struct {
+		name string
+		to   *string
+	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
+		if s := env(v.name); s != "" {
+			*v.to = s
+		}
+	}
+	return c, c.check()
+}
+
+func (c *Config) check() error {
+	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return fmt.Errorf("%w: %s: %v", ErrInvalid, a.name, err)
+		}
+	}
+	if len(c.Settings) == 0 {
+		return fmt.Errorf("%w: no settings", ErrInvalid)
+	}
+	if c.Limits.Sockets < 0 || c.Limits.MemoryMB < 0 || c.Limits.Cores < 0 {
+		return fmt.Errorf("%w: limits below zero", ErrInvalid)
+	}
+	var err error
+	if c.decoded, err = settings.Decode(c.Settings); err != nil {
+		return fmt.Errorf("%w: %v", ErrInvalid, err)
+	}
+	if len(c.decoded.Classes) == 0 {
+		return fmt.Errorf("%w: settings name no classes", ErrInvalid)
+	}
+	if len(c.Known) > 0 && string(c.Known) != "null" {
+		if c.known, err = pool.Decode(c.Known); err != nil {
+			return fmt.Errorf("%w: known: %v", ErrInvalid, err)
+		}
+	}
+	if c.Seed != "" {
+		if _, err := strconv.ParseUint(c.Seed, 16, 64); err != nil {
+			return fmt.Errorf("%w: seed: %v", ErrInvalid, err)
+		}
+	}
+	return nil
+}
+
+// Decoded is the settings.
+func (c *Config) Decoded() *settings.Settings { return c.decoded }
+
+// KnownList is the list of members as last held, nil if there is none.
+func (c *Config) KnownList() *pool.List { return c.known }
+
+// SeedNumber is the seed of random numbers.
+func (c *Config) SeedNumber() uint64 {
+	n, _ := strconv.ParseUint(c.Seed, 16, 64)
+	return n
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,565 @@
+// Package core carries requests from their arrival to their one final answer. It
+// knows requests, attempts and outcomes, and no wire: a front tells it what
+// happens and carries out what it asks for. Every decision is package policy's;
+// what a request may never do is enforced here, in gate and in answer. See
+// docs/design.md, "The core".
+package core
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"dahliarudder/internal/settings"
+	"dahliarudder/policy"
+)
+
+// ID names a request from its arrival to its end.
+type ID = policy.RequestID
+
+// Member is a pool member.
+type Member struct {
+	policy.Server
+	Name string
+	Addr string
+}
+
+// Request is what a client asks for.
+type Request struct {
+	Name   string // the client's own name for it, for the record
+	Class  int
+	Tenant int
+	Key    uint64
+	Group  uint64
+	Load   float64
+	Wait   time.Duration // how long the client still waits
+	At     string        // the member that already holds the flow; empty for a new one
+}
+
+// VirtualServer is the client's side of one request. The core never calls it
+// again after a final answer, but for Move of a flow that stands.
+type VirtualServer interface {
+	// Send starts a server-side flow, which is abandoned after wait.
+	Send(id ID, to *Member, try int, wait time.Duration)
+	// Cancel abandons the server-side flow.
+	Cancel(try int)
+	// Reject is a final answer: coming again, after some time, is harmless.
+	Reject(after time.Duration)
+	// Fail is a final answer without any promise.
+	Fail()
+	// Move asks the client of an open flow to come again, and ends the flow.
+	Move()
+}
+
+// Answer is a final answer.
+type Answer string
+
+// The final answers. Lost is that of a request whose client went away first.
+const (
+	Served   Answer = "served"
+	Rejected Answer = "rejected"
+	Failed   Answer = "failed"
+	Lost     Answer = "left"
+)
+
+// Ledger keeps the record of what happened. Its calls must not block.
+type Ledger interface {
+	// Ready says whether what follows will be recorded.
+	Ready() bool
+	// Attempt records the end of a server-side flow, or of its setting up.
+	Attempt(q *Request, id ID, try int, member string, start, end time.Duration, result policy.Result)
+	// Answer records the final answer.
+	Answer(q *Request, id ID, at time.Duration, answer Answer, tries int)
+}
+
+// Options is what a Core is made of.
+type Options struct {
+	Settings *settings.Settings
+	Seed     uint64
+	Clock    func() time.Duration
+	Wake     func(at time.Duration) // have Tick called at that time; replaces an earlier wish
+	Probe    func(to *Member)       // ends in Probed
+	Watch    func()                 // ask discovery; ends in Pool
+	Ledger   Ledger                 // nil for none
+}
+
+// StopNotice is how long after the start of a planned stop clients may still be
+// sent here. Nobody is moved before: who is would come back to this relay.
+const StopNotice = 450 * time.Millisecond
+
+const (
+	stopMoves = 2000 * time.Millisecond // the moves are spread up to here
+	stopAfter = 500 * time.Millisecond  // when a client rejected meanwhile may come again
+)
+
+// noteEvery is how often slow messages at one member are told to the module.
+const noteEvery = time.Second
+
+type request struct {
+	Request
+	id       ID
+	v        VirtualServer
+	deadline time.Duration
+	tries    int
+	member   *member // of the attempt that is out, or of the open flow
+	sent     time.Duration
+	standing bool // it came with the member that holds it
+	answered bool
+	open     bool
+}
+
+type member struct {
+	Member
+	left  bool          // it drains or is gone
+	told  time.Duration // when that was told
+	slow  bool
+	noted time.Duration
+}
+
+// Core is the state of one relay. All calls come from one goroutine.
+type Core struct {
+	Options
+	set      policy.Settings // as the module made them sane
+	grace    time.Duration
+	facade   *policy.Facade
+	requests map[ID]*request
+	last     ID
+	members  map[policy.ServerID]*member
+	byName   map[string]*member
+	pending  []policy.Verdict
+	running  bool
+	alarms   alarms
+	armed    time.Duration
+	stopping bool
+	moveAt   time.Duration // when the next flow is moved during a stop
+	Counts   Counts
+}
+
+// Counts is what has happened so far.
+type Counts struct {
+	Requests, Served, Rejected, Failed, Left, Attempts, Moves, Barred int
+}
+
+// New makes a Core.
+func New(o Options) *Core {
+	c := &Core{Options: o, set: policy.Sane(o.Settings.Policy()), requests: map[ID]*request{},
+		members: map[policy.ServerID]*member{}, byName: map[string]*member{}, armed: math.MaxInt64}
+	if c.grace = settings.Span(o.Settings.Guarantees.Grace); c.grace <= 0 {
+		c.grace = 250 * time.Millisecond
+	}
+	c.facade = policy.Begin(c.Clock(), c.set, o.Seed)
+	c.arm()
+	return c
+}
+
+// Held is how many requests are on their way or stand as open flows.
+func (c *Core) Held() int { return len(c.requests) }
+
+// Limits is the settings as the module made them sane.
+func (c *Core) Limits() policy.Settings { return c.set }
+
+// Stopping says whether Stop was called.
+func (c *Core) Stopping() bool { return c.stopping }
+
+// ---- What fronts tell ----
+
+// Open takes a request. The final answer comes by v, perhaps at once.
+func (c *Core) Open(q Request, v VirtualServer) ID {
+	now := c.Clock()
+	c.last++
+	r := &request{Request: q, id: c.last, v: v, deadline: now + q.Wait}
+	c.requests[r.id] = r
+	c.Counts.Requests++
+	switch {
+	case c.stopping:
+		c.answer(r, Rejected, stopAfter)
+	case c.Ledger != nil && !c.Ledger.Ready():
+		c.answer(r, Rejected, stopAfter)
+	case q.Wait <= 0:
+		c.answer(r, Failed, 0)
+	case q.At != "":
+		c.stand(now, r)
+	default:
+		c.alarm(r.deadline, r.id, -1)
+		c.apply(c.facade.Pick(now, r.policy()))
+	}
+	return r.id
+}
+
+// stand sends a flow on to the member that already holds it.
+func (c *Core) stand(now time.Duration, r *request) {
+	m := c.byName[r.At]
+	if m == nil {
+		c.answer(r, Failed, 0)
+		return
+	}
+	r.standing = true
+	c.alarm(r.deadline, r.id, -1)
+	c.start(now, r, m, r.Wait)
+}
+
+func (r *request) policy() policy.Request {
+	return policy.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Group: r.Group,
+		Deadline: r.deadline, Load: r.Load}
+}
+
+// current is the request whose attempt of that number is out or open.
+func (c *Core) current(id ID, try int) *request {
+	if r := c.requests[id]; r != nil && r.member != nil && r.tries-1 == try {
+		return r
+	}
+	return nil
+}
+
+// Up says that a server-side flow stands. It returns whether the client may be
+// told so.
+func (c *Core) Up(id ID, try int) bool {
+	r := c.current(id, try)
+	if r == nil || r.answered {
+		return false
+	}
+	r.open = true
+	c.record(r, Served)
+	if r.standing {
+		c.tell(policy.Standing{Request: r.policy(), Server: r.member.ID})
+	} else {
+		c.tell(policy.Up{ID: id})
+	}
+	if c.stopping {
+		c.alarm(c.nextMove(), id, moveFlow)
+	}
+	return true
+}
+
+// Ended says how a server-side flow ended, before it stood or after. A flow
+// served to its end has its final answer by that.
+func (c *Core) Ended(id ID, try int, result policy.Result, report policy.Report) {
+	r := c.current(id, try)
+	if r == nil {
+		return
+	}
+	if result == policy.OK && !r.answered {
+		c.record(r, Served)
+	}
+	c.ended(r, result, report)
+}
+
+// Left says that the client of a request went away.
+func (c *Core) Left(id ID) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	if !r.answered {
+		c.record(r, Lost)
+		if !r.standing {
+			c.tell(policy.Left{ID: id})
+		}
+	}
+	c.abandon(r)
+	delete(c.requests, id)
+}
+
+// Load is the load that an open flow has now, as work a second.
+func (c *Core) Load(id ID, load float64) { c.tell(policy.FlowLoad{ID: id, Load: load}) }
+
+// Message says how long a message on an open flow took. The module hears of it
+// while messages are slow, and once more when they no longer are.
+func (c *Core) Message(id ID, took time.Duration) {
+	r := c.requests[id]
+	if r == nil || r.member == nil {
+		return
+	}
+	m, now, slow := r.member, c.Clock(), false
+	for _, class := range c.set.Classes {
+		slow = slow || took > class.MessageAim/3
+	}
+	if slow && now-m.noted < noteEvery || !slow && !m.slow {
+		return
+	}
+	m.slow, m.noted = slow, now
+	c.tell(policy.FlowDelay{ID: id, Took: took})
+}
+
+// Probed is the answer to a probe.
+func (c *Core) Probed(server policy.ServerID, result policy.Result, report policy.Report) {
+	c.tell(policy.Probed{Server: server, Result: result, Report: report})
+}
+
+// Pool is what discovery says of the members.
+func (c *Core) Pool(kind policy.ListKind, list []Member) {
+	now := c.Clock()
+	servers := make([]policy.Server, len(list))
+	named := map[policy.ServerID]bool{}
+	for i, e := range list {
+		servers[i] = e.Server
+		named[e.ID] = true
+		m := c.members[e.ID]
+		if m == nil {
+			m = &member{noted: -noteEvery}
+			c.members[e.ID] = m
+		}
+		m.Member = e
+		c.byName[e.Name] = m
+		c.mark(now, m, e.State != policy.Ready)
+	}
+	if kind == policy.ListFull || kind == policy.ListCached {
+		for id, m := range c.members {
+			if !named[id] {
+				m.State = policy.Gone
+				c.mark(now, m, true)
+			}
+		}
+	}
+	c.tell(policy.Pool{Kind: kind, Servers: servers})
+}
+
+func (c *Core) mark(now time.Duration, m *member, left bool) {
+	if left && !m.left {
+		m.told = now
+	}
+	m.left = left
+}
+
+// Tick does what is due.
+func (c *Core) Tick() {
+	now := c.Clock()
+	c.armed = math.MaxInt64
+	for len(c.alarms) > 0 && c.alarms[0].at <= now {
+		a := heap.Pop(&c.alarms).(due)
+		r := c.requests[a.id]
+		switch {
+		case r == nil:
+		case a.try == moveFlow:
+			c.move(r)
+		case a.try < 0 && !r.answered:
+			// The module answers before this; a client must not be left without.
+			c.tell(policy.Left{ID: r.id})
+			c.abandon(r)
+			c.answer(r, Failed, 0)
+		case a.try >= 0 && !r.answered && c.current(a.id, a.try) != nil:
+			r.v.Cancel(a.try)
+			c.ended(r, policy.Timeout, policy.NoReport)
+		}
+	}
+	c.apply(c.facade.Tick(now))
+}
+
+// Stop begins a planned stop: what arrives is rejected, what is on its way is
+// answered, and every open flow is moved. It is over when Held is 0.
+func (c *Core) Stop() {
+	if c.stopping {
+		return
+	}
+	c.stopping = true
+	var open []*request
+	for _, r := range c.requests {
+		if r.open {
+			open = append(open, r)
+		}
+	}
+	start := c.Clock() + StopNotice
+	for i, r := range open {
+		c.alarm(start+(stopMoves-StopNotice)*time.Duration(i)/time.Duration(len(open)), r.id, moveFlow)
+	}
+	c.moveAt = start
+	c.arm()
+}
+
+// nextMove is when a flow is moved that came up during a stop.
+func (c *Core) nextMove() time.Duration { return max(c.moveAt, c.Clock()+StopNotice/2) }
+
+// ---- What the module's verdicts do ----
+
+func (c *Core) tell(n policy.News) { c.apply(c.facade.Report(c.Clock(), n)) }
+
+// apply carries verdicts out in their order; what they lead to comes after them.
+func (c *Core) apply(verdicts []policy.Verdict) {
+	c.pending = append(c.pending, verdicts...)
+	if c.running {
+		return
+	}
+	c.running = true
+	for len(c.pending) > 0 {
+		v := c.pending[0]
+		c.pending = c.pending[1:]
+		c.do(v)
+	}
+	c.pending, c.running = nil, false
+	c.arm()
+}
+
+func (c *Core) do(v policy.Verdict) {
+	r := c.requests[v.ID]
+	switch v.Do {
+	case policy.DoProbe:
+		if m := c.members[v.Server]; m != nil {
+			c.Probe(&m.Member)
+		}
+		return
+	case policy.DoWatch:
+		c.Watch()
+		return
+	}
+	if r == nil {
+		return
+	}
+	switch v.Do {
+	case policy.DoSend:
+		c.send(r, v)
+	case policy.DoReject:
+		c.abandon(r)
+		c.answer(r, Rejected, v.For)
+	case policy.DoFail:
+		c.abandon(r)
+		c.answer(r, Failed, 0)
+	case policy.DoCancel:
+		if c.current(v.ID, v.Try) != nil && !r.open {
+			c.abandon(r)
+		}
+	case policy.DoMove:
+		c.move(r)
+	}
+}
+
+// gate is the one place that says whether an attempt may start: none after the
+// final answer, no second one out, no more than the settings allow, none that
+// the client no longer waits for, and none to a member that has left for longer
+// than the grace.
+func (c *Core) gate(now time.Duration, r *request, m *member) bool {
+	return !r.answered && r.member == nil && r.tries < c.set.MaxAttempts && now < r.deadline &&
+		m != nil && !(m.left && now-m.told > c.grace)
+}
+
+func (c *Core) send(r *request, v policy.Verdict) {
+	now, m := c.Clock(), c.members[v.Server]
+	if !c.gate(now, r, m) {
+		c.Counts.Barred++
+		c.tell(policy.End{ID: r.id, Try: r.tries, Server: v.Server, Result: policy.Moot, Closed: r.answered,
+			Report: policy.NoReport})
+		return
+	}
+	wait := r.deadline - now
+	if v.For > 0 && v.For < wait {
+		wait = v.For
+		c.alarm(now+wait, r.id, r.tries)
+	}
+	c.start(now, r, m, wait)
+}
+
+func (c *Core) start(now time.Duration, r *request, m *member, wait time.Duration) {
+	r.member, r.sent = m, now
+	r.tries++
+	c.Counts.Attempts++
+	r.v.Send(r.id, &m.Member, r.tries-1, wait)
+}
+
+// ended closes the attempt that is out, or the open flow, and tells the module.
+func (c *Core) ended(r *request, result policy.Result, report policy.Report) {
+	m, try := r.member, r.tries-1
+	r.member = nil
+	if c.Ledger != nil {
+		c.Ledger.Attempt(&r.Request, r.id, try, m.Name, r.sent, c.Clock(), result)
+	}
+	if r.answered {
+		delete(c.requests, r.id)
+	}
+	if r.standing && !r.answered {
+		c.answer(r, Failed, 0)
+		return
+	}
+	c.tell(policy.End{ID: r.id, Try: try, Server: m.ID, Result: result, Closed: r.answered, Report: report})
+}
+
+// abandon cancels the attempt that is out, if any.
+func (c *Core) abandon(r *request) {
+	if r.member == nil {
+		return
+	}
+	r.v.Cancel(r.tries - 1)
+	c.ended(r, policy.Cancelled, policy.NoReport)
+}
+
+// answer gives the final answer, once.
+func (c *Core) answer(r *request, a Answer, after time.Duration) {
+	if r.answered {
+		return
+	}
+	c.record(r, a)
+	delete(c.requests, r.id)
+	if a == Rejected {
+		r.v.Reject(after)
+	} else {
+		r.v.Fail()
+	}
+}
+
+// record notes that a request has its final answer.
+func (c *Core) record(r *request, a Answer) {
+	r.answered = true
+	switch a {
+	case Served:
+		c.Counts.Served++
+	case Rejected:
+		c.Counts.Rejected++
+	case Failed:
+		c.Counts.Failed++
+	case Lost:
+		c.Counts.Left++
+	}
+	if c.Ledger != nil {
+		c.Ledger.Answer(&r.Request, r.id, c.Clock(), a, r.tries)
+	}
+}
+
+func (c *Core) move(r *request) {
+	if !r.open {
+		return
+	}
+	c.Counts.Moves++
+	r.v.Move()
+	c.ended(r, policy.Cancelled, policy.NoReport)
+}
+
+// ---- Time ----
+
+// moveFlow stands in an alarm in place of a try; -1 there is the deadline.
+const moveFlow = -2
+
+func (c *Core) alarm(at time.Duration, id ID, try int) {
+	heap.Push(&c.alarms, due{at, id, try})
+}
+
+// arm has Tick called when the next thing is due.
+func (c *Core) arm() {
+	next := time.Duration(math.MaxInt64)
+	if at, ok := c.facade.Next(); ok {
+		next = at
+	}
+	if len(c.alarms) > 0 {
+		next = min(next, c.alarms[0].at)
+	}
+	if next != c.armed {
+		c.armed = next
+		c.Wake(next)
+	}
+}
+
+type due struct {
+	at  time.Duration
+	id  ID
+	try int
+}
+
+type alarms []due
+
+func (a alarms) Len() int           { return len(a) }
+func (a alarms) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a alarms) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)        { *a = append(*a, x.(due)) }
+func (a *alarms) Pop() any {
+	last := len(*a) - 1
+	x := (*a)[last]
+	*a = (*a)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/netloop/conn.go
@@ -0,0 +1,347 @@
+package netloop
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Bounds of a connection's buffers, and how long an ended one may linger.
+const (
+	InBound  = 8 << 10  // unread bytes kept; beyond it reading rests
+	OutBound = 64 << 10 // unsent bytes at which Room is used up
+	outMost  = OutBound + 4*InBound
+	linger   = time.Second
+)
+
+// ErrDialTimeout is how a dial ends that took too long.
+var ErrDialTimeout = errors.New("the connection did not come up in time")
+
+// ErrOverflow is how a connection ends whose peer takes nothing while more is written.
+var ErrOverflow = errors.New("too much unsent")
+
+// Handler is told what happens on a connection. After End nothing more comes.
+type Handler interface {
+	// Open says that a dialled connection stands.
+	Open()
+	// Data hands over all unread bytes and returns how many were taken. The
+	// rest comes again with more bytes, or after Resume.
+	Data(b []byte) int
+	// Drained says that nothing written is unsent any more.
+	Drained()
+	// End says that the peer ended the connection: io.EOF if politely, when
+	// writing goes on until Finish, or another error when all is over.
+	End(err error)
+}
+
+// Conn is a connection. It owns its descriptor and its buffers.
+type Conn struct {
+	l        *Loop
+	fd       int // -1 once given back
+	h        Handler
+	in, out  []byte
+	interest uint32
+	dialling *Timer // until a dialled connection stands
+	failing  *Timer // an error waits to be told
+	farewell *Timer // an ended connection lingers
+	eof      bool   // the peer has ended its sending
+	ending   bool   // Finish was called
+	shut     bool   // our sending is ended
+	busy     bool   // in a call of the handler's Data
+	left     int    // bytes that were unsent when it broke
+}
+
+func newConn(l *Loop, fd int) *Conn {
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	return &Conn{l: l, fd: fd}
+}
+
+// Dial starts a connection. Its end, also at once, is told by the handler's End,
+// never from within Dial.
+func (l *Loop) Dial(addr string, within time.Duration, h Handler) *Conn {
+	c := &Conn{l: l, fd: -1, h: h}
+	if err := c.connect(addr, within); err != nil {
+		c.dialling = l.After(0, func() { c.fail(err) })
+	}
+	return c
+}
+
+func (c *Conn) connect(addr string, within time.Duration) error {
+	at, family, err := address(addr)
+	if err != nil {
+		return err
+	}
+	if c.l.Free() <= 0 {
+		return ErrFull
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	if err = unix.Connect(fd, at); err == unix.EINPROGRESS || err == nil {
+		err = c.l.add(fd, unix.EPOLLOUT, c)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return err
+	}
+	c.fd, c.interest = fd, unix.EPOLLOUT
+	c.dialling = c.l.After(within, func() { c.fail(ErrDialTimeout) })
+	return nil
+}
+
+// Handle names who is told from now on.
+func (c *Conn) Handle(h Handler) { c.h = h }
+
+// Unsent is how many written bytes have not left; it stays after the end.
+func (c *Conn) Unsent() int { return c.left + len(c.out) }
+
+// Room is how many bytes may be written before the reader should rest.
+func (c *Conn) Room() int { return max(0, OutBound-len(c.out)) }
+
+// Addr is the connection's own address.
+func (c *Conn) Addr() string { return local(c.fd) }
+
+// Write sends b, or keeps what cannot leave yet. It must not be called before
+// Open on a dialled connection. After the end it does nothing.
+func (c *Conn) Write(b []byte) {
+	if c.fd < 0 || c.ending || c.failing != nil {
+		return
+	}
+	if len(c.out) == 0 {
+		n, err := unix.Write(c.fd, b)
+		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+			c.left += len(b)
+			c.later(err)
+			return
+		}
+		b = b[max(n, 0):]
+	}
+	if len(b) == 0 {
+		return
+	}
+	c.out = append(c.out, b...)
+	if len(c.out) > outMost {
+		c.later(ErrOverflow)
+		return
+	}
+	c.update()
+}
+
+// later tells an error met inside a call of the handler's from the loop.
+func (c *Conn) later(err error) {
+	if c.failing == nil {
+		c.failing = c.l.After(0, func() { c.fail(err) })
+	}
+}
+
+// Resume hands over bytes that the handler left, and reads on.
+func (c *Conn) Resume() {
+	if c.fd < 0 || c.busy || c.dialling != nil || c.failing != nil {
+		return
+	}
+	c.offer()
+	c.update()
+}
+
+// Finish ends the connection politely: what is unsent still leaves, then the
+// peer sees the end. The handler is told nothing more.
+func (c *Conn) Finish() {
+	if c.fd < 0 || c.dialling != nil || c.failing != nil {
+		c.release()
+		return
+	}
+	if c.ending {
+		return
+	}
+	c.ending, c.h, c.in = true, deaf{}, nil
+	// A peer that neither reads nor ends must not hold the descriptor.
+	c.farewell = c.l.After(linger, c.release)
+	c.flushed()
+	c.update()
+}
+
+// Reset ends the connection at once; the peer sees a reset.
+func (c *Conn) Reset() {
+	if c.fd >= 0 {
+		unix.SetsockoptLinger(c.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
+	c.release()
+}
+
+// release is the one place where a connection gives back what it owns.
+func (c *Conn) release() {
+	for _, t := range []*Timer{c.dialling, c.failing, c.farewell} {
+		t.Stop()
+	}
+	c.left += len(c.out)
+	c.h, c.in, c.out, c.ending = deaf{}, nil, nil, true
+	if c.fd >= 0 {
+		c.l.drop(c.fd)
+		c.fd = -1
+	}
+}
+
+// fail ends the connection on an error.
+func (c *Conn) fail(err error) {
+	h, told := c.h, c.eof
+	c.release()
+	if !told {
+		h.End(err)
+	}
+}
+
+func (c *Conn) ready(events uint32) {
+	if c.interest&unix.EPOLLOUT != 0 && events&(unix.EPOLLOUT|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
+		if c.dialling != nil && !c.opened() {
+			return
+		}
+		c.flush()
+	}
+	if c.fd >= 0 && c.dialling == nil && c.failing == nil && events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0 {
+		c.read(events)
+	}
+	c.update()
+}
+
+// opened finishes a dial; false if the connection is still on its way or over.
+func (c *Conn) opened() bool {
+	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && code != 0 {
+		err = unix.Errno(code)
+	}
+	if err != nil {
+		c.fail(err)
+		return false
+	}
+	if _, err := unix.Getpeername(c.fd); err != nil {
+		return false
+	}
+	c.dialling.Stop()
+	c.dialling = nil
+	c.h.Open()
+	return c.fd >= 0
+}
+
+func (c *Conn) flush() {
+	if len(c.out) == 0 || c.fd < 0 {
+		return
+	}
+	n, err := unix.Write(c.fd, c.out)
+	if err == unix.EAGAIN || err == unix.EINTR {
+		return
+	}
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	if c.out = c.out[:copy(c.out, c.out[n:])]; len(c.out) > 0 {
+		return
+	}
+	c.out = nil
+	c.flushed()
+	c.h.Drained()
+}
+
+// flushed ends our sending once Finish was called and all has left.
+func (c *Conn) flushed() {
+	if !c.ending || len(c.out) > 0 || c.shut || c.fd < 0 {
+		return
+	}
+	c.shut = true
+	unix.Shutdown(c.fd, unix.SHUT_WR)
+	if c.eof {
+		c.release()
+	}
+}
+
+// read takes in what is there. What comes after Finish is thrown away: closing
+// a socket with unread bytes would reset it.
+func (c *Conn) read(events uint32) {
+	var chunk [InBound]byte
+	for c.fd >= 0 && !c.eof {
+		room := len(chunk)
+		if !c.ending {
+			if room = min(room, InBound-len(c.in)); room == 0 {
+				break
+			}
+		}
+		n, err := unix.Read(c.fd, chunk[:room])
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			return
+		case err != nil:
+			c.fail(err)
+			return
+		case n == 0:
+			c.eof = true
+			if c.ending {
+				if c.shut {
+					c.release()
+				}
+				return
+			}
+			c.h.End(io.EOF)
+			return
+		}
+		if !c.ending {
+			c.in = append(c.in, chunk[:n]...)
+			c.offer()
+		}
+		if n < room {
+			return
+		}
+	}
+	if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 && c.fd >= 0 && !c.ending {
+		// Nothing more is read, yet the peer has reset the connection.
+		if code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR); err == nil && code != 0 {
+			c.fail(unix.Errno(code))
+		} else if events&unix.EPOLLHUP != 0 {
+			c.fail(unix.ECONNRESET)
+		}
+	}
+}
+
+// offer hands the unread bytes to the handler.
+func (c *Conn) offer() {
+	if len(c.in) == 0 {
+		return
+	}
+	c.busy = true
+	n := c.h.Data(c.in)
+	c.busy = false
+	if c.in = c.in[min(n, len(c.in)):]; len(c.in) == 0 {
+		c.in = nil
+	}
+}
+
+// update asks epoll for what the connection can use now.
+func (c *Conn) update() {
+	if c.fd < 0 {
+		return
+	}
+	var want uint32
+	if c.dialling != nil || len(c.out) > 0 {
+		want |= unix.EPOLLOUT
+	}
+	if c.dialling == nil && c.failing == nil && !c.eof && (c.ending || len(c.in) < InBound) {
+		want |= unix.EPOLLIN
+	}
+	if want != c.interest {
+		c.interest = want
+		c.l.watch(unix.EPOLL_CTL_MOD, c.fd, want)
+	}
+}
+
+// deaf is the handler of a connection that nobody listens to any more.
+type deaf struct{}
+
+func (deaf) Open()             {}
+func (deaf) Data(b []byte) int { return len(b) }
+func (deaf) Drained()          {}
+func (deaf) End(error)         {}
--- /dev/null
+++ b/internal/netloop/loop.go
@@ -0,0 +1,345 @@
+// Package netloop is the event loop on which all sockets of the relay live: one
+// goroutine, epoll, timers, non-blocking connects and buffers of a fixed bound.
+//
+// Ownership is in docs/design.md, "The loop": a Conn owns its descriptor and
+// both buffers, and gives them back in release, once. Everything but Post must
+// be called from the loop's own goroutine, that is from its callbacks or before
+// Run.
+package netloop
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ErrFull is how a dial ends when no more descriptors may be opened.
+var ErrFull = errors.New("no descriptors left")
+
+// acceptPause is how long a listener rests after the system ran out of
+// descriptors: the connection stays in the backlog, and polling for it at once
+// would spin.
+const acceptPause = 20 * time.Millisecond
+
+// acceptBurst bounds the connections accepted before other sockets have a turn.
+const acceptBurst = 64
+
+// source is what an epoll event goes to.
+type source interface{ ready(events uint32) }
+
+// Loop is an event loop.
+type Loop struct {
+	poll, wake int
+	now        func() time.Duration
+	sources    map[int]source
+	timers     timers
+	spent      []int // descriptors to close after the batch, so that no event of it meets a new one
+	open       int
+	limit      int
+	stopped    bool
+
+	mu     sync.Mutex
+	posted []func()
+}
+
+// New makes a loop that reads its time from now. It lets at most limit
+// descriptors of its own be open at once.
+func New(now func() time.Duration, limit int) (*Loop, error) {
+	poll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	wake, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	if err != nil {
+		unix.Close(poll)
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	l := &Loop{poll: poll, wake: wake, now: now, sources: map[int]source{}, limit: limit}
+	if err := l.watch(unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN); err != nil {
+		unix.Close(poll)
+		unix.Close(wake)
+		return nil, err
+	}
+	l.sources[wake] = wakeup{l}
+	return l, nil
+}
+
+// Now is the loop's clock.
+func (l *Loop) Now() time.Duration { return l.now() }
+
+// Free is how many more descriptors may be opened.
+func (l *Loop) Free() int { return l.limit - l.open }
+
+// Post has f run on the loop. It may be called from any goroutine.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.posted = append(l.posted, f)
+	l.mu.Unlock()
+	one := [8]byte{1}
+	unix.Write(l.wake, one[:]) // a full counter wakes the loop as well
+}
+
+// Stop ends Run after the current round.
+func (l *Loop) Stop() { l.stopped = true }
+
+// Run serves until Stop, then gives everything back.
+func (l *Loop) Run() error {
+	defer l.close()
+	events := make([]unix.EpollEvent, 256)
+	for !l.stopped {
+		n, err := unix.EpollWait(l.poll, events, l.patience())
+		if err != nil && err != unix.EINTR {
+			return fmt.Errorf("epoll: %w", err)
+		}
+		for _, e := range events[:max(n, 0)] {
+			if s := l.sources[int(e.Fd)]; s != nil {
+				s.ready(e.Events)
+			}
+		}
+		l.fire()
+		l.bury()
+	}
+	return nil
+}
+
+func (l *Loop) bury() {
+	for _, fd := range l.spent {
+		unix.Close(fd)
+	}
+	l.open -= len(l.spent)
+	l.spent = l.spent[:0]
+}
+
+func (l *Loop) close() {
+	for fd := range l.sources {
+		unix.Close(fd)
+	}
+	l.bury()
+	unix.Close(l.poll)
+}
+
+func (l *Loop) watch(op, fd int, events uint32) error {
+	if err := unix.EpollCtl(l.poll, op, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)}); err != nil {
+		return fmt.Errorf("epoll: %w", err)
+	}
+	return nil
+}
+
+// add takes a descriptor over.
+func (l *Loop) add(fd int, events uint32, s source) error {
+	if err := l.watch(unix.EPOLL_CTL_ADD, fd, events); err != nil {
+		return err
+	}
+	l.sources[fd] = s
+	l.open++
+	return nil
+}
+
+// drop is where every descriptor but the loop's own two is given back.
+func (l *Loop) drop(fd int) {
+	delete(l.sources, fd)
+	l.watch(unix.EPOLL_CTL_DEL, fd, 0)
+	l.spent = append(l.spent, fd)
+}
+
+type wakeup struct{ l *Loop }
+
+func (w wakeup) ready(uint32) {
+	var buf [8]byte
+	unix.Read(w.l.wake, buf[:])
+	w.l.mu.Lock()
+	posted := w.l.posted
+	w.l.posted = nil
+	w.l.mu.Unlock()
+	for _, f := range posted {
+		f()
+	}
+}
+
+// ---- Timers ----
+
+// Timer is a call that is due once.
+type Timer struct {
+	at    time.Duration
+	order uint64
+	index int
+	call  func()
+	loop  *Loop
+}
+
+// After has call run once the time has passed, never from within After.
+func (l *Loop) After(d time.Duration, call func()) *Timer {
+	t := &Timer{at: l.Now() + max(d, 0), order: l.timers.order, call: call, loop: l}
+	l.timers.order++
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Stop takes a timer back. A nil or spent timer may be stopped too.
+func (t *Timer) Stop() {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&t.loop.timers, t.index)
+	}
+}
+
+func (l *Loop) patience() int {
+	if len(l.timers.heap) == 0 {
+		return -1
+	}
+	wait := l.timers.heap[0].at - l.Now()
+	return int(max(0, min(wait+time.Millisecond-1, time.Minute)) / time.Millisecond)
+}
+
+// fire runs what is due. A timer set meanwhile waits for the next round, so that
+// one that sets itself again cannot keep the sockets waiting.
+func (l *Loop) fire() {
+	now, order := l.Now(), l.timers.order
+	for len(l.timers.heap) > 0 && l.timers.heap[0].at <= now && l.timers.heap[0].order < order {
+		heap.Pop(&l.timers).(*Timer).call()
+	}
+}
+
+type timers struct {
+	heap  []*Timer
+	order uint64
+}
+
+func (t *timers) Len() int { return len(t.heap) }
+func (t *timers) Less(i, j int) bool {
+	x, y := t.heap[i], t.heap[j]
+	return x.at < y.at || x.at == y.at && x.order < y.order
+}
+func (t *timers) Swap(i, j int) {
+	t.heap[i], t.heap[j] = t.heap[j], t.heap[i]
+	t.heap[i].index, t.heap[j].index = i, j
+}
+func (t *timers) Push(x any) {
+	t.heap = append(t.heap, x.(*Timer))
+	x.(*Timer).index = len(t.heap) - 1
+}
+func (t *timers) Pop() any {
+	last := len(t.heap) - 1
+	x := t.heap[last]
+	t.heap[last] = nil
+	t.heap = t.heap[:last]
+	x.index = -1
+	return x
+}
+
+// ---- Listening ----
+
+// Listener takes connections in.
+type Listener struct {
+	l      *Loop
+	fd     int
+	accept func(*Conn)
+	rest   *Timer
+}
+
+// Listen opens a listening socket. For each connection it calls accept, which
+// must give the Conn a handler by Handle.
+func (l *Loop) Listen(addr string, accept func(*Conn)) (*Listener, error) {
+	at, family, err := address(addr)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("listening at %s: %w", addr, err)
+	}
+	s := &Listener{l: l, fd: fd, accept: accept}
+	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil {
+		err = unix.Bind(fd, at)
+	}
+	if err == nil {
+		err = unix.Listen(fd, 4096)
+	}
+	if err == nil {
+		err = l.add(fd, unix.EPOLLIN, s)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("listening at %s: %w", addr, err)
+	}
+	return s, nil
+}
+
+// Addr is the address that the socket is bound to.
+func (s *Listener) Addr() string { return local(s.fd) }
+
+// Close ends listening; connections already taken in stay.
+func (s *Listener) Close() {
+	if s.fd >= 0 {
+		s.rest.Stop()
+		s.l.drop(s.fd)
+		s.fd = -1
+	}
+}
+
+func (s *Listener) ready(uint32) {
+	for range acceptBurst {
+		if s.fd < 0 {
+			return
+		}
+		if s.l.Free() <= 0 {
+			s.pause()
+			return
+		}
+		fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch err {
+		case nil:
+		case unix.EAGAIN:
+			return
+		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
+			s.pause()
+			return
+		default: // that connection is gone already, or a signal came
+			continue
+		}
+		c := newConn(s.l, fd)
+		if err := s.l.add(fd, unix.EPOLLIN, c); err != nil {
+			unix.Close(fd)
+			continue
+		}
+		c.interest = unix.EPOLLIN
+		s.accept(c)
+	}
+}
+
+// pause guards against spinning on a backlog that cannot be taken in.
+func (s *Listener) pause() {
+	s.l.watch(unix.EPOLL_CTL_MOD, s.fd, 0)
+	s.rest.Stop()
+	s.rest = s.l.After(acceptPause, func() { s.l.watch(unix.EPOLL_CTL_MOD, s.fd, unix.EPOLLIN) })
+}
+
+func address(addr string) (unix.Sockaddr, int, error) {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, 0, fmt.Errorf("address %q: %w", addr, err)
+	}
+	if ip := at.Addr().Unmap(); ip.Is4() {
+		return &unix.SockaddrInet4{Port: int(at.Port()), Addr: ip.As4()}, unix.AF_INET, nil
+	}
+	return &unix.SockaddrInet6{Port: int(at.Port()), Addr: at.Addr().As16()}, unix.AF_INET6, nil
+}
+
+func local(fd int) string {
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		return ""
+	}
+	switch at := at.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port)).String()
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(at.Addr), uint16(at.Port)).String()
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/pool/watch.go
@@ -0,0 +1,155 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop"
+	"dahliarudder/policy"
+)
+
+// How calls wait. What discovery has to tell counts as told 2 s after the wait
+// of a call ends, so an answer that has not come by then is given up: a new call
+// brings it sooner than a dead connection.
+const (
+	watchWait   = 4 * time.Second
+	answerGrace = 1800 * time.Millisecond
+	dialWithin  = time.Second
+)
+
+// Watch asks discovery for the list and then for its changes, one call after
+// another, until a call fails; then the relay's decision module says when to ask
+// again, by Ask.
+type Watch struct {
+	Loop  *netloop.Loop
+	Addr  string
+	Names Names
+	Told  func(kind policy.ListKind, list []core.Member)
+	Log   logrus.FieldLogger
+
+	generation uint64
+	known      bool // the list of that generation is held
+	watching   bool
+	conn       *netloop.Conn
+	parser     parser
+	within     *netloop.Timer
+	up         bool // conn has brought an answer before
+	stopped    bool
+}
+
+// Hold says which list is held from the start.
+func (w *Watch) Hold(l *List) { w.generation, w.known = l.Generation, true }
+
+// Ask starts to watch; while a watch goes on it does nothing.
+func (w *Watch) Ask() {
+	if !w.watching && !w.stopped {
+		w.watching = true
+		w.call()
+	}
+}
+
+// Stop ends watching.
+func (w *Watch) Stop() {
+	w.stopped = true
+	w.hangUp()
+}
+
+func (w *Watch) call() {
+	w.parser = parser{}
+	wait := dialWithin
+	if w.conn == nil {
+		w.up = false
+		w.conn = w.Loop.Dial(w.Addr, dialWithin, w)
+	} else {
+		wait = w.ask()
+	}
+	w.within.Stop()
+	w.within = w.Loop.After(wait, func() { w.failed(fmt.Errorf("no answer in time")) })
+}
+
+// ask writes the call and returns how long to wait for its answer. The first
+// one asks for everything that was missed and answers at once.
+func (w *Watch) ask() time.Duration {
+	path := "/api/targets"
+	wait := time.Duration(0)
+	if w.known {
+		path = fmt.Sprintf("/api/targets?since=%d&timeout_ms=%d", w.generation, watchWait.Milliseconds())
+		wait = watchWait
+	}
+	w.conn.Write(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, w.Addr))
+	return wait + answerGrace
+}
+
+// Open is told by the loop.
+func (w *Watch) Open() {
+	w.within.Stop()
+	w.within = w.Loop.After(w.ask(), func() { w.failed(fmt.Errorf("no answer in time")) })
+}
+
+// Drained is told by the loop.
+func (w *Watch) Drained() {}
+
+// Data is told by the loop.
+func (w *Watch) Data(b []byte) int {
+	n, done, err := w.parser.feed(b)
+	if err != nil {
+		w.failed(err)
+	} else if done {
+		w.answered()
+	}
+	return n
+}
+
+// End is told by the loop.
+func (w *Watch) End(err error) {
+	if w.parser.finish() {
+		w.answered()
+		return
+	}
+	w.failed(fmt.Errorf("discovery: %w", err))
+}
+
+func (w *Watch) answered() {
+	w.up = true
+	if w.parser.status != 200 {
+		w.failed(fmt.Errorf("discovery answered %d", w.parser.status))
+		return
+	}
+	list, err := Decode(w.parser.body)
+	if err != nil {
+		w.failed(err)
+		return
+	}
+	kind := policy.ListDelta
+	if list.Full {
+		kind = policy.ListFull
+	}
+	if w.parser.closes {
+		w.hangUp()
+	}
+	w.generation, w.known = list.Generation, true
+	w.call() // first: the gap between two calls of a watch is bounded
+	w.Told(kind, w.Names.Members(list))
+}
+
+// failed ends the watch.
+func (w *Watch) failed(err error) {
+	w.hangUp()
+	if w.stopped {
+		return
+	}
+	w.watching = false
+	w.Log.WithError(err).Warn("discovery call failed")
+	w.Told(policy.ListFailed, nil)
+}
+
+func (w *Watch) hangUp() {
+	w.within.Stop()
+	if w.conn != nil {
+		w.conn.Finish()
+		w.conn = nil
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,196 @@
+// Package settings holds the settings of a deployment: the JSON text that an
+// instance gets in the simulator's first message and a real relay in its
+// configuration. It decodes them and translates them for package policy.
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"dahliarudder/policy"
+)
+
+// ErrMalformed is wrapped by every error about a text that is no settings.
+var ErrMalformed = errors.New("malformed settings")
+
+// Settings is the settings text, as far as the program needs it; other keys are ignored.
+type Settings struct {
+	Balancers int `json:"balancers"`
+	Classes   []struct {
+		Name     string  `json:"name"`
+		Aim      float64 `json:"aim-ms"`
+		Deadline float64 `json:"deadline-ms"`
+		Window   float64 `json:"window-ms"`
+		Effect   string  `json:"effect"`
+		Scope    string  `json:"key-scope"`
+	} `json:"classes"`
+	Discovery string `json:"discovery"`
+	Extra     struct {
+		Groups     bool      `json:"groups"`
+		MessageAim []float64 `json:"message-aim-ms"`
+		Mode       string    `json:"mode"`
+		Quota      []float64 `json:"tenant-quota-connections"`
+	} `json:"extra"`
+	Guarantees struct {
+		Slack     float64 `json:"answer-slack-ms"`
+		AskWithin float64 `json:"ask-within-ms"`
+		ColdFrom  float64 `json:"cold-from"`
+		Cold      float64 `json:"cold-ms"`
+		Grace     float64 `json:"drain-grace-ms"`
+		Overload  float64 `json:"overload-factor"`
+	} `json:"guarantees"`
+	HostTypes []string `json:"host-types"`
+	Limits    struct {
+		Cancel         bool    `json:"cancel"`
+		ConnectTimeout float64 `json:"connect-timeout-ms"`
+		Keepalive      float64 `json:"keepalive-ms"`
+		MaxAttempts    int     `json:"max-attempts"`
+		MaxRetryAfter  float64 `json:"max-retry-after-ms"`
+		Probes         bool    `json:"probes"`
+	} `json:"limits"`
+	Prices struct {
+		CrossZone float64 `json:"cross-zone"`
+		Probe     float64 `json:"probe"`
+	} `json:"prices"`
+	Report struct {
+		Names  []string `json:"names"`
+		Source string   `json:"source"`
+	} `json:"report"`
+	Tenants []struct {
+		Name  string  `json:"name"`
+		Share float64 `json:"share"`
+	} `json:"tenants"`
+	Zone  int    `json:"zone"`
+	Zones []Zone `json:"zones"`
+}
+
+// Zone is the name of a zone. What is no string has no name, but still counts as a zone.
+type Zone string
+
+// UnmarshalJSON takes any value, and keeps it if it is a string.
+func (z *Zone) UnmarshalJSON(text []byte) error {
+	var name string
+	if json.Unmarshal(text, &name) == nil {
+		*z = Zone(name)
+	}
+	return nil
+}
+
+// Decode reads the settings text. Senseless values are left to the module.
+func Decode(text []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := json.Unmarshal(text, s); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrMalformed, err)
+	}
+	return s, nil
+}
+
+// Policy is what the decision module is told of the settings.
+func (s *Settings) Policy() policy.Settings {
+	set := policy.Settings{
+		Balancers: s.Balancers, Zone: s.Zone, Zones: len(s.Zones), Groups: s.Extra.Groups,
+		Pass: s.Extra.Mode == "pass", Subscribe: s.Discovery == "subscribe",
+		CanProbe: s.Limits.Probes, CanCancel: s.Limits.Cancel,
+		MaxAttempts:    s.Limits.MaxAttempts,
+		ConnectTimeout: Span(s.Limits.ConnectTimeout),
+		AskWithin:      Span(s.Guarantees.AskWithin), AnswerSlack: Span(s.Guarantees.Slack),
+		ColdFrom: s.Guarantees.ColdFrom, ColdFor: Span(s.Guarantees.Cold),
+		FallMultiple: s.Guarantees.Overload,
+		PriceCross:   s.Prices.CrossZone,
+		PriceProbe:   s.Prices.Probe,
+	}
+	switch s.Report.Source {
+	case "on_probe":
+		set.Reports = policy.ReportsOnProbe
+	case "inline":
+		set.Reports = policy.ReportsInline
+	}
+	for i, c := range s.Classes {
+		class := policy.Class{Aim: Span(c.Aim), Deadline: Span(c.Deadline), Window: Span(c.Window)}
+		if i < len(s.Extra.MessageAim) {
+			class.MessageAim = Span(s.Extra.MessageAim[i])
+		}
+		switch c.Effect {
+		case "read_like":
+		case "idempotency_key":
+			class.Effect = policy.Keyed
+		default: // unknown effects are handled as the most delicate one
+			class.Effect = policy.Unsafe
+		}
+		switch c.Scope {
+		case "all":
+		case "zone":
+			class.Scope = policy.ScopeZone
+		default:
+			class.Scope = policy.ScopeCell
+		}
+		set.Classes = append(set.Classes, class)
+	}
+	for i, t := range s.Tenants {
+		tenant := policy.Tenant{Share: t.Share}
+		if i < len(s.Extra.Quota) {
+			tenant.Quota = s.Extra.Quota[i]
+		}
+		set.Tenants = append(set.Tenants, tenant)
+	}
+	return set
+}
+
+// Class is the number of the class of that name.
+func (s *Settings) Class(name string) (int, bool) {
+	for i, c := range s.Classes {
+		if c.Name == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Tenant is the number of the tenant of that name; a deployment may have none.
+func (s *Settings) Tenant(name string) (int, bool) {
+	for i, t := range s.Tenants {
+		if t.Name == name {
+			return i, true
+		}
+	}
+	return 0, len(s.Tenants) == 0 && name == ""
+}
+
+// Report puts named values of a load report in their places. The wires name a
+// value by the simulator's word or by the settings' one.
+func Report(value func(name string) (float64, bool)) policy.Report {
+	report := policy.NoReport
+	for _, f := range []struct {
+		to    *float64
+		names [2]string
+	}{
+		{&report.Connections, [2]string{"outstanding", "inflight"}},
+		{&report.Load, [2]string{"x0", ""}},
+		{&report.Util, [2]string{"utilization", "util"}},
+	} {
+		for _, name := range f.names {
+			if v, ok := value(name); name != "" && ok && !math.IsNaN(v) {
+				*f.to = v
+			}
+		}
+	}
+	return report
+}
+
+// Span is a number of milliseconds as a duration, 0 if that is no sane time.
+func Span(ms float64) time.Duration {
+	d, _ := Millis(ms)
+	return d
+}
+
+// Millis turns milliseconds into a duration; false if they are no sane time.
+func Millis(ms float64) (time.Duration, bool) {
+	const most = 9e12 // some 285 years, what a Duration holds
+	if math.IsNaN(ms) || ms < -most || ms > most {
+		return 0, false
+	}
+	return time.Duration(math.Round(ms*1e3)) * time.Microsecond, true
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"dahliarudder/policy"
+)
+
+const factsText = `{"balancers":2,"zone":0,"zones":["a","b"],"tenants":[{"share":1}],"unheard-of":[1],
+ "classes":[{"aim-ms":400,"deadline-ms":2000,"effect":"read_like","key-scope":"all","window-ms":5000}],
+ "limits":{"probes":false,"max-attempts":3,"cancel":true},"report":{"names":["outstanding","x0"],"source":"on_probe"},
+ "guarantees":{"answer-slack-ms":20,"cold-ms":9000,"cold-from":0.3,"overload-factor":3,"ask-within-ms":10000},
+ "extra":{"mode":"proxy","message-aim-ms":[150],"tenant-quota-connections":[40]},"discovery":"automatic"}`
+
+// TestSettings: what the module is told, and what happens to keys that are unknown or missing.
+func TestSettings(t *testing.T) {
+	s, err := Decode([]byte(factsText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, names := s.Policy(), s.Report.Names
+	if set.Balancers != 2 || set.Zones != 2 || set.Classes[0].Aim != 400*time.Millisecond ||
+		set.Classes[0].MessageAim != 150*time.Millisecond || set.Tenants[0].Quota != 40 || set.MaxAttempts != 3 ||
+		set.CanProbe || !set.CanCancel || set.Reports != policy.ReportsOnProbe || set.ColdFrom != 0.3 || set.Subscribe {
+		t.Errorf("settings %+v", set)
+	}
+	if len(names) != 2 || names[1] != "x0" {
+		t.Errorf("names %v", names)
+	}
+	if _, err := Decode([]byte(`{}`)); err != nil {
+		t.Errorf("empty settings: %v", err)
+	}
+	oddText, err := Decode([]byte(`{"classes":[{"effect":"odd"},{"effect":"idempotency_key","key-scope":"zone"}],
+		"report":{"source":"inline"},"extra":{"mode":"pass","groups":true},"discovery":"subscribe"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	odd := oddText.Policy()
+	if odd.Classes[0].Effect != policy.Unsafe || odd.Classes[1].Scope != policy.ScopeZone ||
+		!odd.Pass || !odd.Groups || !odd.Subscribe || odd.Reports != policy.ReportsInline {
+		t.Errorf("odd settings %+v, %v", odd, err)
+	}
+	if _, err := Decode([]byte(`{"classes":7}`)); !errors.Is(err, ErrMalformed) {
+		t.Errorf("senseless settings: %v", err)
+	}
+}
--- a/internal/wire/cursor.go
+++ b/internal/wire/cursor.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"dahliarudder/internal/settings"
 	"dahliarudder/policy"
 )
 
@@ -45,7 +46,7 @@
 
 // ms reads a clock time; one that makes no sense counts as absent.
 func (c *cursor) ms() time.Duration {
-	t, _ := millis(c.f64())
+	t, _ := settings.Millis(c.f64())
 	return t
 }
 
@@ -59,21 +60,15 @@
 
 // report reads a load report, whose values stand in the order of names.
 func (c *cursor) report(names []string) policy.Report {
-	report := policy.NoReport
 	n := int(c.u8())
+	values := make(map[string]float64, maxReport)
 	for i := range n {
-		value := float64(c.f32())
-		if i >= len(names) || i >= maxReport || math.IsNaN(value) {
-			continue
-		}
-		switch names[i] {
-		case "outstanding":
-			report.Connections = value
-		case "x0":
-			report.Load = value
-		case "utilization":
-			report.Util = value
+		if value := float64(c.f32()); i < len(names) && i < maxReport {
+			values[names[i]] = value
 		}
 	}
-	return report
+	return settings.Report(func(name string) (float64, bool) {
+		v, ok := values[name]
+		return v, ok
+	})
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 	"math"
 	"time"
 
+	"dahliarudder/internal/settings"
 	"dahliarudder/policy"
 )
 
@@ -97,7 +98,7 @@
 	size := binary.LittleEndian.Uint32(header[:])
 	count := binary.LittleEndian.Uint32(header[12:])
 	clock := math.Float64frombits(binary.LittleEndian.Uint64(header[4:]))
-	now, ok := millis(clock)
+	now, ok := settings.Millis(clock)
 	switch {
 	case !ok:
 		return fmt.Errorf("%w: clock %v", ErrMalformed, clock)
@@ -162,12 +163,12 @@
 		if c.short {
 			return nil
 		}
-		set, names, err := decodeSettings(text)
+		set, err := settings.Decode(text)
 		if err != nil {
-			return err
+			return fmt.Errorf("%w: %v", ErrMalformed, err)
 		}
-		d.reports[id] = names
-		h.Launch(id, now, seed, set)
+		d.reports[id] = set.Report.Names
+		h.Launch(id, now, seed, set.Policy())
 		return nil
 	}
 	b := h.Instance(id)
@@ -248,7 +249,7 @@
 		case noteLoad:
 			b.Load(now, r, value/1e6)
 		case noteSlow:
-			if slow, ok := millis(value); ok {
+			if slow, ok := settings.Millis(value); ok {
 				b.Slow(now, r, slow)
 			}
 		}
@@ -333,12 +334,3 @@
 		q.Load = hint / 1e3
 	}
 }
-
-// millis turns milliseconds into a duration; false if they are no sane time.
-func millis(ms float64) (time.Duration, bool) {
-	const most = 9e12 // some 285 years, what a Duration holds
-	if math.IsNaN(ms) || ms < -most || ms > most {
-		return 0, false
-	}
-	return time.Duration(math.Round(ms*1e3)) * time.Microsecond, true
-}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -209,34 +209,6 @@
 	}
 }
 
-// TestSettings: what the module is told, and what happens to keys that are unknown or missing.
-func TestSettings(t *testing.T) {
-	set, names, err := decodeSettings([]byte(factsText))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if set.Balancers != 2 || set.Zones != 2 || set.Classes[0].Aim != 400*time.Millisecond ||
-		set.Classes[0].MessageAim != 150*time.Millisecond || set.Tenants[0].Quota != 40 || set.MaxAttempts != 3 ||
-		set.CanProbe || !set.CanCancel || set.Reports != policy.ReportsOnProbe || set.ColdFrom != 0.3 || set.Subscribe {
-		t.Errorf("settings %+v", set)
-	}
-	if len(names) != 2 || names[1] != "x0" {
-		t.Errorf("names %v", names)
-	}
-	if _, _, err := decodeSettings([]byte(`{}`)); err != nil {
-		t.Errorf("empty settings: %v", err)
-	}
-	odd, _, err := decodeSettings([]byte(`{"classes":[{"effect":"odd"},{"effect":"idempotency_key","key-scope":"zone"}],
-		"report":{"source":"inline"},"extra":{"mode":"pass","groups":true},"discovery":"subscribe"}`))
-	if err != nil || odd.Classes[0].Effect != policy.Unsafe || odd.Classes[1].Scope != policy.ScopeZone ||
-		!odd.Pass || !odd.Groups || !odd.Subscribe || odd.Reports != policy.ReportsInline {
-		t.Errorf("odd settings %+v, %v", odd, err)
-	}
-	if _, _, err := decodeSettings([]byte(`{"classes":7}`)); !errors.Is(err, ErrMalformed) {
-		t.Errorf("senseless settings: %v", err)
-	}
-}
-
 // TestMalformed: what is no frame ends with a plain error, without a panic or a huge allocation.
 func TestMalformed(t *testing.T) {
 	whole := (&frame{}).launch(1, 0).batch(1000, launchRecords)
--- /dev/null
+++ b/policy/facade.go
@@ -0,0 +1,192 @@
+package policy
+
+import (
+	"container/heap"
+	"time"
+)
+
+// This file is the face that a real relay sees: calls that return what is to be
+// done, and when the next call is due. It decides nothing; see docs/design.md,
+// "The facade".
+
+// Do says what a Verdict asks for.
+type Do int
+
+// What a Verdict may ask for.
+const (
+	DoSend   Do = iota // start a server-side flow to Server, for at most For (0: until the client gives up)
+	DoReject           // final answer: a further try is harmless, after For
+	DoFail             // final answer without any promise
+	DoCancel           // give up waiting for attempt Try
+	DoMove             // ask the client of an open flow to come again
+	DoProbe            // ask Server for its load report
+	DoWatch            // ask discovery for the pool and its changes from now on
+	DoWait             // nothing yet: the request is held until a later call
+)
+
+// Verdict is one thing to do. Fields that its Do does not mention are zero.
+type Verdict struct {
+	Do     Do
+	ID     RequestID
+	Server ServerID
+	Try    int
+	For    time.Duration
+}
+
+// News is something a relay has learned: one of the types below.
+type News interface {
+	tell(b *Balancer, now time.Duration)
+}
+
+type (
+	// Pool is what discovery says of the servers.
+	Pool struct {
+		Kind    ListKind
+		Servers []Server
+	}
+	// Standing is a flow that was open before the relay knew of it.
+	Standing struct {
+		Request Request
+		Server  ServerID
+	}
+	// Up says that an attempt stands as an open flow.
+	Up struct{ ID RequestID }
+	// End is the end of an attempt or of an open flow.
+	End Outcome
+	// Left says that the client of a request went away.
+	Left struct{ ID RequestID }
+	// Probed is the answer to a probe.
+	Probed struct {
+		Server ServerID
+		Result Result
+		Report Report
+	}
+	// FlowLoad is the load that an open flow has now, as work a second.
+	FlowLoad struct {
+		ID   RequestID
+		Load float64
+	}
+	// FlowDelay is how long a message on an open flow takes at its server.
+	FlowDelay struct {
+		ID   RequestID
+		Took time.Duration
+	}
+)
+
+func (n Pool) tell(b *Balancer, now time.Duration)      { b.Members(now, n.Kind, n.Servers) }
+func (n Standing) tell(b *Balancer, now time.Duration)  { b.Existing(now, n.Request, n.Server) }
+func (n Up) tell(b *Balancer, now time.Duration)        { b.First(now, n.ID) }
+func (n End) tell(b *Balancer, now time.Duration)       { b.Outcome(now, Outcome(n)) }
+func (n Left) tell(b *Balancer, now time.Duration)      { b.Ended(now, n.ID) }
+func (n Probed) tell(b *Balancer, now time.Duration)    { b.Probed(now, n.Server, n.Result, n.Report) }
+func (n FlowLoad) tell(b *Balancer, now time.Duration)  { b.Load(now, n.ID, n.Load) }
+func (n FlowDelay) tell(b *Balancer, now time.Duration) { b.Slow(now, n.ID, n.Took) }
+
+// Facade drives a Balancer by calls that return verdicts. The slice that a call
+// returns is valid until the next call.
+type Facade struct {
+	b *Balancer
+	a gather
+}
+
+// Sane returns the settings as a Balancer reads them, with safe values in place
+// of missing or senseless ones.
+func Sane(set Settings) Settings { return sane(set) }
+
+// Begin makes a Facade for one relay; the settings are made sane as by New.
+func Begin(now time.Duration, set Settings, seed uint64) *Facade {
+	f := &Facade{}
+	f.a.now = now
+	f.b = New(set, seed, &f.a)
+	f.b.Start()
+	return f
+}
+
+// Pick asks where a new request goes. Without a verdict on the request itself
+// the answer holds DoWait, and a later Report or Tick brings the verdict.
+func (f *Facade) Pick(now time.Duration, q Request) []Verdict {
+	f.a.begin(now)
+	f.b.Request(now, q)
+	for _, v := range f.a.out {
+		if v.ID == q.ID && v.Do <= DoFail {
+			return f.a.out
+		}
+	}
+	f.a.add(Verdict{Do: DoWait, ID: q.ID})
+	return f.a.out
+}
+
+// Report tells what the relay has learned.
+func (f *Facade) Report(now time.Duration, n News) []Verdict {
+	f.a.begin(now)
+	n.tell(f.b, now)
+	return f.a.out
+}
+
+// Tick does what is due by now. It never runs timers that it has itself set.
+func (f *Facade) Tick(now time.Duration) []Verdict {
+	f.a.begin(now)
+	var due []uint64
+	for len(f.a.timers) > 0 && f.a.timers[0].at <= now {
+		due = append(due, heap.Pop(&f.a.timers).(alarm).token)
+	}
+	for _, token := range due {
+		f.b.Timer(now, token)
+	}
+	return f.a.out
+}
+
+// Next is the time of the next Tick; false if none is due.
+func (f *Facade) Next() (time.Duration, bool) {
+	if len(f.a.timers) == 0 {
+		return 0, false
+	}
+	return f.a.timers[0].at, true
+}
+
+// gather is the Actions that collects verdicts and keeps the timers.
+type gather struct {
+	now    time.Duration
+	out    []Verdict
+	timers alarms
+	set    uint64
+}
+
+func (g *gather) begin(now time.Duration) { g.now, g.out = now, g.out[:0] }
+func (g *gather) add(v Verdict)           { g.out = append(g.out, v) }
+
+func (g *gather) Send(id RequestID, server ServerID, timeout time.Duration) {
+	g.add(Verdict{Do: DoSend, ID: id, Server: server, For: timeout})
+}
+func (g *gather) Refuse(id RequestID, retryAfter time.Duration) {
+	g.add(Verdict{Do: DoReject, ID: id, For: retryAfter})
+}
+func (g *gather) Fail(id RequestID)            { g.add(Verdict{Do: DoFail, ID: id}) }
+func (g *gather) Cancel(id RequestID, try int) { g.add(Verdict{Do: DoCancel, ID: id, Try: try}) }
+func (g *gather) Move(id RequestID)            { g.add(Verdict{Do: DoMove, ID: id}) }
+func (g *gather) Probe(server ServerID)        { g.add(Verdict{Do: DoProbe, Server: server}) }
+func (g *gather) Watch()                       { g.add(Verdict{Do: DoWatch}) }
+func (g *gather) Timer(delay time.Duration, token uint64) {
+	g.set++
+	heap.Push(&g.timers, alarm{at: g.now + max(delay, 0), order: g.set, token: token})
+}
+
+type alarm struct {
+	at           time.Duration
+	order, token uint64
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int      { return len(a) }
+func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a alarms) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].order < a[j].order
+}
+func (a *alarms) Push(x any) { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	last := len(*a) - 1
+	x := (*a)[last]
+	*a = (*a)[:last]
+	return x
+}
