--- /dev/null
+++ b/internal/netloop/conn_test.go
@@ -0,0 +1,227 @@
+package netloop_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// end is a handler that keeps what it is told.
+type end struct {
+	c      *netloop.Conn
+	take   int // how many more bytes it takes
+	got    []byte
+	opened bool
+	over   []error
+}
+
+func (e *end) Open()    { e.opened = true }
+func (e *end) Drained() {}
+func (e *end) Data(b []byte) int {
+	n := min(e.take, len(b))
+	e.take -= n
+	e.got = append(e.got, b[:n]...)
+	return n
+}
+func (e *end) End(err error) { e.over = append(e.over, err) }
+
+// pair is a connection of the loop and the peer that made it.
+func pair(b *looptest.Bench) (*end, *looptest.Peer) {
+	e := &end{}
+	l, err := b.Loop.Listen("127.0.0.1:0", func(c *netloop.Conn) { e.c = c; c.Handle(e) })
+	if err != nil {
+		b.T.Fatal(err)
+	}
+	p := b.Dial(l.Addr())
+	b.Until("accepting", func() bool { return e.c != nil })
+	l.Close()
+	b.Turn()
+	return e, p
+}
+
+// FuzzConn plays random steps on a connection and checks it against a model of
+// its states: bytes arrive in order and none is lost while the connection
+// stands, a handler hears of the end at most once and of nothing after its own
+// Finish or Reset, and the descriptor is given back.
+func FuzzConn(f *testing.F) {
+	f.Add([]byte{0, 9, 1, 4, 2, 200, 5, 0, 3, 255, 7, 0})
+	f.Add([]byte{0, 255, 0, 255, 1, 9, 6, 0, 2, 9, 7, 0})
+	f.Add([]byte{2, 255, 2, 255, 2, 255, 8, 0, 4, 0})
+	f.Add([]byte{0, 40, 4, 0, 1, 255, 7, 0})
+	f.Add([]byte{3, 99, 0, 1, 5, 0})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		b := looptest.New(t, 16)
+		free := b.Free()
+		e, p := pair(b)
+		var sent, written []byte // by the peer, by us
+		peerOver, weOver, reset := false, false, false
+		for i := 0; i+1 < len(steps) && i < 128; i += 2 {
+			n := int(steps[i+1])
+			chunk := bytes.Repeat([]byte{byte(i)}, n*16)
+			switch steps[i] % 9 {
+			case 0: // the peer sends, if that cannot block
+				if !peerOver && !reset && len(sent)-len(e.got)+len(chunk) < netloop.InBound {
+					p.Say(string(chunk))
+					sent = append(sent, chunk...)
+				}
+			case 1: // the handler takes more
+				e.take += n * 16
+				e.c.Resume()
+			case 2: // we write
+				if !weOver && len(e.over) == 0 && e.c.Room() >= len(chunk) {
+					e.c.Write(chunk)
+					written = append(written, chunk...)
+				}
+			case 3:
+				p.Poll()
+			case 4:
+				if !peerOver {
+					p.Finish()
+					peerOver = true
+				}
+			case 5:
+				p.Reset()
+				peerOver, reset = true, true
+			case 6:
+				e.c.Finish()
+				weOver = true
+			case 7:
+				b.Turn()
+			case 8:
+				e.c.Reset()
+				weOver, reset = true, true
+			}
+			if !bytes.HasPrefix(sent, e.got) {
+				t.Fatalf("step %d: bytes out of order", i)
+			}
+			if len(e.over) > 1 {
+				t.Fatalf("step %d: ended %d times", i, len(e.over))
+			}
+		}
+		told := len(e.over)
+		if !reset {
+			e.take = 1 << 20
+			e.c.Resume()
+			if !weOver {
+				b.Until("all that was sent", func() bool { return bytes.Equal(e.got, sent) })
+			}
+			e.c.Finish()
+			if !peerOver {
+				b.Until("all that was written", func() bool { p.Poll(); return p.Over != nil })
+				if p.Over != io.EOF || !bytes.Equal(p.Got, written) {
+					t.Fatalf("the peer got %d of %d bytes, then %v", len(p.Got), len(written), p.Over)
+				}
+			}
+		}
+		e.c.Finish()
+		p.Close()
+		b.Until("the descriptor", func() bool { b.Pass(time.Second); return b.Free() == free })
+		if weOver && told == 0 && len(e.over) > 0 {
+			t.Fatal("told of the end after ending it")
+		}
+	})
+}
+
+// TestDial: a dial tells its end by End, never from within, and gives its
+// descriptor back however it ends.
+func TestDial(t *testing.T) {
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused.Close()
+	tests := []struct {
+		name, addr string
+		limit      int
+		want       func(error) bool
+	}{
+		{"refused", refused.Addr().String(), 8, func(err error) bool { return err != nil && err != io.EOF }},
+		{"no address", "nowhere", 8, func(err error) bool { return err != nil }},
+		{"no descriptors", refused.Addr().String(), 0, func(err error) bool { return errors.Is(err, netloop.ErrFull) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := looptest.New(t, tt.limit)
+			e := &end{}
+			e.c = b.Loop.Dial(tt.addr, time.Second, e)
+			if len(e.over) > 0 {
+				t.Fatal("told from within Dial")
+			}
+			b.Until("the end", func() bool { return len(e.over) > 0 })
+			if !tt.want(e.over[0]) || e.opened || b.Free() != tt.limit {
+				t.Errorf("ended %v, opened %v, %d free", e.over, e.opened, b.Free())
+			}
+		})
+	}
+}
+
+// TestDialAbandoned: one who hangs up on a dial that is already lost must not be
+// told of its end any more.
+func TestDialAbandoned(t *testing.T) {
+	b := looptest.New(t, 8)
+	e := &end{}
+	b.Loop.Dial("nowhere", time.Second, e).Finish()
+	b.Turn()
+	b.Turn()
+	if len(e.over) > 0 {
+		t.Errorf("told %v", e.over)
+	}
+}
+
+// TestExhaustion: with no descriptor left the listener rests instead of spinning,
+// and takes the waiting connection in once there is one again.
+func TestExhaustion(t *testing.T) {
+	b := looptest.New(t, 2)
+	var taken []*netloop.Conn
+	l, err := b.Loop.Listen("127.0.0.1:0", func(c *netloop.Conn) { c.Handle(&end{c: c}); taken = append(taken, c) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Dial(l.Addr())
+	b.Dial(l.Addr())
+	b.Until("the first", func() bool { return len(taken) == 1 })
+	b.Turn()
+	b.Pass(time.Second)
+	if len(taken) != 1 || b.Free() != 0 {
+		t.Fatalf("%d taken, %d free", len(taken), b.Free())
+	}
+	taken[0].Reset()
+	b.Until("the second", func() bool { b.Pass(time.Second); return len(taken) == 2 })
+}
+
+// TestTimers: they run in order of time, none before its time, a stopped one
+// never, and one that sets itself again lets the sockets have their turn.
+func TestTimers(t *testing.T) {
+	b := looptest.New(t, 1)
+	var ran []int
+	b.After(2*time.Second, func() { ran = append(ran, 2) })
+	b.After(time.Second, func() { ran = append(ran, 1) })
+	b.After(time.Second, func() { ran = append(ran, 9) }).Stop()
+	var again func()
+	rounds := 0
+	again = func() { rounds++; b.After(0, again) }
+	again()
+	b.Turn()
+	if len(ran) != 0 || rounds != 2 {
+		t.Errorf("ran %v, %d rounds", ran, rounds)
+	}
+	b.Pass(3 * time.Second)
+	if len(ran) != 2 || ran[0] != 1 || ran[1] != 2 {
+		t.Errorf("ran %v", ran)
+	}
+}
+
+// TestPost: a call posted by another goroutine wakes the loop.
+func TestPost(t *testing.T) {
+	b := looptest.New(t, 1)
+	go b.Post(b.Stop)
+	if err := b.Run(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -41,6 +41,7 @@
 	spent      []int // descriptors to close after the batch, so that no event of it meets a new one
 	open       int
 	limit      int
+	events     [256]unix.EpollEvent
 	stopped    bool
 
 	mu     sync.Mutex
@@ -89,21 +90,29 @@
 
 // Run serves until Stop, then gives everything back.
 func (l *Loop) Run() error {
-	defer l.close()
-	events := make([]unix.EpollEvent, 256)
+	defer l.Close()
 	for !l.stopped {
-		n, err := unix.EpollWait(l.poll, events, l.patience())
-		if err != nil && err != unix.EINTR {
-			return fmt.Errorf("epoll: %w", err)
+		if err := l.Turn(l.patience()); err != nil {
+			return err
 		}
-		for _, e := range events[:max(n, 0)] {
-			if s := l.sources[int(e.Fd)]; s != nil {
-				s.ready(e.Events)
-			}
+	}
+	return nil
+}
+
+// Turn does one round: it waits for events for at most so many milliseconds,
+// serves them and runs what is due.
+func (l *Loop) Turn(patience int) error {
+	n, err := unix.EpollWait(l.poll, l.events[:], patience)
+	if err != nil && err != unix.EINTR {
+		return fmt.Errorf("epoll: %w", err)
+	}
+	for _, e := range l.events[:max(n, 0)] {
+		if s := l.sources[int(e.Fd)]; s != nil {
+			s.ready(e.Events)
 		}
-		l.fire()
-		l.bury()
 	}
+	l.fire()
+	l.bury()
 	return nil
 }
 
@@ -115,12 +124,17 @@
 	l.spent = l.spent[:0]
 }
 
-func (l *Loop) close() {
+// Close gives back all that the loop holds.
+func (l *Loop) Close() {
+	if l.sources == nil {
+		return
+	}
 	for fd := range l.sources {
 		unix.Close(fd)
 	}
 	l.bury()
 	unix.Close(l.poll)
+	l.sources = nil
 }
 
 func (l *Loop) watch(op, fd int, events uint32) error {
