NATS front with processor subjects, and the store of record

What: internal/front/nats speaks the NATS client protocol to clients and to members on the same core; a subscription is a request that stays, a publication one that is served by a member's PONG. Publications have connections of their own, because abandoning one surely means ending its connection. internal/store writes answers and attempts to SQLite or PostgreSQL in batches. Checked: integration tests with nats.go, a raw client, a stand-in cluster and a stand-in PostgreSQL server: pub/sub with headers, queue groups, replies, nobody listening, payload limit, a scripted drain, retry after fast failures and silence with counts of answers and overlaps (at the nodes and read back from SQLite: no overlap, one answer a request), the stop, bad input, the processor's verdicts, and a failing store (rejects, then service again, no answer lost). The platform's path only gained bounds per connection in netloop; measured next.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"errors"
+	"fmt"
 	"math"
 	"os"
 	"os/signal"
@@ -15,8 +17,10 @@
 	"dahliarudder/internal/config"
 	"dahliarudder/internal/core"
 	"dahliarudder/internal/front/line"
+	"dahliarudder/internal/front/nats"
 	"dahliarudder/internal/netloop"
 	"dahliarudder/internal/pool"
+	"dahliarudder/internal/store"
 	"dahliarudder/policy"
 )
 
@@ -26,6 +30,9 @@
 	ownSockets = 16
 	// stopWithin ends a planned stop; SIGKILL comes no earlier than 3.7 s after SIGTERM.
 	stopWithin = 3 * time.Second
+	// flushWithin is what the store has for its last records; a platform that kills
+	// sooner has no store.
+	flushWithin = 3 * time.Second
 	// stopLinger lets the last answers leave.
 	stopLinger = 200 * time.Millisecond
 )
@@ -44,64 +51,124 @@
 		return err
 	}
 
-	var front *line.Front
-	watch := &pool.Watch{Loop: loop, Addr: cfg.Discovery, Log: log,
-		Names: pool.Names{Settings: set, Epoch: began.Add(-zero)}}
-	var relay *core.Core
-	var next *netloop.Timer
-	relay = core.New(core.Options{
-		Settings: set, Seed: cfg.SeedNumber(), Clock: clock,
+	r := &relay{cfg: cfg, log: log, loop: loop, clock: clock,
+		names: pool.Names{Settings: set, Epoch: began.Add(-zero)}}
+	if err := r.build(); err != nil {
+		loop.Close()
+		return errors.Join(err, r.closeStore())
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		loop.Post(r.stop)
+	}()
+	err = loop.Run()
+	log.WithField("counts", fmt.Sprintf("%+v", r.core.Counts)).Info("stopped")
+	return errors.Join(err, r.closeStore())
+}
+
+// relay is what serve puts together.
+type relay struct {
+	cfg       *config.Config
+	log       *logrus.Logger
+	loop      *netloop.Loop
+	clock     func() time.Duration
+	names     pool.Names
+	watch     *pool.Watch
+	core      *core.Core
+	next      *netloop.Timer // when the core is due
+	nats      *nats.Front    // nil if it is off
+	store     *store.Store   // nil if it is off
+	listeners []*netloop.Listener
+}
+
+func (r *relay) build() (err error) {
+	cfg, loop := r.cfg, r.loop
+	var ledger core.Ledger
+	if cfg.Store != nil {
+		run := fmt.Sprintf("%s/%s/%d", cfg.Name, cfg.Seed, time.Now().UnixMicro())
+		if r.store, err = store.Open(*cfg.Store, run, r.names.Epoch, r.log); err != nil {
+			return err
+		}
+		ledger = r.store
+	}
+	r.watch = &pool.Watch{Loop: loop, Addr: cfg.Discovery, Log: r.log, Names: r.names}
+	var probe func(*core.Member)
+	r.core = core.New(core.Options{Settings: r.names.Settings, Seed: cfg.SeedNumber(), Clock: r.clock, Ledger: ledger,
+		Watch: r.watch.Ask,
+		Probe: func(to *core.Member) { probe(to) },
 		Wake: func(at time.Duration) {
-			next.Stop()
+			r.next.Stop()
 			if at < math.MaxInt64 {
-				next = loop.After(at-clock(), func() { relay.Tick() })
+				r.next = loop.After(at-r.clock(), func() { r.core.Tick() })
 			}
 		},
-		Probe: func(to *core.Member) { front.Probe(to) },
-		Watch: watch.Ask,
 	})
-	watch.Told = relay.Pool
-	front = line.New(loop, relay, log)
+	r.watch.Told = r.core.Pool
+	if cfg.Fronts.NATS != nil {
+		r.nats = nats.New(loop, r.core, r.log, cfg.Name, *cfg.Fronts.NATS)
+		probe = r.nats.Probe
+	}
+	var lines *line.Front
+	if cfg.Fronts.Line != nil {
+		lines = line.New(loop, r.core, r.log)
+		probe = lines.Probe
+	}
 	if known := cfg.KnownList(); known != nil {
-		watch.Hold(known)
-		relay.Pool(policy.ListCached, watch.Names.Members(known))
+		r.watch.Hold(known)
+		r.core.Pool(policy.ListCached, r.names.Members(known))
 	}
-	listener, err := loop.Listen(cfg.Listen, front.Accept)
-	if err != nil {
-		return err
+	if r.nats != nil {
+		err = r.listen("nats", cfg.Fronts.NATS.Listen, r.nats.Accept)
+	}
+	if lines != nil && err == nil {
+		err = r.listen("line", cfg.Listen, lines.Accept)
 	}
+	return err
+}
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		loop.Post(func() { stop(loop, relay, listener, log) })
-	}()
-	log.WithFields(logrus.Fields{"front": "line", "listen": listener.Addr()}).Info("serving")
-	err = loop.Run()
-	log.WithField("counts", relay.Counts).Info("stopped")
+func (r *relay) listen(front, addr string, accept func(*netloop.Conn)) error {
+	l, err := r.loop.Listen(addr, accept)
+	if err == nil {
+		r.listeners = append(r.listeners, l)
+		r.log.WithFields(logrus.Fields{"front": front, "listen": l.Addr()}).Info("serving")
+	}
 	return err
 }
 
 // stop ends the relay once nothing is held any more, and in any case in time.
-func stop(loop *netloop.Loop, relay *core.Core, listener *netloop.Listener, log *logrus.Logger) {
-	log.WithField("held", relay.Held()).Info("stopping")
-	relay.Stop()
+func (r *relay) stop() {
+	loop := r.loop
+	r.log.WithField("held", r.core.Held()).Info("stopping")
+	r.core.Stop()
+	if r.nats != nil {
+		r.nats.Stop()
+	}
 	deadline := loop.Now() + stopWithin
 	least := loop.Now() + core.StopNotice
 	var look func()
 	look = func() {
 		now := loop.Now()
-		if now < deadline && (now < least || relay.Held() > 0) {
+		if now < deadline && (now < least || r.core.Held() > 0) {
 			loop.After(20*time.Millisecond, look)
 			return
 		}
-		listener.Close()
+		for _, l := range r.listeners {
+			l.Close()
+		}
 		loop.After(stopLinger, loop.Stop)
 	}
 	look()
 }
 
+func (r *relay) closeStore() error {
+	if r.store == nil {
+		return nil
+	}
+	return r.store.Close(flushWithin)
+}
+
 // limits keeps the runtime within the machine that the relay is given.
 func limits(cfg *config.Config) {
 	if cores := cfg.Limits.Cores; cores > 0 {
--- a/integration/line_test.go
+++ b/integration/line_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -323,14 +322,14 @@
 				t.Fatal(err)
 			}
 			for _, sub := range []string{"serve", "check"} {
-				out, err := exec.Command(program, sub, "--config", path).CombinedOutput()
-				if err == nil || !strings.Contains(string(out), "invalid configuration") || strings.Contains(string(out), "goroutine") {
+				out, err := run(sub, "--config", path)
+				if err == nil || !strings.Contains(out, "invalid configuration") || strings.Contains(out, "goroutine") {
 					t.Errorf("%s: %v, %s", sub, err, out)
 				}
 			}
 		})
 	}
-	if out, err := exec.Command(program, "version").Output(); err != nil || !strings.HasPrefix(string(out), "dahliarudder ") {
+	if out, err := run("version"); err != nil || !strings.HasPrefix(out, "dahliarudder ") {
 		t.Errorf("version: %s, %v", out, err)
 	}
 }
@@ -364,3 +363,10 @@
 	until(t, "room", func() bool { n++; return strings.HasPrefix(s.open(n, "").line(), "UP ") })
 	s.stop()
 }
+
+// TestDeployed: the operator's file that is shipped can be used.
+func TestDeployed(t *testing.T) {
+	if out, err := run("check", "--config", "../deploy/nats.json"); err != nil {
+		t.Errorf("%v, %s", err, out)
+	}
+}
--- /dev/null
+++ b/integration/nats_test.go
@@ -0,0 +1,366 @@
+package integration
+
+import (
+	"database/sql"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/nats-io/nats.go"
+	_ "modernc.org/sqlite"
+)
+
+// natsSite is a relay with its NATS front on, before a cluster.
+type natsSite struct {
+	*relay
+	k  *cluster
+	d  *discovery
+	db string
+}
+
+func newNATSSite(t *testing.T, nodes int) *natsSite {
+	t.Helper()
+	s := &natsSite{k: newCluster(t, nodes), db: filepath.Join(t.TempDir(), "record.db")}
+	s.d = newDiscovery(t, s.k.members()...)
+	s.relay = start(t, configure(t, s.d, map[string]any{
+		"fronts": map[string]any{"nats": map[string]any{"listen": "127.0.0.1:0", "max_payload": 65536, "load_subject": "node.load",
+			"class": "pay-status", "tenant": "water",
+			"routes": []any{map[string]any{"subject": "refund.>", "class": "payee-check", "tenant": "waste"}}}},
+		"store": map[string]any{"driver": "sqlite", "dsn": s.db},
+	}), 1)
+	return s
+}
+
+// connect is a client of the public library.
+func (s *natsSite) connect(options ...nats.Option) *nats.Conn {
+	s.t.Helper()
+	options = append(options, nats.Timeout(patience), nats.NoReconnect(),
+		nats.ErrorHandler(func(*nats.Conn, *nats.Subscription, error) {}))
+	c, err := nats.Connect("nats://"+s.addr["nats"], options...)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(c.Close)
+	return c
+}
+
+func must[T any](t *testing.T) func(v T, err error) T {
+	return func(v T, err error) T {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+}
+
+func (s *natsSite) flush(c *nats.Conn) {
+	s.t.Helper()
+	if err := c.FlushTimeout(patience); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// TestNATS: the client protocol through the relay: messages with headers, replies,
+// queue groups, an end after so many messages, and nobody listening.
+func TestNATS(t *testing.T) {
+	s := newNATSSite(t, 3)
+	a, b := s.connect(), s.connect()
+	sub := must[*nats.Subscription](t)(a.SubscribeSync("status.*"))
+	s.flush(a)
+	m := nats.NewMsg("status.one")
+	m.Header.Set("Trace", "7")
+	m.Data = []byte("paid")
+	if err := b.PublishMsg(m); err != nil {
+		t.Fatal(err)
+	}
+	got := must[*nats.Msg](t)(sub.NextMsg(patience))
+	if got.Subject != "status.one" || string(got.Data) != "paid" || got.Header.Get("Trace") != "7" {
+		t.Errorf("got %+v", got)
+	}
+	must[*nats.Subscription](t)(a.Subscribe("refund.check", func(m *nats.Msg) { m.Respond(append([]byte("yes "), m.Data...)) }))
+	s.flush(a)
+	if got := must[*nats.Msg](t)(b.Request("refund.check", []byte("42"), patience)); string(got.Data) != "yes 42" {
+		t.Errorf("reply %q", got.Data)
+	}
+	if _, err := b.Request("refund.nobody", nil, patience); !errors.Is(err, nats.ErrNoResponders) {
+		t.Errorf("nobody listens: %v", err)
+	}
+	shared := make(chan *nats.Msg, 100)
+	for _, c := range []*nats.Conn{a, b} {
+		must[*nats.Subscription](t)(c.ChanQueueSubscribe("work", "crew", shared))
+		s.flush(c)
+	}
+	for i := range 20 {
+		b.Publish("work", fmt.Append(nil, "job ", i))
+	}
+	s.flush(b)
+	seen := map[string]int{}
+	for range 20 {
+		select {
+		case m := <-shared:
+			seen[string(m.Data)]++
+		case <-time.After(patience):
+			t.Fatalf("%d of 20 jobs came", len(seen))
+		}
+	}
+	if len(seen) != 20 || len(shared) != 0 {
+		t.Errorf("jobs %v, %d more", seen, len(shared))
+	}
+	few := must[*nats.Subscription](t)(a.SubscribeSync("few"))
+	few.AutoUnsubscribe(2)
+	s.flush(a)
+	for i := range 4 {
+		b.Publish("few", fmt.Append(nil, "few ", i))
+	}
+	s.flush(b)
+	must[*nats.Msg](t)(few.NextMsg(patience))
+	must[*nats.Msg](t)(few.NextMsg(patience))
+	until(t, "its end at the node", func() bool { return fmt.Sprint(s.k.subscriptions("few")) == "[0 0 0]" })
+	if err := b.Publish("status.big", make([]byte, 70000)); !errors.Is(err, nats.ErrMaxPayload) {
+		t.Errorf("a payload over the limit: %v", err)
+	}
+	s.k.tries.check(t)
+	s.stop()
+}
+
+// TestNATSDrain: when a node starts to drain, the subscriptions on it move to
+// others though it goes on serving them, and messages go on coming.
+func TestNATSDrain(t *testing.T) {
+	s := newNATSSite(t, 3)
+	c, p := s.connect(), s.connect()
+	got := make(chan *nats.Msg, 100)
+	for range 8 {
+		must[*nats.Subscription](t)(c.ChanSubscribe("feed", got))
+	}
+	s.flush(c)
+	sum := func(held []int) (n int) {
+		for _, h := range held {
+			n += h
+		}
+		return n
+	}
+	leaving := 0
+	for i, n := range s.k.subscriptions("feed") {
+		if n > 0 {
+			leaving = i
+		}
+	}
+	s.d.set(s.k.nodes[leaving].id, "DRAINING")
+	until(t, "the move", func() bool {
+		held := s.k.subscriptions("feed")
+		return held[leaving] == 0 && sum(held) == 8
+	})
+	p.Publish("feed", []byte("after"))
+	s.flush(p)
+	for n := range 8 {
+		select {
+		case <-got:
+		case <-time.After(patience):
+			t.Fatalf("%d of 8 came after the drain", n)
+		}
+	}
+	c.Close()
+	p.Close()
+	s.k.tries.check(t)
+	s.stop()
+	s.record(map[string]int{"served": 8 + 1}) // the record also holds the moved ones
+}
+
+// record reads the store back: one answer a request, its attempts one after
+// another, at most three, and at least so many answers of each kind.
+func (s *natsSite) record(least map[string]int) {
+	s.t.Helper()
+	count := s.count
+	for answer, n := range least {
+		if got := count("SELECT count(*) FROM requests WHERE answer = '" + answer + "'"); got < n {
+			s.t.Errorf("%d of at least %d recorded as %s", got, n, answer)
+		}
+	}
+	if n := count("SELECT count(*) FROM requests WHERE tries > 3"); n > 0 {
+		s.t.Errorf("%d requests with over three attempts", n)
+	}
+	if n := count(`SELECT count(*) FROM attempts a JOIN attempts b ON a.run = b.run AND a.request = b.request
+		AND a.try < b.try AND b.start_us < a.end_us`); n > 0 {
+		s.t.Errorf("%d overlapping attempts recorded", n)
+	}
+	if n := count(`SELECT count(*) FROM attempts a LEFT JOIN requests r ON a.run = r.run AND a.request = r.id WHERE r.id IS NULL`); n > 0 {
+		s.t.Errorf("%d attempts without a final answer", n)
+	}
+	if a, t := count("SELECT count(*) FROM attempts"), count("SELECT coalesce(sum(tries), 0) FROM requests"); a != t {
+		s.t.Errorf("%d attempts recorded, %d counted", a, t)
+	}
+}
+
+// count reads one number from the store.
+func (s *natsSite) count(query string) (n int) {
+	s.t.Helper()
+	db := must[*sql.DB](s.t)(sql.Open("sqlite", s.db))
+	defer db.Close()
+	if err := db.QueryRow(query).Scan(&n); err != nil {
+		s.t.Fatal(err)
+	}
+	return n
+}
+
+// TestNATSRetry: a publication that a node refuses at once is tried elsewhere, and
+// never has two attempts out; each has one final answer.
+func TestNATSRetry(t *testing.T) {
+	for _, mode := range []string{"err", "silent"} {
+		t.Run(mode, func(t *testing.T) {
+			s := newNATSSite(t, 3)
+			s.k.set(0, mode)
+			s.k.set(1, mode)
+			c := s.connect()
+			s.flush(c)
+			jobs := 12
+			if mode == "silent" {
+				jobs = 3
+			}
+			for i := range jobs {
+				if err := c.Publish("job."+fmt.Sprint(i), fmt.Append(nil, "job ", i)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s.flush(c)
+			s.k.tries.check(t)
+			c.Close()
+			s.stop()
+			s.record(map[string]int{"served": 1})
+			if n := s.count("SELECT count(*) FROM requests WHERE name LIKE 'PUB job.%'"); n != jobs {
+				t.Errorf("%d final answers for %d publications", n, jobs)
+			}
+			if n := s.count("SELECT count(*) FROM attempts WHERE result NOT IN ('ok', 'cancelled')"); n == 0 {
+				t.Error("no attempt failed: nothing was tried")
+			}
+		})
+	}
+}
+
+// TestNATSTerm: a relay that stops says so, and its clients' connections end.
+func TestNATSTerm(t *testing.T) {
+	s := newNATSSite(t, 2)
+	lame, closed := make(chan bool, 1), make(chan bool, 1)
+	c := s.connect(nats.LameDuckModeHandler(func(*nats.Conn) { lame <- true }),
+		nats.ClosedHandler(func(*nats.Conn) { closed <- true }))
+	must[*nats.Subscription](t)(c.SubscribeSync("feed"))
+	s.flush(c)
+	s.stop()
+	for what, ch := range map[string]chan bool{"the notice": lame, "the end": closed} {
+		select {
+		case <-ch:
+		case <-time.After(patience):
+			t.Errorf("the client never saw %s", what)
+		}
+	}
+}
+
+type processorVerdict struct {
+	Verdict string `json:"verdict"`
+	ID      uint64 `json:"id"`
+	Try     int    `json:"try"`
+	Member  string `json:"member"`
+}
+
+// TestProcessor: another proxy carries requests itself and asks for verdicts.
+func TestProcessor(t *testing.T) {
+	s := newNATSSite(t, 3)
+	c := s.connect(nats.CustomInboxPrefix("_dahlia.inbox"))
+	control := must[*nats.Subscription](t)(c.SubscribeSync("_dahlia.control.one"))
+	call := func(subject, text string) processorVerdict {
+		t.Helper()
+		m := must[*nats.Msg](t)(c.Request("_dahlia."+subject, []byte(text), patience))
+		var v processorVerdict
+		if err := json.Unmarshal(m.Data, &v); err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	report := func(v processorVerdict, outcome string) processorVerdict {
+		t.Helper()
+		return call("report", fmt.Sprintf(`{"id":%d,"try":%d,"outcome":%q}`, v.ID, v.Try, outcome))
+	}
+	const ask = `{"name":"r1","class":"pay-status","tenant":"water","wait_ms":2900,"control":"_dahlia.control.one"}`
+	first := call("pick", ask)
+	if first.Verdict != "send" || first.Try != 0 || first.Member == "" {
+		t.Fatalf("verdict %+v", first)
+	}
+	second := report(first, "connect_failed")
+	if second.Verdict != "send" || second.Try != 1 || second.Member == first.Member {
+		t.Fatalf("verdict %+v after %+v failed", second, first)
+	}
+	if late := report(first, "up"); late.Verdict != "unknown" {
+		t.Errorf("a late report got %+v", late)
+	}
+	if v := report(second, "ok"); v.Verdict != "served" {
+		t.Errorf("verdict %+v", v)
+	}
+	if v := report(second, "ok"); v.Verdict != "unknown" {
+		t.Errorf("a second report got %+v", v)
+	}
+	open := call("pick", ask)
+	if v := report(open, "up"); v.Verdict != "up" {
+		t.Errorf("verdict %+v", v)
+	}
+	s.d.set(open.Member, "DRAINING")
+	next := func(want string) {
+		t.Helper()
+		m := must[*nats.Msg](t)(control.NextMsg(patience))
+		if !strings.Contains(string(m.Data), `"verdict":"`+want+`"`) {
+			t.Fatalf("control got %s, want %s", m.Data, want)
+		}
+	}
+	next("move")
+	silent := call("pick", ask)
+	if silent.Verdict != "send" || silent.Member == open.Member {
+		t.Fatalf("verdict %+v", silent)
+	}
+	next("cancel") // it is given up as any attempt that says nothing
+	if v := call("pick", `{"class":"unheard-of"}`); v.Verdict != "error" {
+		t.Errorf("verdict %+v", v)
+	}
+	if _, err := c.Request("_dahlia.nothing", nil, patience); !errors.Is(err, nats.ErrNoResponders) {
+		t.Errorf("an unknown reserved subject: %v", err)
+	}
+	c.Close()
+	s.stop()
+	s.record(map[string]int{"served": 2})
+}
+
+// TestNATSBadInput: what is no protocol ends that connection with a word, and the
+// relay goes on.
+func TestNATSBadInput(t *testing.T) {
+	s := newNATSSite(t, 1)
+	connect := "CONNECT {\"verbose\":true}\r\n"
+	for text, want := range map[string]string{
+		"HELLO\r\n":                    "-ERR 'Unknown Protocol Operation'",
+		"PUB a 1\r\nx\r\n":             "-ERR 'Authorization Violation'",
+		"CONNECT {\r\n":                "-ERR 'Parser Error'",
+		connect + "PUB a\r\n":          "-ERR 'Parser Error'",
+		connect + "PUB a 1\r\nxyz":     "-ERR 'Parser Error'",
+		connect + "PUB a 65537\r\n":    "-ERR 'Maximum Payload Violation'",
+		connect + "HPUB a 9 3\r\n":     "-ERR 'Parser Error'",
+		connect + "PUB a..b 0\r\n\r\n": "-ERR 'Invalid Publish Subject'",
+		connect + "SUB a.>.b 1\r\n":    "-ERR 'Invalid Subject'",
+		connect + "SUB " + strings.Repeat("a", 5000) + " 1\r\n": "-ERR 'maximum control line exceeded'",
+	} {
+		c := s.natsDial()
+		c.want("INFO ")
+		if _, err := c.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(text, connect) {
+			c.want("+OK")
+		}
+		if got := c.line(); got != want {
+			t.Errorf("%.40q got %q, want %q", text, got, want)
+		}
+	}
+	c := s.connect()
+	s.flush(c)
+	s.stop()
+}
--- /dev/null
+++ b/integration/postgres_rig_test.go
@@ -0,0 +1,251 @@
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// postgres is the stand-in for a PostgreSQL server, written from the public
+// description of its protocol. It knows as much as a store of records needs:
+// tables are made, rows are put in, transactions begin and end.
+type postgres struct {
+	l    net.Listener
+	mu   sync.Mutex
+	rows map[string]map[string][]string // by table and primary key
+	down bool                           // every transaction fails
+}
+
+// keys is how many leading columns are a table's primary key.
+var keys = map[string]int{"requests": 2, "attempts": 3}
+
+func newPostgres(t *testing.T) *postgres {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	p := &postgres{l: l, rows: map[string]map[string][]string{"requests": {}, "attempts": {}}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p
+}
+
+func (p *postgres) dsn() string {
+	return "postgres://relay@" + p.l.Addr().String() + "/record?sslmode=disable"
+}
+
+func (p *postgres) setDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+// table is a copy of a table's rows.
+func (p *postgres) table(name string) (out [][]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, row := range p.rows[name] {
+		out = append(out, row)
+	}
+	return out
+}
+
+type pgSession struct {
+	*postgres
+	out        *bufio.Writer
+	status     byte // of the transaction: I, T or E
+	statements map[string]string
+	bound      string
+	values     []string
+	pending    [][]string // rows of the open transaction, the table first
+	skip       bool       // until Sync, after an error
+}
+
+func (p *postgres) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	s := &pgSession{postgres: p, out: bufio.NewWriter(c), status: 'I', statements: map[string]string{}}
+	var size int32
+	if binary.Read(in, binary.BigEndian, &size) != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, in, int64(size-4)); err != nil {
+		return
+	}
+	s.say('R', 0, 0, 0, 0)
+	s.say('K', 0, 0, 0, 1, 0, 0, 0, 1)
+	s.ready()
+	for {
+		kind, err := in.ReadByte()
+		if err != nil || binary.Read(in, binary.BigEndian, &size) != nil {
+			return
+		}
+		body := make([]byte, size-4)
+		if _, err := io.ReadFull(in, body); err != nil || kind == 'X' {
+			return
+		}
+		s.message(kind, body)
+	}
+}
+
+func (s *pgSession) say(kind byte, body ...byte) {
+	s.out.WriteByte(kind)
+	binary.Write(s.out, binary.BigEndian, int32(len(body)+4))
+	s.out.Write(body)
+}
+
+func (s *pgSession) ready() {
+	s.skip = false
+	s.say('Z', s.status)
+	s.out.Flush()
+}
+
+func (s *pgSession) fail(text string) {
+	s.say('E', []byte("SERROR\x00VERROR\x00CXX000\x00M"+text+"\x00\x00")...)
+	if s.status == 'T' {
+		s.status = 'E'
+	}
+	s.skip = true
+}
+
+func cstring(b []byte) (string, []byte) {
+	end := bytes.IndexByte(b, 0)
+	return string(b[:end]), b[end+1:]
+}
+
+func (s *pgSession) message(kind byte, b []byte) {
+	if s.skip && kind != 'S' && kind != 'Q' {
+		return
+	}
+	switch kind {
+	case 'Q':
+		text, _ := cstring(b)
+		s.simple(strings.TrimSpace(text))
+		s.ready()
+	case 'P':
+		name, rest := cstring(b)
+		s.statements[name], _ = cstring(rest)
+		s.say('1')
+	case 'D':
+		if b[0] == 'S' {
+			name, _ := cstring(b[1:])
+			s.say('t', parameters(s.statements[name])...)
+		}
+		s.say('n')
+	case 'B':
+		_, rest := cstring(b)
+		s.bound, rest = cstring(rest)
+		s.values = bindings(rest)
+		s.say('2')
+	case 'E':
+		s.insert(s.statements[s.bound], s.values)
+	case 'C':
+		s.say('3')
+	case 'H':
+		s.out.Flush()
+	case 'S':
+		s.ready()
+	}
+}
+
+func (s *pgSession) simple(text string) {
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	word, _, _ := strings.Cut(strings.ToLower(text), " ")
+	switch {
+	case text == "" || strings.HasPrefix(text, "--"):
+		s.say('I')
+		return
+	case down && word != "rollback":
+		s.fail("the disk is full")
+		return
+	case word == "begin":
+		s.status = 'T'
+	case word == "commit" && s.status == 'T':
+		s.mu.Lock()
+		for _, row := range s.pending {
+			table, key := row[0], strings.Join(row[1:1+keys[row[0]]], " ")
+			if s.rows[table][key] == nil {
+				s.rows[table][key] = row[1:]
+			}
+		}
+		s.mu.Unlock()
+		fallthrough
+	case word == "commit", word == "rollback":
+		s.status, s.pending = 'I', nil
+	case word != "create":
+		s.fail("not known here: " + text)
+		return
+	}
+	s.say('C', []byte(strings.ToUpper(word)+"\x00")...)
+}
+
+var inserting = regexp.MustCompile(`^INSERT INTO (\w+) \(([\w, ]+)\) VALUES \(([$\d, ]+)\) ON CONFLICT DO NOTHING$`)
+
+// texts are the columns that hold text; the others hold numbers.
+var texts = regexp.MustCompile(`^(run|name|answer|member|result)$`)
+
+// parameters describes the parameters of a statement by its columns.
+func parameters(statement string) []byte {
+	m := inserting.FindStringSubmatch(statement)
+	if m == nil {
+		return []byte{0, 0}
+	}
+	columns := strings.Split(m[2], ", ")
+	out := binary.BigEndian.AppendUint16(nil, uint16(len(columns)))
+	for _, c := range columns {
+		oid := uint32(20)
+		if texts.MatchString(c) {
+			oid = 25
+		}
+		out = binary.BigEndian.AppendUint32(out, oid)
+	}
+	return out
+}
+
+// bindings reads the values of a Bind: formats, then values.
+func bindings(b []byte) (values []string) {
+	n := int(binary.BigEndian.Uint16(b))
+	formats := b[2 : 2+2*n]
+	b = b[2+2*n:]
+	count := int(binary.BigEndian.Uint16(b))
+	b = b[2:]
+	for i := range count {
+		size := int(binary.BigEndian.Uint32(b))
+		value := b[4 : 4+size]
+		b = b[4+size:]
+		binaryForm := n == 1 && formats[1] == 1 || n > 1 && formats[2*i+1] == 1
+		if binaryForm && size == 8 {
+			values = append(values, fmt.Sprint(int64(binary.BigEndian.Uint64(value))))
+		} else {
+			values = append(values, string(value))
+		}
+	}
+	return values
+}
+
+func (s *pgSession) insert(statement string, values []string) {
+	m := inserting.FindStringSubmatch(statement)
+	if m == nil || s.status != 'T' {
+		s.fail("not known here: " + statement)
+		return
+	}
+	s.pending = append(s.pending, append([]string{m[1]}, values...))
+	s.say('C', []byte("INSERT 0 1\x00")...)
+}
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -462,7 +462,12 @@
 
 func (r *relay) dial() *client {
 	r.t.Helper()
-	c, err := net.Dial("tcp", r.addr["line"])
+	return r.dialFront("line")
+}
+
+func (r *relay) dialFront(front string) *client {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.addr[front])
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -504,3 +509,15 @@
 	}
 	return line
 }
+
+// natsDial connects to the NATS front without a library.
+func (r *relay) natsDial() *client {
+	r.t.Helper()
+	return r.dialFront("nats")
+}
+
+// run runs a sub-command to its end.
+func run(args ...string) (string, error) {
+	out, err := exec.Command(program, args...).CombinedOutput()
+	return string(out), err
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,8 +11,10 @@
 	"os"
 	"strconv"
 
+	"dahliarudder/internal/front/nats"
 	"dahliarudder/internal/pool"
 	"dahliarudder/internal/settings"
+	"dahliarudder/internal/store"
 )
 
 // ErrInvalid is wrapped by every error about a configuration that cannot be used.
@@ -31,11 +33,20 @@
 	} `json:"limits"`
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+	Fronts   *Fronts         `json:"fronts"` // nil: the line front alone
+	Store    *store.Config   `json:"store"`  // nil: nothing is recorded
 
 	decoded *settings.Settings
 	known   *pool.List
 }
 
+// Fronts are the fronts that are on. Pool members speak the protocol of the
+// front that serves the request; they are probed by the line front if it is on.
+type Fronts struct {
+	Line *struct{}    `json:"line"` // listens at the configuration's address
+	NATS *nats.Config `json:"nats"`
+}
+
 // Load reads the file, if path is not empty, and lets the variables that env
 // knows take precedence.
 func Load(path string, env func(string) string) (*Config, error) {
@@ -61,7 +72,21 @@
 }
 
 func (c *Config) check() error {
-	for _, a := range []struct{ name, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	if c.Fronts == nil {
+		c.Fronts = &Fronts{Line: &struct{}{}}
+	}
+	type address struct{ name, addr string }
+	addresses := []address{{"discovery", c.Discovery}}
+	if c.Fronts.Line != nil {
+		addresses = append(addresses, address{"listen", c.Listen})
+	}
+	if c.Fronts.NATS != nil {
+		addresses = append(addresses, address{"fronts.nats.listen", c.Fronts.NATS.Listen})
+	}
+	if len(addresses) == 1 {
+		return fmt.Errorf("%w: no front is on", ErrInvalid)
+	}
+	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.addr); err != nil {
 			return fmt.Errorf("%w: %s: %v", ErrInvalid, a.name, err)
 		}
@@ -79,6 +104,16 @@
 	if len(c.decoded.Classes) == 0 {
 		return fmt.Errorf("%w: settings name no classes", ErrInvalid)
 	}
+	if c.Fronts.NATS != nil {
+		if err := c.Fronts.NATS.Check(c.decoded); err != nil {
+			return fmt.Errorf("%w: fronts.nats: %v", ErrInvalid, err)
+		}
+	}
+	if c.Store != nil {
+		if err := c.Store.Check(); err != nil {
+			return fmt.Errorf("%w: store: %v", ErrInvalid, err)
+		}
+	}
 	if len(c.Known) > 0 && string(c.Known) != "null" {
 		if c.known, err = pool.Decode(c.Known); err != nil {
 			return fmt.Errorf("%w: known: %v", ErrInvalid, err)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -155,6 +155,9 @@
 // Held is how many requests are on their way or stand as open flows.
 func (c *Core) Held() int { return len(c.requests) }
 
+// Holds says whether a request is on its way or stands as an open flow.
+func (c *Core) Holds(id ID) bool { return c.requests[id] != nil }
+
 // Limits is the settings as the module made them sane.
 func (c *Core) Limits() policy.Settings { return c.set }
 
--- /dev/null
+++ b/internal/front/nats/processor.go
@@ -0,0 +1,221 @@
+package nats
+
+import (
+	"encoding/json"
+	"time"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/settings"
+	"dahliarudder/policy"
+)
+
+// The reserved subjects. Whoever subscribes below them subscribes at the relay
+// alone.
+const (
+	reserved      = "_dahlia."
+	pickSubject   = reserved + "pick"   // ask for a verdict for a request
+	reportSubject = reserved + "report" // report an attempt's outcome, get the next verdict
+)
+
+// pick is what a proxy asks.
+type pick struct {
+	Name    string  `json:"name"`
+	Class   string  `json:"class"`
+	Tenant  string  `json:"tenant"`
+	Key     string  `json:"key"`
+	Group   string  `json:"group"`
+	WaitMS  float64 `json:"wait_ms"`
+	Load    float64 `json:"load"`
+	Control string  `json:"control"` // where verdicts go that nobody has asked for
+}
+
+// outcome is what a proxy reports.
+type outcome struct {
+	ID      core.ID            `json:"id"`
+	Try     int                `json:"try"`
+	Outcome string             `json:"outcome"`
+	Load    map[string]float64 `json:"load"`
+	Message float64            `json:"message_ms"` // how long a message took on the open flow
+}
+
+// verdict is what a proxy gets.
+type verdict struct {
+	Verdict string  `json:"verdict"` // send, reject, fail, served, up, move, cancel, wait, ended, unknown or error
+	ID      core.ID `json:"id,omitempty"`
+	Try     int     `json:"try"`
+	Member  string  `json:"member,omitempty"`
+	Addr    string  `json:"addr,omitempty"`
+	WaitMS  int64   `json:"wait_ms,omitempty"`
+	AfterMS int64   `json:"after_ms,omitempty"`
+	Error   string  `json:"error,omitempty"`
+}
+
+var outcomes = map[string]policy.Result{
+	"ok": policy.OK, "error": policy.Error, "full": policy.Full, "timeout": policy.Timeout,
+	"connect_failed": policy.ConnectFailed, "reset": policy.Reset, "cancelled": policy.Cancelled,
+}
+
+// asked is a request of a proxy that carries it itself.
+type asked struct {
+	c       *client
+	id      core.ID
+	try     int
+	reply   string   // where the proxy waits for a verdict; empty if nowhere
+	control string   // where it takes others
+	kept    *verdict // the last one that had nowhere to go
+	over    bool     // it has its final answer, and is not open
+	expire  *netloop.Timer
+}
+
+// call serves a publication on a reserved subject.
+func (c *client) call(m command) {
+	var err error
+	switch m.subject {
+	case pickSubject:
+		var q pick
+		if err = json.Unmarshal(m.payload[m.header:], &q); err == nil {
+			c.pick(q, m.reply)
+			return
+		}
+	case reportSubject:
+		var o outcome
+		if err = json.Unmarshal(m.payload[m.header:], &o); err == nil {
+			c.report(o, m.reply)
+			return
+		}
+	default:
+		if m.reply != "" && c.options.NoResponders {
+			const head = "NATS/1.0 503\r\n\r\n"
+			c.deliver(command{subject: m.reply, header: len(head), payload: []byte(head)})
+		}
+		return
+	}
+	c.say(m.reply, verdict{Verdict: "error", Error: err.Error()})
+}
+
+func (c *client) say(subject string, v verdict) {
+	text, _ := json.Marshal(v)
+	c.deliver(command{subject: subject, payload: text})
+}
+
+func (c *client) pick(q pick, reply string) {
+	set := c.f.Core.Settings
+	class, ok := set.Class(q.Class)
+	tenant, ok2 := set.Tenant(q.Tenant)
+	if !ok || !ok2 {
+		c.say(reply, verdict{Verdict: "error", Error: "unknown class or tenant"})
+		return
+	}
+	r := core.Request{Name: q.Name, Class: class, Tenant: tenant, Load: max(q.Load, 0), Wait: settings.Span(q.WaitMS)}
+	if r.Wait <= 0 {
+		r.Wait = c.f.Core.Limits().Classes[class].Deadline
+	}
+	if q.Key != "" {
+		r.Key = hash(q.Key)
+	}
+	if q.Group != "" {
+		r.Group = hash(q.Group)
+	}
+	a := &asked{c: c, reply: reply, control: q.Control}
+	a.id = c.f.Core.Open(r, a)
+	if !a.over {
+		c.asked[a.id] = a
+	}
+}
+
+func (c *client) report(o outcome, reply string) {
+	a := c.asked[o.ID]
+	if a == nil {
+		c.say(reply, verdict{Verdict: "unknown", ID: o.ID})
+		return
+	}
+	result, known := outcomes[o.Outcome]
+	switch {
+	case a.kept != nil: // the attempt it speaks of is over already
+		a.reply = reply
+		a.give(*a.kept)
+		return
+	case o.Try != a.try || a.over:
+		c.say(reply, verdict{Verdict: "unknown", ID: o.ID, Try: o.Try})
+		return
+	case o.Outcome == "up":
+		v := verdict{Verdict: "up", ID: a.id, Try: a.try}
+		if !c.f.Core.Up(a.id, a.try) {
+			v.Verdict = "unknown"
+		}
+		c.say(reply, v)
+	case o.Outcome == "message":
+		c.f.Core.Message(a.id, settings.Span(o.Message))
+		c.say(reply, verdict{Verdict: "up", ID: a.id, Try: a.try})
+	case !known:
+		c.say(reply, verdict{Verdict: "error", ID: a.id, Try: a.try, Error: "unknown outcome"})
+	default:
+		a.reply = reply
+		load := settings.Report(func(name string) (float64, bool) { v, ok := o.Load[name]; return v, ok })
+		c.f.Core.Ended(a.id, a.try, result, load)
+		if !c.f.Core.Holds(a.id) && !a.over { // that was its end
+			v := verdict{Verdict: "ended", ID: a.id, Try: a.try}
+			if result == policy.OK {
+				v.Verdict = "served"
+			}
+			a.final(v)
+		}
+	}
+}
+
+// give hands a verdict to whoever waits for it.
+func (a *asked) give(v verdict) {
+	a.kept = nil
+	switch {
+	case a.reply != "":
+		a.c.say(a.reply, v)
+		a.reply = ""
+	case a.control != "":
+		a.c.say(a.control, v)
+	default:
+		a.kept = &v
+		return
+	}
+	if a.over {
+		a.forget()
+	}
+}
+
+// final gives the last verdict; one that nobody takes is kept for a while.
+func (a *asked) final(v verdict) {
+	a.over = true
+	a.expire.Stop()
+	a.expire = a.c.f.Loop.After(keepVerdict, a.forget)
+	a.give(v)
+}
+
+func (a *asked) forget() {
+	a.expire.Stop()
+	delete(a.c.asked, a.id)
+}
+
+// Send tells the proxy to make an attempt. Its silence ends the attempt as any
+// other's.
+func (a *asked) Send(id core.ID, to *core.Member, try int, wait time.Duration) {
+	a.id, a.try = id, try
+	a.give(verdict{Verdict: "send", ID: id, Try: try, Member: to.Name, Addr: to.Addr, WaitMS: wait.Milliseconds()})
+}
+
+// Cancel tells the proxy to abandon its attempt, if it takes such word.
+func (a *asked) Cancel(try int) {
+	if a.control != "" {
+		a.c.say(a.control, verdict{Verdict: "cancel", ID: a.id, Try: try})
+	}
+}
+
+// Reject passes the final answer on.
+func (a *asked) Reject(after time.Duration) {
+	a.final(verdict{Verdict: "reject", ID: a.id, Try: a.try, AfterMS: after.Milliseconds()})
+}
+
+// Fail passes the final answer on.
+func (a *asked) Fail() { a.final(verdict{Verdict: "fail", ID: a.id, Try: a.try}) }
+
+// Move asks the proxy to move its client.
+func (a *asked) Move() { a.final(verdict{Verdict: "move", ID: a.id, Try: a.try}) }
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -8,11 +8,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// Bounds of a connection's buffers, and how long an ended one may linger.
+// Bounds of a connection's buffers unless Bound sets others, and how long an
+// ended one may linger.
 const (
 	InBound  = 8 << 10  // unread bytes kept; beyond it reading rests
 	OutBound = 64 << 10 // unsent bytes at which Room is used up
-	outMost  = OutBound + 4*InBound
+	outOver  = 32 << 10 // what may be written beyond, for answers
 	linger   = time.Second
 )
 
@@ -42,6 +43,8 @@
 	fd       int // -1 once given back
 	h        Handler
 	in, out  []byte
+	inMost   int
+	outMost  int
 	interest uint32
 	dialling *Timer // until a dialled connection stands
 	failing  *Timer // an error waits to be told
@@ -55,13 +58,13 @@
 
 func newConn(l *Loop, fd int) *Conn {
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	return &Conn{l: l, fd: fd}
+	return &Conn{l: l, fd: fd, inMost: InBound, outMost: OutBound}
 }
 
 // Dial starts a connection. Its end, also at once, is told by the handler's End,
 // never from within Dial.
 func (l *Loop) Dial(addr string, within time.Duration, h Handler) *Conn {
-	c := &Conn{l: l, fd: -1, h: h}
+	c := &Conn{l: l, fd: -1, h: h, inMost: InBound, outMost: OutBound}
 	if err := c.connect(addr, within); err != nil {
 		c.dialling = l.After(0, func() { c.fail(err) })
 	}
@@ -96,11 +99,14 @@
 // Handle names who is told from now on.
 func (c *Conn) Handle(h Handler) { c.h = h }
 
+// Bound sets how many bytes may be unread and unsent.
+func (c *Conn) Bound(in, out int) { c.inMost, c.outMost = in, out }
+
 // Unsent is how many written bytes have not left; it stays after the end.
 func (c *Conn) Unsent() int { return c.left + len(c.out) }
 
 // Room is how many bytes may be written before the reader should rest.
-func (c *Conn) Room() int { return max(0, OutBound-len(c.out)) }
+func (c *Conn) Room() int { return max(0, c.outMost-len(c.out)) }
 
 // Addr is the connection's own address.
 func (c *Conn) Addr() string { return local(c.fd) }
@@ -124,7 +130,7 @@
 		return
 	}
 	c.out = append(c.out, b...)
-	if len(c.out) > outMost {
+	if len(c.out) > c.outMost+outOver {
 		c.later(ErrOverflow)
 		return
 	}
@@ -265,7 +271,7 @@
 	for c.fd >= 0 && !c.eof {
 		room := len(chunk)
 		if !c.ending {
-			if room = min(room, InBound-len(c.in)); room == 0 {
+			if room = min(room, c.inMost-len(c.in)); room == 0 {
 				break
 			}
 		}
@@ -329,7 +335,7 @@
 	if c.dialling != nil || len(c.out) > 0 {
 		want |= unix.EPOLLOUT
 	}
-	if c.dialling == nil && c.failing == nil && !c.eof && (c.ending || len(c.in) < InBound) {
+	if c.dialling == nil && c.failing == nil && !c.eof && (c.ending || len(c.in) < c.inMost) {
 		want |= unix.EPOLLIN
 	}
 	if want != c.interest {
