--- /dev/null
+++ b/internal/front/line/line_test.go
@@ -0,0 +1,201 @@
+package line
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/netloop/looptest"
+)
+
+const firstLine = "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,d=1900"
+
+// standingFlow is a flow that is up: the relay, the client and the member.
+func standingFlow(t testing.TB) (*looptest.Relay, *looptest.Peer, *looptest.Peer) {
+	r := looptest.NewRelay(t, 1)
+	f := New(r.Loop, r.Core, r.Log)
+	c := r.Dial(r.Serve(f.Accept))
+	c.Say(firstLine + "\r\n")
+	_, m := r.AcceptAny(0)
+	m.Line()
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+	return r, c, m
+}
+
+// FuzzFlow plays random steps on an open flow and checks them against a model:
+// each side gets a prefix of what the other sent, all of it while nobody ends
+// the flow; MOVE stands only between two lines, comes at most once, and comes
+// whenever the member drains between two lines.
+func FuzzFlow(f *testing.F) {
+	f.Add([]byte{0, 10, 1, 20, 2, 0, 1, 3})
+	f.Add([]byte{1, 7, 2, 0, 4, 0, 1, 8, 2, 0})
+	f.Add([]byte{1, 6, 4, 0, 3, 0})
+	f.Add([]byte{0, 200, 1, 255, 5, 0, 2, 0})
+	f.Add([]byte{1, 12, 6, 0, 2, 0, 1, 1})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		r, c, m := standingFlow(t)
+		var byClient, byMember, seen []byte
+		drained, between, ended := false, false, false
+		for i := 0; i+1 < len(steps) && i < 80; i += 2 {
+			chunk := bytes.Repeat([]byte{'a' + byte(i%26)}, int(steps[i+1])*4)
+			if steps[i+1]%2 == 0 {
+				chunk = append(chunk, "\r\n"...)
+			}
+			switch steps[i] % 7 {
+			case 0:
+				if !ended && !drained {
+					c.Say(string(chunk))
+					byClient = append(byClient, chunk...)
+				}
+			case 1:
+				if !ended && !drained {
+					m.Say(string(chunk))
+					byMember = append(byMember, chunk...)
+				}
+			case 2:
+				r.Turn()
+			case 3:
+				c.Poll()
+				m.Poll()
+			case 4:
+				if !drained && !ended {
+					r.Until("the member's bytes", func() bool { c.Poll(); return len(c.Got) == len(byMember) })
+					drained, between = true, len(byMember) == 0 || bytes.HasSuffix(byMember, []byte("\n"))
+					r.Drain(0)
+				}
+			case 5:
+				if !ended && !drained {
+					m.Finish()
+					ended = true
+				}
+			case 6:
+				if !ended && !drained {
+					c.Finish()
+					ended = true
+				}
+			}
+		}
+		if drained || ended {
+			r.Turn()
+			r.Pass(moveWithin)
+			r.Until("the client's end", func() bool { c.Poll(); return c.Over != nil })
+			r.Until("the member's end", func() bool { m.Poll(); return m.Over != nil })
+			if c.Over != io.EOF || m.Over != io.EOF {
+				t.Errorf("ended with %v and %v", c.Over, m.Over)
+			}
+		} else {
+			r.Until("the member's bytes", func() bool { c.Poll(); return len(c.Got) >= len(byMember) })
+			r.Until("the client's bytes", func() bool { m.Poll(); return len(m.Got) >= len(byClient) })
+		}
+		seen, moved := bytes.CutSuffix(c.Got, []byte("MOVE\r\n"))
+		if !bytes.HasPrefix(byMember, seen) || !bytes.HasPrefix(byClient, m.Got) {
+			t.Errorf("client got %q of %q, member %q of %q", c.Got, byMember, m.Got, byClient)
+		}
+		if moved != (drained && between) || moved && len(seen) > 0 && !bytes.HasSuffix(seen, []byte("\n")) {
+			t.Errorf("moved %v, drained %v between lines %v, after %q", moved, drained, between, seen)
+		}
+		r.Until("the flow's end", func() bool { return r.Core.Held() == 0 || !(drained || ended) })
+	})
+}
+
+// TestMoveWaits: MOVE that is asked for within a line stands after it.
+func TestMoveWaits(t *testing.T) {
+	r, c, m := standingFlow(t)
+	m.Say("half a ")
+	c.Want("half a ")
+	r.Drain(0)
+	r.Turn()
+	m.Say("line\r\nand what is lost")
+	c.Lines("line", "MOVE")
+	c.WantEnd()
+}
+
+// TestSilent: a member that answers no line for too long is left, and the client
+// is asked to come again; one that answers is not.
+func TestSilent(t *testing.T) {
+	r, c, m := standingFlow(t)
+	c.Say("hello\r\n")
+	m.Lines("hello")
+	r.Pass(silentAfter)
+	m.Say("well\r\n")
+	c.Lines("well")
+	c.Say("hello?\r\n")
+	m.Lines("hello?")
+	r.Pass(silentAfter + sweepEvery)
+	r.Pass(sweepEvery)
+	c.Lines("MOVE")
+	c.WantEnd()
+	if r.Core.Held() != 0 {
+		t.Error("the flow is still held")
+	}
+}
+
+// TestResets: a reset is answered by a reset, both ways.
+func TestResets(t *testing.T) {
+	_, c, m := standingFlow(t)
+	m.Reset()
+	c.WantReset()
+	_, c, m = standingFlow(t)
+	c.Reset()
+	m.WantReset()
+}
+
+// TestClientLeaves: who leaves before an answer leaves no attempt behind.
+func TestClientLeaves(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	f := New(r.Loop, r.Core, r.Log)
+	c := r.Dial(r.Serve(f.Accept))
+	c.Say(firstLine + "\r\n")
+	_, m := r.AcceptAny(0)
+	m.Line()
+	c.Finish()
+	r.Until("the member's end", func() bool { m.Poll(); return m.Over != nil })
+	c.WantEnd()
+	if r.Core.Held() != 0 || r.Core.Counts.Left != 1 {
+		t.Errorf("held %d, %+v", r.Core.Held(), r.Core.Counts)
+	}
+}
+
+// TestAnswers: what a member may answer to a first line, and what the client then
+// gets after the only member was tried.
+func TestAnswers(t *testing.T) {
+	for answer, want := range map[string]string{
+		"BUSY x0=1":  "BUSY",
+		"ERR":        "BUSY",
+		"BYE x0=0.1": "BYE x0=0.1",
+		"MOVE":       "BUSY",
+		"anything":   "BUSY",
+	} {
+		t.Run(answer, func(t *testing.T) {
+			r := looptest.NewRelay(t, 1)
+			f := New(r.Loop, r.Core, r.Log)
+			c := r.Dial(r.Serve(f.Accept))
+			c.Say(firstLine + "\r\n")
+			_, m := r.AcceptAny(0)
+			m.Line()
+			m.Say(answer + "\r\n")
+			r.Until("an answer", func() bool { r.Pass(50 * time.Millisecond); c.Poll(); return len(c.Got) > 0 })
+			if got := c.Line(); !strings.HasPrefix(got, want) {
+				t.Errorf("got %q, want %q", got, want)
+			}
+			c.WantEnd()
+		})
+	}
+}
+
+// TestLimit: a line within the bound is read, a longer one is not waited for.
+func TestLimit(t *testing.T) {
+	long := strings.Repeat("x", maxLine-2)
+	if text, n, err := cutLine([]byte(long + "\r\n")); err != nil || n != maxLine || text != long {
+		t.Errorf("%d of a line at the bound, %v", n, err)
+	}
+	if _, _, err := cutLine([]byte(long + "x\r\n")); err == nil {
+		t.Error("a line over the bound was taken")
+	}
+	if _, n, err := cutLine([]byte(long)); n != 0 || err != nil {
+		t.Errorf("%d, %v of a line that has not ended", n, err)
+	}
+}
--- /dev/null
+++ b/internal/front/nats/nats_test.go
@@ -0,0 +1,177 @@
+package nats
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// FuzzParse: a stream of messages is read the same however it is cut up, and what
+// was read can be written and read again.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{
+		"PUB a.b 5\r\nhello\r\nPING\r\n", "pub a inbox 0\r\n\r\n", "HPUB a 12 14\r\nNATS/1.0\r\n\r\nhi\r\n",
+		"MSG a 9 2\r\nok\r\nMSG a 9 r 2\r\nok\r\n", "HMSG a 9 r 12 12\r\nNATS/1.0\r\n\r\n\r\n", "SUB a q 1\r\nUNSUB 1 5\r\n",
+		"CONNECT {}\r\nINFO {\"a\":1}\r\n+OK\r\n-ERR 'x'\r\nPONG\r\n", "PUB a 99999\r\n", "PUB a -1\r\n", "HPUB a 9 3\r\n", "\r\n",
+	} {
+		f.Add([]byte(s), uint8(3))
+	}
+	f.Fuzz(func(t *testing.T, text []byte, step uint8) {
+		read := func(step int) (out string, err error) {
+			var held []byte
+			for rest := text; len(rest) > 0 && err == nil; {
+				n := min(step, len(rest))
+				held, rest = append(held, rest[:n]...), rest[n:]
+				for {
+					var m command
+					var used int
+					if m, used, err = parse(held, 1024); err != nil || used == 0 {
+						break
+					}
+					if m.payload != nil {
+						again, n, err := parse(m.message("1"), 1024)
+						if err != nil || n == 0 || string(again.payload) != string(m.payload) || again.header != m.header ||
+							again.subject != m.subject || again.reply != m.reply {
+							t.Fatalf("%+v was written and read as %+v, %v", m, again, err)
+						}
+					}
+					out += fmt.Sprintf("%+v\n", m)
+					held = held[used:]
+				}
+			}
+			return out, err
+		}
+		whole, err := read(len(text) + 1)
+		cut, err2 := read(int(step)%7 + 1)
+		if whole != cut || (err == nil) != (err2 == nil) {
+			t.Errorf("whole: %s%v\ncut: %s%v", whole, err, cut, err2)
+		}
+	})
+}
+
+// TestMatches: the wildcards of subscriptions.
+func TestMatches(t *testing.T) {
+	for pattern, want := range map[string]string{
+		"a.b": "a.b", "a.*": "a.b a.c", "a.>": "a.b a.c a.b.c", ">": "a a.b a.c a.b.c", "*": "a", "*.b": "a.b",
+	} {
+		var got []string
+		for _, s := range []string{"a", "a.b", "a.c", "a.b.c"} {
+			if matches(pattern, s) {
+				got = append(got, s)
+			}
+		}
+		if strings.Join(got, " ") != want {
+			t.Errorf("%s matches %v, want %s", pattern, got, want)
+		}
+	}
+	for s, want := range map[string]bool{"a.b": true, "a..b": false, "": false, "a.*": false, "a.>": false} {
+		if validSubject(s, false) != want {
+			t.Errorf("%q: valid %v", s, !want)
+		}
+	}
+	if !validSubject("a.*.>", true) || validSubject("a.>.b", true) {
+		t.Error("wildcards")
+	}
+	if _, _, err := parse([]byte("PUB a 2000\r\n"), 1024); !errors.Is(err, errPayload) {
+		t.Errorf("payload over the limit: %v", err)
+	}
+}
+
+// site is a front before members that the test plays, and its client.
+type site struct {
+	*looptest.Relay
+	c *looptest.Peer
+}
+
+func newSite(t *testing.T, members int) *site {
+	r := looptest.NewRelay(t, members)
+	f := New(r.Loop, r.Core, r.Log, "n0", Config{Class: "pay", Tenant: "water"})
+	s := &site{r, r.Dial(r.Serve(f.Accept))}
+	s.c.Line()
+	s.c.Say("CONNECT {\"verbose\":true}\r\n")
+	s.c.Lines("+OK")
+	return s
+}
+
+// link takes in the next connection to a member and greets it.
+func (s *site) link(step time.Duration) (int, *looptest.Peer) {
+	s.T.Helper()
+	i, m := s.AcceptAny(step)
+	m.Say("INFO {\"headers\":true}\r\n")
+	if got := m.Line(); !strings.HasPrefix(got, "CONNECT {") {
+		s.T.Fatalf("got %q", got)
+	}
+	m.Lines("PING")
+	m.Say("PONG\r\n")
+	return i, m
+}
+
+// TestDrainAtOnce: the clock stands still from the word that a member drains until
+// its subscription has left and stands elsewhere, so the 250 ms are kept; the
+// member never has to end anything itself, and no two places hold it at once.
+func TestDrainAtOnce(t *testing.T) {
+	s := newSite(t, 2)
+	s.c.Say("SUB feed q 7\r\n")
+	i, m := s.link(0)
+	m.Lines("SUB feed q 1", "PING")
+	m.Say("PONG\r\nMSG feed 1 2\r\nhi\r\n")
+	s.c.Lines("+OK", "MSG feed 7 2", "hi")
+	s.Drain(i)
+	m.Lines("UNSUB 1")
+	j, n := s.link(0)
+	if j == i {
+		t.Fatal("placed on the draining member again")
+	}
+	n.Lines("SUB feed q 1", "PING")
+	n.Say("PONG\r\n")
+	m.Say("MSG feed 1 4\r\nlate\r\n") // it is not held there any more
+	n.Say("MSG feed 1 3\r\nnew\r\n")
+	s.c.Lines("MSG feed 7 3", "new")
+	if c := s.Core.Counts; c.Requests != 2 || c.Served != 2 || c.Moves != 1 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// TestPublishRetry: after a fast failure, and after silence, the next attempt
+// starts only when the last one is over, its connection ended.
+func TestPublishRetry(t *testing.T) {
+	s := newSite(t, 3)
+	s.c.Say("PUB job 1\r\nx\r\nPING\r\n")
+	_, m := s.link(0)
+	m.Lines("PUB job 1", "x", "PING")
+	m.Reset()
+	_, n := s.link(0)
+	n.Lines("PUB job 1", "x", "PING")
+	n.Say("PONG\r\n")
+	s.c.Lines("+OK", "PONG")
+	if c := s.Core.Counts; c.Attempts != 2 || c.Served != 1 || s.Core.Held() != 0 {
+		t.Errorf("%+v", c)
+	}
+	s.c.Say("PUB job 1\r\ny\r\n")
+	silent := n
+	silent.Lines("PUB job 1", "y", "PING")
+	s.Until("the end of the silent attempt", func() bool {
+		s.Pass(10 * time.Millisecond)
+		silent.Poll()
+		return silent.Over != nil
+	})
+}
+
+// TestLinkLost: subscriptions on a connection that breaks are placed again.
+func TestLinkLost(t *testing.T) {
+	s := newSite(t, 2)
+	s.c.Say("SUB feed 7\r\n")
+	_, m := s.link(0)
+	m.Lines("SUB feed 1", "PING")
+	m.Say("PONG\r\n")
+	s.c.Lines("+OK")
+	m.Reset()
+	_, n := s.link(0)
+	n.Lines("SUB feed 1", "PING")
+	n.Say("PONG\r\nMSG feed 1 2\r\nhi\r\n")
+	s.c.Lines("MSG feed 7 2", "hi")
+}
--- /dev/null
+++ b/internal/netloop/looptest/relay.go
@@ -0,0 +1,121 @@
+package looptest
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/settings"
+	"dahliarudder/policy"
+)
+
+const settingsText = `{"balancers":1,"zones":["a"],
+ "classes":[{"name":"pay","aim-ms":400,"deadline-ms":2000,"effect":"read_like","key-scope":"all"}],
+ "tenants":[{"name":"water","share":1}],
+ "limits":{"max-attempts":3,"cancel":true,"probes":false,"connect-timeout-ms":250},
+ "guarantees":{"answer-slack-ms":8,"drain-grace-ms":250},"extra":{"message-aim-ms":[90]}}`
+
+// Relay is a core on a loop, before members that the test plays.
+type Relay struct {
+	*Bench
+	Core    *core.Core
+	Log     *logrus.Logger
+	Members []core.Member
+	servers []*Server
+}
+
+// NewRelay makes one with so many members.
+func NewRelay(t testing.TB, members int) *Relay {
+	b := New(t, 1024)
+	r := &Relay{Bench: b, Log: logrus.New()}
+	r.Log.SetOutput(t.Output())
+	set, err := settings.Decode([]byte(settingsText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var next *netloop.Timer
+	r.Core = core.New(core.Options{Settings: set, Seed: 7, Clock: b.Loop.Now, Probe: func(*core.Member) {}, Watch: func() {},
+		Wake: func(at time.Duration) {
+			next.Stop()
+			if at < math.MaxInt64 {
+				next = b.Loop.After(at-b.Loop.Now(), func() { r.Core.Tick() })
+			}
+		}})
+	for i := range members {
+		s := b.Listen()
+		m := core.Member{Name: fmt.Sprintf("s-%08x", i+1), Addr: s.Addr()}
+		m.ID, m.State, m.Weight = policy.ServerID(i+1), policy.Ready, 1
+		r.Members, r.servers = append(r.Members, m), append(r.servers, s)
+	}
+	r.Core.Pool(policy.ListCached, r.Members)
+	return r
+}
+
+// Serve listens with a front and returns its address.
+func (r *Relay) Serve(accept func(*netloop.Conn)) string {
+	r.T.Helper()
+	l, err := r.Loop.Listen("127.0.0.1:0", accept)
+	if err != nil {
+		r.T.Fatal(err)
+	}
+	return l.Addr()
+}
+
+// Drain has discovery say that a member drains.
+func (r *Relay) Drain(i int) {
+	r.Members[i].State = policy.Draining
+	r.Core.Pool(policy.ListDelta, r.Members[i:i+1])
+}
+
+// AcceptAny takes in the next connection to any member, and says which. The clock
+// moves on by step with every look.
+func (r *Relay) AcceptAny(step time.Duration) (int, *Peer) {
+	r.T.Helper()
+	at, c := -1, net.Conn(nil)
+	r.Until("a connection to a member", func() bool {
+		r.Pass(step)
+		for i, s := range r.servers {
+			s.Listener.(*net.TCPListener).SetDeadline(time.Now().Add(time.Millisecond))
+			if got, err := s.Listener.Accept(); err == nil {
+				at, c = i, got
+				return true
+			}
+		}
+		return false
+	})
+	return at, r.peer(c)
+}
+
+// Line waits for a line and takes it off what has come.
+func (p *Peer) Line() string {
+	p.b.T.Helper()
+	end := -1
+	p.b.Until("a line", func() bool {
+		p.Poll()
+		end = bytes.IndexByte(p.Got, '\n')
+		return end >= 0 || p.Over != nil
+	})
+	if end < 0 {
+		p.b.T.Fatalf("ended with %v after %q, want a line", p.Over, p.Got)
+	}
+	line := string(bytes.TrimSuffix(p.Got[:end], []byte("\r")))
+	p.Got = p.Got[end+1:]
+	return line
+}
+
+// Lines waits for these lines.
+func (p *Peer) Lines(want ...string) {
+	p.b.T.Helper()
+	for _, w := range want {
+		if got := p.Line(); got != w {
+			p.b.T.Fatalf("got line %q, want %q", got, w)
+		}
+	}
+}
--- a/policy/facade_test.go
+++ b/policy/facade_test.go
@@ -42,6 +42,29 @@
 	}
 }
 
+// TestRejectTellsWhen guards against clients that come again at once, all together: a reject says when, and
+// not the same time to all.
+func TestRejectTellsWhen(t *testing.T) {
+	set := settings()
+	f := Begin(t0, set, 7)
+	f.Report(t0, Pool{Kind: ListCached})
+	seen := map[time.Duration]bool{}
+	for id := range RequestID(50) {
+		f.Pick(t0, Request{ID: id + 1, Deadline: t0 + time.Second})
+	}
+	for _, v := range f.Tick(t0 + time.Second) {
+		if v.Do == DoReject {
+			seen[v.For] = true
+			if v.For < set.Classes[0].Aim/2 || v.For > set.Classes[0].Aim*3/2 {
+				t.Errorf("come again in %v", v.For)
+			}
+		}
+	}
+	if len(seen) < 25 {
+		t.Errorf("%d different times", len(seen))
+	}
+}
+
 // TestFacadeTimers: timers come in order of time, those of one time in the order
 // in which they were set, so that equal events give equal verdicts.
 func TestFacadeTimers(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -640,7 +640,8 @@
 	}
 	r.done = true
 	if r.mayRefuse(b) {
-		b.act.Refuse(r.ID, 0)
+		// By then reports are new; spread, so that who were refused together do not come back together.
+		b.act.Refuse(r.ID, time.Duration(float64(b.horizon)*(0.5+b.rng.Float64())))
 	} else {
 		b.act.Fail(r.ID)
 	}
