End every stop with an answer; drop clients that vanished; one accept loop in tests

Seen on reading: a stop whose 3 s were up closed whatever was still held without a word; a client's machine that vanished held its flow for ever; a NATS client let in with no descriptors left made its links fail, which the module would have counted against members. Change: core.Finish moves or rejects what is left (TestFinish); a flow whose client sent no line for 30 s is ended, where one every 2 s is the rule (TestClientGone); the NATS front turns clients away while descriptors are short.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -154,6 +154,7 @@
 			loop.After(20*time.Millisecond, look)
 			return
 		}
+		r.core.Finish()
 		for _, l := range r.listeners {
 			l.Close()
 		}
--- a/integration/nats_rig_test.go
+++ b/integration/nats_rig_test.go
@@ -45,22 +45,9 @@
 func newCluster(t *testing.T, n int) *cluster {
 	k := &cluster{tries: newTries()}
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		o := &node{cluster: k, id: fmt.Sprintf("s-%08x", 0x71000000+i*0x0234567), l: l, conns: map[*natsConn]bool{}}
+		o := &node{cluster: k, id: fmt.Sprintf("s-%08x", 0x71000000+i*0x0234567), conns: map[*natsConn]bool{}}
 		k.nodes = append(k.nodes, o)
-		t.Cleanup(func() { l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go o.serve(c)
-			}
-		}()
+		o.l = listen(t, o.serve)
 	}
 	return k
 }
--- a/integration/postgres_rig_test.go
+++ b/integration/postgres_rig_test.go
@@ -27,21 +27,8 @@
 var keys = map[string]int{"requests": 2, "attempts": 3}
 
 func newPostgres(t *testing.T) *postgres {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	p := &postgres{l: l, rows: map[string]map[string][]string{"requests": {}, "attempts": {}}}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(c)
-		}
-	}()
+	p := &postgres{rows: map[string]map[string][]string{"requests": {}, "attempts": {}}}
+	p.l = listen(t, p.serve)
 	return p
 }
 
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// listen serves connections to a new port of the loopback, each on its own.
+func listen(t *testing.T, serve func(net.Conn)) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l
+}
+
 // ---- Discovery ----
 
 // member is an entry of the list.
@@ -234,21 +254,9 @@
 }
 
 func newBackend(t *testing.T, id string, c *tries) *backend {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	b := &backend{id: id, l: l, tries: c, held: map[net.Conn]bool{}}
-	t.Cleanup(func() { l.Close(); b.each(func(c net.Conn) { c.Close() }) })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(c)
-		}
-	}()
+	b := &backend{id: id, tries: c, held: map[net.Conn]bool{}}
+	b.l = listen(t, b.serve)
+	t.Cleanup(func() { b.each(func(c net.Conn) { c.Close() }) })
 	return b
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -369,6 +369,20 @@
 	c.arm()
 }
 
+// Finish ends a stop whose time is up: who still waits is rejected, and every
+// open flow is moved at once.
+func (c *Core) Finish() {
+	for _, r := range c.requests {
+		if r.open {
+			c.move(r)
+		} else {
+			c.tell(policy.Left{ID: r.id})
+			c.abandon(r)
+			c.answer(r, Rejected, stopAfter)
+		}
+	}
+}
+
 // nextMove is when a flow is moved that came up during a stop.
 func (c *Core) nextMove() time.Duration { return max(c.moveAt, c.Clock()+StopNotice/2) }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -247,6 +247,19 @@
 	}
 }
 
+// TestFinish: when the time of a stop is up nobody is left without an answer or
+// without being told to move.
+func TestFinish(t *testing.T) {
+	r := newRig(t, 2)
+	up, late := r.open(), r.open()
+	r.Up(up.id, 0)
+	r.Stop()
+	r.Finish()
+	if up.moved != 1 || len(late.answers) != 1 || late.answers[0] != "rejected" || late.out != 0 || r.Held() != 0 {
+		t.Errorf("moved %d, answers %v, held %d", up.moved, late.answers, r.Held())
+	}
+}
+
 // TestMessages: slow messages at one member are told at most once a second, and
 // once more when they are fast again.
 func TestMessages(t *testing.T) {
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -24,6 +24,7 @@
 const (
 	openWithin  = 30 * time.Second       // a connection may stay without a request
 	silentAfter = 5 * time.Second        // a member that answers no line for so long is gone; 7 s are allowed
+	clientGone  = 30 * time.Second       // a client that sends no line for so long; each sends one every 2 s
 	sweepEvery  = 250 * time.Millisecond // how often that is looked for
 	moveWithin  = 500 * time.Millisecond // for the line to end after which MOVE may stand
 	crowdAfter  = 500 * time.Millisecond // when a client may come again that found no descriptors
@@ -60,8 +61,8 @@
 	c.Handle(v)
 }
 
-// sweep moves clients whose member has gone silent: a machine that vanished ends
-// no connection.
+// sweep moves clients whose member has gone silent, and ends flows whose client
+// has: a machine that vanished ends no connection.
 func (f *Front) sweep() {
 	now := f.Loop.Now()
 	for v := range f.open {
@@ -69,6 +70,10 @@
 			f.Log.WithField("member", s.member.Name).Warn("member has gone silent")
 			v.Move()
 			s.end(policy.Reset)
+		} else if now-s.heard > clientGone {
+			s.c.Finish()
+			v.close()
+			f.Core.Left(v.id)
 		}
 	}
 	f.Loop.After(sweepEvery, f.sweep)
@@ -270,6 +275,7 @@
 	wait   time.Duration
 	opened bool
 	asked  time.Duration // when the oldest unanswered line of the client went on; 0 if none
+	heard  time.Duration // when the client last sent something
 	tail   []byte        // the start of the line that is passing
 	last   string        // the last whole line that means something: BYE or MOVE
 	report policy.Report
@@ -311,7 +317,7 @@
 			return len(b)
 		}
 		v := s.v
-		v.phase = standing
+		v.phase, s.heard = standing, v.f.Loop.Now()
 		v.f.open[v] = struct{}{}
 		v.c.Write(b[:n])
 		if n < len(b) {
@@ -385,6 +391,7 @@
 func (s *flow) forward(b []byte) int {
 	n := min(len(b), s.c.Room())
 	s.c.Write(b[:n])
+	s.heard = s.v.f.Loop.Now()
 	if s.asked == 0 && bytes.IndexByte(b[:n], '\n') >= 0 {
 		s.asked = s.v.f.Loop.Now()
 	}
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -12,14 +12,21 @@
 
 const firstLine = "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,d=1900"
 
-// standingFlow is a flow that is up: the relay, the client and the member.
-func standingFlow(t testing.TB) (*looptest.Relay, *looptest.Peer, *looptest.Peer) {
+// asked is a request that its only member has got: the relay, the client and the
+// member.
+func asked(t testing.TB) (*looptest.Relay, *looptest.Peer, *looptest.Peer) {
 	r := looptest.NewRelay(t, 1)
 	f := New(r.Loop, r.Core, r.Log)
 	c := r.Dial(r.Serve(f.Accept))
 	c.Say(firstLine + "\r\n")
 	_, m := r.AcceptAny(0)
 	m.Line()
+	return r, c, m
+}
+
+// standingFlow is the same, up.
+func standingFlow(t testing.TB) (*looptest.Relay, *looptest.Peer, *looptest.Peer) {
+	r, c, m := asked(t)
 	m.Say("UP x\r\n")
 	c.Lines("UP x")
 	return r, c, m
@@ -133,6 +140,22 @@
 	}
 }
 
+// TestClientGone: a client's machine that vanished must not hold a flow for ever.
+func TestClientGone(t *testing.T) {
+	r, c, m := standingFlow(t)
+	r.Pass(clientGone)
+	c.Say("still here\r\n")
+	m.Lines("still here")
+	m.Say("well\r\n")
+	c.Lines("well")
+	r.Pass(clientGone + sweepEvery)
+	r.Pass(sweepEvery)
+	m.WantEnd()
+	if r.Core.Held() != 0 {
+		t.Error("the flow is still held")
+	}
+}
+
 // TestResets: a reset is answered by a reset, both ways.
 func TestResets(t *testing.T) {
 	_, c, m := standingFlow(t)
@@ -145,12 +168,7 @@
 
 // TestClientLeaves: who leaves before an answer leaves no attempt behind.
 func TestClientLeaves(t *testing.T) {
-	r := looptest.NewRelay(t, 1)
-	f := New(r.Loop, r.Core, r.Log)
-	c := r.Dial(r.Serve(f.Accept))
-	c.Say(firstLine + "\r\n")
-	_, m := r.AcceptAny(0)
-	m.Line()
+	r, c, m := asked(t)
 	c.Finish()
 	r.Until("the member's end", func() bool { m.Poll(); return m.Over != nil })
 	c.WantEnd()
@@ -170,12 +188,7 @@
 		"anything":   "BUSY",
 	} {
 		t.Run(answer, func(t *testing.T) {
-			r := looptest.NewRelay(t, 1)
-			f := New(r.Loop, r.Core, r.Log)
-			c := r.Dial(r.Serve(f.Accept))
-			c.Say(firstLine + "\r\n")
-			_, m := r.AcceptAny(0)
-			m.Line()
+			r, c, m := asked(t)
 			m.Say(answer + "\r\n")
 			r.Until("an answer", func() bool { r.Pass(50 * time.Millisecond); c.Poll(); return len(c.Got) > 0 })
 			if got := c.Line(); !strings.HasPrefix(got, want) {
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -137,6 +137,10 @@
 	conn.Handle(c)
 	conn.Bound(f.MaxPayload+maxControl+2, 2*f.MaxPayload+4*highWater)
 	c.write(f.info(f.stopping))
+	if f.Loop.Free() < spareSockets { // its links would find no descriptors
+		c.fail("maximum connections exceeded")
+		return
+	}
 	c.timer = f.Loop.After(connectWithin, func() { c.fail("Authentication Timeout") })
 }
 
