Relieve members by the piled-up work in their reports

So on these sockets a line's time does not show what piles up, and Core.Message never fired. Change: Probed in policy.go relieves a server whose report has more x1 than the shortest message aim, at most once in the time that reports are old; Report carries x1. Tests: TestBacklog; the configuration's tests came with it.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+const settingsText = `"settings":{"zones":["a"],"classes":[{"name":"pay","aim-ms":400,"deadline-ms":2000,"effect":"read_like"}],"tenants":[{"name":"water","share":1}]}`
+
+func load(t *testing.T, text string, env map[string]string) (*Config, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(path, func(name string) string { return env[name] })
+}
+
+// TestLoad: the variables take precedence over the file, keys that are unknown are
+// passed over, and without fronts the line front is on alone.
+func TestLoad(t *testing.T) {
+	c, err := load(t, `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964","more":[1],
+		"known":{"generation":7,"instances":[{"instanceId":"s-00000001"}]},`+settingsText+`}`,
+		map[string]string{"EDGE_NAME": "n3", "EDGE_LISTEN": "127.0.0.1:3"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n3" || c.Listen != "127.0.0.1:3" || c.Discovery != "127.0.0.1:2" || c.SeedNumber() != 0x8c1f30d27a5be964 ||
+		c.KnownList().Generation != 7 || len(c.Decoded().Classes) != 1 || c.Fronts.Line == nil || c.Fronts.NATS != nil || c.Store != nil {
+		t.Errorf("%+v", c)
+	}
+	if _, err := Load("", func(string) string { return "" }); !errors.Is(err, ErrInvalid) {
+		t.Errorf("nothing at all: %v", err)
+	}
+}
+
+// TestInvalid: what the operator's own keys may get wrong is told at the start.
+func TestInvalid(t *testing.T) {
+	const head = `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2",` + settingsText + `,`
+	if _, err := load(t, head+`"fronts":{"nats":{"listen":"127.0.0.1:4","class":"pay","tenant":"water"}},"store":{"driver":"sqlite","dsn":"x"}}`, nil); err != nil {
+		t.Fatal(err)
+	}
+	for name, rest := range map[string]string{
+		"no front":        `"fronts":{}}`,
+		"NATS address":    `"fronts":{"nats":{}}}`,
+		"NATS payload":    `"fronts":{"nats":{"listen":"127.0.0.1:4","max_payload":-1}}}`,
+		"NATS class":      `"fronts":{"nats":{"listen":"127.0.0.1:4","class":"gold"}}}`,
+		"NATS route":      `"fronts":{"nats":{"listen":"127.0.0.1:4","routes":[{"subject":"a..b"}]}}}`,
+		"NATS load":       `"fronts":{"nats":{"listen":"127.0.0.1:4","load_subject":"a.>"}}}`,
+		"store driver":    `"store":{"driver":"paper","dsn":"x"}}`,
+		"store without":   `"store":{"driver":"sqlite"}}`,
+		"limits":          `"limits":{"sockets":-1}}`,
+		"members no list": `"known":[]}`,
+	} {
+		if _, err := load(t, head+rest, nil); !errors.Is(err, ErrInvalid) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -169,6 +169,7 @@
 	}{
 		{&report.Connections, [2]string{"outstanding", "inflight"}},
 		{&report.Load, [2]string{"x0", ""}},
+		{&report.Backlog, [2]string{"x1", ""}},
 		{&report.Util, [2]string{"utilization", "util"}},
 	} {
 		for _, name := range f.names {
--- a/policy/api.go
+++ b/policy/api.go
@@ -153,10 +153,11 @@
 	Connections float64
 	Load        float64 // load over capacity
 	Util        float64 // part of its cores that is busy
+	Backlog     float64 // seconds of work piled up
 }
 
 // NoReport has every field missing.
-var NoReport = Report{Connections: -1, Load: -1, Util: -1}
+var NoReport = Report{Connections: -1, Load: -1, Util: -1, Backlog: -1}
 
 // Outcome is the end of one attempt.
 type Outcome struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,8 +64,9 @@
 	for i := range b.zones {
 		b.zones[i].fill = easy // until reports say otherwise
 	}
-	b.horizon, b.slowest = set.Classes[0].Aim, set.Classes[0].Deadline
+	b.horizon, b.slowest, b.messageAim = set.Classes[0].Aim, set.Classes[0].Deadline, set.Classes[0].MessageAim
 	for _, c := range set.Classes {
+		b.messageAim = min(b.messageAim, c.MessageAim)
 		b.horizon, b.slowest = min(b.horizon, c.Aim), max(b.slowest, c.Deadline)
 	}
 	b.tokens, b.daring = 3*b.probeAllowance(), 1
@@ -786,6 +787,11 @@
 		case OK:
 			b.good(s)
 			b.take(now, s, report)
+			// A message waits for what is piled up. Where messages are answered at once all the same, only
+			// this shows it; where they are timed, Slow has mostly been here before.
+			if report.Backlog > b.messageAim.Seconds() && now-s.relieved >= b.lag() {
+				b.relieve(now, s)
+			}
 		case Full: // it answers, but too many ask: not a failure
 			b.good(s)
 		default:
@@ -880,6 +886,7 @@
 	if x <= brim {
 		return
 	}
+	s.relieved = now
 	for _, r := range slices.Clone(s.conns) {
 		part := b.daring * (x - brim) / x
 		if b.overShare(r.Tenant) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -609,6 +609,29 @@
 	}
 }
 
+// TestBacklog guards against full servers left alone where no message is timed: a report that shows work piled up
+// leads to relief, one that shows little does not, and the next one at once moves nobody more.
+func TestBacklog(t *testing.T) {
+	g := newRig(settings(), fleet(4, 1))
+	s := g.servers[0]
+	for id := range RequestID(40) {
+		g.Existing(g.now, Request{ID: 100 + id, Load: 0.1}, s.ID)
+	}
+	report := Report{Connections: 40, Load: 2, Util: -1, Backlog: 0.05}
+	if g.Probed(g.now, s.ID, OK, report); len(g.moves) != 0 {
+		t.Fatalf("moved %d with little piled up", len(g.moves))
+	}
+	report.Backlog = 0.5
+	g.Probed(g.now, s.ID, OK, report)
+	moved := len(g.moves)
+	if moved == 0 || moved == 40 {
+		t.Fatalf("moved %d of 40", moved)
+	}
+	if g.Probed(g.now, s.ID, OK, report); len(g.moves) != moved {
+		t.Error("moved more before the relief can show")
+	}
+}
+
 // TestSlowWithoutReport guards against full servers left alone at the start of a day: a slow message asks for a
 // report, and the report leads to relief.
 func TestSlowWithoutReport(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -44,9 +44,10 @@
 	rank         float64 // place in the order of the key being placed
 	fulls        int     // times in a row that it answered full
 	probing      bool
-	strained     bool    // messages were slow there: its next report decides whether to relieve it
-	scouted      bool    // probed as a fair sample of the fleet
-	capacity     float64 // learned capacity over its kind's, in load
+	relieved     time.Duration // when own connections were last moved off it for its load
+	strained     bool          // messages were slow there: its next report decides whether to relieve it
+	scouted      bool          // probed as a fair sample of the fleet
+	capacity     float64       // learned capacity over its kind's, in load
 	reports      float64
 	recent       []placement
 	conns        []*request // own connections here, those being set up included
@@ -81,30 +82,31 @@
 
 // Balancer decides for one proxy.
 type Balancer struct {
-	set       Settings
-	act       Actions
-	rng       *rand.Rand
-	servers   []*server // in order of id
-	byID      map[ServerID]*server
-	zones     []zone
-	requests  map[RequestID]*request
-	waiters   map[ServerID][]RequestID
-	slices    [][]*server // home slice of each tenant, all zones
-	h         []float64   // threshold of each tenant's servers, as a part of k
-	held      []float64   // own open connections of each tenant
-	mine      float64
-	alien     float64
-	kinds     map[int]*kind
-	meanLoad  float64
-	classLoad []float64
-	spare     float64 // mean spare load of a server up to the brim, as reports of scouted servers show it
-	scouts    float64
-	flow      float64 // load asked of this proxy lately, decaying over flowLags times lag
-	flowed    time.Duration
-	daring    float64 // part of its requests that it sends, less while setting up fails
-	tokens    float64 // probes it may send
-	watching  bool
-	asked     int // calls for the list that failed in a row
-	horizon   time.Duration
-	slowest   time.Duration
+	set        Settings
+	act        Actions
+	rng        *rand.Rand
+	servers    []*server // in order of id
+	byID       map[ServerID]*server
+	zones      []zone
+	requests   map[RequestID]*request
+	waiters    map[ServerID][]RequestID
+	slices     [][]*server // home slice of each tenant, all zones
+	h          []float64   // threshold of each tenant's servers, as a part of k
+	held       []float64   // own open connections of each tenant
+	mine       float64
+	alien      float64
+	kinds      map[int]*kind
+	meanLoad   float64
+	classLoad  []float64
+	spare      float64 // mean spare load of a server up to the brim, as reports of scouted servers show it
+	scouts     float64
+	flow       float64 // load asked of this proxy lately, decaying over flowLags times lag
+	flowed     time.Duration
+	daring     float64 // part of its requests that it sends, less while setting up fails
+	tokens     float64 // probes it may send
+	watching   bool
+	asked      int // calls for the list that failed in a row
+	horizon    time.Duration
+	slowest    time.Duration
+	messageAim time.Duration // the shortest of all classes
 }
