Tidy: one map for load reports, one way to give a request up, dead fields removed

Seen on reading the whole change: four callers wrapped a map in the same closure for settings.Report, which now takes the map; Tick and Finish in core ended a request by the same three calls, now giveUp; the watch set its time limit in two places, now await; fields that nothing read (flow.began, flow.wait, Front.reports, Watch.up) and the alias client.leave are gone. Behaviour is meant to be the same; no test was changed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,7 +131,7 @@
 	alarms   alarms
 	armed    time.Duration
 	stopping bool
-	moveAt   time.Duration // when the next flow is moved during a stop
+	moveAt   time.Duration // during a stop nobody is moved before
 	Counts   Counts
 }
 
@@ -337,9 +337,7 @@
 			c.move(r)
 		case a.try < 0 && !r.answered:
 			// The module answers before this; a client must not be left without.
-			c.tell(policy.Left{ID: r.id})
-			c.abandon(r)
-			c.answer(r, Failed, 0)
+			c.giveUp(r, Failed, 0)
 		case a.try >= 0 && !r.answered && c.current(a.id, a.try) != nil:
 			r.v.Cancel(a.try)
 			c.ended(r, policy.Timeout, policy.NoReport)
@@ -376,9 +374,7 @@
 		if r.open {
 			c.move(r)
 		} else {
-			c.tell(policy.Left{ID: r.id})
-			c.abandon(r)
-			c.answer(r, Rejected, stopAfter)
+			c.giveUp(r, Rejected, stopAfter)
 		}
 	}
 }
@@ -488,6 +484,13 @@
 	c.tell(policy.End{ID: r.id, Try: try, Server: m.ID, Result: result, Closed: r.answered, Report: report})
 }
 
+// giveUp answers a request without the module's word, and tells it so.
+func (c *Core) giveUp(r *request, a Answer, after time.Duration) {
+	c.tell(policy.Left{ID: r.id})
+	c.abandon(r)
+	c.answer(r, a, after)
+}
+
 // abandon cancels the attempt that is out, if any.
 func (c *Core) abandon(r *request) {
 	if r.member == nil {
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -41,7 +41,6 @@
 	Log  logrus.FieldLogger
 
 	connectWithin time.Duration
-	reports       bool
 	open          map[*virtual]struct{} // whose flow stands
 	probes        map[policy.ServerID]*probe
 }
@@ -204,7 +203,7 @@
 // Send starts a server-side flow.
 func (v *virtual) Send(id core.ID, to *core.Member, try int, wait time.Duration) {
 	v.id = id
-	s := &flow{v: v, member: to, try: try, start: v.open.line(wait), began: v.f.Loop.Now(), wait: wait}
+	s := &flow{v: v, member: to, try: try, start: v.open.line(wait)}
 	v.flow = s
 	s.c = v.f.Loop.Dial(to.Addr, min(v.f.connectWithin, wait), s)
 }
@@ -271,8 +270,6 @@
 	member *core.Member
 	try    int
 	start  []byte // the first line
-	began  time.Duration
-	wait   time.Duration
 	opened bool
 	asked  time.Duration // when the oldest unanswered line of the client went on; 0 if none
 	heard  time.Duration // when the client last sent something
--- a/internal/front/line/open.go
+++ b/internal/front/line/open.go
@@ -135,8 +135,5 @@
 			values[name] = v
 		}
 	}
-	return settings.Report(func(name string) (float64, bool) {
-		v, ok := values[name]
-		return v, ok
-	})
+	return settings.Report(values)
 }
--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -163,9 +163,6 @@
 	c.close()
 }
 
-// leave sends the client away politely: it connects again, elsewhere.
-func (c *client) leave() { c.close() }
-
 // close is the one end of a client; all that it holds ends with it.
 func (c *client) close() {
 	if c.over {
@@ -410,7 +407,7 @@
 func (s *sub) Move() {
 	s.detach()
 	if s.c.f.stopping {
-		s.c.f.Loop.After(0, s.c.leave)
+		s.c.f.Loop.After(0, s.c.close) // it connects again, elsewhere
 		return
 	}
 	s.replace(0)
--- a/internal/front/nats/link.go
+++ b/internal/front/nats/link.go
@@ -371,8 +371,5 @@
 	if json.Unmarshal([]byte(text), &values) != nil {
 		return policy.NoReport
 	}
-	return settings.Report(func(name string) (float64, bool) {
-		v, ok := values[name]
-		return v, ok
-	})
+	return settings.Report(values)
 }
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -117,7 +117,7 @@
 	f.Loop.After(core.StopNotice, func() {
 		for c := range f.clients {
 			if len(c.subs) == 0 {
-				c.leave()
+				c.close()
 			}
 		}
 	})
--- a/internal/front/nats/processor.go
+++ b/internal/front/nats/processor.go
@@ -152,8 +152,7 @@
 		c.say(reply, verdict{Verdict: "error", ID: a.id, Try: a.try, Error: "unknown outcome"})
 	default:
 		a.reply = reply
-		load := settings.Report(func(name string) (float64, bool) { v, ok := o.Load[name]; return v, ok })
-		c.f.Core.Ended(a.id, a.try, result, load)
+		c.f.Core.Ended(a.id, a.try, result, settings.Report(o.Load))
 		if !c.f.Core.Holds(a.id) && !a.over { // that was its end
 			v := verdict{Verdict: "ended", ID: a.id, Try: a.try}
 			if result == policy.OK {
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -36,7 +37,6 @@
 	conn       *netloop.Conn
 	parser     parser
 	within     *netloop.Timer
-	up         bool // conn has brought an answer before
 	stopped    bool
 }
 
@@ -61,13 +61,17 @@
 	w.parser = parser{}
 	wait := dialWithin
 	if w.conn == nil {
-		w.up = false
 		w.conn = w.Loop.Dial(w.Addr, dialWithin, w)
 	} else {
 		wait = w.ask()
 	}
+	w.await(wait)
+}
+
+// await gives what is under way so long.
+func (w *Watch) await(d time.Duration) {
 	w.within.Stop()
-	w.within = w.Loop.After(wait, func() { w.failed(fmt.Errorf("no answer in time")) })
+	w.within = w.Loop.After(d, func() { w.failed(errors.New("no answer in time")) })
 }
 
 // ask writes the call and returns how long to wait for its answer. The first
@@ -84,10 +88,7 @@
 }
 
 // Open is told by the loop.
-func (w *Watch) Open() {
-	w.within.Stop()
-	w.within = w.Loop.After(w.ask(), func() { w.failed(fmt.Errorf("no answer in time")) })
-}
+func (w *Watch) Open() { w.await(w.ask()) }
 
 // Drained is told by the loop.
 func (w *Watch) Drained() {}
@@ -113,7 +114,6 @@
 }
 
 func (w *Watch) answered() {
-	w.up = true
 	if w.parser.status != 200 {
 		w.failed(fmt.Errorf("discovery answered %d", w.parser.status))
 		return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -161,7 +161,7 @@
 
 // Report puts named values of a load report in their places. The wires name a
 // value by the simulator's word or by the settings' one.
-func Report(value func(name string) (float64, bool)) policy.Report {
+func Report(values map[string]float64) policy.Report {
 	report := policy.NoReport
 	for _, f := range []struct {
 		to    *float64
@@ -173,7 +173,7 @@
 		{&report.Util, [2]string{"utilization", "util"}},
 	} {
 		for _, name := range f.names {
-			if v, ok := value(name); name != "" && ok && !math.IsNaN(v) {
+			if v, ok := values[name]; name != "" && ok && !math.IsNaN(v) {
 				*f.to = v
 			}
 		}
--- a/internal/wire/cursor.go
+++ b/internal/wire/cursor.go
@@ -67,8 +67,5 @@
 			values[names[i]] = value
 		}
 	}
-	return settings.Report(func(name string) (float64, bool) {
-		v, ok := values[name]
-		return v, ok
-	})
+	return settings.Report(values)
 }
