SIGHUP reads the configuration again and moves the watch to the new discovery

Checked: serve.go asked to be notified of SIGTERM and SIGINT only, so SIGHUP ended the process; Watch.Addr could not change after the start, and EDGE_DISCOVERY would have overridden the new file. Ruled out: any failure of the watch itself, it goes on by the same calls. Changed: serve.go registers the signals before anything else and reads the file off the loop; config.Reload lets a changed discovery count over the environment; Watch.Move asks the new address for the whole list. Tests: config TestReload, pool TestMove, integration TestReload (SIGHUP ended the program before).

--- a/cmd/dahliarudder/main.go
+++ b/cmd/dahliarudder/main.go
@@ -41,14 +41,15 @@
 	load := func() (*config.Config, error) { return config.Load(path, os.Getenv) }
 	root.AddCommand(&cobra.Command{
 		Use:   "serve",
-		Short: "Run the relay until SIGTERM",
+		Short: "Run the relay until SIGTERM; SIGHUP reads the configuration again",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			c, err := load()
 			if err != nil {
 				return err
 			}
-			return serve(c, log)
+			again := func(old *config.Config) (*config.Config, error) { return old.Reload(path, os.Getenv) }
+			return serve(c, again, log)
 		},
 	}, &cobra.Command{
 		Use:   "check",
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -37,8 +37,12 @@
 	stopLinger = 200 * time.Millisecond
 )
 
-// serve runs the relay until it is told to stop.
-func serve(cfg *config.Config, log *logrus.Logger) error {
+// serve runs the relay until it is told to stop. Reload reads the configuration
+// again.
+func serve(cfg *config.Config, reload func(*config.Config) (*config.Config, error), log *logrus.Logger) error {
+	// First of all: until then a SIGHUP would end the program.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	limits(cfg)
 	set := cfg.Decoded()
 	began := time.Now()
@@ -57,11 +61,21 @@
 		loop.Close()
 		return errors.Join(err, r.closeStore())
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
-		loop.Post(r.stop)
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				loop.Post(r.stop)
+				return
+			}
+			// The file is read here, so that a slow disk does not hold the loop up.
+			fresh, err := reload(cfg)
+			if err != nil {
+				log.WithError(err).Error("the old configuration stays")
+				continue
+			}
+			cfg = fresh
+			loop.Post(func() { r.reload(fresh) })
+		}
 	}()
 	err = loop.Run()
 	log.WithField("counts", fmt.Sprintf("%+v", r.core.Counts)).Info("stopped")
@@ -137,6 +151,16 @@
 	return err
 }
 
+// reload takes over what a configuration that was read again may change: where
+// discovery is.
+func (r *relay) reload(fresh *config.Config) {
+	if keys := r.cfg.NeedRestart(fresh); len(keys) > 0 {
+		r.log.WithField("keys", keys).Warn("changed, but only a restart takes them")
+	}
+	r.log.WithField("discovery", fresh.Discovery).Info("configuration read again")
+	r.watch.Move(fresh.Discovery)
+}
+
 // stop ends the relay once nothing is held any more, and in any case in time.
 func (r *relay) stop() {
 	loop := r.loop
--- a/integration/line_test.go
+++ b/integration/line_test.go
@@ -210,7 +210,7 @@
 	front.say("PING")
 	front.want("PONG")
 	s.cmd.Process.Signal(os.Interrupt)
-	until(t, "the relay to stop", func() bool { return strings.Contains(s.log.String(), "msg=stopping") })
+	s.logged("msg=stopping")
 	front.say("PING")
 	front.want("ERR")
 	late.say("OPEN 00000000000000aa 00000000000000bb c=pay-status,t=water,d=2000")
@@ -258,7 +258,7 @@
 	s := newSite(t, 2, nil)
 	until(t, "the first watch", func() bool { return s.d.count() > 0 })
 	s.d.setDown(true)
-	until(t, "a failed call", func() bool { return strings.Contains(s.log.String(), "discovery call failed") })
+	s.logged("discovery call failed")
 	c := s.open(1, "")
 	b := s.holder(c.want("UP "))
 	s.d.setDown(false)
@@ -268,6 +268,50 @@
 	s.stop()
 }
 
+// TestReload: on SIGHUP the file is read again. One that cannot be used changes
+// nothing; what only a restart takes is named; discovery's new address takes over
+// with every flow standing, also when a second SIGHUP comes before the first
+// new address has answered. Guards against SIGHUP ending the program.
+func TestReload(t *testing.T) {
+	s := newSite(t, 3, nil)
+	c := s.open(1, "")
+	b := s.holder(c.want("UP "))
+	s.reload(`"discovery"`, `"discover`)
+	s.logged("the old configuration stays")
+	s.reload(`"discover`, `"discovery"`, `"sockets":1024`, `"sockets":2048`)
+	s.logged("keys=\"[limits]\"")
+
+	silent := listen(t, func(net.Conn) { select {} })
+	s.reload(s.d.addr, silent.Addr().String())
+	s.logged("discovery=\"" + silent.Addr().String())
+	next := newDiscovery(t)
+	for i, b := range s.backends {
+		m := b.member()
+		m.Lifecycle = []string{"DRAINING", "SERVING"}[min(i, 1)]
+		next.members[m.ID], next.changed[m.ID] = m, 1
+	}
+	gone := s.backends[0]
+	if gone == b { // that flow is to stay
+		gone = s.backends[1]
+		next.members[b.id], next.members[gone.id] = b.member(), next.members[b.id]
+		m := gone.member()
+		m.Lifecycle = "DRAINING"
+		next.members[gone.id] = m
+	}
+	s.reload(silent.Addr().String(), next.addr)
+	until(t, "a watch at the new address", func() bool { return next.count() > 1 })
+	for n := range 12 {
+		if s.holder(s.open(100+n, "").want("UP ")) == gone {
+			t.Error("sent to a member that the new address says is draining")
+		}
+	}
+	next.set(b.id, "DRAINING")
+	c.want("MOVE")
+	s.reload(next.addr, silent.Addr().String())
+	s.logged("read again")
+	s.stop()
+}
+
 // TestBadInput: what is no first line gets a failing line and never reaches a
 // member; the relay goes on.
 func TestBadInput(t *testing.T) {
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -112,15 +112,21 @@
 	for _, m := range members {
 		d.members[m.ID], d.changed[m.ID] = m, 1
 	}
+	d.addr = d.open(t)
+	return d
+}
+
+// open has it served at one more address.
+func (d *discovery) open(t *testing.T) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d.addr = l.Addr().String()
 	server := &http.Server{Handler: d}
 	go server.Serve(l)
 	t.Cleanup(func() { server.Close() })
-	return d
+	return l.Addr().String()
 }
 
 func (d *discovery) list(since int) list {
@@ -379,6 +385,7 @@
 	log  *syncBuffer
 	done chan error
 	addr map[string]string // where each front listens
+	path string            // of its configuration
 }
 
 type syncBuffer struct {
@@ -412,10 +419,15 @@
 		t.Fatal(err)
 	}
 	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
+	write(t, path, string(text))
+	return path
+}
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return path
 }
 
 var serving = regexp.MustCompile(`msg=serving front=(\w+) listen="([0-9.:]+)"`)
@@ -424,7 +436,7 @@
 func start(t *testing.T, config string, fronts int) *relay {
 	t.Helper()
 	r := &relay{t: t, cmd: exec.Command(program, "serve", "--config", config), log: &syncBuffer{},
-		done: make(chan error, 1), addr: map[string]string{}}
+		done: make(chan error, 1), addr: map[string]string{}, path: config}
 	r.cmd.Stderr = r.log
 	r.cmd.Env = append(os.Environ(), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "EDGE_CONFIG=")
 	if err := r.cmd.Start(); err != nil {
@@ -446,6 +458,24 @@
 	return r
 }
 
+// reload puts new text in the place of parts of the configuration and sends
+// SIGHUP.
+func (r *relay) reload(oldnew ...string) {
+	r.t.Helper()
+	text, err := os.ReadFile(r.path)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	write(r.t, r.path, strings.NewReplacer(oldnew...).Replace(string(text)))
+	r.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// logged waits for a text in the log.
+func (r *relay) logged(text string) {
+	r.t.Helper()
+	until(r.t, "the log to tell: "+text, func() bool { return strings.Contains(r.log.String(), text) })
+}
+
 // stop sends SIGTERM and waits for a clean end.
 func (r *relay) stop() {
 	r.t.Helper()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"dahliarudder/internal/front/nats"
@@ -38,6 +39,7 @@
 
 	decoded *settings.Settings
 	known   *pool.List
+	written string // discovery as the file has it
 }
 
 // Fronts are the fronts that are on. Pool members speak the protocol of the
@@ -50,6 +52,53 @@
 // Load reads the file, if path is not empty, and lets the variables that env
 // knows take precedence.
 func Load(path string, env func(string) string) (*Config, error) {
+	c, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	c.override(env)
+	return c, c.check()
+}
+
+// Reload reads the file again. The variables cannot change while the program
+// runs, so a discovery address that the file has changed since takes precedence
+// over them.
+func (c *Config) Reload(path string, env func(string) string) (*Config, error) {
+	fresh, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	fresh.override(env)
+	switch fresh.written {
+	case c.written:
+		fresh.Discovery = c.Discovery
+	case "":
+	default:
+		fresh.Discovery = fresh.written
+	}
+	return fresh, fresh.check()
+}
+
+// NeedRestart names the keys in which fresh differs and which only a start takes.
+func (c *Config) NeedRestart(fresh *Config) []string {
+	var keys []string
+	for _, k := range []struct {
+		key      string
+		old, new any
+	}{
+		{"name", c.Name, fresh.Name}, {"listen", c.Listen, fresh.Listen}, {"seed", c.Seed, fresh.Seed},
+		{"limits", c.Limits, fresh.Limits}, {"known", c.known, fresh.known}, {"settings", c.decoded, fresh.decoded},
+		{"fronts", c.Fronts, fresh.Fronts}, {"store", c.Store, fresh.Store},
+	} {
+		if !reflect.DeepEqual(k.old, k.new) {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
+// read reads the file, if path is not empty.
+func read(path string) (*Config, error) {
 	c := &Config{}
 	if path != "" {
 		text, err := os.ReadFile(path)
@@ -60,6 +109,12 @@
 			return nil, fmt.Errorf("%w: %s: %v", ErrInvalid, path, err)
 		}
 	}
+	c.written = c.Discovery
+	return c, nil
+}
+
+// override lets the variables take precedence.
+func (c *Config) override(env func(string) string) {
 	for _, v := range []struct {
 		name string
 		to   *string
@@ -68,7 +123,6 @@
 			*v.to = s
 		}
 	}
-	return c, c.check()
 }
 
 func (c *Config) check() error {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -59,3 +60,42 @@
 		}
 	}
 }
+
+// TestReload: a discovery address that the file has changed counts, also over the
+// variable that named the one before; one that it has not changed does not bring
+// an older one back. What only a restart takes is named, and nothing else.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(name string) string {
+		return map[string]string{"EDGE_LISTEN": "127.0.0.1:1", "EDGE_DISCOVERY": "127.0.0.1:2"}[name]
+	}
+	c, err := load(t, `{`+settingsText+`}`, map[string]string{"EDGE_LISTEN": "127.0.0.1:1", "EDGE_DISCOVERY": "127.0.0.1:2"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct{ text, discovery, restart string }{
+		{`{` + settingsText + `}`, "127.0.0.1:2", "[]"},
+		{`{"discovery":"127.0.0.1:3",` + settingsText + `}`, "127.0.0.1:3", "[]"},
+		{`{"discovery":"127.0.0.1:3","seed":"7",` + settingsText + `}`, "127.0.0.1:3", "[seed]"},
+		{`{"discovery":"127.0.0.1:2","seed":"7","known":{},` + settingsText + `}`, "127.0.0.1:2", "[known]"},
+		{`{"seed":"7","known":{},` + settingsText + `}`, "127.0.0.1:2", "[]"},
+	} {
+		if err := os.WriteFile(path, []byte(step.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		fresh, err := c.Reload(path, env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := fmt.Sprint(c.NeedRestart(fresh)); fresh.Discovery != step.discovery || got != step.restart {
+			t.Errorf("%s: discovery %s, restart for %s", step.text, fresh.Discovery, got)
+		}
+		c = fresh
+	}
+	if err := os.WriteFile(path, []byte(`{"discovery":"nowhere",`+settingsText+`}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Reload(path, env); !errors.Is(err, ErrInvalid) {
+		t.Errorf("an address that is none: %v", err)
+	}
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -162,3 +162,38 @@
 		t.Errorf("told %v after the stop", told)
 	}
 }
+
+// TestMove: the watch goes on at a new address at once, by asking for the whole
+// list, whatever it was doing at the old one; what the old one says then is
+// nothing to it. Guards against a generation of one discovery being used at another.
+func TestMove(t *testing.T) {
+	b := looptest.New(t, 8)
+	old, next := b.Listen(), b.Listen()
+	told := 0
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	w := &Watch{Loop: b.Loop, Addr: old.Addr(), Names: names(), Log: log,
+		Told: func(kind policy.ListKind, list []core.Member) { told += 100*int(kind) + len(list) }}
+	w.Hold(&List{Generation: 41})
+	w.Ask()
+	before := old.Accept()
+	w.Move(next.Addr())
+	p := next.Accept()
+	before.Say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+	host := " HTTP/1.1\r\nHost: " + next.Addr() + "\r\nAccept: application/json\r\n\r\n"
+	p.Want("GET /api/targets" + host)
+	p.Say("HTTP/1.1 200 OK\r\nContent-Length: 44\r\n\r\n" + `{"generation":3,"reset":true,"instances":[]}`)
+	p.Want("GET /api/targets?since=3&timeout_ms=4000" + host)
+	if told != 100*int(policy.ListFull) {
+		t.Errorf("told %d", told)
+	}
+	w.Move(next.Addr()) // no change: the watch goes on
+	p.Say("HTTP/1.1 200 OK\r\nContent-Length: 45\r\n\r\n" + `{"generation":4,"reset":false,"instances":[]}`)
+	p.Want("GET /api/targets?since=4&timeout_ms=4000" + host)
+	w.Stop()
+	w.Move(old.Addr())
+	b.Turn()
+	if w.conn != nil {
+		t.Error("moved after the stop")
+	}
+}
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -51,6 +51,17 @@
 	}
 }
 
+// Move has the watch go on at another address. The first call there asks for the
+// whole list: a generation means nothing but where it was given.
+func (w *Watch) Move(addr string) {
+	if w.stopped || addr == w.Addr {
+		return
+	}
+	w.hangUp()
+	w.Addr, w.known, w.watching = addr, false, true
+	w.call()
+}
+
 // Stop ends watching.
 func (w *Watch) Stop() {
 	w.stopped = true
