Bad clients: first line within 2 s, idle connections spared first, id clashes refused

Checked by a trace of first lines: 577 connections a relay that ask PING and stay, 47 endless lines, half lines and silence, ids of open requests sent on to members (34 came to servers). Ruled out: CPU (0.04 s in the worst second), memory (3 MB), malformed lines, which were answered at once. At fault: line.go openWithin (30 s for a first line and after PONG), nothing that frees idle descriptors, no look at ids held; conn.go read looped as long as a sender kept up; a dial that failed for want of own descriptors counted as the member's failure. Changed: Conn.Spare and Loop.relieve, 2 s for a first line (NATS: CONNECT), ids held, bounded reads, Moot.

TestOwnWant, TestIdleCrowd.

--- a/integration/line_test.go
+++ b/integration/line_test.go
@@ -408,6 +408,28 @@
 	s.stop()
 }
 
+// TestIdleCrowd: more connections than there are descriptors, which say nothing or
+// ask once and stay, do not keep usual clients out. Guards against a relay that
+// holds them until its descriptors are gone.
+func TestIdleCrowd(t *testing.T) {
+	s := newSite(t, 1, map[string]any{"limits": map[string]any{"cores": 1, "memory_mb": 32, "sockets": 100}})
+	held := s.open(1, "")
+	held.want("UP ")
+	for n := range 250 {
+		if c := s.dial(); n%2 == 0 {
+			c.say("PING")
+			c.want("PONG")
+		}
+	}
+	for n := range 10 {
+		s.open(100+n, "").want("UP ")
+	}
+	held.say("still here")
+	held.want("LOAD ")
+	held.want("GOT 1 still here")
+	s.stop()
+}
+
 // TestDeployed: the operator's file that is shipped can be used.
 func TestDeployed(t *testing.T) {
 	if out, err := run("check", "--config", "../deploy/nats.json"); err != nil {
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -22,7 +22,8 @@
 
 // Times of this front.
 const (
-	openWithin  = 30 * time.Second       // a connection may stay without a request
+	firstWithin = 2 * time.Second        // for a first line to come; 3 s are allowed
+	pingIdle    = 30 * time.Second       // a connection that was answered PONG may stay without a request
 	silentAfter = 5 * time.Second        // a member that answers no line for so long is gone; 7 s are allowed
 	clientGone  = 30 * time.Second       // a client that sends no line for so long; each sends one every 2 s
 	sweepEvery  = 250 * time.Millisecond // how often that is looked for
@@ -30,10 +31,6 @@
 	crowdAfter  = 500 * time.Millisecond // when a client may come again that found no descriptors
 )
 
-// spareSockets are the descriptors kept for what must always open: accepting a
-// connection to reject it, discovery, probes.
-const spareSockets = 48
-
 // Front serves the platform's protocol.
 type Front struct {
 	Loop *netloop.Loop
@@ -42,13 +39,14 @@
 
 	connectWithin time.Duration
 	open          map[*virtual]struct{} // whose flow stands
+	ids           map[uint64]*virtual   // by the client's id, from its first line to its end
 	probes        map[policy.ServerID]*probe
 }
 
 // New makes a front on the core.
 func New(loop *netloop.Loop, c *core.Core, log logrus.FieldLogger) *Front {
 	f := &Front{Loop: loop, Core: c, Log: log, connectWithin: c.Limits().ConnectTimeout,
-		open: map[*virtual]struct{}{}, probes: map[policy.ServerID]*probe{}}
+		open: map[*virtual]struct{}{}, ids: map[uint64]*virtual{}, probes: map[policy.ServerID]*probe{}}
 	loop.After(sweepEvery, f.sweep)
 	return f
 }
@@ -56,7 +54,8 @@
 // Accept serves a client's connection.
 func (f *Front) Accept(c *netloop.Conn) {
 	v := &virtual{f: f, c: c}
-	v.idle = f.Loop.After(openWithin, v.close)
+	v.idle = f.Loop.After(firstWithin, v.Fail)
+	c.Spare(v.Fail)
 	c.Handle(v)
 }
 
@@ -156,16 +155,22 @@
 		}
 		v.c.Write([]byte(answer))
 		v.idle.Stop()
-		v.idle = v.f.Loop.After(openWithin, v.close)
+		v.idle = v.f.Loop.After(pingIdle, v.close)
+		v.c.Spare(v.close)
 		return nil
 	}
 	open, err := parseOpen(v.f.Core.Settings, text)
 	if err != nil {
 		return err
 	}
+	if v.f.ids[open.id] != nil {
+		return fmt.Errorf("%w: the id of an open request", errSyntax)
+	}
 	v.idle.Stop()
+	v.c.Spare(nil)
 	v.phase, v.open = placing, open
-	if v.f.Loop.Free() < spareSockets {
+	v.f.ids[open.id] = v
+	if v.f.Loop.Short() {
 		v.Reject(crowdAfter)
 		return nil
 	}
@@ -258,6 +263,9 @@
 	v.moving.Stop()
 	v.phase = over
 	delete(v.f.open, v)
+	if v.f.ids[v.open.id] == v {
+		delete(v.f.ids, v.open.id)
+	}
 	v.c.Finish()
 }
 
@@ -359,7 +367,10 @@
 	}
 	if v.phase != standing {
 		result := policy.Reset
-		if !s.opened || s.c.Unsent() > 0 {
+		switch {
+		case errors.Is(err, netloop.ErrFull): // the relay's own want, not the member's failure
+			result = policy.Moot
+		case !s.opened || s.c.Unsent() > 0:
 			result = policy.ConnectFailed
 		}
 		s.over(result, policy.NoReport)
@@ -542,6 +553,8 @@
 	switch {
 	case !p.asked:
 		p.within.Stop()
+	case errors.Is(err, netloop.ErrFull):
+		p.done(policy.Moot, policy.NoReport)
 	case p.reused: // it may have been ended for idleness just then
 		p.dial()
 	case errors.Is(err, io.EOF) || p.c != nil:
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
 	"time"
 
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop"
 	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
 )
 
 const firstLine = "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,d=1900"
@@ -199,6 +203,88 @@
 	}
 }
 
+// TestFirstLine: who says nothing, or no whole line, gets an error well before 3 s
+// and holds no descriptor for longer; who was answered PONG may stay a while.
+func TestFirstLine(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	addr := r.Serve(New(r.Loop, r.Core, r.Log).Accept)
+	free := r.Free()
+	silent, slow, front := r.Dial(addr), r.Dial(addr), r.Dial(addr)
+	slow.Say("OPEN 00")
+	front.Say("PING\r\n")
+	front.Lines("PONG")
+	r.Until("three connections", func() bool { return r.Free() == free-3 })
+	r.Pass(firstWithin)
+	for _, c := range []*looptest.Peer{silent, slow} {
+		c.Lines("ERR")
+		c.WantEnd()
+		c.Close()
+	}
+	r.Until("the descriptors", func() bool { return r.Free() == free-1 })
+	front.Say("PING\r\n")
+	front.Lines("PONG")
+	r.Pass(pingIdle)
+	front.WantEnd()
+}
+
+// TestClash: the id of an open request is no new request's, however it is written;
+// the open one goes on, and once it has ended the id is free.
+func TestClash(t *testing.T) {
+	r, c, m := standingFlow(t)
+	addr := r.Serve(New(r.Loop, r.Core, r.Log).Accept)
+	first := r.Dial(addr)
+	first.Say(firstLine + "\r\n")
+	_, n := r.AcceptAny(0)
+	n.Line()
+	for _, id := range []string{"00000000000000aa", "aa", "00000000000000AA"} {
+		other := r.Dial(addr)
+		other.Say(strings.Replace(firstLine, "00000000000000aa", id, 1) + "\r\n")
+		other.Lines("ERR")
+		other.WantEnd()
+	}
+	n.Say("UP y\r\nBYE\r\n")
+	n.Finish()
+	first.Lines("UP y", "BYE")
+	first.WantEnd()
+	again := r.Dial(addr)
+	again.Say(firstLine + "\r\n")
+	r.AcceptAny(0)
+	c.Say("hello\r\n") // another front's, with the same id
+	m.Lines("hello")
+}
+
+// results is a ledger of how attempts ended.
+type results []policy.Result
+
+func (l *results) Ready() bool { return true }
+func (l *results) Attempt(_ *core.Request, _ core.ID, _ int, _ string, _, _ time.Duration, r policy.Result) {
+	*l = append(*l, r)
+}
+func (l *results) Answer(*core.Request, core.ID, time.Duration, core.Answer, int) {}
+
+// TestBlame: an attempt that failed for want of the relay's own descriptors is not
+// the member's failure; one that the member refused is.
+func TestBlame(t *testing.T) {
+	for err, want := range map[error]policy.Result{
+		netloop.ErrFull: policy.Moot, netloop.ErrDialTimeout: policy.ConnectFailed, io.EOF: policy.ConnectFailed,
+	} {
+		r := looptest.NewRelay(t, 1)
+		var ended results
+		r.Core.Ledger = &ended
+		f := New(r.Loop, r.Core, r.Log)
+		c := r.Dial(r.Serve(f.Accept))
+		c.Say(firstLine + "\r\n")
+		r.Until("the request", func() bool { return r.Core.Counts.Attempts == 1 })
+		for _, v := range f.ids {
+			v.flow.opened = false
+			v.flow.End(fmt.Errorf("dialling: %w", err))
+		}
+		if len(ended) == 0 || ended[0] != want {
+			t.Errorf("%v: %v, want %v", err, ended, want)
+		}
+	}
+}
+
 // TestLimit: a line within the bound is read, a longer one is not waited for.
 func TestLimit(t *testing.T) {
 	long := strings.Repeat("x", maxLine-2)
--- a/internal/front/line/open.go
+++ b/internal/front/line/open.go
@@ -25,6 +25,7 @@
 type opening struct {
 	before, after string // the line but for the figure of d
 	timed         bool   // it had a d
+	id            uint64
 	request       core.Request
 }
 
@@ -40,7 +41,8 @@
 			return o, fmt.Errorf("%w: byte %#x", errSyntax, b)
 		}
 	}
-	if _, err := strconv.ParseUint(words[1], 16, 64); err != nil {
+	var err error
+	if o.id, err = strconv.ParseUint(words[1], 16, 64); err != nil {
 		return o, fmt.Errorf("%w: id %q", errSyntax, words[1])
 	}
 	key, err := strconv.ParseUint(words[2], 16, 64)
--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -114,6 +114,7 @@
 			return
 		}
 		c.connect = connect
+		c.c.Spare(nil)
 		c.keepAlive()
 		c.ok()
 	case "PING":
--- a/internal/front/nats/link.go
+++ b/internal/front/nats/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -51,7 +52,7 @@
 		c.links[key] = l
 		l.c = c.f.Loop.Dial(to.Addr, c.f.Core.Limits().ConnectTimeout, l)
 		l.c.Bound(c.f.MaxPayload+maxInfo+2, 2*c.f.MaxPayload+4*highWater)
-		if c.f.Loop.Free() < spareSockets {
+		if c.f.Loop.Short() {
 			c.f.Loop.After(0, func() { l.lose(netloop.ErrFull) })
 		}
 	}
@@ -223,6 +224,9 @@
 	if l.greeted && !l.ready && err == io.EOF {
 		result = policy.Error // it did not take CONNECT
 	}
+	if errors.Is(err, netloop.ErrFull) { // the relay's own want, not the member's failure
+		result = policy.Moot
+	}
 	l.over = true
 	l.gone()
 	l.c.Reset()
@@ -348,11 +352,14 @@
 
 // End is told by the loop.
 func (p *probe) End(err error) {
-	if err == io.EOF {
+	switch {
+	case errors.Is(err, netloop.ErrFull):
+		p.done(policy.Moot)
+	case err == io.EOF:
 		p.done(policy.Reset)
-		return
+	default:
+		p.done(policy.ConnectFailed)
 	}
-	p.done(policy.ConnectFailed)
 }
 
 func (p *probe) done(result policy.Result) {
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -62,7 +62,7 @@
 
 // Times of this front.
 const (
-	connectWithin = 5 * time.Second // a client may take to say CONNECT
+	connectWithin = 2 * time.Second // a client may take to say CONNECT; 3 s are allowed
 	clientPing    = 30 * time.Second
 	clientPings   = 2 // unanswered ones that end a client
 	sweepEvery    = 500 * time.Millisecond
@@ -78,8 +78,7 @@
 const (
 	defaultPayload = 1 << 20
 	highWater      = 64 << 10 // unsent bytes to a client at which its links rest
-	spareSockets   = 48
-	maxSubs        = 4096 // of one client
+	maxSubs        = 4096     // of one client
 )
 
 // Front serves the NATS client protocol.
@@ -137,10 +136,11 @@
 	conn.Handle(c)
 	conn.Bound(f.MaxPayload+maxControl+2, 2*f.MaxPayload+4*highWater)
 	c.write(f.info(f.stopping))
-	if f.Loop.Free() < spareSockets { // its links would find no descriptors
+	if f.Loop.Short() { // its links would find no descriptors
 		c.fail("maximum connections exceeded")
 		return
 	}
+	conn.Spare(func() { c.fail("maximum connections exceeded") })
 	c.timer = f.Loop.After(connectWithin, func() { c.fail("Authentication Timeout") })
 }
 
--- a/internal/front/nats/nats_test.go
+++ b/internal/front/nats/nats_test.go
@@ -175,3 +175,18 @@
 	n.Say("PONG\r\nMSG feed 1 2\r\nhi\r\n")
 	s.c.Lines("MSG feed 7 2", "hi")
 }
+
+// TestConnectWithin: who says no CONNECT, or half of one, gets an error well before
+// 3 s; who has connected stays.
+func TestConnectWithin(t *testing.T) {
+	s := newSite(t, 1)
+	f := New(s.Loop, s.Core, s.Log, "n0", Config{Class: "pay", Tenant: "water"})
+	silent := s.Dial(s.Serve(f.Accept))
+	silent.Line()
+	silent.Say("CONNECT {")
+	s.Pass(connectWithin)
+	silent.Lines("-ERR 'Authentication Timeout'")
+	silent.WantEnd()
+	s.c.Say("PING\r\n")
+	s.c.Lines("PONG")
+}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -1,7 +1,9 @@
 package netloop
 
 import (
+	"container/list"
 	"errors"
+	"fmt"
 	"io"
 	"time"
 
@@ -15,8 +17,17 @@
 	OutBound = 64 << 10 // unsent bytes at which Room is used up
 	outOver  = 32 << 10 // what may be written beyond, for answers
 	linger   = time.Second
+	// lingerMost is how much of an ended connection's rest is read, so that who
+	// sends without end costs no more than that.
+	lingerMost = 256 << 10
+	// readMost is how many times a connection is read before others have a turn.
+	readMost = 8
 )
 
+// errNone says that a descriptor could not be had or used for want of the
+// machine's own means: nothing that the peer did.
+func errNone(err error) error { return fmt.Errorf("%w: %w", ErrFull, err) }
+
 // ErrDialTimeout is how a dial ends that took too long.
 var ErrDialTimeout = errors.New("the connection did not come up in time")
 
@@ -54,6 +65,9 @@
 	shut     bool   // our sending is ended
 	busy     bool   // in a call of the handler's Data
 	left     int    // bytes that were unsent when it broke
+	rest     int    // bytes thrown away after Finish
+	spare    *list.Element
+	giveUp   func()
 }
 
 func newConn(l *Loop, fd int) *Conn {
@@ -81,11 +95,13 @@
 	}
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return err
+		return errNone(err)
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	if err = unix.Connect(fd, at); err == unix.EINPROGRESS || err == nil {
 		err = c.l.add(fd, unix.EPOLLOUT, c)
+	} else if err == unix.EADDRNOTAVAIL || err == unix.EAGAIN || err == unix.ENOBUFS || err == unix.ENOMEM {
+		err = errNone(err)
 	}
 	if err != nil {
 		unix.Close(fd)
@@ -111,6 +127,19 @@
 // Addr is the connection's own address.
 func (c *Conn) Addr() string { return local(c.fd) }
 
+// Spare says that the connection may be given up when descriptors run short: then
+// end is called, and what has left by then still arrives. Who was spared longest
+// ago goes first. Nil takes it back.
+func (c *Conn) Spare(end func()) {
+	if c.spare != nil {
+		c.l.spare.Remove(c.spare)
+		c.spare = nil
+	}
+	if c.giveUp = end; end != nil && c.fd >= 0 {
+		c.spare = c.l.spare.PushBack(c)
+	}
+}
+
 // Write sends b, or keeps what cannot leave yet. It must not be called before
 // Open on a dialled connection. After the end it does nothing.
 func (c *Conn) Write(b []byte) {
@@ -166,6 +195,7 @@
 	c.ending, c.h, c.in = true, deaf{}, nil
 	// A peer that neither reads nor ends must not hold the descriptor.
 	c.farewell = c.l.After(linger, c.release)
+	c.Spare(c.release)
 	c.flushed()
 	c.update()
 }
@@ -183,6 +213,7 @@
 	for _, t := range []*Timer{c.dialling, c.failing, c.farewell} {
 		t.Stop()
 	}
+	c.Spare(nil)
 	c.left += len(c.out)
 	c.h, c.in, c.out, c.ending = deaf{}, nil, nil, true
 	if c.fd >= 0 {
@@ -268,7 +299,10 @@
 // a socket with unread bytes would reset it.
 func (c *Conn) read(events uint32) {
 	var chunk [InBound]byte
-	for c.fd >= 0 && !c.eof {
+	for range readMost {
+		if c.fd < 0 || c.eof {
+			return
+		}
 		room := len(chunk)
 		if !c.ending {
 			if room = min(room, c.inMost-len(c.in)); room == 0 {
@@ -298,6 +332,9 @@
 		if !c.ending {
 			c.in = append(c.in, chunk[:n]...)
 			c.offer()
+		} else if c.rest += n; c.rest > lingerMost {
+			c.release()
+			return
 		}
 		if n < room {
 			return
--- a/internal/netloop/conn_test.go
+++ b/internal/netloop/conn_test.go
@@ -195,6 +195,75 @@
 	b.Until("the second", func() bool { b.Pass(time.Second); return len(taken) == 2 })
 }
 
+// TestSpare: when descriptors run short, who may be spared is given up for those
+// that come, longest so first, and nobody else. Guards against connections that
+// say nothing keeping others out.
+func TestSpare(t *testing.T) {
+	const limit = 16
+	b := looptest.New(t, limit)
+	var taken []*netloop.Conn
+	var given []int
+	l, err := b.Loop.Listen("127.0.0.1:0", func(c *netloop.Conn) {
+		n := len(taken)
+		taken = append(taken, c)
+		c.Handle(&end{c: c})
+		c.Spare(func() { given = append(given, n); c.Write([]byte("bye")) })
+		if n == 0 {
+			c.Spare(nil)
+		}
+		if n == 3 {
+			taken[1].Spare(func() { given = append(given, 1) })
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var peers []*looptest.Peer
+	for n := range 2 * limit {
+		peers = append(peers, b.Dial(l.Addr()))
+		b.Until("accepting", func() bool { return len(taken) == n+1 })
+		if b.Free() == 0 {
+			t.Fatalf("none free after %d connections", n+1)
+		}
+	}
+	if len(given) < limit || given[0] != 2 || given[1] != 3 || given[2] != 1 || given[3] != 4 {
+		t.Errorf("given up: %v", given)
+	}
+	peers[2].Want("bye")
+	peers[2].WantEnd()
+	peers[0].Say("still here")
+	taken[0].Write([]byte("yes"))
+	peers[0].Want("yes")
+}
+
+// TestFlood: who sends without end has its turn and no more, and after Finish only
+// a bounded rest is read, so that it cannot keep the loop from others.
+func TestFlood(t *testing.T) {
+	b := looptest.New(t, 8)
+	e, p := pair(b)
+	e.take = 1 << 30
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for chunk := make([]byte, 64<<10); ; {
+			if _, err := p.Write(chunk); err != nil {
+				return
+			}
+		}
+	}()
+	b.Until("bytes", func() bool { return len(e.got) > 0 })
+	for range 20 {
+		before := len(e.got)
+		b.Turn()
+		if n := len(e.got) - before; n > 8*netloop.InBound {
+			t.Fatalf("%d bytes read in one turn", n)
+		}
+	}
+	e.c.Finish()
+	b.Until("the descriptor", func() bool { return b.Free() == 8 }) // the clock stands still
+	<-done
+}
+
 // TestTimers: they run in order of time, none before its time, a stopped one
 // never, and one that sets itself again lets the sockets have their turn.
 func TestTimers(t *testing.T) {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -9,6 +9,7 @@
 
 import (
 	"container/heap"
+	"container/list"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -27,7 +28,15 @@
 const acceptPause = 20 * time.Millisecond
 
 // acceptBurst bounds the connections accepted before other sockets have a turn.
-const acceptBurst = 64
+const acceptBurst = 16
+
+// When descriptors run short: under the first part of the limit, two connections
+// that may be spared are given up for each one accepted; under the second, fronts
+// should take no request in that needs more descriptors.
+const (
+	sparePart = 4
+	shortPart = 16
+)
 
 // source is what an epoll event goes to.
 type source interface{ ready(events uint32) }
@@ -41,6 +50,7 @@
 	spent      []int // descriptors to close after the batch, so that no event of it meets a new one
 	open       int
 	limit      int
+	spare      list.List // of *Conn: those that may be given up, longest so first
 	events     [256]unix.EpollEvent
 	stopped    bool
 
@@ -76,6 +86,21 @@
 // Free is how many more descriptors may be opened.
 func (l *Loop) Free() int { return l.limit - l.open }
 
+// Short says that hardly any more descriptors may be opened.
+func (l *Loop) Short() bool { return l.Free() < l.limit/shortPart }
+
+// relieve gives up connections that may be spared, so that those who connect and
+// say nothing cannot keep others out.
+func (l *Loop) relieve() {
+	for range 2 {
+		if e := l.spare.Front(); e != nil && l.Free() < l.limit/sparePart {
+			c := e.Value.(*Conn)
+			c.giveUp()
+			c.release()
+		}
+	}
+}
+
 // Post has f run on the loop. It may be called from any goroutine.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
@@ -301,6 +326,7 @@
 		if s.fd < 0 {
 			return
 		}
+		s.l.relieve()
 		if s.l.Free() <= 0 {
 			s.pause()
 			return
--- a/policy/facade_test.go
+++ b/policy/facade_test.go
@@ -78,3 +78,18 @@
 		}
 	}
 }
+
+// TestOwnWant guards against blaming a server for a probe or an attempt that the relay could not even start.
+func TestOwnWant(t *testing.T) {
+	for result, bad := range map[Result]bool{Moot: false, Timeout: true} {
+		f := Begin(t0, settings(), 7)
+		f.Report(t0, Pool{Kind: ListCached, Servers: fleet(1, 1)})
+		server := fleet(1, 1)[0].ID
+		for range 2 * failsServer {
+			f.Report(t0, Probed{Server: server, Result: result, Report: NoReport})
+		}
+		if got := f.b.byID[server].bad; got != bad {
+			t.Errorf("after probes that ended %v: bad %v", result, got)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -794,6 +794,7 @@
 			}
 		case Full: // it answers, but too many ask: not a failure
 			b.good(s)
+		case Moot: // it was not asked
 		default:
 			b.fail(now, s)
 		}
