Loads in one unit from the start; who comes again after a move is no herd

Cold members got dozens in 2 s. After the first fix, 142 clients of a stopping relay were refused as a herd. Ruled out: discovery's change-over (full lists came at once), reports (under 0.4 s old), descriptors, CPU. At fault: policy.go admit took the first load for 1 (no h is sent here) and capacityOf, take, scout kept connections times the mean of that moment; vacate freed that guess (member at 0.75 believed empty); crowded counted clients whose room had just been freed as new load, for all relays. Tests: TestLoadsUnknown, TestAgainHasRoom, TestAgain.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,7 @@
 	Group  uint64
 	Load   float64
 	Wait   time.Duration // how long the client still waits
+	Again  bool          // the client comes again after a break or a move
 	At     string        // the member that already holds the flow; empty for a new one
 }
 
@@ -203,7 +204,7 @@
 
 func (r *request) policy() policy.Request {
 	return policy.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Group: r.Group,
-		Deadline: r.deadline, Load: r.Load}
+		Deadline: r.deadline, Load: r.Load, Again: r.Again}
 }
 
 // current is the request whose attempt of that number is out or open.
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -285,6 +285,17 @@
 	}
 }
 
+// TestAgain: the module is told who comes again after a break or a move.
+func TestAgain(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	for more, want := range map[string]bool{"": false, ",again=1": true, ",again=0": false} {
+		open, err := parseOpen(r.Core.Settings, firstLine+more)
+		if err != nil || open.request.Again != want {
+			t.Errorf("%q: %v, %v", more, open.request.Again, err)
+		}
+	}
+}
+
 // TestLimit: a line within the bound is read, a longer one is not waited for.
 func TestLimit(t *testing.T) {
 	long := strings.Repeat("x", maxLine-2)
--- a/internal/front/line/open.go
+++ b/internal/front/line/open.go
@@ -107,6 +107,8 @@
 		if ms, err = strconv.ParseFloat(value, 64); ms > 0 && !math.IsInf(ms, 0) {
 			q.Load = ms / 1e3
 		}
+	case "again":
+		q.Again = value == "1"
 	case "at":
 		q.At = value
 	}
--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -353,7 +353,9 @@
 
 func (s *sub) place() {
 	if !s.over {
-		s.id = s.c.f.Core.Open(s.c.f.request("SUB "+s.subject, s.subject), s)
+		q := s.c.f.request("SUB "+s.subject, s.subject)
+		q.Again = s.known
+		s.id = s.c.f.Core.Open(q, s)
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -322,6 +322,7 @@
 const (
 	flagHint    = 1
 	flagMidFlow = 8
+	flagAgain   = 16
 )
 
 // call is a policy.Request being read.
@@ -329,7 +330,7 @@
 
 // set takes the flags, and the hint, which only counts if they say so.
 func (q *call) set(flags uint16, hint float64) {
-	q.MidFlow = flags&flagMidFlow != 0
+	q.MidFlow, q.Again = flags&flagMidFlow != 0, flags&flagAgain != 0
 	if flags&flagHint != 0 {
 		q.Load = hint / 1e3
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -131,6 +131,7 @@
 	Deadline time.Duration // clock time at which the client gives up
 	Load     float64       // expected load, as work a second; 0 if unknown
 	MidFlow  bool          // packets of a connection that is already open
+	Again    bool          // its client came again after a break or a move
 }
 
 // Result is how an attempt or a probe ended.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -211,7 +211,7 @@
 	} else {
 		b.end(r)
 	}
-	b.flow += r.load // only now: a request must not count itself as coming
+	b.flow += b.loadOf(r) / b.unit() // only now: a request must not count itself as coming
 }
 
 // Existing takes a connection that was open through this proxy at its start.
@@ -232,18 +232,28 @@
 func (b *Balancer) admit(now time.Duration, q Request) *request {
 	q.Class = min(max(q.Class, 0), len(b.set.Classes)-1)
 	q.Tenant = min(max(q.Tenant, 0), len(b.set.Tenants)-1)
-	r := &request{Request: q, arrived: now, load: q.Load}
-	if !(r.load > 0) || math.IsInf(r.load, 1) {
-		r.load = cmp.Or(b.classLoad[q.Class], b.meanLoad, 1)
+	r := &request{Request: q, arrived: now}
+	if q.Load > 0 && !math.IsInf(q.Load, 1) {
+		r.load = q.Load
 	}
-	if b.meanLoad == 0 {
-		b.meanLoad = r.load
+	if load := cmp.Or(r.load, b.classLoad[q.Class]); load > 0 { // a guess teaches nothing
+		b.meanLoad = cmp.Or(b.meanLoad, load)
+		b.meanLoad += learn / 4 * (load - b.meanLoad)
 	}
-	b.meanLoad += learn / 4 * (r.load - b.meanLoad)
 	b.requests[q.ID] = r
 	return r
 }
 
+// loadOf is the load of a connection as far as it is known by now: what left a server is worth no more there
+// than what came.
+func (b *Balancer) loadOf(r *request) float64 {
+	return cmp.Or(r.load, b.classLoad[r.Class], b.unit())
+}
+
+// unit is the mean load of a connection. Capacities are kept as connections and turned into load by it, since
+// what a connection's load is may be known only later than how many fill a server.
+func (b *Balancer) unit() float64 { return cmp.Or(b.meanLoad, 1) }
+
 func (b *Balancer) probeAllowance() float64 {
 	if !b.set.CanProbe || b.set.Reports == ReportsOff {
 		return 0
@@ -284,10 +294,22 @@
 		return false
 	}
 	coming := b.flow / flowLags * float64(b.set.Balancers)
+	if r.Again && b.fill() < firm {
+		return false // it has left its room behind
+	}
 	part := b.spare * float64(len(b.servers)) / max(coming, 1e-9)
 	return part < 1 && (b.overShare(r.Tenant) || b.rng.Float64() > part)
 }
 
+// fill is the mean fill of the zones.
+func (b *Balancer) fill() float64 {
+	sum := 0.0
+	for _, z := range b.zones {
+		sum += z.fill
+	}
+	return sum / float64(len(b.zones))
+}
+
 // scout probes a server drawn from the whole list, so that the view of the fleet is no view of the own
 // slice only, and goes on while this proxy refuses.
 func (b *Balancer) scout() {
@@ -432,7 +454,7 @@
 	if tier >= homeAway {
 		level -= crossing * b.set.PriceCross
 	}
-	ordered := b.affinity(r) != 0
+	ordered, load := b.affinity(r) != 0, b.loadOf(r)
 	var fit []*server
 	var weights []float64
 	sum := 0.0
@@ -445,8 +467,8 @@
 		}
 		k := b.capacityOf(now, s)
 		used := b.usedOf(now, s)
-		spare := k*level - used - r.load
-		if spare <= 0 || guest && used*b.foreignShare(s)+r.load > k*level*b.lent(s) {
+		spare := k*level - used - load
+		if spare <= 0 || guest && used*b.foreignShare(s)+load > k*level*b.lent(s) {
 			continue
 		}
 		if b.set.Pass && ordered {
@@ -495,21 +517,21 @@
 	}
 	// In mean loads a second: filling it over its warm-up, at the part of its capacity that it surely
 	// has. Half of the stated multiple is left for chance and for proxies that do not keep to it.
-	rate := b.set.FallMultiple / 2 * b.capacityOf(now, s) / max(b.meanLoad, 1e-9) / b.set.ColdFor.Seconds() /
+	rate := b.set.FallMultiple / 2 * b.capacityOf(now, s) / b.unit() / b.set.ColdFor.Seconds() /
 		float64(b.set.Balancers)
 	s.coldTokens = min(s.coldTokens+rate*(now-s.coldRefilled).Seconds(), 1)
 	s.coldRefilled = now
 	// A heavy connection could spend the budget of all proxies at one stroke.
-	return s.coldTokens >= 0 && r.load <= 2*b.meanLoad
+	return s.coldTokens >= 0 && b.loadOf(r) <= 2*b.unit()
 }
 
 // capacityOf is k in units of load: what the server's reports say, shrunk to what its kind's say.
 func (b *Balancer) capacityOf(now time.Duration, s *server) float64 {
-	prior := s.Weight * 16 * max(b.meanLoad, 1e-9) // a guess that the first reports replace
+	prior := s.Weight * 16 // a guess that the first reports replace
 	if k := b.kinds[s.Kind]; k != nil && k.capacity > 0 {
 		prior = s.Weight * k.inflight / k.capacity
 	}
-	return b.warmth(now, s) * (priorReports*prior + s.reports*s.capacity) / (priorReports + s.reports)
+	return b.unit() * b.warmth(now, s) * (priorReports*prior + s.reports*s.capacity) / (priorReports + s.reports)
 }
 
 // usedOf is the load on a server: its report, which loses weight with age, and what was placed since.
@@ -626,7 +648,7 @@
 	if !r.ran {
 		r.ranAt, r.ranOn = now, s.Server
 	}
-	s.coldTokens -= r.load / max(b.meanLoad, 1e-9)
+	s.coldTokens -= b.loadOf(r) / b.unit()
 	b.occupy(now, r, s)
 	if !foreign {
 		b.adapt(r, hStep*tolerance)
@@ -661,13 +683,13 @@
 
 func (b *Balancer) occupy(now time.Duration, r *request, s *server) {
 	r.at = s
-	s.recent = append(s.recent, placement{now, r.load})
+	s.recent = append(s.recent, placement{now, b.loadOf(r)})
 	b.count(r, s, 1)
 }
 
 func (b *Balancer) vacate(now time.Duration, r *request) {
 	if s := r.at; s != nil {
-		s.recent = append(s.recent, placement{now, -r.load})
+		s.recent = append(s.recent, placement{now, -b.loadOf(r)})
 		b.count(r, s, -1)
 		r.at, r.open = nil, false
 	}
@@ -830,7 +852,7 @@
 	}
 	if s.scouted {
 		s.scouted = false
-		spare := max(0, brim*b.capacityOf(now, s)-b.usedOf(now, s))
+		spare := max(0, brim*b.capacityOf(now, s)-b.usedOf(now, s)) / b.unit()
 		b.scouts++
 		b.spare += max(learn, 1/b.scouts) * (spare - b.spare)
 	}
@@ -841,9 +863,9 @@
 			k = &kind{}
 			b.kinds[s.Kind] = k
 		}
-		k.inflight = k.inflight*(1-learn/4) + p.Connections*b.meanLoad
+		k.inflight = k.inflight*(1-learn/4) + p.Connections
 		k.capacity = k.capacity*(1-learn/4) + p.Load*s.Weight
-		s.capacity = (s.capacity*s.reports + p.Connections*b.meanLoad/p.Load) / (s.reports + 1)
+		s.capacity = (s.capacity*s.reports + p.Connections/p.Load) / (s.reports + 1)
 		s.reports = min(s.reports+1, 4*priorReports)
 	}
 }
@@ -855,6 +877,7 @@
 			b.classLoad[r.Class] = load
 		}
 		b.classLoad[r.Class] += learn / 4 * (load - b.classLoad[r.Class])
+		r.load = load
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -944,3 +944,52 @@
 		t.Errorf("%d lines, 950 at most", lines)
 	}
 }
+
+// TestLoadsUnknown guards against a relay that takes a connection's load for 1 until it hears better and counts
+// capacities in that: it believed servers to hold fifteen times what they do, for as long as that mean lasted.
+func TestLoadsUnknown(t *testing.T) {
+	g := newRig(settings(), fleet(1, 1))
+	id := fleet(1, 1)[0].ID
+	s := g.byID[id]
+	connections := func() float64 { return g.capacityOf(g.now, s) / g.unit() }
+	g.Existing(g.now, Request{ID: 900}, id)
+	g.load[id], g.count[id] = 0.5, 20
+	report := Report{Connections: 20, Load: 0.5, Util: -1}
+	for range 40 {
+		g.Probed(g.now, id, OK, report)
+	}
+	if n := connections(); n < 38 || n > 42 {
+		t.Fatalf("capacity %.1f connections where 20 make a load of 0.5", n)
+	}
+	g.Balancer.Load(g.now, 900, 0.04)
+	for range 3 {
+		g.ask(Request{Load: -1})
+	}
+	if n := connections(); n < 38 || n > 42 || g.unit() > 0.05 {
+		t.Errorf("capacity %.1f connections of %.2f each, once loads of 0.04 are known", n, g.unit())
+	}
+	// What ends frees what it was last said to weigh, not what was guessed when it came.
+	s.recent = nil
+	before := g.usedOf(g.now, s)
+	g.Outcome(g.now, Outcome{ID: 900, Server: id, Result: OK, Closed: true, Report: NoReport})
+	if freed := before - g.usedOf(g.now, s); freed < 0.039 || freed > 0.041 {
+		t.Errorf("a connection of 0.04 freed %.3f", freed)
+	}
+}
+
+// TestAgainHasRoom guards against a relay that refuses, as a herd, the clients of another one that stops, though
+// they have just left room for themselves; and against taking them in where the fleet is full.
+func TestAgainHasRoom(t *testing.T) {
+	for _, tt := range []struct {
+		again bool
+		fill  float64
+		want  bool
+	}{{false, easy, true}, {true, easy, false}, {true, brim, true}} {
+		g := newRig(settings(), fleet(5, 1))
+		g.spare, g.flow = 1e-9, 1000
+		g.zones[0].fill = tt.fill
+		if got := g.crowded(&request{Request: Request{Again: tt.again}}); got != tt.want {
+			t.Errorf("again %v at a fill of %v: crowded %v", tt.again, tt.fill, got)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -47,7 +47,7 @@
 	relieved     time.Duration // when own connections were last moved off it for its load
 	strained     bool          // messages were slow there: its next report decides whether to relieve it
 	scouted      bool          // probed as a fair sample of the fleet
-	capacity     float64       // learned capacity over its kind's, in load
+	capacity     float64       // learned capacity, in connections
 	reports      float64
 	recent       []placement
 	conns        []*request // own connections here, those being set up included
@@ -59,7 +59,7 @@
 // request is the one owner of what may still be done for a request.
 type request struct {
 	Request
-	load        float64
+	load        float64 // 0 while it is unknown
 	arrived     time.Duration
 	tries       int
 	stage       int // how far placement has looked: own slice, own zone, everywhere
@@ -98,9 +98,9 @@
 	kinds      map[int]*kind
 	meanLoad   float64
 	classLoad  []float64
-	spare      float64 // mean spare load of a server up to the brim, as reports of scouted servers show it
+	spare      float64 // mean spare room of a server up to the brim, in connections, as reports of scouted servers show it
 	scouts     float64
-	flow       float64 // load asked of this proxy lately, decaying over flowLags times lag
+	flow       float64 // what was asked of this proxy lately, in connections, decaying over flowLags times lag
 	flowed     time.Duration
 	daring     float64 // part of its requests that it sends, less while setting up fails
 	tokens     float64 // probes it may send
