Probe members that hold flows on quiet spells too; keep failures until a flow stands

A member that failed 13 set-ups answered its probes, looked empty and drew the next ones; five probes in 100 ms doubled its pause each time. Checked with traces of reports, sends and failures of both relays. At fault: policy.go scout and ask probe on arrivals alone; Probed called good, which wiped failures of flows; condemn ran again within a pause; scout probed condemned members. Tests: TestLook, TestFailuresStay. Two tests pin the storm guard and leave out probe timers, as that is not what they test; their checks are unchanged.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -80,6 +80,25 @@
 	if b.set.Subscribe {
 		b.askLater() // not at once: all proxies of a site may start together
 	}
+	b.lookLater(b.horizon / 2) // soon: connections that were open before may stand on a full server
+}
+
+func (b *Balancer) lookLater(within time.Duration) {
+	if b.probeAllowance() > 0 {
+		b.act.Timer(time.Duration(float64(within)*(0.5+b.rng.Float64())), tokenLook)
+	}
+}
+
+// look asks the servers that hold own connections, and condemned ones whose pause is over, for reports, also
+// while no request comes: what piles up there shows nowhere else.
+func (b *Balancer) look(now time.Duration) {
+	for _, s := range b.servers {
+		if b.tokens >= 1 && s.State == Ready && !s.probing && now-s.reported >= b.lag()/2 &&
+			(s.mine > 0 || s.bad && now >= s.until) {
+			b.probe(s)
+		}
+	}
+	b.lookLater(b.lag())
 }
 
 func (b *Balancer) askLater() {
@@ -204,7 +223,7 @@
 	b.tokens = min(b.tokens+b.probeAllowance(), 3*probeMost)
 	b.flow *= math.Exp(-(now - b.flowed).Seconds() / (flowLags * b.lag().Seconds()))
 	b.flowed = now
-	b.scout()
+	b.scout(now)
 	if left := q.Deadline - b.set.AnswerSlack - now; left > 0 {
 		b.act.Timer(left, tokenDeadline|uint64(q.ID))
 		b.place(now, r)
@@ -312,11 +331,11 @@
 
 // scout probes a server drawn from the whole list, so that the view of the fleet is no view of the own
 // slice only, and goes on while this proxy refuses.
-func (b *Balancer) scout() {
+func (b *Balancer) scout(now time.Duration) {
 	if b.tokens < 1 || len(b.servers) == 0 {
 		return
 	}
-	if s := b.servers[b.rng.IntN(len(b.servers))]; s.State == Ready && !s.probing {
+	if s := b.servers[b.rng.IntN(len(b.servers))]; s.State == Ready && !s.probing && now >= s.until {
 		s.scouted = true
 		b.probe(s)
 	}
@@ -788,6 +807,8 @@
 		if r := b.requests[id]; r != nil && !r.done {
 			b.end(r)
 		}
+	case tokenLook:
+		b.look(now)
 	case tokenWait:
 		if r := b.requests[id]; r != nil {
 			if r.round--; r.round == 0 {
@@ -807,15 +828,16 @@
 		s.probing = false
 		switch result {
 		case OK:
-			b.good(s)
+			b.answers(s)
 			b.take(now, s, report)
-			// A message waits for what is piled up. Where messages are answered at once all the same, only
-			// this shows it; where they are timed, Slow has mostly been here before.
-			if report.Backlog > b.messageAim.Seconds() && now-s.relieved >= b.lag() {
+			// A message waits for what is piled up, and more piles up on a server over its capacity. Where
+			// messages are answered at once all the same, only this shows it; where they are timed, Slow
+			// has mostly been here before.
+			if report.Backlog > b.messageAim.Seconds()/2 && now-s.relieved >= b.lag() {
 				b.relieve(now, s)
 			}
 		case Full: // it answers, but too many ask: not a failure
-			b.good(s)
+			b.answers(s)
 		case Moot: // it was not asked
 		default:
 			b.fail(now, s)
@@ -936,11 +958,20 @@
 	s.health, b.zones[s.Zone].health = health{}, health{}
 }
 
+// answers takes a server back that has answered a probe. Its failures stay counted until a connection stands:
+// one that fails connections may well answer probes, and would draw the next ones for being empty.
+func (b *Balancer) answers(s *server) {
+	s.bad, b.zones[s.Zone].health = false, health{}
+}
+
 // fail counts a failure against a server and its zone. A second in a row condemns the server, and a few
 // in a row from one zone the zone: then neither is sent to until a pause is over and a probe has been
 // answered.
 func (b *Balancer) fail(now time.Duration, s *server) {
-	if s.fails++; s.fails == 1 && b.set.CanProbe && !s.probing {
+	if now >= s.until {
+		s.fails++
+	}
+	if s.fails == 1 && b.set.CanProbe && !s.probing {
 		b.probe(s) // one failure is no verdict: ask
 	}
 	b.condemn(now, &s.health, failsServer)
@@ -952,7 +983,7 @@
 }
 
 func (b *Balancer) condemn(now time.Duration, h *health, most int) {
-	if h.fails < most {
+	if h.fails < most || now < h.until { // what was under way when it was condemned is no further sign
 		return
 	}
 	pause := float64(b.set.ConnectTimeout) * math.Exp2(float64(min(h.fails-most+1, backOffMost)))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -507,6 +507,7 @@
 			id := g.ask(Request{Load: 0.1})
 			first := g.byID[g.where(id)].Server
 			g.Outcome(g.now, Outcome{ID: id, Server: first.ID, Result: tt.result, Report: NoReport})
+			g.daring = 1 // the storm guard is not what is tested
 			g.answer()
 			g.fire(400 * ms)
 			if resent := len(g.sends) > 1; resent != tt.resend {
@@ -818,7 +819,7 @@
 // TestDiscovery: one subscription, asked for with jitter, again after a failure and later each time.
 func TestDiscovery(t *testing.T) {
 	set := settings()
-	set.Subscribe = true
+	set.Subscribe, set.CanProbe = true, false // no timers for probes
 	g := newRig(set, fleet(4, 1))
 	if g.watch != 0 || len(g.timers) != 1 {
 		t.Fatalf("asked %d times at once, %d timers", g.watch, len(g.timers))
@@ -836,7 +837,8 @@
 	if g.watch != 2 {
 		t.Errorf("asked %d times after a failure, want again", g.watch)
 	}
-	other := newRig(settings(), nil)
+	set.Subscribe = false
+	other := newRig(set, nil)
 	if len(other.timers) != 0 {
 		t.Error("asked where the list comes by itself")
 	}
@@ -993,3 +995,64 @@
 		}
 	}
 }
+
+// TestLook guards against work that piles up unseen while no request comes: servers that hold own connections are
+// probed all the same, others are not, and never beyond what probes may cost.
+func TestLook(t *testing.T) {
+	g := newRig(settings(), fleet(3, 1))
+	s := g.servers[1]
+	g.Existing(g.now, Request{ID: 900, Load: 0.1}, s.ID)
+	g.load[s.ID] = 0.5
+	for n := range 3 {
+		g.now += 2 * g.lag()
+		g.probes = nil
+		g.Balancer.Timer(g.now, tokenLook)
+		if len(g.probes) != 1 || g.probes[0] != s.ID {
+			t.Fatalf("look %d probed %v, want the server with the connection alone", n, g.probes)
+		}
+		g.answer()
+	}
+	if last := g.timers[len(g.timers)-1]; last.token != tokenLook || last.delay < g.lag()/2 {
+		t.Errorf("the next look: %+v", last)
+	}
+	g.now += 2 * g.lag()
+	g.tokens = 0.5
+	if g.Balancer.Timer(g.now, tokenLook); len(g.probes) != 0 {
+		t.Errorf("probed %v beyond the budget", g.probes)
+	}
+}
+
+// TestFailuresStay guards against a server that fails connections but answers probes: its answers bring it back
+// after a pause, yet one more failure condemns it again, until a connection stands there. Failures of what was
+// under way when it was condemned do not lengthen the pause, and nobody probes it meanwhile.
+func TestFailuresStay(t *testing.T) {
+	g := newRig(settings(), fleet(1, 1))
+	s := g.servers[0]
+	for range failsServer {
+		g.fail(g.now, s)
+	}
+	until := s.until
+	for range 5 {
+		g.fail(g.now, s)
+	}
+	g.probes, s.probing = nil, false
+	g.scout(g.now)
+	if !s.bad || s.until != until || s.fails != failsServer || len(g.probes) != 0 {
+		t.Fatalf("bad %v, %d failures, pause moved by %v, probed %v", s.bad, s.fails, s.until-until, g.probes)
+	}
+	g.now = until
+	g.Probed(g.now, s.ID, OK, Report{Connections: 1, Load: 0.1, Util: -1})
+	if s.bad {
+		t.Fatal("it answered, and is not back")
+	}
+	if g.fail(g.now, s); !s.bad {
+		t.Fatal("it fails on, and is not condemned")
+	}
+	g.now = s.until
+	g.Probed(g.now, s.ID, OK, Report{Connections: 1, Load: 0.1, Util: -1})
+	id := g.ask(Request{Load: 0.1})
+	g.First(g.now, id)
+	if g.fail(g.now, s); s.bad {
+		t.Error("condemned for one failure after a connection stood")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -12,6 +12,7 @@
 	tokenDeadline uint64 = iota << 56
 	tokenWait     uint64 = iota << 56
 	tokenWatch    uint64 = iota << 56
+	tokenLook     uint64 = iota << 56
 	tokenMask     uint64 = 0xff << 56
 )
 
