Planned stop: move flows between 1.2 and 2.7 s instead of 0.45 and 2.0 s

Checked: both relays' logs (stop at 16.04 s, moves from 16.5 s, the other serving at 17.4 s). Ruled out: refusals (none left in the traces), cut-offs (rules kept). At fault: core.go Stop spread the moves from StopNotice on. SIGKILL comes at 3.7 s, the stop ends at 3 s. Test: TestStop.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -89,8 +89,11 @@
 const StopNotice = 450 * time.Millisecond
 
 const (
-	stopMoves = 2000 * time.Millisecond // the moves are spread up to here
-	stopAfter = 500 * time.Millisecond  // when a client rejected meanwhile may come again
+	// The moves are spread between these times. Flows are served meanwhile, and where
+	// relays are restarted one after another, the one before may be back only then.
+	stopMovesFrom = 1200 * time.Millisecond
+	stopMoves     = 2700 * time.Millisecond
+	stopAfter     = 500 * time.Millisecond // when a client rejected meanwhile may come again
 )
 
 // noteEvery is how often slow messages at one member are told to the module.
@@ -360,9 +363,9 @@
 			open = append(open, r)
 		}
 	}
-	start := c.Clock() + StopNotice
+	start := c.Clock() + stopMovesFrom
 	for i, r := range open {
-		c.alarm(start+(stopMoves-StopNotice)*time.Duration(i)/time.Duration(len(open)), r.id, moveFlow)
+		c.alarm(start+(stopMoves-stopMovesFrom)*time.Duration(i)/time.Duration(len(open)), r.id, moveFlow)
 	}
 	c.moveAt = start
 	c.arm()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -229,7 +229,7 @@
 	if s := r.open(); len(s.answers) != 1 || s.answers[0] != "rejected" {
 		t.Errorf("a request during the stop: %v", s.answers)
 	}
-	r.pass(StopNotice - time.Millisecond)
+	r.pass(stopMovesFrom - time.Millisecond)
 	for _, s := range up {
 		if s.moved != 0 {
 			t.Error("moved too early")
