Bound the buffers of all connections together by a quarter of the memory

Seen in the source: a NATS client may hold a whole payload unread and twice that unsent, so a few dozen clients that send large values slowly pass limits.memory_mb; nothing bounded them together. Ruled out: the line front, whose connections hold 8 KiB and 96 KiB at most. Changed: the loop counts what buffers hold (conn.go count); over the bound, who adds to a large one is ended. Test: TestMemory.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -28,6 +28,9 @@
 	// ownSockets are the descriptors that are not the loop's: standard streams,
 	// epoll, the wakeup, and what the runtime opens.
 	ownSockets = 16
+	// bufferPart of the memory is what the connections' buffers may hold together;
+	// slices that grow take up to twice their length.
+	bufferPart = 0.25
 	// stopWithin ends a planned stop; SIGKILL comes no earlier than 3.7 s after SIGTERM.
 	stopWithin = 3 * time.Second
 	// flushWithin is what the store has for its last records; a platform that kills
@@ -55,6 +58,7 @@
 		return err
 	}
 
+	loop.Memory(int(cfg.Limits.MemoryMB * bufferPart * (1 << 20)))
 	r := &relay{cfg: cfg, log: log, loop: loop, clock: clock,
 		names: pool.Names{Settings: set, Epoch: began.Add(-zero)}}
 	if err := r.build(); err != nil {
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -65,6 +65,7 @@
 	shut     bool   // our sending is ended
 	busy     bool   // in a call of the handler's Data
 	left     int    // bytes that were unsent when it broke
+	held     int    // bytes of its buffers that the loop has counted
 	rest     int    // bytes thrown away after Finish
 	spare    *list.Element
 	giveUp   func()
@@ -159,7 +160,8 @@
 		return
 	}
 	c.out = append(c.out, b...)
-	if len(c.out) > c.outMost+outOver {
+	c.count()
+	if len(c.out) > c.outMost+outOver || len(c.out) > OutBound+outOver && c.l.crammed() {
 		c.later(ErrOverflow)
 		return
 	}
@@ -182,6 +184,13 @@
 	c.update()
 }
 
+// count tells the loop how much the buffers hold.
+func (c *Conn) count() {
+	now := len(c.in) + len(c.out)
+	c.l.held += now - c.held
+	c.held = now
+}
+
 // Finish ends the connection politely: what is unsent still leaves, then the
 // peer sees the end. The handler is told nothing more.
 func (c *Conn) Finish() {
@@ -193,6 +202,7 @@
 		return
 	}
 	c.ending, c.h, c.in = true, deaf{}, nil
+	c.count()
 	// A peer that neither reads nor ends must not hold the descriptor.
 	c.farewell = c.l.After(linger, c.release)
 	c.Spare(c.release)
@@ -216,6 +226,7 @@
 	c.Spare(nil)
 	c.left += len(c.out)
 	c.h, c.in, c.out, c.ending = deaf{}, nil, nil, true
+	c.count()
 	if c.fd >= 0 {
 		c.l.drop(c.fd)
 		c.fd = -1
@@ -275,7 +286,9 @@
 		c.fail(err)
 		return
 	}
-	if c.out = c.out[:copy(c.out, c.out[n:])]; len(c.out) > 0 {
+	c.out = c.out[:copy(c.out, c.out[n:])]
+	c.count()
+	if len(c.out) > 0 {
 		return
 	}
 	c.out = nil
@@ -332,6 +345,10 @@
 		if !c.ending {
 			c.in = append(c.in, chunk[:n]...)
 			c.offer()
+			if len(c.in) > InBound && c.l.crammed() {
+				c.fail(ErrOverflow)
+				return
+			}
 		} else if c.rest += n; c.rest > lingerMost {
 			c.release()
 			return
@@ -361,6 +378,7 @@
 	if c.in = c.in[min(n, len(c.in)):]; len(c.in) == 0 {
 		c.in = nil
 	}
+	c.count()
 }
 
 // update asks epoll for what the connection can use now.
--- a/internal/netloop/conn_test.go
+++ b/internal/netloop/conn_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -264,6 +265,48 @@
 	<-done
 }
 
+// TestMemory: each connection may hold a large message, but while all together hold
+// more than the loop may, one that wants yet more is ended, and one that does with
+// its basic share is not. Guards against large values sent slowly over many
+// connections.
+func TestMemory(t *testing.T) {
+	b := looptest.New(t, 16)
+	b.Memory(128 << 10)
+	grow := func() (*end, *looptest.Peer) {
+		e, p := pair(b)
+		e.c.Bound(1<<20, 1<<20)
+		return e, p
+	}
+	var big []*end
+	for range 4 {
+		e, p := grow()
+		big = append(big, e)
+		p.Say(strings.Repeat("x", 60<<10))
+		for range 40 {
+			b.Turn()
+		}
+	}
+	over := 0
+	for _, e := range big {
+		if len(e.over) > 0 && errors.Is(e.over[0], netloop.ErrOverflow) {
+			over++
+		}
+	}
+	if over == 0 || over == len(big) {
+		t.Fatalf("%d of %d ended", over, len(big))
+	}
+	small, p := grow()
+	p.Say("hello")
+	small.take = 5
+	b.Until("a small message", func() bool { return string(small.got) == "hello" })
+	for _, e := range big { // what they held is free again
+		e.c.Reset()
+	}
+	e, p := grow()
+	p.Say(strings.Repeat("y", 60<<10))
+	b.Until("all of it", func() bool { e.take = 1 << 20; e.c.Resume(); return len(e.got) == 60<<10 })
+}
+
 // TestTimers: they run in order of time, none before its time, a stopped one
 // never, and one that sets itself again lets the sockets have their turn.
 func TestTimers(t *testing.T) {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -50,6 +50,8 @@
 	spent      []int // descriptors to close after the batch, so that no event of it meets a new one
 	open       int
 	limit      int
+	held       int       // bytes in all buffers
+	most       int       // how many that may be; 0 for no bound
 	spare      list.List // of *Conn: those that may be given up, longest so first
 	events     [256]unix.EpollEvent
 	stopped    bool
@@ -101,6 +103,13 @@
 	}
 }
 
+// Memory bounds the bytes that all buffers hold together. While they hold more, a
+// connection that keeps more than its basic share is ended when it wants yet more:
+// each may have the room of one large message, all at once may not.
+func (l *Loop) Memory(most int) { l.most = most }
+
+func (l *Loop) crammed() bool { return l.most > 0 && l.held > l.most }
+
 // Post has f run on the loop. It may be called from any goroutine.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
