Ask discovery again within a second of a failed call, two at most

Seen in the source: askLater waited up to 5 s after one failed call and 10 s after two, while changes count as told after 6 s (4 s after SIGHUP). Test: TestAskSoon.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -103,8 +103,8 @@
 
 func (b *Balancer) askLater() {
 	// Guards against a polling storm: proxies that fail together come back spread out, and later each
-	// time.
-	span := float64(b.set.AskWithin) / 4 * math.Exp2(float64(min(b.asked, 2)))
+	// time. Yet what is not asked for in time counts as told, so a call that failed is repeated well before.
+	span := float64(b.set.AskWithin) / 20 * math.Exp2(float64(min(b.asked, 2)))
 	b.act.Timer(time.Duration(span*b.rng.Float64()), tokenWatch)
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1056,3 +1056,17 @@
 		t.Error("condemned for one failure after a connection stood")
 	}
 }
+
+// TestAskSoon guards against a relay that is left without the list for longer than its changes may stay untold:
+// a failed call is repeated within a fifth of the time allowed, however many have failed.
+func TestAskSoon(t *testing.T) {
+	set := settings()
+	set.Subscribe, set.CanProbe = true, false // no timers for probes
+	g := newRig(set, fleet(2, 1))
+	for range 40 {
+		if wait := g.timers[len(g.timers)-1].delay; wait > set.AskWithin/5 {
+			t.Fatalf("asks again after %v", wait)
+		}
+		g.Members(g.now, ListFailed, nil)
+	}
+}
