--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -296,6 +296,21 @@
 	}
 }
 
+// TestWait: no first line has the relay wait longer than its class is given, or, for
+// a flow that was open before, than such a one may take.
+func TestWait(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	for d, want := range map[string]time.Duration{
+		"d=1900": 1900 * time.Millisecond, "d=999999999": 2 * time.Second, "h=1": 2 * time.Second,
+		"d=4294967,at=s-1": standingWait, "at=s-1": standingWait,
+	} {
+		open, err := parseOpen(r.Core.Settings, strings.Replace(firstLine, "d=1900", d, 1))
+		if err != nil || open.request.Wait != want {
+			t.Errorf("%s: %v, %v, want %v", d, open.request.Wait, err, want)
+		}
+	}
+}
+
 // TestLimit: a line within the bound is read, a longer one is not waited for.
 func TestLimit(t *testing.T) {
 	long := strings.Repeat("x", maxLine-2)
--- a/internal/front/line/open.go
+++ b/internal/front/line/open.go
@@ -71,11 +71,14 @@
 		return o, fmt.Errorf("%w: no class or tenant", errSyntax)
 	}
 	q.Tenant = max(q.Tenant, 0)
+	most := settings.Span(set.Classes[q.Class].Deadline)
+	if q.At != "" {
+		most = standingWait
+	}
 	if !o.timed {
-		o.before = text
-		if q.Wait = settings.Span(set.Classes[q.Class].Deadline); q.At != "" {
-			q.Wait = standingWait
-		}
+		o.before, q.Wait = text, most
+	} else if most > 0 { // a senseless d must not hold a request for days
+		q.Wait = min(q.Wait, most)
 	}
 	o.request = q
 	return o, nil
