--- a/integration/line_test.go
+++ b/integration/line_test.go
@@ -284,20 +284,19 @@
 	silent := listen(t, func(net.Conn) { select {} })
 	s.reload(s.d.addr, silent.Addr().String())
 	s.logged("discovery=\"" + silent.Addr().String())
-	next := newDiscovery(t)
-	for i, b := range s.backends {
-		m := b.member()
-		m.Lifecycle = []string{"DRAINING", "SERVING"}[min(i, 1)]
-		next.members[m.ID], next.changed[m.ID] = m, 1
-	}
 	gone := s.backends[0]
 	if gone == b { // that flow is to stay
 		gone = s.backends[1]
-		next.members[b.id], next.members[gone.id] = b.member(), next.members[b.id]
-		m := gone.member()
-		m.Lifecycle = "DRAINING"
-		next.members[gone.id] = m
 	}
+	var list []member
+	for _, x := range s.backends {
+		m := x.member()
+		if x == gone {
+			m.Lifecycle = "DRAINING"
+		}
+		list = append(list, m)
+	}
+	next := newDiscovery(t, list...)
 	s.reload(silent.Addr().String(), next.addr)
 	until(t, "a watch at the new address", func() bool { return next.count() > 1 })
 	for n := range 12 {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -110,6 +110,16 @@
 	}
 }
 
+// watch is one that holds a list and has begun.
+func watch(b *looptest.Bench, at *looptest.Server, told func(policy.ListKind, []core.Member)) *Watch {
+	log := logrus.New()
+	log.SetOutput(b.T.Output())
+	w := &Watch{Loop: b.Loop, Addr: at.Addr(), Names: names(), Log: log, Told: told}
+	w.Hold(&List{Generation: 41})
+	w.Ask()
+	return w
+}
+
 // TestWatch: the first call says which list is held, each further one follows
 // its answer at once, on the same connection; an answer that does not come ends
 // the watch, and Ask begins a new one.
@@ -117,12 +127,7 @@
 	b := looptest.New(t, 8)
 	server := b.Listen()
 	var told []string
-	log := logrus.New()
-	log.SetOutput(t.Output())
-	w := &Watch{Loop: b.Loop, Addr: server.Addr(), Names: names(), Log: log,
-		Told: func(kind policy.ListKind, list []core.Member) { told = append(told, fmt.Sprint(kind, len(list))) }}
-	w.Hold(&List{Generation: 41})
-	w.Ask()
+	w := watch(b, server, func(kind policy.ListKind, list []core.Member) { told = append(told, fmt.Sprint(kind, len(list))) })
 	w.Ask()
 	p := server.Accept()
 	call := func(since int) string {
@@ -170,12 +175,7 @@
 	b := looptest.New(t, 8)
 	old, next := b.Listen(), b.Listen()
 	told := 0
-	log := logrus.New()
-	log.SetOutput(t.Output())
-	w := &Watch{Loop: b.Loop, Addr: old.Addr(), Names: names(), Log: log,
-		Told: func(kind policy.ListKind, list []core.Member) { told += 100*int(kind) + len(list) }}
-	w.Hold(&List{Generation: 41})
-	w.Ask()
+	w := watch(b, old, func(kind policy.ListKind, list []core.Member) { told += 100*int(kind) + len(list) })
 	before := old.Accept()
 	w.Move(next.Addr())
 	p := next.Accept()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -830,9 +830,8 @@
 		case OK:
 			b.answers(s)
 			b.take(now, s, report)
-			// A message waits for what is piled up, and more piles up on a server over its capacity. Where
-			// messages are answered at once all the same, only this shows it; where they are timed, Slow
-			// has mostly been here before.
+			// A message waits for what is piled up. Where messages are answered at once all the same, only
+			// this shows it; where they are timed, Slow has mostly been here before.
 			if report.Backlog > b.messageAim.Seconds()/2 && now-s.relieved >= b.lag() {
 				b.relieve(now, s)
 			}
