--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -14,11 +14,13 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
+	"dahliarudder/internal/bans"
 	"dahliarudder/internal/config"
 	"dahliarudder/internal/core"
 	"dahliarudder/internal/front/line"
 	"dahliarudder/internal/front/nats"
 	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/operator"
 	"dahliarudder/internal/pool"
 	"dahliarudder/internal/store"
 	"dahliarudder/policy"
@@ -36,6 +38,8 @@
 	// flushWithin is what the store has for its last records; a platform that kills
 	// sooner has no store.
 	flushWithin = 3 * time.Second
+	// wordsMost is how many calls of operators may wait for the disk.
+	wordsMost = 64
 	// stopLinger lets the last answers leave.
 	stopLinger = 200 * time.Millisecond
 )
@@ -53,7 +57,11 @@
 	// means "long ago" to the decision module.
 	const zero = time.Hour
 	clock := func() time.Duration { return zero + time.Since(began) }
-	loop, err := netloop.New(clock, sockets(cfg)-ownSockets)
+	most := sockets(cfg) - ownSockets
+	if cfg.Operator != "" {
+		most -= operator.Callers
+	}
+	loop, err := netloop.New(clock, most)
 	if err != nil {
 		return err
 	}
@@ -99,6 +107,9 @@
 	nats      *nats.Front    // nil if it is off
 	store     *store.Store   // nil if it is off
 	listeners []*netloop.Listener
+	bans      *bans.File  // nil without a second address
+	words     chan func() // what operators have said, to be written in that order
+	serving   bool        // every listener is up
 }
 
 func (r *relay) build() (err error) {
@@ -133,6 +144,11 @@
 		lines = line.New(loop, r.core, r.log)
 		probe = lines.Probe
 	}
+	if cfg.Operator != "" {
+		if err := r.recall(); err != nil {
+			return err
+		}
+	}
 	if known := cfg.KnownList(); known != nil {
 		r.watch.Hold(known)
 		r.core.Pool(policy.ListCached, r.names.Members(known))
@@ -143,16 +159,95 @@
 	if lines != nil && err == nil {
 		err = r.listen("line", cfg.Listen, lines.Accept)
 	}
+	if cfg.Operator != "" && err == nil {
+		desk := &operator.Front{Loop: loop, Relay: r, Log: r.log}
+		var l *netloop.Listener
+		l, err = loop.ListenApart(cfg.Operator, operator.Callers, desk.Accept)
+		r.took("operator", l, err)
+	}
+	r.serving = err == nil
 	return err
 }
 
 func (r *relay) listen(front, addr string, accept func(*netloop.Conn)) error {
 	l, err := r.loop.Listen(addr, accept)
+	r.took(front, l, err)
+	return err
+}
+
+// took keeps a listener, unless there is none.
+func (r *relay) took(front string, l *netloop.Listener, err error) {
 	if err == nil {
 		r.listeners = append(r.listeners, l)
 		r.log.WithFields(logrus.Fields{"front": front, "listen": l.Addr()}).Info("serving")
 	}
-	return err
+}
+
+// recall takes over the bans that an earlier process has kept.
+func (r *relay) recall() error {
+	dir, err := bans.Dir(r.cfg.Name)
+	if err != nil {
+		return err
+	}
+	r.bans, r.words = &bans.File{Dir: dir}, make(chan func(), wordsMost)
+	go func() {
+		for word := range r.words {
+			word()
+		}
+	}()
+	names, err := r.bans.Read()
+	if err != nil {
+		r.log.WithError(err).Error("no ban is in force")
+	}
+	for _, name := range names {
+		r.core.Ban(name)
+		r.log.WithField("member", name).Info("banned")
+	}
+	return nil
+}
+
+// Ready says whether clients can be served: every listener is up, and the pool has
+// a member to send to.
+func (r *relay) Ready() bool { return r.serving && r.core.Usable() }
+
+// Known says whether operators may speak of a member by that name.
+func (r *relay) Known(member string) bool { return r.core.Known(member) }
+
+// Ban keeps an operator's word off the loop, so that a slow disk does not hold it
+// up, and then follows it.
+func (r *relay) Ban(member string, out bool, done func(error)) {
+	word := func() {
+		err := r.bans.Set(member, out)
+		r.loop.Post(func() {
+			if err == nil && out {
+				r.core.Ban(member)
+			} else if err == nil {
+				r.core.Allow(member)
+			}
+			done(err)
+		})
+	}
+	select {
+	case r.words <- word:
+	default:
+		done(errors.New("too many calls are waiting"))
+	}
+}
+
+// Drain empties the relay.
+func (r *relay) Drain() {
+	r.core.Drain()
+	if r.nats != nil {
+		r.nats.Leave()
+	}
+}
+
+// Resume ends that.
+func (r *relay) Resume() {
+	r.core.Resume()
+	if r.nats != nil && r.core.Welcomes() {
+		r.nats.Stay()
+	}
 }
 
 // reload takes over what a configuration that was read again may change: where
@@ -171,7 +266,7 @@
 	r.log.WithField("held", r.core.Held()).Info("stopping")
 	r.core.Stop()
 	if r.nats != nil {
-		r.nats.Stop()
+		r.nats.Leave()
 	}
 	deadline := loop.Now() + stopWithin
 	least := loop.Now() + core.StopNotice
--- a/integration/line_test.go
+++ b/integration/line_test.go
@@ -28,7 +28,11 @@
 		list = append(list, b.member())
 	}
 	s.d = newDiscovery(t, list...)
-	s.relay = start(t, configure(t, s.d, more), 1)
+	listeners := 1
+	if more["operator"] != nil {
+		listeners++
+	}
+	s.relay = start(t, configure(t, s.d, more), listeners)
 	return s
 }
 
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -438,7 +438,8 @@
 	r := &relay{t: t, cmd: exec.Command(program, "serve", "--config", config), log: &syncBuffer{},
 		done: make(chan error, 1), addr: map[string]string{}, path: config}
 	r.cmd.Stderr = r.log
-	r.cmd.Env = append(os.Environ(), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "EDGE_CONFIG=")
+	r.cmd.Env = append(os.Environ(), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "EDGE_CONFIG=", "EDGE_OPERATOR=",
+		"TMPDIR="+filepath.Dir(config)) // private, and shared by all that run with this file
 	if err := r.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -458,6 +459,30 @@
 	return r
 }
 
+// call is an operator's call; it returns the answer's status.
+func (r *relay) call(method, path string) int {
+	r.t.Helper()
+	q, err := http.NewRequest(method, "http://"+r.addr["operator"]+path, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	c := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := c.Do(q)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	answer.Body.Close()
+	return answer.StatusCode
+}
+
+// put is a call that must be answered with yes.
+func (r *relay) put(path string) {
+	r.t.Helper()
+	if code := r.call("PUT", path); code != 200 {
+		r.t.Fatalf("PUT %s: %d", path, code)
+	}
+}
+
 // reload puts new text in the place of parts of the configuration and sends
 // SIGHUP.
 func (r *relay) reload(oldnew ...string) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Operator  string `json:"operator"` // the second address, for operators; empty for none
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -86,7 +87,8 @@
 		key      string
 		old, new any
 	}{
-		{"name", c.Name, fresh.Name}, {"listen", c.Listen, fresh.Listen}, {"seed", c.Seed, fresh.Seed},
+		{"name", c.Name, fresh.Name}, {"listen", c.Listen, fresh.Listen},
+		{"operator", c.Operator, fresh.Operator}, {"seed", c.Seed, fresh.Seed},
 		{"limits", c.Limits, fresh.Limits}, {"known", c.known, fresh.known}, {"settings", c.decoded, fresh.decoded},
 		{"fronts", c.Fronts, fresh.Fronts}, {"store", c.Store, fresh.Store},
 	} {
@@ -118,7 +120,7 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}} {
+	}{{"EDGE_NAME", &c.Name}, {"EDGE_LISTEN", &c.Listen}, {"EDGE_DISCOVERY", &c.Discovery}, {"EDGE_OPERATOR", &c.Operator}} {
 		if s := env(v.name); s != "" {
 			*v.to = s
 		}
@@ -140,6 +142,9 @@
 	if len(addresses) == 1 {
 		return fmt.Errorf("%w: no front is on", ErrInvalid)
 	}
+	if c.Operator != "" {
+		addresses = append(addresses, address{"operator", c.Operator})
+	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.addr); err != nil {
 			return fmt.Errorf("%w: %s: %v", ErrInvalid, a.name, err)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,6 +96,13 @@
 	stopAfter     = 500 * time.Millisecond // when a client rejected meanwhile may come again
 )
 
+// A drain moves open flows between these times after its start, all of them well
+// before the 4 s after which none may be held.
+const (
+	drainMovesFrom = StopNotice
+	drainMoves     = 3 * time.Second
+)
+
 // noteEvery is how often slow messages at one member are told to the module.
 const noteEvery = time.Second
 
@@ -110,14 +117,19 @@
 	standing bool // it came with the member that holds it
 	answered bool
 	open     bool
+	leave    time.Duration // when a stop or a drain moves its flow; 0 if none does
 }
 
 type member struct {
-	Member
-	left  bool          // it drains or is gone
-	told  time.Duration // when that was told
-	slow  bool
-	noted time.Duration
+	Member                // as the module sees it
+	listed  policy.Server // as discovery has it
+	banned  bool          // the operators have taken it out
+	started time.Duration // when discovery said that it started, as it was taken out
+	back    time.Duration // when they put it back
+	left    bool          // it drains, is gone or is banned
+	told    time.Duration // when that was told
+	slow    bool
+	noted   time.Duration
 }
 
 // Core is the state of one relay. All calls come from one goroutine.
@@ -134,8 +146,10 @@
 	running  bool
 	alarms   alarms
 	armed    time.Duration
+	bans     map[string]bool // by name, also of members that are not listed
 	stopping bool
-	moveAt   time.Duration // during a stop nobody is moved before
+	draining bool
+	moveAt   time.Duration // during a stop or a drain nobody is moved before
 	Counts   Counts
 }
 
@@ -147,7 +161,7 @@
 // New makes a Core.
 func New(o Options) *Core {
 	c := &Core{Options: o, set: policy.Sane(o.Settings.Policy()), requests: map[ID]*request{},
-		members: map[policy.ServerID]*member{}, byName: map[string]*member{}, armed: math.MaxInt64}
+		members: map[policy.ServerID]*member{}, byName: map[string]*member{}, bans: map[string]bool{}, armed: math.MaxInt64}
 	if c.grace = settings.Span(o.Settings.Guarantees.Grace); c.grace <= 0 {
 		c.grace = 250 * time.Millisecond
 	}
@@ -165,8 +179,18 @@
 // Limits is the settings as the module made them sane.
 func (c *Core) Limits() policy.Settings { return c.set }
 
-// Stopping says whether Stop was called.
-func (c *Core) Stopping() bool { return c.stopping }
+// Welcomes says whether clients should be sent here: no stop or drain is on.
+func (c *Core) Welcomes() bool { return !c.stopping && !c.draining }
+
+// Usable says whether some member may be sent to.
+func (c *Core) Usable() bool {
+	for _, m := range c.members {
+		if !m.left {
+			return true
+		}
+	}
+	return false
+}
 
 // ---- What fronts tell ----
 
@@ -200,6 +224,10 @@
 		c.answer(r, Failed, 0)
 		return
 	}
+	if m.banned {
+		c.answer(r, Rejected, stopAfter)
+		return
+	}
 	r.standing = true
 	c.alarm(r.deadline, r.id, -1)
 	c.start(now, r, m, r.Wait)
@@ -232,8 +260,8 @@
 	} else {
 		c.tell(policy.Up{ID: id})
 	}
-	if c.stopping {
-		c.alarm(c.nextMove(), id, moveFlow)
+	if !c.Welcomes() {
+		c.leaveAt(r, max(c.moveAt, c.Clock()+StopNotice/2))
 	}
 	return true
 }
@@ -299,35 +327,96 @@
 	servers := make([]policy.Server, len(list))
 	named := map[policy.ServerID]bool{}
 	for i, e := range list {
-		servers[i] = e.Server
 		named[e.ID] = true
 		m := c.members[e.ID]
 		if m == nil {
-			m = &member{noted: -noteEvery}
+			m = &member{noted: -noteEvery, banned: c.bans[e.Name], started: e.Started}
 			c.members[e.ID] = m
 		}
-		m.Member = e
+		m.Member, m.listed = e, e.Server
 		c.byName[e.Name] = m
-		c.mark(now, m, e.State != policy.Ready)
+		c.see(now, m)
+		servers[i] = m.Server
 	}
 	if kind == policy.ListFull || kind == policy.ListCached {
 		for id, m := range c.members {
 			if !named[id] {
-				m.State = policy.Gone
-				c.mark(now, m, true)
+				m.listed.State = policy.Gone
+				c.see(now, m)
 			}
 		}
 	}
 	c.tell(policy.Pool{Kind: kind, Servers: servers})
 }
 
-func (c *Core) mark(now time.Duration, m *member, left bool) {
+// see makes of what discovery and the operators say of a member what the module
+// and the gate go by. A banned member is one that drains; one put back has started
+// just then, unless discovery knows of a start since the ban.
+func (c *Core) see(now time.Duration, m *member) {
+	m.Server = m.listed
+	if m.back > 0 && m.Started <= m.started {
+		m.Started = m.back
+	}
+	if m.banned && m.State == policy.Ready {
+		m.State = policy.Draining
+	}
+	left := m.State != policy.Ready
 	if left && !m.left {
 		m.told = now
 	}
 	m.left = left
 }
 
+// ---- What operators tell ----
+
+// Known says whether a member of that name is or was in the pool, or is banned.
+func (c *Core) Known(name string) bool { return c.byName[name] != nil || c.bans[name] }
+
+// Ban has nothing new sent to a member, whatever the pool says of it, and its flows
+// moved.
+func (c *Core) Ban(name string) {
+	c.bans[name] = true
+	if m := c.byName[name]; m != nil && !m.banned {
+		m.banned, m.started = true, m.listed.Started
+		c.word(m)
+	}
+}
+
+// Allow ends a ban. Whatever the member was restarted for meanwhile, it is taken
+// for cold, and nothing that was learned of it before counts.
+func (c *Core) Allow(name string) {
+	delete(c.bans, name)
+	if m := c.byName[name]; m != nil && m.banned {
+		m.banned, m.back = false, c.Clock()
+		c.word(m)
+	}
+}
+
+// word tells the module of a member about which the operators have spoken.
+func (c *Core) word(m *member) {
+	c.see(c.Clock(), m)
+	c.tell(policy.Pool{Kind: policy.ListDelta, Servers: []policy.Server{m.Server}})
+}
+
+// Drain empties the relay: what still arrives is served, and open flows are moved
+// one by one.
+func (c *Core) Drain() {
+	if c.Welcomes() {
+		c.draining = true
+		c.moveAll(drainMovesFrom, drainMoves)
+	}
+}
+
+// Resume ends a drain; who was not moved yet stays.
+func (c *Core) Resume() {
+	if c.draining && !c.stopping {
+		for _, r := range c.requests {
+			r.leave = 0
+		}
+	}
+	c.draining = false
+}
+
 // Tick does what is due.
 func (c *Core) Tick() {
 	now := c.Clock()
@@ -338,7 +427,9 @@
 		switch {
 		case r == nil:
 		case a.try == moveFlow:
-			c.move(r)
+			if r.leave == a.at {
+				c.move(r)
+			}
 		case a.try < 0 && !r.answered:
 			// The module answers before this; a client must not be left without.
 			c.giveUp(r, Failed, 0)
@@ -357,20 +448,29 @@
 		return
 	}
 	c.stopping = true
+	c.moveAll(stopMovesFrom, stopMoves)
+}
+
+// moveAll spreads the moves of all open flows between two times from now.
+func (c *Core) moveAll(from, to time.Duration) {
 	var open []*request
 	for _, r := range c.requests {
 		if r.open {
 			open = append(open, r)
 		}
 	}
-	start := c.Clock() + stopMovesFrom
+	c.moveAt = c.Clock() + from
 	for i, r := range open {
-		c.alarm(start+(stopMoves-stopMovesFrom)*time.Duration(i)/time.Duration(len(open)), r.id, moveFlow)
+		c.leaveAt(r, c.moveAt+(to-from)*time.Duration(i)/time.Duration(len(open)))
 	}
-	c.moveAt = start
 	c.arm()
 }
 
+func (c *Core) leaveAt(r *request, at time.Duration) {
+	r.leave = at
+	c.alarm(at, r.id, moveFlow)
+}
+
 // Finish ends a stop whose time is up: who still waits is rejected, and every
 // open flow is moved at once.
 func (c *Core) Finish() {
@@ -383,9 +483,6 @@
 	}
 }
 
-// nextMove is when a flow is moved that came up during a stop.
-func (c *Core) nextMove() time.Duration { return max(c.moveAt, c.Clock()+StopNotice/2) }
-
 // ---- What the module's verdicts do ----
 
 func (c *Core) tell(n policy.News) { c.apply(c.facade.Report(c.Clock(), n)) }
@@ -410,8 +507,13 @@
 	r := c.requests[v.ID]
 	switch v.Do {
 	case policy.DoProbe:
-		if m := c.members[v.Server]; m != nil {
+		switch m := c.members[v.Server]; {
+		case m == nil:
+		case c.reachable(c.Clock(), m):
 			c.Probe(&m.Member)
+		default:
+			c.Counts.Barred++
+			c.tell(policy.Probed{Server: v.Server, Result: policy.Moot, Report: policy.NoReport})
 		}
 		return
 	case policy.DoWatch:
@@ -445,7 +547,16 @@
 // than the grace.
 func (c *Core) gate(now time.Duration, r *request, m *member) bool {
 	return !r.answered && r.member == nil && r.tries < c.set.MaxAttempts && now < r.deadline &&
-		m != nil && !(m.left && now-m.told > c.grace)
+		m != nil && c.reachable(now, m)
+}
+
+// reachable says whether anything new may go to a member, a probe as well.
+func (c *Core) reachable(now time.Duration, m *member) bool { return !(m.left && now-m.told > c.grace) }
+
+// Reachable says the same to fronts that start something anew by themselves.
+func (c *Core) Reachable(id policy.ServerID) bool {
+	m := c.members[id]
+	return m != nil && c.reachable(c.Clock(), m)
 }
 
 func (c *Core) send(r *request, v policy.Verdict) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -247,6 +247,112 @@
 	}
 }
 
+// TestBan: a banned member gets nothing new, whatever discovery says and whoever
+// asks for it, and its flows are moved; put back it is taken for cold until discovery
+// knows of its start, and old failures count no more. Two words out, one back.
+func TestBan(t *testing.T) {
+	r := newRig(t, 1)
+	var probed int
+	r.Probe = func(*Member) { probed++ }
+	s := r.open()
+	r.Up(s.id, 0)
+	r.Ban("m0")
+	r.Ban("m0")
+	if s.moved != 1 || !r.Known("m0") || r.Known("m9") || r.Usable() {
+		t.Errorf("moved %d times", s.moved)
+	}
+	r.Pool(policy.ListFull, list(1, policy.Ready))
+	r.pass(251 * time.Millisecond)
+	if late := r.open(); late.tries != 0 {
+		t.Error("sent to a banned member")
+	}
+	at := &side{r: r}
+	if r.Open(Request{At: "m0", Wait: time.Second}, at); at.tries != 0 || len(at.answers) != 1 || at.answers[0] != "rejected" {
+		t.Errorf("a standing flow of a banned member: %d tries, %v", at.tries, at.answers)
+	}
+	r.do(policy.Verdict{Do: policy.DoProbe, Server: 10})
+	if probed != 0 || r.Reachable(10) {
+		t.Error("a banned member was probed")
+	}
+	r.Allow("m0")
+	m := r.members[10]
+	if m.left || m.Started != r.now || !r.Usable() {
+		t.Errorf("put back: %+v", m)
+	}
+	r.Allow("m0")
+	again := list(1, policy.Ready)
+	again[0].Started = r.now - 3*time.Second
+	r.Pool(policy.ListDelta, again)
+	if m.Started != again[0].Started {
+		t.Errorf("discovery knows of a start at %v, we say %v", again[0].Started, m.Started)
+	}
+	until := r.now + 10*time.Second
+	for s = r.open(); s.tries == 0 && r.now < until; s = r.open() {
+		r.pass(100 * time.Millisecond)
+	}
+	if s.tries == 0 {
+		t.Error("never used again")
+	}
+}
+
+// TestBanUnlisted: a ban that an earlier process has kept holds for a member that
+// discovery names only later.
+func TestBanUnlisted(t *testing.T) {
+	r := newRig(t, 0)
+	r.Ban("m0")
+	r.Pool(policy.ListFull, list(1, policy.Ready))
+	if r.Usable() || r.open().tries != 0 {
+		t.Error("sent to a banned member")
+	}
+	r.Allow("m0")
+	if !r.Usable() {
+		t.Error("not put back")
+	}
+}
+
+// TestDrainRelay: a drain serves what arrives and moves every flow in time, and
+// resume leaves those where they are that were not moved yet, also in a second drain.
+func TestDrainRelay(t *testing.T) {
+	r := newRig(t, 6)
+	var up []*side
+	open := func() {
+		s := r.open()
+		if !r.Up(s.id, 0) {
+			t.Fatal("not served")
+		}
+		up = append(up, s)
+	}
+	moved := func() (n int) {
+		for _, s := range up {
+			n += s.moved
+		}
+		return n
+	}
+	for range 8 {
+		open()
+	}
+	r.Drain()
+	r.Drain()
+	if r.Welcomes() || moved() != 0 {
+		t.Error("clients are still welcome, or moved before the front knows")
+	}
+	open()
+	r.pass(drainMoves / 2)
+	half := moved()
+	r.Resume()
+	r.Resume()
+	r.pass(10 * time.Second)
+	if !r.Welcomes() || half == 0 || half == len(up) || moved() != half {
+		t.Errorf("%d moved by the resume, %d in the end, of %d", half, moved(), len(up))
+	}
+	open()
+	r.Drain()
+	r.pass(drainMoves + time.Second)
+	if moved() != len(up) || r.Held() != 0 {
+		t.Errorf("%d moved of %d, %d held", moved(), len(up), r.Held())
+	}
+}
+
 // TestFinish: when the time of a stop is up nobody is left without an answer or
 // without being told to move.
 func TestFinish(t *testing.T) {
@@ -298,7 +404,7 @@
 				all = append(all, r.open())
 			}
 			s := all[rng.IntN(len(all))]
-			switch q := r.requests[s.id]; rng.IntN(6) {
+			switch q := r.requests[s.id]; rng.IntN(7) {
 			case 0:
 				if q != nil && q.member != nil {
 					r.Up(s.id, s.tries-1)
@@ -312,6 +418,9 @@
 				if rng.IntN(4) == 0 {
 					r.Left(s.id)
 				}
+			case 4:
+				name := fmt.Sprint("m", rng.IntN(4))
+				[]func(){func() { r.Ban(name) }, func() { r.Allow(name) }, r.Drain, r.Resume}[rng.IntN(4)]()
 			case 3:
 				one := list(4, states[rng.IntN(len(states))])[rng.IntN(4):][:1]
 				r.Pool(policy.ListDelta, one)
@@ -320,6 +429,7 @@
 			}
 		}
 		r.Stop()
+		r.Resume() // a drain's end is not the stop's
 		r.pass(5 * time.Second)
 		c := r.Counts
 		if r.Held() != 0 || c.Requests != len(all) || c.Served+c.Rejected+c.Failed+c.Left != c.Requests {
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -150,7 +150,7 @@
 func (v *virtual) line(text string) error {
 	if text == "PING" {
 		answer := "PONG\r\n"
-		if v.f.Core.Stopping() {
+		if !v.f.Core.Welcomes() {
 			answer = "ERR\r\n"
 		}
 		v.c.Write([]byte(answer))
@@ -555,7 +555,7 @@
 		p.within.Stop()
 	case errors.Is(err, netloop.ErrFull):
 		p.done(policy.Moot, policy.NoReport)
-	case p.reused: // it may have been ended for idleness just then
+	case p.reused && p.f.Core.Reachable(p.id): // it may have been ended for idleness just then
 		p.dial()
 	case errors.Is(err, io.EOF) || p.c != nil:
 		p.done(policy.Reset, policy.NoReport)
--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -149,6 +149,17 @@
 	})
 }
 
+// holdsNothing says that the client may be sent elsewhere: no request of its is on
+// its way or open.
+func (c *client) holdsNothing() bool {
+	for _, s := range c.subs {
+		if !s.local {
+			return false
+		}
+	}
+	return c.pub == nil && len(c.asked) == 0
+}
+
 func (c *client) ok() {
 	if c.options.Verbose {
 		c.write([]byte("+OK\r\n"))
@@ -409,7 +420,7 @@
 // client elsewhere instead.
 func (s *sub) Move() {
 	s.detach()
-	if s.c.f.stopping {
+	if s.c.f.leaving {
 		s.c.f.Loop.After(0, s.c.close) // it connects again, elsewhere
 		return
 	}
@@ -434,7 +445,7 @@
 		s.end()
 		return
 	}
-	if s.fails++; s.fails >= againMost || s.c.f.stopping {
+	if s.fails++; s.fails >= againMost || s.c.f.leaving {
 		s.c.f.Loop.After(0, func() { s.c.fail("Stale Connection") })
 		return
 	}
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -89,10 +89,11 @@
 	Config
 	Name string
 
-	clients  map[*client]struct{}
-	probes   map[policy.ServerID]*probe
-	lastID   uint64
-	stopping bool
+	clients map[*client]struct{}
+	probes  map[policy.ServerID]*probe
+	lastID  uint64
+	leaving bool          // the relay stops or is drained
+	since   time.Duration // when that began
 }
 
 // New makes a front on the core.
@@ -106,20 +107,23 @@
 	return f
 }
 
-// Stop tells clients that the relay is leaving. The core then moves their
-// subscriptions, which ends their connections; who has none is ended here.
-func (f *Front) Stop() {
-	f.stopping = true
+// Leave tells clients that the relay is leaving. The core then moves their
+// subscriptions, which ends their connections; who has none is ended by the sweep.
+func (f *Front) Leave() {
+	f.leaving, f.since = true, f.Loop.Now()
+	f.announce()
+}
+
+// Stay takes that back.
+func (f *Front) Stay() {
+	f.leaving = false
+	f.announce()
+}
+
+func (f *Front) announce() {
 	for c := range f.clients {
-		c.write(f.info(true))
+		c.write(f.info(f.leaving))
 	}
-	f.Loop.After(core.StopNotice, func() {
-		for c := range f.clients {
-			if len(c.subs) == 0 {
-				c.close()
-			}
-		}
-	})
 }
 
 func (f *Front) info(ldm bool) []byte {
@@ -135,7 +139,7 @@
 	f.clients[c] = struct{}{}
 	conn.Handle(c)
 	conn.Bound(f.MaxPayload+maxControl+2, 2*f.MaxPayload+4*highWater)
-	c.write(f.info(f.stopping))
+	c.write(f.info(f.leaving))
 	if f.Loop.Short() { // its links would find no descriptors
 		c.fail("maximum connections exceeded")
 		return
@@ -167,10 +171,13 @@
 }
 
 // sweep pings members that hold subscriptions, and ends links on which they have
-// gone silent.
+// gone silent, and while the relay leaves clients for whom nothing is held.
 func (f *Front) sweep() {
 	now := f.Loop.Now()
 	for c := range f.clients {
+		if f.leaving && now-f.since >= core.StopNotice && c.holdsNothing() {
+			c.close()
+		}
 		for _, l := range c.links {
 			l.check(now)
 		}
--- a/internal/pool/http.go
+++ b/internal/http1/http1.go
@@ -1,24 +1,33 @@
-package pool
+// Package http1 reads HTTP/1.1 messages that come in pieces: discovery's answers,
+// and the calls of operators.
+package http1
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
 )
 
-// Bounds of an answer.
+// ErrMalformed is wrapped by every error about bytes that are no message.
+var ErrMalformed = errors.New("malformed HTTP")
+
+// Bounds of a message.
 const (
 	maxHeadLine = 4 << 10
 	maxHead     = 100
 	maxBody     = 4 << 20
+	maxCall     = 4 << 10 // the body of a call
 )
 
-// parser reads one HTTP/1.1 answer. Its zero value is ready.
-type parser struct {
-	status int
-	closes bool // the connection ends with this answer
-	body   []byte
+// Parser reads one HTTP/1.1 message. Its zero value is ready for an answer.
+type Parser struct {
+	Call           bool // it is a call that is read
+	Method, Target string
+	Status         int
+	Closes         bool // the connection ends with this answer
+	Body           []byte
 
 	state   int
 	lines   int
@@ -29,7 +38,7 @@
 
 // What the parser reads next.
 const (
-	readStatus = iota
+	readStart = iota
 	readHeader
 	readBody
 	readToEnd
@@ -40,8 +49,8 @@
 	readDone
 )
 
-// feed takes bytes, returns how many it used and whether the answer is whole.
-func (p *parser) feed(b []byte) (used int, done bool, err error) {
+// Feed takes bytes, returns how many it used and whether the answer is whole.
+func (p *Parser) Feed(b []byte) (used int, done bool, err error) {
 	for p.state != readDone {
 		rest := b[used:]
 		switch p.state {
@@ -50,10 +59,10 @@
 			if p.state != readToEnd {
 				n = min(n, p.left)
 			}
-			if len(p.body)+n > maxBody {
-				return used, false, fmt.Errorf("%w: body over %d bytes", ErrMalformed, maxBody)
+			if most := p.bodyMost(); len(p.Body)+n > most {
+				return used, false, fmt.Errorf("%w: body over %d bytes", ErrMalformed, most)
 			}
-			p.body = append(p.body, rest[:n]...)
+			p.Body = append(p.Body, rest[:n]...)
 			used += n
 			if p.state == readToEnd {
 				return used, false, nil
@@ -68,10 +77,10 @@
 			}
 		default:
 			end := bytes.IndexByte(rest, '\n')
+			if end > maxHeadLine || end < 0 && len(rest) > maxHeadLine { // alike, however it is cut
+				return used, false, fmt.Errorf("%w: header line too long", ErrMalformed)
+			}
 			if end < 0 {
-				if len(rest) > maxHeadLine {
-					return used, false, fmt.Errorf("%w: header line too long", ErrMalformed)
-				}
 				return used, false, nil
 			}
 			used += end + 1
@@ -83,29 +92,39 @@
 	return used, true, nil
 }
 
-// finish says whether the end of the connection makes the answer whole.
-func (p *parser) finish() bool {
+func (p *Parser) bodyMost() int {
+	if p.Call {
+		return maxCall
+	}
+	return maxBody
+}
+
+// Finish says whether the end of the connection makes the answer whole.
+func (p *Parser) Finish() bool {
 	if p.state == readToEnd {
 		p.state = readDone
-		p.closes = true
+		p.Closes = true
 		return true
 	}
 	return false
 }
 
-func (p *parser) line(s string) error {
+func (p *Parser) line(s string) error {
 	if p.lines++; p.lines > maxHead && p.state <= readHeader {
 		return fmt.Errorf("%w: too many header lines", ErrMalformed)
 	}
 	switch p.state {
-	case readStatus:
+	case readStart:
+		if p.Call {
+			return p.callLine(s)
+		}
 		version, rest, _ := strings.Cut(s, " ")
 		code, _, _ := strings.Cut(rest, " ")
 		status, err := strconv.Atoi(code)
 		if err != nil || !strings.HasPrefix(version, "HTTP/1.") || status < 100 || status > 999 {
 			return fmt.Errorf("%w: status line %q", ErrMalformed, s)
 		}
-		p.status, p.closes, p.state = status, version == "HTTP/1.0", readHeader
+		p.Status, p.Closes, p.state = status, version == "HTTP/1.0", readHeader
 	case readHeader:
 		if s == "" {
 			return p.headEnds()
@@ -137,7 +156,16 @@
 	return nil
 }
 
-func (p *parser) header(name, value string) error {
+func (p *Parser) callLine(s string) error {
+	words := strings.Split(s, " ")
+	if len(words) != 3 || words[0] == "" || words[1] == "" || !strings.HasPrefix(words[2], "HTTP/1.") {
+		return fmt.Errorf("%w: call %q", ErrMalformed, s)
+	}
+	p.Method, p.Target, p.state = words[0], words[1], readHeader
+	return nil
+}
+
+func (p *Parser) header(name, value string) error {
 	switch name {
 	case "content-length":
 		n, err := strconv.ParseUint(value, 10, 31)
@@ -153,19 +181,19 @@
 	case "connection":
 		switch value {
 		case "close":
-			p.closes = true
+			p.Closes = true
 		case "keep-alive":
-			p.closes = false
+			p.Closes = false
 		}
 	}
 	return nil
 }
 
-func (p *parser) headEnds() error {
+func (p *Parser) headEnds() error {
 	switch {
-	case p.status < 200: // an interim answer: the real one follows
-		*p = parser{}
-	case p.status == 204 || p.status == 304:
+	case !p.Call && p.Status < 200: // an interim answer: the real one follows
+		*p = Parser{}
+	case p.Status == 204 || p.Status == 304:
 		p.state = readDone
 	case p.chunked:
 		p.left, p.state = 0, readChunkSize
@@ -173,6 +201,8 @@
 		p.state = readDone
 	case p.sized:
 		p.state = readBody
+	case p.Call: // it has no body
+		p.state = readDone
 	default:
 		p.state = readToEnd
 	}
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,105 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// FuzzParser: an answer is read the same however it is cut up, and no bytes make
+// the parser panic or hold more than its bounds.
+func FuzzParser(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nhel\r\n2\r\nlo\r\n0\r\nTrailer: 1\r\n\r\n",
+		"HTTP/1.0 200 OK\r\n\r\nhello",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 204 None\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
+		"nonsense\r\n\r\n",
+		"HTTP/1.1 200 " + strings.Repeat("x", 5000) + "\r\n\r\n",
+		"GET /-/ready HTTP/1.1\r\nHost: relay\r\n\r\n",
+		"PUT /-/drain HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}",
+		"PUT /-/drain HTTP/1.1\r\nContent-Length: 9999\r\n\r\n" + strings.Repeat("x", 9999),
+	} {
+		f.Add([]byte(s), uint8(3), false)
+		f.Add([]byte(s), uint8(3), true)
+	}
+	f.Fuzz(func(t *testing.T, text []byte, step uint8, call bool) {
+		read := func(step int) (p Parser, done bool, err error) {
+			p.Call = call
+			held := []byte{}
+			for rest := text; len(rest) > 0 && !done && err == nil; {
+				n := min(step, len(rest))
+				held, rest = append(held, rest[:n]...), rest[n:]
+				var used int
+				used, done, err = p.Feed(held)
+				held = held[used:]
+			}
+			return p, done, err
+		}
+		p, done, err := read(len(text) + 1)
+		q, done2, err2 := read(int(step)%7 + 1)
+		if done != done2 || (err == nil) != (err2 == nil) || err == nil && (p.Status != q.Status || p.Method != q.Method || p.Target != q.Target || string(p.Body) != string(q.Body)) {
+			t.Errorf("whole: %v %v %d %q, cut: %v %v %d %q", done, err, p.Status, p.Body, done2, err2, q.Status, q.Body)
+		}
+	})
+}
+
+// TestParser: what the seed corpus says, word for word.
+func TestParser(t *testing.T) {
+	for text, want := range map[string]string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello":                                        "200 hello false",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n":  "200 hello false",
+		"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n": "503  true",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n":                        "malformed",
+		"HTTP/1.1 200 OK\r\nno colon\r\n\r\n":                                                      "malformed",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n":                                       "malformed",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff ff\r\n":                           "malformed",
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", 200) + "\r\n":                           "malformed",
+		"HTTP/1.1 200 " + strings.Repeat("x", 9000):                                                "malformed",
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + strings.Repeat("x", maxBody+1):     "malformed",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n":                         "malformed",
+	} {
+		var p Parser
+		_, done, err := p.Feed([]byte(text))
+		got := fmt.Sprint(p.Status, " ", string(p.Body), " ", p.Closes)
+		if errors.Is(err, ErrMalformed) {
+			got = "malformed"
+		} else if !done {
+			got = "not whole"
+		}
+		if got != want {
+			t.Errorf("%.60q: %q, want %q", text, got, want)
+		}
+	}
+}
+
+// TestCall: the calls of operators, and what is none.
+func TestCall(t *testing.T) {
+	for text, want := range map[string]string{
+		"GET /-/ready HTTP/1.1\r\nHost: relay\r\n\r\n":                "GET /-/ready  true",
+		"PUT /-/drain HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}":        "PUT /-/drain {} true",
+		"PUT /-/drain HTTP/1.1\r\nContent-Length: 2\r\n\r\n{":         "PUT /-/drain { false",
+		"GET /-/ready HTTP/1.1\r\nHost: relay\r\n":                    "GET /-/ready  false",
+		"GET /-/ready\r\n\r\n":                                        "malformed",
+		"GET  /-/ready HTTP/1.1\r\n\r\n":                              "malformed",
+		"GET /-/ready SPDY/3\r\n\r\n":                                 "malformed",
+		"PUT /-/drain HTTP/1.1\r\nContent-Length: -1\r\n\r\n":         "malformed",
+		"PUT / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + long(5000): "malformed",
+		"GET /" + long(5000) + " HTTP/1.1\r\n\r\n":                    "malformed",
+	} {
+		p := Parser{Call: true}
+		_, done, err := p.Feed([]byte(text))
+		got := fmt.Sprint(p.Method, " ", p.Target, " ", string(p.Body), " ", done)
+		if errors.Is(err, ErrMalformed) {
+			got = "malformed"
+		}
+		if got != want {
+			t.Errorf("%.60q: %q, want %q", text, got, want)
+		}
+	}
+}
+
+func long(n int) string { return strings.Repeat("x", n) }
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -69,17 +69,21 @@
 	rest     int    // bytes thrown away after Finish
 	spare    *list.Element
 	giveUp   func()
+	budget   *budget
 }
 
-func newConn(l *Loop, fd int) *Conn {
-	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	return &Conn{l: l, fd: fd, inMost: InBound, outMost: OutBound}
+func newConn(l *Loop, fd int, from *budget) *Conn {
+	if fd >= 0 {
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	}
+	return &Conn{l: l, fd: fd, inMost: InBound, outMost: OutBound, budget: from}
 }
 
 // Dial starts a connection. Its end, also at once, is told by the handler's End,
 // never from within Dial.
 func (l *Loop) Dial(addr string, within time.Duration, h Handler) *Conn {
-	c := &Conn{l: l, fd: -1, h: h, inMost: InBound, outMost: OutBound}
+	c := newConn(l, -1, &l.budget)
+	c.h = h
 	if err := c.connect(addr, within); err != nil {
 		c.dialling = l.After(0, func() { c.fail(err) })
 	}
@@ -100,7 +104,7 @@
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	if err = unix.Connect(fd, at); err == unix.EINPROGRESS || err == nil {
-		err = c.l.add(fd, unix.EPOLLOUT, c)
+		err = c.l.add(fd, unix.EPOLLOUT, c, c.budget)
 	} else if err == unix.EADDRNOTAVAIL || err == unix.EAGAIN || err == unix.ENOBUFS || err == unix.ENOMEM {
 		err = errNone(err)
 	}
@@ -133,11 +137,11 @@
 // ago goes first. Nil takes it back.
 func (c *Conn) Spare(end func()) {
 	if c.spare != nil {
-		c.l.spare.Remove(c.spare)
+		c.budget.spare.Remove(c.spare)
 		c.spare = nil
 	}
 	if c.giveUp = end; end != nil && c.fd >= 0 {
-		c.spare = c.l.spare.PushBack(c)
+		c.spare = c.budget.spare.PushBack(c)
 	}
 }
 
@@ -228,7 +232,7 @@
 	c.h, c.in, c.out, c.ending = deaf{}, nil, nil, true
 	c.count()
 	if c.fd >= 0 {
-		c.l.drop(c.fd)
+		c.l.drop(c.fd, c.budget)
 		c.fd = -1
 	}
 }
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -41,18 +41,28 @@
 // source is what an epoll event goes to.
 type source interface{ ready(events uint32) }
 
+// budget is how many descriptors some part of the loop may hold.
+type budget struct {
+	limit, open int
+	spare       list.List // of *Conn: those that may be given up, longest so first
+}
+
+// spent is a descriptor that is given back, and to whom.
+type spent struct {
+	fd   int
+	from *budget
+}
+
 // Loop is an event loop.
 type Loop struct {
 	poll, wake int
 	now        func() time.Duration
 	sources    map[int]source
 	timers     timers
-	spent      []int // descriptors to close after the batch, so that no event of it meets a new one
-	open       int
-	limit      int
-	held       int       // bytes in all buffers
-	most       int       // how many that may be; 0 for no bound
-	spare      list.List // of *Conn: those that may be given up, longest so first
+	spent      []spent // descriptors to close after the batch, so that no event of it meets a new one
+	budget             // of all but the listeners that have their own
+	held       int     // bytes in all buffers
+	most       int     // how many that may be; 0 for no bound
 	events     [256]unix.EpollEvent
 	stopped    bool
 
@@ -72,7 +82,7 @@
 		unix.Close(poll)
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	l := &Loop{poll: poll, wake: wake, now: now, sources: map[int]source{}, limit: limit}
+	l := &Loop{poll: poll, wake: wake, now: now, sources: map[int]source{}, budget: budget{limit: limit}}
 	if err := l.watch(unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN); err != nil {
 		unix.Close(poll)
 		unix.Close(wake)
@@ -86,16 +96,16 @@
 func (l *Loop) Now() time.Duration { return l.now() }
 
 // Free is how many more descriptors may be opened.
-func (l *Loop) Free() int { return l.limit - l.open }
+func (b *budget) Free() int { return b.limit - b.open }
 
 // Short says that hardly any more descriptors may be opened.
-func (l *Loop) Short() bool { return l.Free() < l.limit/shortPart }
+func (b *budget) Short() bool { return b.Free() < b.limit/shortPart }
 
 // relieve gives up connections that may be spared, so that those who connect and
 // say nothing cannot keep others out.
-func (l *Loop) relieve() {
+func (b *budget) relieve() {
 	for range 2 {
-		if e := l.spare.Front(); e != nil && l.Free() < l.limit/sparePart {
+		if e := b.spare.Front(); e != nil && b.Free() < max(b.limit/sparePart, 1) {
 			c := e.Value.(*Conn)
 			c.giveUp()
 			c.release()
@@ -151,10 +161,10 @@
 }
 
 func (l *Loop) bury() {
-	for _, fd := range l.spent {
-		unix.Close(fd)
+	for _, s := range l.spent {
+		unix.Close(s.fd)
+		s.from.open--
 	}
-	l.open -= len(l.spent)
 	l.spent = l.spent[:0]
 }
 
@@ -178,21 +188,21 @@
 	return nil
 }
 
-// add takes a descriptor over.
-func (l *Loop) add(fd int, events uint32, s source) error {
+// add takes a descriptor over, at the cost of that budget.
+func (l *Loop) add(fd int, events uint32, s source, from *budget) error {
 	if err := l.watch(unix.EPOLL_CTL_ADD, fd, events); err != nil {
 		return err
 	}
 	l.sources[fd] = s
-	l.open++
+	from.open++
 	return nil
 }
 
 // drop is where every descriptor but the loop's own two is given back.
-func (l *Loop) drop(fd int) {
+func (l *Loop) drop(fd int, from *budget) {
 	delete(l.sources, fd)
 	l.watch(unix.EPOLL_CTL_DEL, fd, 0)
-	l.spent = append(l.spent, fd)
+	l.spent = append(l.spent, spent{fd, from})
 }
 
 type wakeup struct{ l *Loop }
@@ -287,11 +297,22 @@
 	fd     int
 	accept func(*Conn)
 	rest   *Timer
+	budget *budget // of the connections it takes in
 }
 
 // Listen opens a listening socket. For each connection it calls accept, which
 // must give the Conn a handler by Handle.
 func (l *Loop) Listen(addr string, accept func(*Conn)) (*Listener, error) {
+	return l.listen(addr, accept, &l.budget)
+}
+
+// ListenApart does the same with room for so many connections beside the loop's
+// limit: what the rest of the loop holds cannot keep them out, nor they the rest.
+func (l *Loop) ListenApart(addr string, most int, accept func(*Conn)) (*Listener, error) {
+	return l.listen(addr, accept, &budget{limit: most})
+}
+
+func (l *Loop) listen(addr string, accept func(*Conn), from *budget) (*Listener, error) {
 	at, family, err := address(addr)
 	if err != nil {
 		return nil, err
@@ -300,7 +321,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening at %s: %w", addr, err)
 	}
-	s := &Listener{l: l, fd: fd, accept: accept}
+	s := &Listener{l: l, fd: fd, accept: accept, budget: from}
 	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	if err == nil {
 		err = unix.Bind(fd, at)
@@ -309,7 +330,7 @@
 		err = unix.Listen(fd, 4096)
 	}
 	if err == nil {
-		err = l.add(fd, unix.EPOLLIN, s)
+		err = l.add(fd, unix.EPOLLIN, s, &l.budget)
 	}
 	if err != nil {
 		unix.Close(fd)
@@ -325,7 +346,7 @@
 func (s *Listener) Close() {
 	if s.fd >= 0 {
 		s.rest.Stop()
-		s.l.drop(s.fd)
+		s.l.drop(s.fd, &s.l.budget)
 		s.fd = -1
 	}
 }
@@ -335,8 +356,8 @@
 		if s.fd < 0 {
 			return
 		}
-		s.l.relieve()
-		if s.l.Free() <= 0 {
+		s.budget.relieve()
+		if s.budget.Free() <= 0 {
 			s.pause()
 			return
 		}
@@ -351,8 +372,8 @@
 		default: // that connection is gone already, or a signal came
 			continue
 		}
-		c := newConn(s.l, fd)
-		if err := s.l.add(fd, unix.EPOLLIN, c); err != nil {
+		c := newConn(s.l, fd, s.budget)
+		if err := s.l.add(fd, unix.EPOLLIN, c, s.budget); err != nil {
 			unix.Close(fd)
 			continue
 		}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,168 @@
+// Package operator serves the relay's second address: the calls by which operators
+// ask whether it is ready, take members out, and empty it. One call a connection,
+// HTTP/1.1. It decides nothing. See docs/design.md, "The operators' address".
+package operator
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliarudder/internal/http1"
+	"dahliarudder/internal/netloop"
+)
+
+const (
+	// Callers is how many connections have room at once.
+	Callers = 12
+	// callWithin is how long a caller may take to send its call.
+	callWithin = 5 * time.Second
+)
+
+// Relay is what calls are handed to.
+type Relay interface {
+	// Ready says whether this process can serve.
+	Ready() bool
+	// Known says whether there is such a member.
+	Known(member string) bool
+	// Ban takes a member out, or puts it back, and then calls done, once, from the
+	// loop.
+	Ban(member string, out bool, done func(error))
+	Drain()
+	Resume()
+}
+
+// Front serves the second address.
+type Front struct {
+	Loop  *netloop.Loop
+	Relay Relay
+	Log   logrus.FieldLogger
+}
+
+// Accept serves a caller.
+func (f *Front) Accept(conn *netloop.Conn) {
+	c := &caller{f: f, c: conn}
+	c.parser.Call = true
+	late := func() { c.answer(http.StatusRequestTimeout, "no whole call came") }
+	c.timer = f.Loop.After(callWithin, late)
+	conn.Spare(late)
+	conn.Handle(c)
+}
+
+// caller is one connection, good for one call.
+type caller struct {
+	f      *Front
+	c      *netloop.Conn
+	parser http1.Parser
+	timer  *netloop.Timer
+	called bool
+}
+
+// Open is told by the loop.
+func (c *caller) Open() {}
+
+// Drained is told by the loop.
+func (c *caller) Drained() {}
+
+// Data is told by the loop.
+func (c *caller) Data(b []byte) int {
+	if c.called {
+		return len(b)
+	}
+	used, done, err := c.parser.Feed(b)
+	switch {
+	case err != nil:
+		c.answer(http.StatusBadRequest, err.Error())
+	case done:
+		c.called = true
+		c.c.Spare(nil)
+		c.call(c.parser.Method, c.parser.Target)
+	}
+	return used
+}
+
+// End is told by the loop. A caller that has ended its sending may still wait for
+// its answer.
+func (c *caller) End(error) {
+	if !c.called {
+		c.answer(http.StatusBadRequest, "no whole call came")
+	}
+}
+
+// The calls and their methods.
+const (
+	ready    = "/-/ready"
+	drain    = "/-/drain"
+	resume   = "/-/resume"
+	backends = "/-/backends/"
+)
+
+func (c *caller) call(method, target string) {
+	path, _, _ := strings.Cut(target, "?")
+	want, do := http.MethodPut, func() {}
+	switch path {
+	case ready:
+		want, do = http.MethodGet, func() {
+			if c.f.Relay.Ready() {
+				c.answer(http.StatusOK, "ready")
+			} else {
+				c.answer(http.StatusServiceUnavailable, "not ready")
+			}
+		}
+	case drain:
+		do = func() { c.f.Relay.Drain(); c.answer(http.StatusOK, "draining") }
+	case resume:
+		do = func() { c.f.Relay.Resume(); c.answer(http.StatusOK, "serving") }
+	default:
+		id, verb, ok := strings.Cut(strings.TrimPrefix(path, backends), "/")
+		id, err := url.PathUnescape(id)
+		if !strings.HasPrefix(path, backends) || !ok || err != nil || id == "" || verb != "disable" && verb != "enable" {
+			c.answer(http.StatusNotFound, "no such call")
+			return
+		}
+		do = func() { c.ban(id, verb == "disable") }
+	}
+	if method != want {
+		c.answer(http.StatusMethodNotAllowed, "use "+want)
+		return
+	}
+	do()
+}
+
+func (c *caller) ban(member string, out bool) {
+	if !c.f.Relay.Known(member) {
+		c.answer(http.StatusNotFound, "no such backend")
+		return
+	}
+	c.f.Relay.Ban(member, out, func(err error) {
+		switch {
+		case err != nil:
+			c.f.Log.WithError(err).WithField("member", member).Error("an operator's call failed")
+			c.answer(http.StatusInternalServerError, "could not be kept")
+		case out:
+			c.answer(http.StatusOK, "disabled")
+		default:
+			c.answer(http.StatusOK, "enabled")
+		}
+	})
+}
+
+// answer is the one end of a caller.
+func (c *caller) answer(status int, text string) {
+	c.called = true
+	c.timer.Stop()
+	if c.parser.Target != "" {
+		c.f.Log.WithFields(logrus.Fields{"call": c.parser.Method + " " + c.parser.Target, "status": status}).Info("operator")
+	}
+	allow := ""
+	if status == http.StatusMethodNotAllowed {
+		allow = "Allow: " + strings.TrimPrefix(text, "use ") + "\r\n"
+	}
+	c.c.Write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n%sContent-Length: %d\r\nConnection: close\r\n\r\n%s\n",
+		status, http.StatusText(status), allow, len(text)+1, text))
+	c.c.Finish()
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
@@ -47,69 +46,6 @@
 	}
 }
 
-// FuzzParser: an answer is read the same however it is cut up, and no bytes make
-// the parser panic or hold more than its bounds.
-func FuzzParser(f *testing.F) {
-	for _, s := range []string{
-		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nhel\r\n2\r\nlo\r\n0\r\nTrailer: 1\r\n\r\n",
-		"HTTP/1.0 200 OK\r\n\r\nhello",
-		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 204 None\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
-		"nonsense\r\n\r\n",
-	} {
-		f.Add([]byte(s), uint8(3))
-	}
-	f.Fuzz(func(t *testing.T, text []byte, step uint8) {
-		read := func(step int) (p parser, done bool, err error) {
-			held := []byte{}
-			for rest := text; len(rest) > 0 && !done && err == nil; {
-				n := min(step, len(rest))
-				held, rest = append(held, rest[:n]...), rest[n:]
-				var used int
-				used, done, err = p.feed(held)
-				held = held[used:]
-			}
-			return p, done, err
-		}
-		p, done, err := read(len(text) + 1)
-		q, done2, err2 := read(int(step)%7 + 1)
-		if done != done2 || (err == nil) != (err2 == nil) || err == nil && (p.status != q.status || string(p.body) != string(q.body)) {
-			t.Errorf("whole: %v %v %d %q, cut: %v %v %d %q", done, err, p.status, p.body, done2, err2, q.status, q.body)
-		}
-	})
-}
-
-// TestParser: what the seed corpus says, word for word.
-func TestParser(t *testing.T) {
-	for text, want := range map[string]string{
-		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello":                                        "200 hello false",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n":  "200 hello false",
-		"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n": "503  true",
-		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n":                        "malformed",
-		"HTTP/1.1 200 OK\r\nno colon\r\n\r\n":                                                      "malformed",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n":                                       "malformed",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff ff\r\n":                           "malformed",
-		"HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", 200) + "\r\n":                           "malformed",
-		"HTTP/1.1 200 " + strings.Repeat("x", 9000):                                                "malformed",
-		"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n" + strings.Repeat("x", maxBody+1):     "malformed",
-		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n":                         "malformed",
-	} {
-		var p parser
-		_, done, err := p.feed([]byte(text))
-		got := fmt.Sprint(p.status, " ", string(p.body), " ", p.closes)
-		if errors.Is(err, ErrMalformed) {
-			got = "malformed"
-		} else if !done {
-			got = "not whole"
-		}
-		if got != want {
-			t.Errorf("%.60q: %q, want %q", text, got, want)
-		}
-	}
-}
-
 // watch is one that holds a list and has begun.
 func watch(b *looptest.Bench, at *looptest.Server, told func(policy.ListKind, []core.Member)) *Watch {
 	log := logrus.New()
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"dahliarudder/internal/core"
+	"dahliarudder/internal/http1"
 	"dahliarudder/internal/netloop"
 	"dahliarudder/policy"
 )
@@ -35,7 +36,7 @@
 	known      bool // the list of that generation is held
 	watching   bool
 	conn       *netloop.Conn
-	parser     parser
+	parser     http1.Parser
 	within     *netloop.Timer
 	stopped    bool
 }
@@ -69,7 +70,7 @@
 }
 
 func (w *Watch) call() {
-	w.parser = parser{}
+	w.parser = http1.Parser{}
 	wait := dialWithin
 	if w.conn == nil {
 		w.conn = w.Loop.Dial(w.Addr, dialWithin, w)
@@ -106,7 +107,7 @@
 
 // Data is told by the loop.
 func (w *Watch) Data(b []byte) int {
-	n, done, err := w.parser.feed(b)
+	n, done, err := w.parser.Feed(b)
 	if err != nil {
 		w.failed(err)
 	} else if done {
@@ -117,7 +118,7 @@
 
 // End is told by the loop.
 func (w *Watch) End(err error) {
-	if w.parser.finish() {
+	if w.parser.Finish() {
 		w.answered()
 		return
 	}
@@ -125,11 +126,11 @@
 }
 
 func (w *Watch) answered() {
-	if w.parser.status != 200 {
-		w.failed(fmt.Errorf("discovery answered %d", w.parser.status))
+	if w.parser.Status != 200 {
+		w.failed(fmt.Errorf("discovery answered %d", w.parser.Status))
 		return
 	}
-	list, err := Decode(w.parser.body)
+	list, err := Decode(w.parser.Body)
 	if err != nil {
 		w.failed(err)
 		return
@@ -138,7 +139,7 @@
 	if list.Full {
 		kind = policy.ListFull
 	}
-	if w.parser.closes {
+	if w.parser.Closes {
 		w.hangUp()
 	}
 	w.generation, w.known = list.Generation, true
