--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -19,6 +19,7 @@
 	"dahliarudder/internal/core"
 	"dahliarudder/internal/front/line"
 	"dahliarudder/internal/front/nats"
+	"dahliarudder/internal/handover"
 	"dahliarudder/internal/netloop"
 	"dahliarudder/internal/operator"
 	"dahliarudder/internal/pool"
@@ -57,18 +58,15 @@
 	// means "long ago" to the decision module.
 	const zero = time.Hour
 	clock := func() time.Duration { return zero + time.Since(began) }
-	most := sockets(cfg) - ownSockets
-	if cfg.Operator != "" {
-		most -= operator.Callers
-	}
-	loop, err := netloop.New(clock, most)
+	r := &relay{cfg: cfg, log: log, clock: clock, names: pool.Names{Settings: set, Epoch: began.Add(-zero)},
+		memory: int(cfg.Limits.MemoryMB * bufferPart * (1 << 20))}
+	r.sockets = sockets(cfg) - ownSockets - r.callers()
+	loop, err := netloop.New(clock, r.sockets)
 	if err != nil {
 		return err
 	}
-
-	loop.Memory(int(cfg.Limits.MemoryMB * bufferPart * (1 << 20)))
-	r := &relay{cfg: cfg, log: log, loop: loop, clock: clock,
-		names: pool.Names{Settings: set, Epoch: began.Add(-zero)}}
+	r.loop = loop
+	loop.Memory(r.memory)
 	if err := r.build(); err != nil {
 		loop.Close()
 		return errors.Join(err, r.closeStore())
@@ -107,9 +105,20 @@
 	nats      *nats.Front    // nil if it is off
 	store     *store.Store   // nil if it is off
 	listeners []*netloop.Listener
-	bans      *bans.File  // nil without a second address
-	words     chan func() // what operators have said, to be written in that order
-	serving   bool        // every listener is up
+	sockets   int                          // descriptors that the loop may hold
+	memory    int                          // bytes that its buffers may
+	lines     *line.Front                  // nil if it is off
+	fronts    map[string]*netloop.Listener // where clients come in
+	open      bool                         // and they may
+
+	// With a second address:
+	dir       string // of the state that outlives this process
+	bans      *bans.File
+	words     chan func()       // what operators have said, to be written in that order
+	door      *netloop.Listener // where a successor comes in
+	twin      *twin             // the other process of this relay; nil if there is none
+	inherited map[string]int    // the listening sockets of an older one, until they are used
+	state     *handover.State   // what it knew, until that is taken over
 }
 
 func (r *relay) build() (err error) {
@@ -139,25 +148,26 @@
 		r.nats = nats.New(loop, r.core, r.log, cfg.Name, *cfg.Fronts.NATS)
 		probe = r.nats.Probe
 	}
-	var lines *line.Front
 	if cfg.Fronts.Line != nil {
-		lines = line.New(loop, r.core, r.log)
-		probe = lines.Probe
+		r.lines = line.New(loop, r.core, r.log)
+		probe = r.lines.Probe
 	}
 	if cfg.Operator != "" {
 		if err := r.recall(); err != nil {
 			return err
 		}
 	}
-	if known := cfg.KnownList(); known != nil {
+	if known := cfg.KnownList(); known != nil && r.state == nil {
 		r.watch.Hold(known)
 		r.core.Pool(policy.ListCached, r.names.Members(known))
 	}
+	r.remember()
+	r.fronts = map[string]*netloop.Listener{}
 	if r.nats != nil {
 		err = r.listen("nats", cfg.Fronts.NATS.Listen, r.nats.Accept)
 	}
-	if lines != nil && err == nil {
-		err = r.listen("line", cfg.Listen, lines.Accept)
+	if r.lines != nil && err == nil {
+		err = r.listen("line", cfg.Listen, r.lines.Accept)
 	}
 	if cfg.Operator != "" && err == nil {
 		desk := &operator.Front{Loop: loop, Relay: r, Log: r.log}
@@ -165,13 +175,23 @@
 		l, err = loop.ListenApart(cfg.Operator, operator.Callers, desk.Accept)
 		r.took("operator", l, err)
 	}
-	r.serving = err == nil
-	return err
+	if err != nil {
+		return err
+	}
+	if r.twin != nil {
+		r.exchange()
+	} else if r.open = true; cfg.Operator != "" {
+		r.wait()
+	}
+	return nil
 }
 
 func (r *relay) listen(front, addr string, accept func(*netloop.Conn)) error {
-	l, err := r.loop.Listen(addr, accept)
+	l, err := r.inherit(front, addr, accept)
 	r.took(front, l, err)
+	if err == nil {
+		r.fronts[front] = l
+	}
 	return err
 }
 
@@ -189,12 +209,16 @@
 	if err != nil {
 		return err
 	}
-	r.bans, r.words = &bans.File{Dir: dir}, make(chan func(), wordsMost)
+	r.dir, r.bans, r.words = dir, &bans.File{Dir: dir}, make(chan func(), wordsMost)
 	go func() {
 		for word := range r.words {
 			word()
 		}
 	}()
+	if err := r.succeed(dir); err != nil {
+		return err
+	}
+	// Only now: the older process, if there is one, tells of what changes from here on.
 	names, err := r.bans.Read()
 	if err != nil {
 		r.log.WithError(err).Error("no ban is in force")
@@ -208,7 +232,7 @@
 
 // Ready says whether clients can be served: every listener is up, and the pool has
 // a member to send to.
-func (r *relay) Ready() bool { return r.serving && r.core.Usable() }
+func (r *relay) Ready() bool { return r.open && r.core.Usable() }
 
 // Known says whether operators may speak of a member by that name.
 func (r *relay) Known(member string) bool { return r.core.Known(member) }
@@ -216,13 +240,25 @@
 // Ban keeps an operator's word off the loop, so that a slow disk does not hold it
 // up, and then follows it.
 func (r *relay) Ban(member string, out bool, done func(error)) {
+	r.follow(member, out, done)
+}
+
+// follow writes a ban, if member names one, and then does as the file says, which
+// another process of this relay may have written too.
+func (r *relay) follow(member string, out bool, done func(error)) {
 	word := func() {
-		err := r.bans.Set(member, out)
+		var err error
+		if member != "" {
+			err = r.bans.Set(member, out)
+		}
+		names, unread := r.bans.Read()
+		err = errors.Join(err, unread)
 		r.loop.Post(func() {
-			if err == nil && out {
-				r.core.Ban(member)
-			} else if err == nil {
-				r.core.Allow(member)
+			if err == nil {
+				r.core.Bans(names)
+				if member != "" {
+					r.tell(handover.Note{Bans: true})
+				}
 			}
 			done(err)
 		})
@@ -235,17 +271,28 @@
 }
 
 // Drain empties the relay.
-func (r *relay) Drain() {
-	r.core.Drain()
-	if r.nats != nil {
-		r.nats.Leave()
-	}
-}
+func (r *relay) Drain() { r.order(true) }
 
 // Resume ends that.
-func (r *relay) Resume() {
-	r.core.Resume()
-	if r.nats != nil && r.core.Welcomes() {
+func (r *relay) Resume() { r.order(false) }
+
+// order drains or resumes both processes of the relay.
+func (r *relay) order(drain bool) {
+	r.drain(drain)
+	r.tell(handover.Note{Drain: &drain})
+}
+
+func (r *relay) drain(on bool) {
+	if on {
+		r.core.Drain()
+	} else {
+		r.core.Resume()
+	}
+	switch {
+	case r.nats == nil:
+	case on:
+		r.nats.Leave()
+	case r.core.Welcomes():
 		r.nats.Stay()
 	}
 }
@@ -264,12 +311,17 @@
 func (r *relay) stop() {
 	loop := r.loop
 	r.log.WithField("held", r.core.Held()).Info("stopping")
-	r.core.Stop()
+	deadline := loop.Now() + stopWithin
+	least := loop.Now() + core.StopNotice
+	if r.yield() {
+		least = loop.Now()
+		r.core.GiveUp()
+	} else {
+		r.core.Stop()
+	}
 	if r.nats != nil {
 		r.nats.Leave()
 	}
-	deadline := loop.Now() + stopWithin
-	least := loop.Now() + core.StopNotice
 	var look func()
 	look = func() {
 		now := loop.Now()
@@ -278,7 +330,7 @@
 			return
 		}
 		r.core.Finish()
-		for _, l := range r.listeners {
+		for _, l := range append(r.listeners, r.door) {
 			l.Close()
 		}
 		loop.After(stopLinger, loop.Stop)
@@ -293,6 +345,14 @@
 	return r.store.Close(flushWithin)
 }
 
+// callers is how many descriptors are kept back for the second address and upgrades.
+func (r *relay) callers() int {
+	if r.cfg.Operator == "" {
+		return 0
+	}
+	return operator.Callers + upgradeSockets
+}
+
 // limits keeps the runtime within the machine that the relay is given.
 func limits(cfg *config.Config) {
 	if cores := cfg.Limits.Cores; cores > 0 {
--- /dev/null
+++ b/cmd/dahliarudder/upgrade.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dahliarudder/internal/handover"
+	"dahliarudder/internal/netloop"
+	"dahliarudder/policy"
+)
+
+const (
+	// newsEvery is how often a process tells the other what it holds.
+	newsEvery = 50 * time.Millisecond
+	// spareSockets is what the first process may open beyond what it holds: retries of
+	// requests that are on their way.
+	spareSockets = 16
+	// upgradeSockets are the socket at which a successor is waited for, the channel to
+	// it, and a descriptor on its way through it.
+	upgradeSockets = 4
+)
+
+// twin is the other process of this relay while there are two.
+type twin struct {
+	peer    *handover.Peer
+	older   bool // it was here first
+	serving bool // it takes clients in, or did before us
+	told    handover.Open
+}
+
+// succeed asks for the state of the process whose place this one takes, if there is
+// one, and listens by its sockets.
+func (r *relay) succeed(dir string) error {
+	fd, state, fds, err := handover.Find(dir)
+	if err != nil || state == nil {
+		return err
+	}
+	r.inherited = map[string]int{}
+	for i, front := range state.Fronts {
+		r.inherited[front] = fds[i]
+	}
+	r.state = state
+	r.twin = &twin{older: true, serving: true}
+	r.share(state.Limit)
+	r.twin.peer, err = handover.Join(r.loop, fd, r.heard, r.alone)
+	return err
+}
+
+// wait has a successor find this process.
+func (r *relay) wait() {
+	r.door.Close()
+	var err error
+	r.door, err = r.loop.ListenChannel(handover.Path(r.dir), func(fd int) {
+		if r.twin != nil { // one at a time
+			unix.Close(fd)
+			return
+		}
+		r.twin = &twin{}
+		if r.twin.peer, err = handover.Join(r.loop, fd, r.heard, r.alone); err != nil {
+			r.log.WithError(err).Error("a successor cannot be heard")
+			r.twin = nil
+		}
+	})
+	if err != nil {
+		r.log.WithError(err).Error("no successor can take over")
+	}
+}
+
+// heard is told what the other process says.
+func (r *relay) heard(n *handover.Note, fds []int) {
+	switch {
+	case n.Hello > 0:
+		r.introduce()
+	case n.Serving:
+		r.log.Info("a successor serves")
+		r.twin.serving = true
+		for _, l := range r.fronts {
+			l.Hold(true)
+		}
+		r.news()
+		if r.lines != nil {
+			r.lines.GiveFresh(func(fd int, unread []byte) {
+				r.tell(handover.Note{Client: &handover.Client{Unread: unread}}, fd)
+				unix.Close(fd)
+			})
+		}
+	case n.Bans:
+		r.follow("", false, func(error) {})
+	case n.Drain != nil:
+		r.drain(*n.Drain)
+	case n.Open != nil:
+		r.share(n.Open.Limit)
+		if r.lines != nil {
+			r.lines.Elsewhere(n.Open.IDs)
+		}
+	case n.Client != nil && len(fds) == 1 && r.lines != nil:
+		if err := r.lines.TakeFresh(fds[0], n.Client.Unread); err != nil {
+			r.log.WithError(err).Error("a client could not be taken over")
+		}
+		return
+	}
+	for _, fd := range fds {
+		unix.Close(fd)
+	}
+}
+
+// introduce tells a successor all that it starts with.
+func (r *relay) introduce() {
+	state := handover.NewState(r.core.Learned())
+	var fds []int
+	for front, l := range r.fronts {
+		state.Fronts = append(state.Fronts, front)
+		fds = append(fds, l.Fd())
+	}
+	var known bool
+	if state.Pool, known = r.watch.List(); known {
+		state.Watched = r.watch.Addr
+	}
+	r.confine()
+	state.Limit = r.twin.told.Limit
+	r.log.WithField("held", r.core.Held()).Info("a successor starts")
+	r.tell(handover.Note{State: state}, fds...)
+	r.exchange()
+}
+
+// confine leaves what this process does not need to its successor.
+func (r *relay) confine() {
+	limit := r.loop.Held() + spareSockets
+	if r.twin.told.Limit > 0 {
+		limit = min(limit, r.twin.told.Limit)
+	}
+	r.twin.told.Limit = limit
+	r.loop.Limit(limit)
+	r.loop.Memory(r.memory / 2)
+}
+
+// share takes what the first process leaves.
+func (r *relay) share(theirs int) {
+	r.loop.Limit(r.sockets - theirs - ownSockets - r.callers())
+	r.loop.Memory(r.memory / 2)
+}
+
+// exchange tells the other process what changes, as long as there is one.
+func (r *relay) exchange() {
+	if r.twin == nil {
+		return
+	}
+	switch {
+	case !r.twin.older:
+		r.news()
+	case !r.open && r.core.Usable():
+		r.begin()
+	}
+	r.loop.After(newsEvery, r.exchange)
+}
+
+// news tells the successor what is held here, if that has changed.
+func (r *relay) news() {
+	before := r.twin.told
+	r.confine()
+	if r.lines != nil && r.twin.serving {
+		r.twin.told.IDs = r.lines.IDs()
+		slices.Sort(r.twin.told.IDs)
+	}
+	if now := r.twin.told; now.Limit != before.Limit || !slices.Equal(now.IDs, before.IDs) {
+		r.tell(handover.Note{Open: &now})
+	}
+}
+
+func (r *relay) tell(n handover.Note, fds ...int) {
+	if r.twin == nil {
+		return
+	}
+	if err := r.twin.peer.Tell(n, fds...); err != nil {
+		r.log.WithError(err).Error("the other process does not hear")
+	}
+}
+
+// alone goes on as the only process. A successor that has ended without taking over
+// leaves its clients to this one.
+func (r *relay) alone(err error) {
+	older := r.twin.older
+	r.twin = nil
+	r.log.WithError(err).WithField("older", older).Info("the other process is gone")
+	r.loop.Limit(r.sockets)
+	r.loop.Memory(r.memory)
+	if r.lines != nil {
+		r.lines.Elsewhere(nil)
+	}
+	if older {
+		r.begin()
+		return
+	}
+	for _, l := range r.fronts {
+		l.Hold(false)
+	}
+	r.wait()
+}
+
+// begin takes clients in. A process that is to take another's place does so once it
+// has members to send to.
+func (r *relay) begin() {
+	if r.open {
+		return
+	}
+	r.open = true
+	for _, l := range r.fronts {
+		l.Hold(false)
+	}
+	r.tell(handover.Note{Serving: true})
+	r.wait()
+}
+
+// yield leaves clients to the other process, if there is one, and says whether there
+// is. A second process that is stopped before the first leaves them to that one.
+func (r *relay) yield() bool {
+	if r.twin == nil || !r.twin.serving {
+		return false
+	}
+	for _, l := range r.fronts {
+		l.Hold(true)
+	}
+	if r.twin.older {
+		r.twin.peer.Leave()
+		r.twin = nil
+	}
+	return true
+}
+
+// remember takes over what the first process knew. It comes before any client.
+func (r *relay) remember() {
+	if r.state == nil {
+		return
+	}
+	if r.cfg.Succeed(r.state.Watched) {
+		r.watch.Addr = r.cfg.Discovery
+		r.watch.Hold(r.state.Pool)
+	}
+	if len(r.state.Pool.Instances) > 0 {
+		r.core.Pool(policy.ListCached, r.names.Members(r.state.Pool))
+	}
+	r.core.Recall(r.state.Learned)
+	r.state = nil
+}
+
+// inherit listens by the first process's socket, if it has one at that address.
+func (r *relay) inherit(front, addr string, accept func(*netloop.Conn)) (*netloop.Listener, error) {
+	fd, ok := r.inherited[front]
+	delete(r.inherited, front)
+	if !ok {
+		return r.loop.Listen(addr, accept)
+	}
+	if !netloop.ListensAt(fd, addr) {
+		unix.Close(fd)
+		return r.loop.Listen(addr, accept)
+	}
+	l, err := r.loop.Inherit(fd, accept)
+	if err == nil {
+		l.Hold(true)
+	}
+	return l, err
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -186,6 +186,16 @@
 	return nil
 }
 
+// Succeed takes over where discovery is from the process whose place this one takes,
+// if the file names that: a variable may be older than what SIGHUP has brought there.
+// It returns whether both ask at the same address.
+func (c *Config) Succeed(discovery string) bool {
+	if c.written == discovery {
+		c.Discovery = discovery
+	}
+	return c.Discovery == discovery
+}
+
 // Decoded is the settings.
 func (c *Config) Decoded() *settings.Settings { return c.decoded }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"dahliarudder/internal/settings"
@@ -398,6 +399,48 @@
 	c.tell(policy.Pool{Kind: policy.ListDelta, Servers: []policy.Server{m.Server}})
 }
 
+// Bans puts these names in the place of all that are banned.
+func (c *Core) Bans(names []string) {
+	for name := range c.bans {
+		if !slices.Contains(names, name) {
+			c.Allow(name)
+		}
+	}
+	for _, name := range names {
+		c.Ban(name)
+	}
+}
+
+// Learned is what another core can go on from. Times are ages.
+type Learned struct {
+	Policy policy.Learned           `json:"policy"`
+	Back   map[string]time.Duration `json:"back"` // how long ago members were put back
+}
+
+// Learned is what has been learned so far.
+func (c *Core) Learned() Learned {
+	now := c.Clock()
+	l := Learned{Policy: c.facade.Learned(now), Back: map[string]time.Duration{}}
+	for name, m := range c.byName {
+		if m.back > 0 {
+			l.Back[name] = now - m.back
+		}
+	}
+	return l
+}
+
+// Recall goes on from what another core has learned. It comes after Pool.
+func (c *Core) Recall(l Learned) {
+	now := c.Clock()
+	for name, ago := range l.Back {
+		if m := c.byName[name]; m != nil {
+			m.started, m.back = m.listed.Started, now-ago
+			c.see(now, m)
+		}
+	}
+	c.facade.Recall(now, l.Policy)
+}
+
 // Drain empties the relay: what still arrives is served, and open flows are moved
 // one by one.
 func (c *Core) Drain() {
@@ -441,6 +484,15 @@
 	c.apply(c.facade.Tick(now))
 }
 
+// GiveUp begins a planned stop of which another process takes the place: clients
+// come to that one already, so flows are moved from now on.
+func (c *Core) GiveUp() {
+	if !c.stopping {
+		c.stopping = true
+		c.moveAll(0, stopMoves)
+	}
+}
+
 // Stop begins a planned stop: what arrives is rejected, what is on its way is
 // answered, and every open flow is moved. It is over when Held is 0.
 func (c *Core) Stop() {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -353,6 +354,55 @@
 	}
 }
 
+// TestRecall: a core goes on from what another has learned, by a clock of its own: a
+// member put back is as cold as it was, and a list of bans counts as it stands.
+func TestRecall(t *testing.T) {
+	old, next := newRig(t, 3), newRig(t, 3)
+	old.Ban("m1")
+	old.Allow("m1")
+	old.pass(2 * time.Second)
+	text, err := json.Marshal(old.Learned())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l Learned
+	if err := json.Unmarshal(text, &l); err != nil {
+		t.Fatal(err)
+	}
+	next.now += 5 * time.Minute
+	next.Recall(l)
+	if up := next.now - next.members[11].Started; up != 2*time.Second || next.members[10].Started != 0 {
+		t.Errorf("up for %v", up)
+	}
+	next.Bans([]string{"m0", "m2"})
+	next.Bans([]string{"m2", "m9"})
+	if next.members[10].banned || !next.members[12].banned || !next.Known("m9") {
+		t.Error("the list of bans does not count as it stands")
+	}
+}
+
+// TestGiveUp: with another process in its place flows are moved from the start, and
+// all within the time of a stop.
+func TestGiveUp(t *testing.T) {
+	r := newRig(t, 2)
+	var up []*side
+	for range 5 {
+		s := r.open()
+		r.Up(s.id, 0)
+		up = append(up, s)
+	}
+	r.GiveUp()
+	r.pass(stopMovesFrom)
+	early := 0
+	for _, s := range up {
+		early += s.moved
+	}
+	r.pass(stopMoves)
+	if early == 0 || early == len(up) || r.Held() != 0 {
+		t.Errorf("%d of %d moved early, %d held", early, len(up), r.Held())
+	}
+}
+
 // TestFinish: when the time of a stop is up nobody is left without an answer or
 // without being told to move.
 func TestFinish(t *testing.T) {
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -39,14 +39,16 @@
 
 	connectWithin time.Duration
 	open          map[*virtual]struct{} // whose flow stands
+	fresh         map[*virtual]struct{} // whose first line has not come
 	ids           map[uint64]*virtual   // by the client's id, from its first line to its end
+	elsewhere     map[uint64]bool       // ids of requests that another process of this relay holds
 	probes        map[policy.ServerID]*probe
 }
 
 // New makes a front on the core.
 func New(loop *netloop.Loop, c *core.Core, log logrus.FieldLogger) *Front {
 	f := &Front{Loop: loop, Core: c, Log: log, connectWithin: c.Limits().ConnectTimeout,
-		open: map[*virtual]struct{}{}, ids: map[uint64]*virtual{}, probes: map[policy.ServerID]*probe{}}
+		open: map[*virtual]struct{}{}, fresh: map[*virtual]struct{}{}, elsewhere: map[uint64]bool{}, ids: map[uint64]*virtual{}, probes: map[policy.ServerID]*probe{}}
 	loop.After(sweepEvery, f.sweep)
 	return f
 }
@@ -54,11 +56,53 @@
 // Accept serves a client's connection.
 func (f *Front) Accept(c *netloop.Conn) {
 	v := &virtual{f: f, c: c}
+	f.fresh[v] = struct{}{}
 	v.idle = f.Loop.After(firstWithin, v.Fail)
 	c.Spare(v.Fail)
 	c.Handle(v)
 }
 
+// ---- Two processes of one relay ----
+
+// GiveFresh hands every connection on which no first line has come, and what of it
+// has, to give, which owns the descriptor then.
+func (f *Front) GiveFresh(give func(fd int, unread []byte)) {
+	for v := range f.fresh {
+		if fd, unread := v.c.Detach(); fd >= 0 {
+			v.close()
+			give(fd, unread)
+		}
+	}
+}
+
+// TakeFresh serves such a connection of another process.
+func (f *Front) TakeFresh(fd int, unread []byte) error {
+	c, err := f.Loop.Attach(fd, unread, nil)
+	if err != nil {
+		return err
+	}
+	f.Accept(c)
+	f.Loop.After(0, c.Resume)
+	return nil
+}
+
+// IDs are the clients' ids of the requests that are held here.
+func (f *Front) IDs() []uint64 {
+	ids := make([]uint64, 0, len(f.ids))
+	for id := range f.ids {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Elsewhere says which ids another process holds.
+func (f *Front) Elsewhere(ids []uint64) {
+	clear(f.elsewhere)
+	for _, id := range ids {
+		f.elsewhere[id] = true
+	}
+}
+
 // sweep moves clients whose member has gone silent, and ends flows whose client
 // has: a machine that vanished ends no connection.
 func (f *Front) sweep() {
@@ -163,12 +207,13 @@
 	if err != nil {
 		return err
 	}
-	if v.f.ids[open.id] != nil {
+	if v.f.ids[open.id] != nil || v.f.elsewhere[open.id] {
 		return fmt.Errorf("%w: the id of an open request", errSyntax)
 	}
 	v.idle.Stop()
 	v.c.Spare(nil)
 	v.phase, v.open = placing, open
+	delete(v.f.fresh, v)
 	v.f.ids[open.id] = v
 	if v.f.Loop.Short() {
 		v.Reject(crowdAfter)
@@ -263,6 +308,7 @@
 	v.moving.Stop()
 	v.phase = over
 	delete(v.f.open, v)
+	delete(v.f.fresh, v)
 	if v.f.ids[v.open.id] == v {
 		delete(v.f.ids, v.open.id)
 	}
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -324,3 +324,40 @@
 		t.Errorf("%d, %v of a line that has not ended", n, err)
 	}
 }
+
+// TestGiveFresh: connections that have asked for nothing pass to another process with
+// what has come of their line, requests stay, and ids that are open elsewhere are
+// refused until they no longer are.
+func TestGiveFresh(t *testing.T) {
+	r, c, m := standingFlow(t)
+	f, next := New(r.Loop, r.Core, r.Log), New(r.Loop, r.Core, r.Log)
+	addr := r.Serve(f.Accept)
+	half, quiet := r.Dial(addr), r.Dial(addr)
+	half.Say(firstLine[:20])
+	r.Until("both", func() bool { return len(f.fresh) == 2 })
+	r.Turn()
+	given := 0
+	f.GiveFresh(func(fd int, unread []byte) {
+		given++
+		if err := next.TakeFresh(fd, unread); err != nil {
+			t.Error(err)
+		}
+	})
+	if given != 2 || len(f.fresh) != 0 || len(next.fresh) != 2 {
+		t.Fatalf("%d given, %d left, %d taken", given, len(f.fresh), len(next.fresh))
+	}
+	next.Elsewhere([]uint64{0xaa})
+	half.Say(firstLine[20:] + "\r\n")
+	half.Lines("ERR")
+	next.Elsewhere(nil)
+	quiet.Say(firstLine + "\r\n")
+	_, m2 := r.AcceptAny(0)
+	m2.Line()
+	m2.Say("UP y\r\n")
+	quiet.Lines("UP y")
+	if ids := next.IDs(); len(ids) != 1 || ids[0] != 0xaa {
+		t.Errorf("ids %v", ids)
+	}
+	m.Say("GOT\r\n")
+	c.Lines("GOT")
+}
--- /dev/null
+++ b/internal/netloop/channel.go
@@ -0,0 +1,308 @@
+package netloop
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Bounds of a channel: one message, the descriptors that go with it, and the
+// messages that may wait for the other process.
+const (
+	messageMost = 128 << 10
+	rightsMost  = 8
+	waitMost    = 4096
+)
+
+// Channel is a connection to another process of this machine. It carries messages,
+// each whole, and descriptors with them.
+type Channel struct {
+	l     *Loop
+	fd    int // -1 once given back
+	wait  []message
+	heard func(text []byte, fds []int)
+	end   func(error)
+}
+
+type message struct {
+	text []byte
+	fds  []int // duplicates, closed once sent
+}
+
+// Channel serves a connected socket. Heard must take the descriptors that come over
+// or close them; end is called once, when the other process is gone.
+func (l *Loop) Channel(fd int, heard func(text []byte, fds []int), end func(error)) (*Channel, error) {
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, 2*messageMost)
+	c := &Channel{l: l, fd: fd, heard: heard, end: end}
+	err := unix.SetNonblock(fd, true)
+	if err == nil {
+		err = l.add(fd, unix.EPOLLIN, c, &l.budget)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("channel: %w", err)
+	}
+	return c, nil
+}
+
+// Send hands a message over. The descriptors stay the caller's.
+func (c *Channel) Send(text []byte, fds ...int) error {
+	if c.fd < 0 {
+		return io.ErrClosedPipe
+	}
+	if len(text) > messageMost || len(fds) > rightsMost || len(c.wait) >= waitMost {
+		return fmt.Errorf("channel: %d bytes, %d descriptors, %d waiting", len(text), len(fds), len(c.wait))
+	}
+	if len(c.wait) == 0 {
+		err := send(c.fd, text, fds)
+		if !errors.Is(err, unix.EAGAIN) {
+			return err
+		}
+	}
+	m := message{text: text}
+	for _, fd := range fds {
+		twin, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
+		if err != nil {
+			m.close()
+			return fmt.Errorf("channel: %w", err)
+		}
+		m.fds = append(m.fds, twin)
+	}
+	c.wait = append(c.wait, m)
+	return c.l.watch(unix.EPOLL_CTL_MOD, c.fd, unix.EPOLLIN|unix.EPOLLOUT)
+}
+
+func (m *message) close() {
+	for _, fd := range m.fds {
+		unix.Close(fd)
+	}
+}
+
+// Close gives all back; nobody is told.
+func (c *Channel) Close() {
+	if c.fd < 0 {
+		return
+	}
+	for _, m := range c.wait {
+		m.close()
+	}
+	c.l.drop(c.fd, &c.l.budget)
+	c.fd, c.wait = -1, nil
+}
+
+func (c *Channel) ready(events uint32) {
+	for c.fd >= 0 && len(c.wait) > 0 && events&unix.EPOLLOUT != 0 {
+		m := c.wait[0]
+		err := send(c.fd, m.text, m.fds)
+		if errors.Is(err, unix.EAGAIN) {
+			break
+		}
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		m.close()
+		if c.wait = c.wait[1:]; len(c.wait) == 0 {
+			c.l.watch(unix.EPOLL_CTL_MOD, c.fd, unix.EPOLLIN)
+		}
+	}
+	for range readMost {
+		if c.fd < 0 || events&^unix.EPOLLOUT == 0 {
+			return
+		}
+		text, fds, err := receive(c.fd, unix.MSG_DONTWAIT)
+		if errors.Is(err, unix.EAGAIN) {
+			return
+		}
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		c.heard(text, fds)
+	}
+}
+
+func (c *Channel) fail(err error) {
+	c.Close()
+	c.end(err)
+}
+
+func send(fd int, text []byte, fds []int) error {
+	var rights []byte
+	if len(fds) > 0 {
+		rights = unix.UnixRights(fds...)
+	}
+	for {
+		err := unix.Sendmsg(fd, text, rights, nil, unix.MSG_NOSIGNAL)
+		if err != unix.EINTR {
+			return err
+		}
+	}
+}
+
+func receive(fd, flags int) ([]byte, []int, error) {
+	// Sized for the largest, and cut to what came.
+	text, rights := make([]byte, messageMost), make([]byte, unix.CmsgSpace(4*rightsMost))
+	n, m, got, _, err := unix.Recvmsg(fd, text, rights, flags|unix.MSG_CMSG_CLOEXEC)
+	if err != nil {
+		return nil, nil, err
+	}
+	var fds []int
+	if parts, err := unix.ParseSocketControlMessage(rights[:m]); err == nil {
+		for i := range parts {
+			if some, err := unix.ParseUnixRights(&parts[i]); err == nil {
+				fds = append(fds, some...)
+			}
+		}
+	}
+	if n == 0 {
+		return nil, nil, io.EOF
+	}
+	if got&(unix.MSG_TRUNC|unix.MSG_CTRUNC) != 0 {
+		(&message{fds: fds}).close()
+		return nil, nil, errors.New("channel: a message came cut short")
+	}
+	return text[:n], fds, nil
+}
+
+// unixAddr is a path as a socket's address. The path goes by a descriptor of its
+// directory, since an address has room for 107 bytes only. Done gives that back.
+func unixAddr(path string) (at unix.Sockaddr, done func(), err error) {
+	dir, err := unix.Open(filepath.Dir(path), unix.O_PATH|unix.O_DIRECTORY|unix.O_CLOEXEC, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &unix.SockaddrUnix{Name: fmt.Sprintf("/proc/self/fd/%d/%s", dir, filepath.Base(path))}, func() { unix.Close(dir) }, nil
+}
+
+// DialChannel connects to the process that listens there. What is done on the socket
+// by Say and Hear blocks, for so long at most; that is meant for a start, before the
+// loop runs.
+func DialChannel(path string, within time.Duration) (int, error) {
+	at, done, err := unixAddr(path)
+	if err != nil {
+		return -1, err
+	}
+	defer done()
+	fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_SEQPACKET|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, err
+	}
+	limit := unix.NsecToTimeval(within.Nanoseconds())
+	for _, option := range []int{unix.SO_RCVTIMEO, unix.SO_SNDTIMEO} {
+		if err == nil {
+			err = unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, option, &limit)
+		}
+	}
+	if err == nil {
+		err = unix.Connect(fd, at)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return -1, err
+	}
+	return fd, nil
+}
+
+// Say sends a message on a socket of DialChannel's.
+func Say(fd int, text []byte) error { return send(fd, text, nil) }
+
+// Hear waits for one there.
+func Hear(fd int) (text []byte, fds []int, err error) { return receive(fd, 0) }
+
+// ListenChannel takes in processes that connect there. A socket that a process left
+// behind there is replaced.
+func (l *Loop) ListenChannel(path string, accept func(fd int)) (*Listener, error) {
+	at, done, err := unixAddr(path)
+	if err != nil {
+		return nil, fmt.Errorf("channel: %w", err)
+	}
+	defer done()
+	fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_SEQPACKET|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("channel: %w", err)
+	}
+	os.Remove(path)
+	s := &Listener{l: l, fd: fd, take: accept, budget: &l.budget}
+	if err = unix.Bind(fd, at); err == nil {
+		err = s.start(1)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("channel: %w", err)
+	}
+	return s, nil
+}
+
+// Inherit listens by a socket that another process has opened and listens by too.
+func (l *Loop) Inherit(fd int, accept func(*Conn)) (*Listener, error) {
+	s := &Listener{l: l, fd: fd, accept: accept, budget: &l.budget}
+	if err := l.add(fd, unix.EPOLLIN, s, &l.budget); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	return s, nil
+}
+
+// Fd is the socket, to be handed over.
+func (s *Listener) Fd() int { return s.fd }
+
+// Hold has the listener take nothing in, or go on. What waits in the queue of a
+// socket that another process shares is that one's.
+func (s *Listener) Hold(held bool) {
+	if s.held = held; s.fd >= 0 {
+		s.rest.Stop()
+		s.watch()
+	}
+}
+
+// Limit sets how many descriptors the loop may hold.
+func (l *Loop) Limit(most int) { l.limit = most }
+
+// Held is how many it holds.
+func (l *Loop) Held() int { return l.open }
+
+// Detach takes the connection off the loop without ending it, and returns its
+// descriptor, which is the caller's then, and the bytes that were not taken. It
+// returns -1 for one that is ending, or still has to send something.
+func (c *Conn) Detach() (fd int, unread []byte) {
+	if c.fd < 0 || c.dialling != nil || c.failing != nil || c.ending || c.eof || len(c.out) > 0 {
+		return -1, nil
+	}
+	fd, err := unix.FcntlInt(uintptr(c.fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return -1, nil
+	}
+	unread = c.in
+	c.release()
+	return fd, unread
+}
+
+// Attach takes over a descriptor that was detached, here or in another process, and
+// the bytes that were not taken there; they are handed to the handler by Resume.
+func (l *Loop) Attach(fd int, unread []byte, h Handler) (*Conn, error) {
+	c := newConn(l, fd, &l.budget)
+	if err := l.add(fd, unix.EPOLLIN, c, c.budget); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	c.interest, c.h, c.in = unix.EPOLLIN, h, unread
+	c.count()
+	return c, nil
+}
+
+// ListensAt says whether a socket stands at an address.
+func ListensAt(fd int, addr string) bool {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return false
+	}
+	is, err := netip.ParseAddrPort(local(fd))
+	return err == nil && is.Addr().Unmap() == at.Addr().Unmap() && (at.Port() == 0 || is.Port() == at.Port())
+}
--- /dev/null
+++ b/internal/netloop/channel_test.go
@@ -0,0 +1,182 @@
+package netloop_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// ends is one end of a channel and what it was told.
+type ends struct {
+	c    *netloop.Channel
+	got  [][]byte
+	fds  []int
+	over error
+}
+
+func (e *ends) join(b *looptest.Bench, fd int) {
+	b.T.Helper()
+	var err error
+	e.c, err = b.Channel(fd, func(text []byte, fds []int) { e.got, e.fds = append(e.got, text), append(e.fds, fds...) },
+		func(err error) { e.over = err })
+	if err != nil {
+		b.T.Fatal(err)
+	}
+}
+
+// channel is both ends of one, on a path longer than an address has room for.
+func channel(b *looptest.Bench) (near, far *ends) {
+	b.T.Helper()
+	dir := filepath.Join(b.T.TempDir(), strings.Repeat("d", 120))
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		b.T.Fatal(err)
+	}
+	path := filepath.Join(dir, "sock")
+	if _, err := netloop.DialChannel(path, looptest.Patience); !os.IsNotExist(err) {
+		b.T.Errorf("nobody is there: %v", err)
+	}
+	near, far = &ends{}, &ends{}
+	for range 2 { // the second replaces what the first has left behind
+		l, err := b.ListenChannel(path, func(fd int) { near.join(b, fd) })
+		if err != nil {
+			b.T.Fatal(err)
+		}
+		b.T.Cleanup(l.Close)
+	}
+	fd, err := netloop.DialChannel(path, looptest.Patience)
+	if err != nil {
+		b.T.Fatal(err)
+	}
+	far.join(b, fd)
+	b.Until("the other end", func() bool { return near.c != nil })
+	return near, far
+}
+
+// TestChannel: messages arrive whole, in order and with their descriptors, also more
+// than the kernel takes at once; then the other end hears of the end, once.
+func TestChannel(t *testing.T) {
+	b := looptest.New(t, 32)
+	near, far := channel(b)
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	const many = 300
+	for n := range many {
+		text := bytes.Repeat([]byte(fmt.Sprintf("%03d", n)), 1000)
+		if err := near.c.Send(text, int(w.Fd())); err != nil {
+			t.Fatal(err)
+		}
+		if n%100 == 99 { // descriptors on their way are bounded
+			b.Until("the messages", func() bool { return len(far.got) == n+1 })
+		}
+	}
+	for n, text := range far.got {
+		if !bytes.Equal(text, bytes.Repeat([]byte(fmt.Sprintf("%03d", n)), 1000)) {
+			t.Fatalf("message %d is %.20q of %d bytes", n, text, len(text))
+		}
+	}
+	w.Close()
+	if len(far.fds) != many {
+		t.Fatalf("%d descriptors of %d", len(far.fds), many)
+	}
+	unix.Write(far.fds[0], []byte("by the passed end"))
+	for _, fd := range far.fds {
+		unix.Close(fd)
+	}
+	if text, err := io.ReadAll(r); err != nil || string(text) != "by the passed end" {
+		t.Errorf("read %q, %v: a descriptor was left open, or was none", text, err)
+	}
+	if near.c.Send(make([]byte, 1<<20)) == nil {
+		t.Error("a message over the bound was taken")
+	}
+	near.c.Close()
+	b.Until("the end", func() bool { return far.over != nil })
+	if far.c.Send([]byte("more")) == nil || near.over != nil {
+		t.Error("the end is not the end")
+	}
+}
+
+// TestDetach: a connection taken off the loop and attached again keeps its bytes,
+// those that were not taken among them, and its peer notices nothing; one that is
+// ending cannot be taken.
+func TestDetach(t *testing.T) {
+	b := looptest.New(t, 16)
+	e, p := pair(b)
+	p.Say("hello, ")
+	b.Until("bytes", func() bool { return e.offers == len("hello, ") })
+	fd, unread := e.c.Detach()
+	if b.Turn(); fd < 0 || string(unread) != "hello, " || b.Held() != 0 {
+		t.Fatalf("descriptor %d, %q unread, %d held", fd, unread, b.Held())
+	}
+	p.Say("world")
+	next := &end{take: 1 << 10}
+	c, err := b.Attach(fd, unread, next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Resume()
+	b.Until("the rest", func() bool { return string(next.got) == "hello, world" })
+	c.Write([]byte("back"))
+	p.Want("back")
+	c.Finish()
+	if fd, _ := c.Detach(); fd >= 0 {
+		t.Error("an ending connection was taken off")
+	}
+	p.WantEnd()
+	if len(e.over) > 0 {
+		t.Errorf("the first handler was told %v", e.over)
+	}
+}
+
+// TestInherit: a socket that two listeners share serves on when one is held or
+// closed; nothing that waits in its queue is lost. Guards against closing a listener
+// of one's own, which resets what waits there.
+func TestInherit(t *testing.T) {
+	b := looptest.New(t, 32)
+	var got []string
+	listener := func(name string) func(*netloop.Conn) {
+		return func(c *netloop.Conn) { got = append(got, name); c.Handle(&end{}) }
+	}
+	old, err := b.Loop.Listen("127.0.0.1:0", listener("old"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	twin, err := unix.FcntlInt(uintptr(old.Fd()), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !netloop.ListensAt(twin, old.Addr()) || netloop.ListensAt(twin, "127.0.0.1:1") || !netloop.ListensAt(twin, "127.0.0.1:0") {
+		t.Error("where it listens is not known")
+	}
+	heir, err := b.Inherit(twin, listener("heir"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.Hold(true)
+	heir.Hold(true)
+	for range 5 {
+		b.Dial(old.Addr())
+	}
+	b.Turn()
+	if len(got) > 0 {
+		t.Errorf("taken in by %v", got)
+	}
+	old.Close()
+	b.Turn()
+	heir.Hold(false)
+	b.Until("those that waited", func() bool { return len(got) == 5 })
+	if strings.Join(got, "") != strings.Repeat("heir", 5) {
+		t.Errorf("taken in by %v", got)
+	}
+}
--- a/internal/netloop/conn_test.go
+++ b/internal/netloop/conn_test.go
@@ -18,6 +18,7 @@
 	c      *netloop.Conn
 	take   int // how many more bytes it takes
 	got    []byte
+	offers int // bytes offered last
 	opened bool
 	over   []error
 }
@@ -25,6 +26,7 @@
 func (e *end) Open()    { e.opened = true }
 func (e *end) Drained() {}
 func (e *end) Data(b []byte) int {
+	e.offers = len(b)
 	n := min(e.take, len(b))
 	e.take -= n
 	e.got = append(e.got, b[:n]...)
@@ -237,6 +239,34 @@
 	peers[0].Want("yes")
 }
 
+// TestSpareNew: while descriptors are short and nobody else can be spared, who comes
+// is heard before it may be given up. Guards against a relay that many open flows
+// fill turning everyone away unheard.
+func TestSpareNew(t *testing.T) {
+	const limit = 16
+	b := looptest.New(t, limit)
+	var last *end
+	full := false
+	l, err := b.Loop.Listen("127.0.0.1:0", func(c *netloop.Conn) {
+		last = &end{c: c, take: 100}
+		c.Handle(last)
+		if full {
+			c.Spare(func() { t.Error("given up") })
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for b.Free() >= limit/4 {
+		b.Dial(l.Addr())
+		b.Turn()
+	}
+	full = true
+	p := b.Dial(l.Addr())
+	p.Say("hello")
+	b.Until("the word", func() bool { return string(last.got) == "hello" })
+}
+
 // TestFlood: who sends without end has its turn and no more, and after Finish only
 // a bounded rest is read, so that it cannot keep the loop from others.
 func TestFlood(t *testing.T) {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -34,8 +34,9 @@
 // that may be spared are given up for each one accepted; under the second, fronts
 // should take no request in that needs more descriptors.
 const (
-	sparePart = 4
-	shortPart = 16
+	sparePart  = 4
+	shortPart  = 16
+	shortLeast = 4 // so that there is room to take clients in and reject them, however low the limit
 )
 
 // source is what an epoll event goes to.
@@ -99,7 +100,7 @@
 func (b *budget) Free() int { return b.limit - b.open }
 
 // Short says that hardly any more descriptors may be opened.
-func (b *budget) Short() bool { return b.Free() < b.limit/shortPart }
+func (b *budget) Short() bool { return b.Free() < max(b.limit/shortPart, shortLeast) }
 
 // relieve gives up connections that may be spared, so that those who connect and
 // say nothing cannot keep others out.
@@ -296,7 +297,9 @@
 	l      *Loop
 	fd     int
 	accept func(*Conn)
+	take   func(fd int) // in the place of accept, for connections that are none of Conn's
 	rest   *Timer
+	held   bool
 	budget *budget // of the connections it takes in
 }
 
@@ -327,10 +330,7 @@
 		err = unix.Bind(fd, at)
 	}
 	if err == nil {
-		err = unix.Listen(fd, 4096)
-	}
-	if err == nil {
-		err = l.add(fd, unix.EPOLLIN, s, &l.budget)
+		err = s.start(4096)
 	}
 	if err != nil {
 		unix.Close(fd)
@@ -339,12 +339,19 @@
 	return s, nil
 }
 
+func (s *Listener) start(backlog int) error {
+	if err := unix.Listen(s.fd, backlog); err != nil {
+		return err
+	}
+	return s.l.add(s.fd, unix.EPOLLIN, s, &s.l.budget)
+}
+
 // Addr is the address that the socket is bound to.
 func (s *Listener) Addr() string { return local(s.fd) }
 
-// Close ends listening; connections already taken in stay.
+// Close ends listening; connections already taken in stay. A nil one may be closed.
 func (s *Listener) Close() {
-	if s.fd >= 0 {
+	if s != nil && s.fd >= 0 {
 		s.rest.Stop()
 		s.l.drop(s.fd, &s.l.budget)
 		s.fd = -1
@@ -353,11 +360,11 @@
 
 func (s *Listener) ready(uint32) {
 	for range acceptBurst {
-		if s.fd < 0 {
+		if s.fd < 0 || s.held {
 			return
 		}
-		s.budget.relieve()
 		if s.budget.Free() <= 0 {
+			s.budget.relieve()
 			s.pause()
 			return
 		}
@@ -372,6 +379,11 @@
 		default: // that connection is gone already, or a signal came
 			continue
 		}
+		if s.take != nil {
+			s.take(fd)
+			continue
+		}
+		s.budget.relieve() // before the new one may be spared: it has had no turn yet
 		c := newConn(s.l, fd, s.budget)
 		if err := s.l.add(fd, unix.EPOLLIN, c, s.budget); err != nil {
 			unix.Close(fd)
@@ -386,7 +398,15 @@
 func (s *Listener) pause() {
 	s.l.watch(unix.EPOLL_CTL_MOD, s.fd, 0)
 	s.rest.Stop()
-	s.rest = s.l.After(acceptPause, func() { s.l.watch(unix.EPOLL_CTL_MOD, s.fd, unix.EPOLLIN) })
+	s.rest = s.l.After(acceptPause, s.watch)
+}
+
+func (s *Listener) watch() {
+	var want uint32
+	if !s.held {
+		want = unix.EPOLLIN
+	}
+	s.l.watch(unix.EPOLL_CTL_MOD, s.fd, want)
 }
 
 func address(addr string) (unix.Sockaddr, int, error) {
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -33,7 +33,8 @@
 	Log   logrus.FieldLogger
 
 	generation uint64
-	known      bool // the list of that generation is held
+	known      bool             // the list of that generation is held
+	entries    map[string]Entry // and this is it
 	watching   bool
 	conn       *netloop.Conn
 	parser     http1.Parser
@@ -42,7 +43,28 @@
 }
 
 // Hold says which list is held from the start.
-func (w *Watch) Hold(l *List) { w.generation, w.known = l.Generation, true }
+func (w *Watch) Hold(l *List) { w.hold(&List{l.Generation, true, l.Instances}) }
+
+func (w *Watch) hold(l *List) {
+	w.generation, w.known = l.Generation, true
+	if l.Full || w.entries == nil {
+		w.entries = map[string]Entry{}
+	}
+	for _, e := range l.Instances {
+		if w.entries[e.ID] = e; states[e.Lifecycle] == policy.Gone {
+			delete(w.entries, e.ID)
+		}
+	}
+}
+
+// List is the list that is held, and whether a watch can go on from it.
+func (w *Watch) List() (l *List, known bool) {
+	l = &List{Generation: w.generation, Full: true}
+	for _, e := range w.entries {
+		l.Instances = append(l.Instances, e)
+	}
+	return l, w.known
+}
 
 // Ask starts to watch; while a watch goes on it does nothing.
 func (w *Watch) Ask() {
@@ -142,7 +164,7 @@
 	if w.parser.Closes {
 		w.hangUp()
 	}
-	w.generation, w.known = list.Generation, true
+	w.hold(list)
 	w.call() // first: the gap between two calls of a watch is bounded
 	w.Told(kind, w.Names.Members(list))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -173,7 +173,7 @@
 		{&report.Util, [2]string{"utilization", "util"}},
 	} {
 		for _, name := range f.names {
-			if v, ok := values[name]; name != "" && ok && !math.IsNaN(v) {
+			if v, ok := values[name]; name != "" && ok && !math.IsNaN(v) && !math.IsInf(v, 0) {
 				*f.to = v
 			}
 		}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -101,11 +101,18 @@
 // Open connects, makes the tables and starts the writer. Clock times count from
 // epoch.
 func Open(cfg Config, run string, epoch time.Time, log logrus.FieldLogger) (*Store, error) {
-	driver := cfg.Driver
+	driver, dsn := cfg.Driver, cfg.DSN
 	if driver == "postgres" {
 		driver = "pgx"
+	} else if !strings.Contains(dsn, "busy_timeout") {
+		// Two processes write during an upgrade: one waits for the other's lock.
+		mark := "?"
+		if strings.Contains(dsn, "?") {
+			mark = "&"
+		}
+		dsn += mark + "_pragma=busy_timeout(4000)"
 	}
-	db, err := sql.Open(driver, cfg.DSN)
+	db, err := sql.Open(driver, dsn)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
--- a/policy/facade_test.go
+++ b/policy/facade_test.go
@@ -93,3 +93,38 @@
 		}
 	}
 }
+
+// TestLearned: what one Balancer has learned is what another goes on from, with ages in
+// the place of times; what does not fit its settings is left out.
+func TestLearned(t *testing.T) {
+	set := settings()
+	servers := fleet(2, 1)
+	begin := func(now time.Duration) *Facade {
+		f := Begin(now, set, 7)
+		f.Report(now, Pool{Kind: ListCached, Servers: servers})
+		return f
+	}
+	old := begin(t0)
+	s := old.b.byID[servers[0].ID]
+	for range 40 {
+		old.Report(t0, Probed{Server: s.ID, Result: OK, Report: Report{Connections: 40, Load: 0.5, Util: -1}})
+	}
+	old.Report(t0, Probed{Server: servers[1].ID, Result: Timeout, Report: NoReport})
+	old.Report(t0, Probed{Server: servers[1].ID, Result: Timeout, Report: NoReport})
+	now := t0 + time.Hour
+	next := begin(now)
+	next.Recall(now, old.Learned(t0+time.Second))
+	got, bad := next.b.byID[servers[0].ID], next.b.byID[servers[1].ID]
+	if got.capacity != s.capacity || got.capacity == 0 || !got.has || got.report.Load != 0.5 || got.since != now-time.Second {
+		t.Errorf("learned %+v, recalled %+v", s, got)
+	}
+	if !bad.bad || bad.fails != failsServer {
+		t.Errorf("a condemned server is taken for %+v", bad.health)
+	}
+	set.Zones++
+	other := begin(now)
+	other.Recall(now, old.Learned(t0))
+	if len(other.b.zones) != set.Zones {
+		t.Error("zones of other settings were taken over")
+	}
+}
--- /dev/null
+++ b/policy/learned.go
@@ -0,0 +1,90 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// This file passes what a Balancer has learned on to the one that takes its place. It
+// decides nothing. Times are ages, since the two have clocks of their own.
+
+// Learned is what is worth keeping of a Balancer.
+type Learned struct {
+	MeanLoad  float64
+	ClassLoad []float64
+	Lent      []float64 // h of each tenant's servers
+	Fill      []float64 // of each zone
+	Kinds     map[int][2]float64
+	Spare     float64
+	Scouts    float64
+	Daring    float64
+	Servers   map[ServerID]LearnedServer
+}
+
+// LearnedServer is what is worth keeping of one server.
+type LearnedServer struct {
+	Capacity, Reports float64
+	Load              float64       // its last report's; negative for none
+	Age               time.Duration // of that report
+	Fails             int
+	Bad               bool
+	Pause             time.Duration // until it may be tried again
+	Up                time.Duration // since its start; 0 if long ago
+}
+
+// Learned is what b has learned.
+func (f *Facade) Learned(now time.Duration) Learned {
+	b := f.b
+	l := Learned{MeanLoad: b.meanLoad, ClassLoad: b.classLoad, Lent: b.h, Kinds: map[int][2]float64{}, Spare: b.spare,
+		Scouts: b.scouts, Daring: b.daring, Servers: map[ServerID]LearnedServer{}}
+	for _, z := range b.zones {
+		l.Fill = append(l.Fill, z.fill)
+	}
+	for kind, k := range b.kinds {
+		l.Kinds[kind] = [2]float64{k.inflight, k.capacity}
+	}
+	for _, s := range b.servers {
+		kept := LearnedServer{Capacity: s.capacity, Reports: s.reports, Load: -1, Fails: s.fails, Bad: s.bad,
+			Pause: max(s.until-now, 0)}
+		if s.has && s.report.Load <= math.MaxFloat64 {
+			kept.Load, kept.Age = s.report.Load, now-s.since
+		}
+		if s.Started != 0 {
+			kept.Up = now - s.Started
+		}
+		l.Servers[s.ID] = kept
+	}
+	return l
+}
+
+// Recall takes over what another has learned of the same deployment. It comes after
+// the list of servers; what does not fit the settings is left out.
+func (f *Facade) Recall(now time.Duration, l Learned) {
+	b := f.b
+	if len(l.ClassLoad) == len(b.classLoad) && len(l.Lent) == len(b.h) && len(l.Fill) == len(b.zones) {
+		copy(b.classLoad, l.ClassLoad)
+		copy(b.h, l.Lent)
+		for i, fill := range l.Fill {
+			b.zones[i].fill = fill
+		}
+		b.meanLoad, b.spare, b.scouts, b.daring = l.MeanLoad, l.Spare, l.Scouts, l.Daring
+	}
+	for id, k := range l.Kinds {
+		b.kinds[id] = &kind{k[0], k[1]}
+	}
+	for _, s := range b.servers {
+		kept, known := l.Servers[s.ID]
+		if !known {
+			continue
+		}
+		s.capacity, s.reports = kept.Capacity, kept.Reports
+		if up := now - kept.Up; kept.Up > 0 && up > s.Started {
+			s.Started = up
+		}
+		s.fails, s.bad, s.until = kept.Fails, kept.Bad, now+kept.Pause
+		if kept.Load >= 0 {
+			s.report, s.has = Report{Connections: -1, Load: kept.Load, Util: -1, Backlog: -1}, true
+			s.since, s.reported = now-kept.Age, now-kept.Age
+		}
+	}
+}
