--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -316,6 +316,7 @@
 	if r.yield() {
 		least = loop.Now()
 		r.core.GiveUp()
+		r.pass()
 	} else {
 		r.core.Stop()
 	}
@@ -325,7 +326,7 @@
 	var look func()
 	look = func() {
 		now := loop.Now()
-		if now < deadline && (now < least || r.core.Held() > 0) {
+		if now < deadline && (now < least || r.core.Held() > 0 || r.twin != nil && !r.twin.peer.Quiet()) {
 			loop.After(20*time.Millisecond, look)
 			return
 		}
--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"dahliarudder/internal/front/line"
 	"dahliarudder/internal/handover"
 	"dahliarudder/internal/netloop"
 	"dahliarudder/policy"
@@ -17,6 +18,9 @@
 	// spareSockets is what the first process may open beyond what it holds: retries of
 	// requests that are on their way.
 	spareSockets = 16
+	// passBurst flows are handed over each passEvery.
+	passBurst = 8
+	passEvery = 5 * time.Millisecond
 	// upgradeSockets are the socket at which a successor is waited for, the channel to
 	// it, and a descriptor on its way through it.
 	upgradeSockets = 4
@@ -96,9 +100,12 @@
 			r.lines.Elsewhere(n.Open.IDs)
 		}
 	case n.Client != nil && len(fds) == 1 && r.lines != nil:
-		if err := r.lines.TakeFresh(fds[0], n.Client.Unread); err != nil {
-			r.log.WithError(err).Error("a client could not be taken over")
-		}
+		r.loop.Grant(len(fds))
+		r.failed(r.lines.TakeFresh(fds[0], n.Client.Unread))
+		return
+	case n.Flow != nil && len(fds) == 2 && r.lines != nil:
+		r.loop.Grant(len(fds))
+		r.failed(r.lines.TakeFlow(*n.Flow, fds[0], fds[1]))
 		return
 	}
 	for _, fd := range fds {
@@ -106,6 +113,26 @@
 	}
 }
 
+func (r *relay) failed(err error) {
+	if err != nil {
+		r.log.WithError(err).Error("a client could not be taken over")
+	}
+}
+
+// pass hands open flows over to the successor, a few at a time, so that the others are
+// served meanwhile.
+func (r *relay) pass() {
+	if r.twin == nil || r.lines == nil {
+		return
+	}
+	r.lines.GiveFlows(passBurst, func(f line.Flow, client, member int) {
+		r.tell(handover.Note{Flow: &f}, client, member)
+		unix.Close(client)
+		unix.Close(member)
+	})
+	r.loop.After(passEvery, r.pass)
+}
+
 // introduce tells a successor all that it starts with.
 func (r *relay) introduce() {
 	state := handover.NewState(r.core.Learned())
--- a/integration/upgrade_test.go
+++ b/integration/upgrade_test.go
@@ -34,7 +34,7 @@
 
 // TestUpgrade: a second process takes the first one's place without turning anybody
 // away: who has connected to either and said nothing yet, or half a line, is served,
-// open flows are sent back, an id that is open at the first is refused at the second,
+// open flows stay, through two upgrades, an id that is open at the first is refused at the second,
 // and the first alone ends.
 func TestUpgrade(t *testing.T) {
 	s := operated(t, 3, nil)
@@ -63,24 +63,34 @@
 	for n := range 20 {
 		next.open(100+n, "").want("UP ")
 	}
-	for _, c := range held {
-		c.want("MOVE")
-		c.want(io.EOF.Error())
-	}
 	s.ends()
 	next.logged("the other process is gone")
-	next.open(3, "").want("UP ") // nobody holds that id any more
-	for _, c := range []*client{quiet, half} {
-		c.say("still here")
-		c.want("LOAD ")
-		c.want("GOT 1 still here")
+	next.open(3, "").want("ERR") // that flow has passed over
+	all := append(held, quiet, half)
+	speak := func(n int) {
+		t.Helper()
+		for _, c := range all {
+			c.say("still here")
+			c.want("LOAD ")
+			c.want(fmt.Sprintf("GOT %d still here", n))
+		}
 	}
+	speak(1)
 	third := next.successor(2)
 	next.cmd.Process.Signal(syscall.SIGTERM)
 	next.ends()
+	speak(2)
 	third.open(200, "").want("UP ")
+	held[0].say("END")
+	held[0].want("BYE")
+	held[0].want(io.EOF.Error())
 	s.tries.check(t)
-	third.stop()
+	third.cmd.Process.Signal(syscall.SIGTERM)
+	for _, c := range all[1:] {
+		c.want("MOVE")
+		c.want(io.EOF.Error())
+	}
+	third.ends()
 }
 
 // TestUpgradeBans: a ban holds over an upgrade, and while there are two processes the
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,6 +94,7 @@
 	// relays are restarted one after another, the one before may be back only then.
 	stopMovesFrom = 1200 * time.Millisecond
 	stopMoves     = 2700 * time.Millisecond
+	passWithin    = time.Second            // an upgrade has this long to pass flows on
 	stopAfter     = 500 * time.Millisecond // when a client rejected meanwhile may come again
 )
 
@@ -484,15 +485,58 @@
 	c.apply(c.facade.Tick(now))
 }
 
-// GiveUp begins a planned stop of which another process takes the place: clients
-// come to that one already, so flows are moved from now on.
+// GiveUp begins a planned stop of which another process takes the place: fronts pass
+// open flows on to it, and those that are left after a while are moved.
 func (c *Core) GiveUp() {
 	if !c.stopping {
 		c.stopping = true
-		c.moveAll(0, stopMoves)
+		c.moveAll(passWithin, stopMoves)
 	}
 }
 
+// Passed is an open flow on its way to another process. Times are ages.
+type Passed struct {
+	Request Request       `json:"request"`
+	Member  string        `json:"member"`
+	Age     time.Duration `json:"age"`
+}
+
+// Pass gives an open flow up to another process.
+func (c *Core) Pass(id ID) (Passed, bool) {
+	r := c.requests[id]
+	if r == nil || !r.open || r.member == nil {
+		return Passed{}, false
+	}
+	p := Passed{r.Request, r.member.Name, c.Clock() - r.sent}
+	c.ended(r, policy.Cancelled, policy.NoReport)
+	return p, true
+}
+
+// Take takes up the flow that another process has passed on; it is up already. False
+// if its member is not known here.
+func (c *Core) Take(p Passed, v VirtualServer) (ID, *Member, bool) {
+	now, m := c.Clock(), c.byName[p.Member]
+	if m == nil {
+		return 0, nil, false
+	}
+	c.last++
+	r := &request{Request: p.Request, id: c.last, v: v, deadline: now, tries: 1, member: m, sent: now - p.Age,
+		standing: true, open: true}
+	c.requests[r.id] = r
+	c.Counts.Requests++
+	c.Counts.Attempts++
+	c.record(r, Served)
+	c.tell(policy.Standing{Request: r.policy(), Server: m.ID})
+	switch {
+	case m.left:
+		c.leaveAt(r, now)
+	case !c.Welcomes():
+		c.leaveAt(r, c.moveAt)
+	}
+	c.arm()
+	return r.id, &m.Member, true
+}
+
 // Stop begins a planned stop: what arrives is rejected, what is on its way is
 // answered, and every open flow is moved. It is over when Held is 0.
 func (c *Core) Stop() {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -381,8 +381,8 @@
 	}
 }
 
-// TestGiveUp: with another process in its place flows are moved from the start, and
-// all within the time of a stop.
+// TestGiveUp: with another process in its place flows are passed on to it, one by one,
+// and those that are left after a while are moved, all within the time of a stop.
 func TestGiveUp(t *testing.T) {
 	r := newRig(t, 2)
 	var up []*side
@@ -392,14 +392,32 @@
 		up = append(up, s)
 	}
 	r.GiveUp()
-	r.pass(stopMovesFrom)
-	early := 0
-	for _, s := range up {
+	next := newRig(t, 2)
+	next.now += time.Hour
+	p, ok := r.Pass(up[0].id)
+	if _, twice := r.Pass(up[0].id); !ok || twice || r.Held() != 4 {
+		t.Errorf("passed %v, twice %v, %d held", ok, twice, r.Held())
+	}
+	s := &side{r: next, out: 1, tries: 1}
+	id, m, ok := next.Take(p, s)
+	if !ok || m.Name != p.Member || !next.Holds(id) || next.Up(id, 0) || next.Counts.Served != 1 {
+		t.Errorf("taken %v by %v, counts %+v", ok, m, next.Counts)
+	}
+	next.Ended(id, 0, policy.OK, policy.NoReport)
+	if next.Held() != 0 || s.moved != 0 || len(s.answers) != 0 {
+		t.Errorf("%d held, %+v", next.Held(), s)
+	}
+	if _, _, ok := next.Take(Passed{Member: "m9"}, s); ok {
+		t.Error("a flow at an unknown member was taken")
+	}
+	r.pass(passWithin - time.Millisecond)
+	early := up[0].moved
+	for _, s := range up[1:] {
 		early += s.moved
 	}
 	r.pass(stopMoves)
-	if early == 0 || early == len(up) || r.Held() != 0 {
-		t.Errorf("%d of %d moved early, %d held", early, len(up), r.Held())
+	if early != 0 || r.Held() != 0 || up[0].moved != 0 || up[1].moved != 1 {
+		t.Errorf("%d moved early, %d held", early, r.Held())
 	}
 }
 
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -62,47 +62,6 @@
 	c.Handle(v)
 }
 
-// ---- Two processes of one relay ----
-
-// GiveFresh hands every connection on which no first line has come, and what of it
-// has, to give, which owns the descriptor then.
-func (f *Front) GiveFresh(give func(fd int, unread []byte)) {
-	for v := range f.fresh {
-		if fd, unread := v.c.Detach(); fd >= 0 {
-			v.close()
-			give(fd, unread)
-		}
-	}
-}
-
-// TakeFresh serves such a connection of another process.
-func (f *Front) TakeFresh(fd int, unread []byte) error {
-	c, err := f.Loop.Attach(fd, unread, nil)
-	if err != nil {
-		return err
-	}
-	f.Accept(c)
-	f.Loop.After(0, c.Resume)
-	return nil
-}
-
-// IDs are the clients' ids of the requests that are held here.
-func (f *Front) IDs() []uint64 {
-	ids := make([]uint64, 0, len(f.ids))
-	for id := range f.ids {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
-// Elsewhere says which ids another process holds.
-func (f *Front) Elsewhere(ids []uint64) {
-	clear(f.elsewhere)
-	for _, id := range ids {
-		f.elsewhere[id] = true
-	}
-}
-
 // sweep moves clients whose member has gone silent, and ends flows whose client
 // has: a machine that vanished ends no connection.
 func (f *Front) sweep() {
@@ -328,6 +287,7 @@
 	asked  time.Duration // when the oldest unanswered line of the client went on; 0 if none
 	heard  time.Duration // when the client last sent something
 	tail   []byte        // the start of the line that is passing
+	load   float64       // as the member told it last
 	last   string        // the last whole line that means something: BYE or MOVE
 	report policy.Report
 }
@@ -492,7 +452,8 @@
 	switch word {
 	case "LOAD":
 		if load, err := strconv.ParseFloat(rest, 64); err == nil {
-			s.v.f.Core.Load(s.v.id, load/1e6)
+			s.load = load / 1e6
+			s.v.f.Core.Load(s.v.id, s.load)
 		}
 		return
 	case "BYE":
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -20,12 +21,35 @@
 // member.
 func asked(t testing.TB) (*looptest.Relay, *looptest.Peer, *looptest.Peer) {
 	r := looptest.NewRelay(t, 1)
-	f := New(r.Loop, r.Core, r.Log)
-	c := r.Dial(r.Serve(f.Accept))
+	c, m := askedOf(r, New(r.Loop, r.Core, r.Log))
+	return r, c, m
+}
+
+func askedOf(r *looptest.Relay, f *Front) (c, m *looptest.Peer) {
+	c = r.Dial(r.Serve(f.Accept))
 	c.Say(firstLine + "\r\n")
-	_, m := r.AcceptAny(0)
+	_, m = r.AcceptAny(0)
 	m.Line()
-	return r, c, m
+	return c, m
+}
+
+// pass hands all open flows that can be from one front to another, through the text
+// that goes between processes.
+func pass(t testing.TB, from, to *Front) {
+	t.Helper()
+	from.GiveFlows(100, func(p Flow, client, member int) {
+		text, err := json.Marshal(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p = Flow{}
+		if err := json.Unmarshal(text, &p); err != nil {
+			t.Fatal(err)
+		}
+		if err := to.TakeFlow(p, client, member); err != nil {
+			t.Fatal(err)
+		}
+	})
 }
 
 // standingFlow is the same, up.
@@ -39,15 +63,22 @@
 // FuzzFlow plays random steps on an open flow and checks them against a model:
 // each side gets a prefix of what the other sent, all of it while nobody ends
 // the flow; MOVE stands only between two lines, comes at most once, and comes
-// whenever the member drains between two lines.
+// whenever the member drains between two lines. Passing the flow on to another process
+// changes nothing of that.
 func FuzzFlow(f *testing.F) {
 	f.Add([]byte{0, 10, 1, 20, 2, 0, 1, 3})
 	f.Add([]byte{1, 7, 2, 0, 4, 0, 1, 8, 2, 0})
 	f.Add([]byte{1, 6, 4, 0, 3, 0})
 	f.Add([]byte{0, 200, 1, 255, 5, 0, 2, 0})
 	f.Add([]byte{1, 12, 6, 0, 2, 0, 1, 1})
+	f.Add([]byte{1, 7, 2, 0, 7, 0, 1, 8, 0, 9, 7, 0, 2, 0, 4, 0})
+	f.Add([]byte{0, 255, 0, 255, 7, 0, 1, 255, 1, 255, 7, 0, 7, 0, 2, 0, 5, 0})
 	f.Fuzz(func(t *testing.T, steps []byte) {
-		r, c, m := standingFlow(t)
+		r := looptest.NewRelay(t, 1)
+		from, to := New(r.Loop, r.Core, r.Log), New(r.Loop, r.Core, r.Log)
+		c, m := askedOf(r, from)
+		m.Say("UP x\r\n")
+		c.Lines("UP x")
 		var byClient, byMember, seen []byte
 		drained, between, ended := false, false, false
 		for i := 0; i+1 < len(steps) && i < 80; i += 2 {
@@ -55,7 +86,10 @@
 			if steps[i+1]%2 == 0 {
 				chunk = append(chunk, "\r\n"...)
 			}
-			switch steps[i] % 7 {
+			switch steps[i] % 8 {
+			case 7: // another process takes the relay's place
+				pass(t, from, to)
+				from, to = to, from
 			case 0:
 				if !ended && !drained {
 					c.Say(string(chunk))
@@ -361,3 +395,49 @@
 	m.Say("GOT\r\n")
 	c.Lines("GOT")
 }
+
+// TestTakeFlow: a flow that was passed on keeps what it owes: an unanswered line counts
+// from when it was asked, a member that has left meanwhile or is not known here costs
+// the client a move and no more, and the id stays taken.
+func TestTakeFlow(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	first, second := New(r.Loop, r.Core, r.Log), New(r.Loop, r.Core, r.Log)
+	c, m := askedOf(r, first)
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+	c.Say("anyone?\r\n")
+	m.Lines("anyone?")
+	r.Pass(silentAfter - time.Second)
+	pass(t, first, second)
+	if r.Core.Held() != 1 || len(first.open) != 0 || len(first.ids) != 0 || len(second.ids) != 1 {
+		t.Fatalf("held %d, %d left, %d taken", r.Core.Held(), len(first.open), len(second.open))
+	}
+	r.Pass(2 * time.Second)
+	c.Lines("MOVE")
+	c.WantEnd()
+
+	c, m = askedOf(r, first)
+	m.Say("UP y\r\n")
+	c.Lines("UP y")
+	first.GiveFlows(1, func(p Flow, client, member int) {
+		p.Flow.Member = "unheard of"
+		if err := second.TakeFlow(p, client, member); err != nil {
+			t.Error(err)
+		}
+	})
+	c.Lines("MOVE")
+	c.WantEnd()
+
+	c, m = askedOf(r, first)
+	m.Say("UP z\r\n")
+	c.Lines("UP z")
+	first.GiveFlows(1, func(p Flow, client, member int) {
+		r.Drain(0)
+		if err := second.TakeFlow(p, client, member); err != nil {
+			t.Error(err)
+		}
+	})
+	r.Pass(time.Millisecond)
+	c.Lines("MOVE")
+	c.WantEnd()
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"dahliarudder/internal/core"
+	"dahliarudder/internal/front/line"
 	"dahliarudder/internal/netloop"
 	"dahliarudder/internal/pool"
 )
@@ -24,13 +25,14 @@
 
 // Note is what one process tells the other. Exactly one field is set.
 type Note struct {
-	Hello   int     `json:"hello,omitempty"` // the second's version
-	State   *State  `json:"state,omitempty"` // the first's answer, with the listening sockets
-	Serving bool    `json:"serving,omitempty"`
-	Bans    bool    `json:"bans,omitempty"`   // the file of bans has changed
-	Drain   *bool   `json:"drain,omitempty"`  // an operator has drained the relay, or resumed
-	Open    *Open   `json:"open,omitempty"`   // the requests that the first holds
-	Client  *Client `json:"client,omitempty"` // a client that has asked for nothing yet, with its socket
+	Hello   int        `json:"hello,omitempty"` // the second's version
+	State   *State     `json:"state,omitempty"` // the first's answer, with the listening sockets
+	Serving bool       `json:"serving,omitempty"`
+	Bans    bool       `json:"bans,omitempty"`   // the file of bans has changed
+	Drain   *bool      `json:"drain,omitempty"`  // an operator has drained the relay, or resumed
+	Open    *Open      `json:"open,omitempty"`   // the requests that the first holds
+	Flow    *line.Flow `json:"flow,omitempty"`   // an open flow, with the client's socket and the member's
+	Client  *Client    `json:"client,omitempty"` // a client that has asked for nothing yet, with its socket
 }
 
 // Open is what the first holds: clients' ids of the line front, and how many
@@ -179,6 +181,9 @@
 	return nil
 }
 
+// Quiet says that all that was told has left.
+func (p *Peer) Quiet() bool { return p.channel.Quiet() }
+
 // Leave ends the conversation; nobody here is told.
 func (p *Peer) Leave() {
 	closeAll(p.fds)
--- a/internal/netloop/channel.go
+++ b/internal/netloop/channel.go
@@ -268,11 +268,24 @@
 // Held is how many it holds.
 func (l *Loop) Held() int { return l.open }
 
+// Grant lets the loop hold so many more, which came from another process that holds
+// them no longer.
+func (l *Loop) Grant(more int) { l.limit += more }
+
+// Quiet says that nothing waits to be sent.
+func (c *Channel) Quiet() bool { return len(c.wait) == 0 }
+
+// Detachable says whether Detach would work: the connection stands, is not ending and
+// has nothing to send.
+func (c *Conn) Detachable() bool {
+	return c.fd >= 0 && c.dialling == nil && c.failing == nil && !c.ending && !c.eof && len(c.out) == 0
+}
+
 // Detach takes the connection off the loop without ending it, and returns its
 // descriptor, which is the caller's then, and the bytes that were not taken. It
-// returns -1 for one that is ending, or still has to send something.
+// returns -1 if that cannot be.
 func (c *Conn) Detach() (fd int, unread []byte) {
-	if c.fd < 0 || c.dialling != nil || c.failing != nil || c.ending || c.eof || len(c.out) > 0 {
+	if !c.Detachable() {
 		return -1, nil
 	}
 	fd, err := unix.FcntlInt(uintptr(c.fd), unix.F_DUPFD_CLOEXEC, 0)
