Spread calls to discovery by the number of relays; count piled-up work as load

A trace of the reports showed members with 1.5 to 2.3 s piled up and x0 under 0.85 that were sent 23 and 35 flows.

Ruled out: the relays' own time-outs (1.8 s after the wait; the 503s came at 2000 ms exactly, from discovery), want of descriptors (90 of 384), a herd of requests in front of the relays (6 connections not taken).

Lines at fault: policy askLater, whose spread of 0.5 to 2 s ignored how many share discovery; usedOf, which read the load of a report and not its backlog, so pick sent there and relieve returned early.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,6 +47,8 @@
 	// retreat is what one failure to set up leaves of the part of its requests that a proxy dares to send, and
 	// daringLeast what it always sends, to see whether setting up works again.
 	retreat, daringLeast = 0.8, 0.03
+	// askTogether is how many proxies may ask for the list within a twentieth of AskWithin.
+	askTogether = 6.0
 	// learn is the weight of one new report in what is learned from reports.
 	learn = 0.1
 	// priorReports is how many reports a server's own capacity needs to weigh as much as its kind's.
@@ -102,9 +104,11 @@
 }
 
 func (b *Balancer) askLater() {
-	// Guards against a polling storm: proxies that fail together come back spread out, and later each
-	// time. Yet what is not asked for in time counts as told, so a call that failed is repeated well before.
-	span := float64(b.set.AskWithin) / 20 * math.Exp2(float64(min(b.asked, 2)))
+	// Guards against a polling storm: proxies that fail together come back spread out, later each time, and
+	// the more of them there are. A call that waits too long is served all the same, so calls that come
+	// faster than they are served all fail, for good. Yet what is not asked for in time counts as told.
+	many := max(float64(b.set.Balancers)/askTogether, 1)
+	span := min(many*math.Exp2(float64(min(b.asked, 2)))/20, 1) * float64(b.set.AskWithin)
 	b.act.Timer(time.Duration(span*b.rng.Float64()), tokenWatch)
 }
 
@@ -559,7 +563,9 @@
 	x := fill
 	if s.has {
 		trust := 1 / (1 + max(0, (now-s.since).Seconds())/b.slowest.Seconds())
-		x = trust*s.report.Load + (1-trust)*fill
+		// What is piled up keeps every message waiting, however little is asked for now: it counts as load
+		// that is to be gone by the next report.
+		x = trust*(s.report.Load+max(s.report.Backlog, 0)/b.lag().Seconds()) + (1-trust)*fill
 	} else if b.set.Reports == ReportsOff {
 		// Nothing is reported: this proxy's own connections, taken for a fair sample, are all there is.
 		x = fill * (s.mine + 1) / ((b.mine+1)/max(float64(len(b.servers)), 1) + 1)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -633,6 +633,32 @@
 	}
 }
 
+// TestPiledUp guards against members on which every message waits: while work is piled up a server is neither sent
+// to nor spared from relief, however little is asked of it now.
+func TestPiledUp(t *testing.T) {
+	g := newRig(settings(), fleet(2, 1))
+	full, free := g.servers[0], g.servers[1]
+	for id := range RequestID(30) {
+		g.Existing(g.now, Request{ID: 100 + id, Load: 0.1}, full.ID)
+	}
+	g.Probed(g.now, free.ID, OK, Report{Connections: 30, Load: 0.5, Util: -1, Backlog: 0})
+	g.Probed(g.now, full.ID, OK, Report{Connections: 30, Load: 0.3, Util: -1, Backlog: 1.5})
+	if len(g.moves) == 0 || len(g.moves) == 30 {
+		t.Errorf("moved %d of 30", len(g.moves))
+	}
+	for id := range RequestID(6) {
+		g.Request(g.now, Request{ID: 200 + id, Deadline: g.now + 2*time.Second, Load: 0.01})
+	}
+	for _, s := range g.sends {
+		if s.server == full.ID {
+			t.Fatal("sent to a server with work piled up")
+		}
+	}
+	if len(g.sends) == 0 {
+		t.Error("sent nowhere")
+	}
+}
+
 // TestSlowWithoutReport guards against full servers left alone at the start of a day: a slow message asks for a
 // report, and the report leads to relief.
 func TestSlowWithoutReport(t *testing.T) {
@@ -1070,3 +1096,25 @@
 		g.Members(g.now, ListFailed, nil)
 	}
 }
+
+// TestAskSpread guards against a herd of calls that all fail because they come faster than they can be served: the
+// more proxies there are, the wider the first calls and the repeated ones spread, within the time allowed.
+func TestAskSpread(t *testing.T) {
+	set := settings()
+	set.Subscribe, set.CanProbe = true, false // no timers for probes
+	set.Balancers = 36
+	first, last := time.Duration(0), time.Duration(0)
+	for seed := range uint64(set.Balancers) {
+		rec := &recorder{}
+		b := New(set, seed, rec)
+		b.Start()
+		first = max(first, rec.timers[0].delay)
+		for range 5 {
+			b.Members(t0, ListFailed, nil)
+		}
+		last = max(last, rec.timers[len(rec.timers)-1].delay)
+	}
+	if first < 2*time.Second || first > 3*time.Second || last < 8*time.Second || last > set.AskWithin {
+		t.Errorf("the first calls come within %v, repeated ones within %v", first, last)
+	}
+}
