--- a/policy/policy.go
+++ b/policy/policy.go
@@ -592,10 +592,26 @@
 
 // overShare says whether a tenant holds more than this proxy's part of its quota, chance allowed for.
 func (b *Balancer) overShare(t int) bool {
-	part := b.set.Tenants[t].Quota / float64(b.set.Balancers)
+	part := b.set.Tenants[t].Quota / b.serving()
 	return part > 0 && b.held[t] > part+math.Sqrt(part)
 }
 
+// serving is how many proxies share the work: all of them, or fewer where the servers' reports show that this
+// one holds more than its part, since others are down or drained.
+func (b *Balancer) serving() float64 {
+	all, told := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.has && s.report.Connections >= 0 {
+			all, told = all+s.report.Connections, told+1
+		}
+	}
+	most := float64(b.set.Balancers)
+	if told == 0 || b.mine == 0 {
+		return most
+	}
+	return min(max(all/told*float64(len(b.servers))/b.mine, 1), most)
+}
+
 // hold keeps a request that found no room for another look, and refuses it once that would come too
 // late.
 func (b *Balancer) hold(now time.Duration, r *request) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -842,6 +842,28 @@
 	}
 }
 
+// TestServing guards against a proxy that turns away what others, which are drained, have left to it: its part of a
+// tenant's quota is what it holds of all connections, where reports tell, and its plain part where they do not.
+func TestServing(t *testing.T) {
+	set := settings()
+	set.Balancers, set.Tenants = 2, []Tenant{{Share: 0.5, Quota: 40}, {Share: 0.5, Quota: 40}}
+	for name, c := range map[string]struct {
+		reported float64
+		over     bool
+	}{"none tell": {-1, true}, "the other holds as many": {30, true}, "the other is drained": {15, false}} {
+		g := newRig(set, fleet(2, 1))
+		for id := range RequestID(30) {
+			g.Existing(g.now, Request{ID: 100 + id, Load: 0.1}, g.servers[id%2].ID)
+		}
+		for _, s := range g.servers {
+			g.Probed(g.now, s.ID, OK, Report{Connections: c.reported, Load: 0.5, Util: -1, Backlog: -1})
+		}
+		if g.overShare(0) != c.over {
+			t.Errorf("%s: over its share %v", name, !c.over)
+		}
+	}
+}
+
 // TestDiscovery: one subscription, asked for with jitter, again after a failure and later each time.
 func TestDiscovery(t *testing.T) {
 	set := settings()
