Warm cold members with three quarters of the allowed load; retreat only on wide failure

With two of five members replaced and one banned, 286 requests were turned away at 9 to 17 s for want of room and 116 by the storm guard, while three cold members stood at x0 0.05 to 0.4.

Lines at fault: policy warmEnough, which left half of the multiple unused on top of the least capacity; Outcome, which lowered daring for the errors of one member that fails fast.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,6 @@
-// The events and actions are in policy/api.go. What a Balancer keeps is in policy/state.go, the checks
-// of settings in policy/settings.go, the hash in policy/hash.go. Every decision is in this file, in the
-// order in which a connection meets them. What follows the SERES thresholds, and what departs from them
-// and when, is in docs/design.md.
+// The events and actions are in policy/api.go, what a Balancer keeps is in policy/state.go. Every decision is
+// in this file, in the order in which a connection meets them. What follows the SERES thresholds, and what
+// departs from them and when, is in docs/design.md.
 
 package policy
 
@@ -51,6 +50,8 @@
 	askTogether = 6.0
 	// learn is the weight of one new report in what is learned from reports.
 	learn = 0.1
+	// coldPart of the stated multiple is used; the rest is for chance and for proxies that do not keep to it.
+	coldPart = 0.75
 	// priorReports is how many reports a server's own capacity needs to weigh as much as its kind's.
 	priorReports = 8.0
 )
@@ -104,9 +105,8 @@
 }
 
 func (b *Balancer) askLater() {
-	// Guards against a polling storm: proxies that fail together come back spread out, later each time, and
-	// the more of them there are. A call that waits too long is served all the same, so calls that come
-	// faster than they are served all fail, for good. Yet what is not asked for in time counts as told.
+	// Guards against a polling storm: proxies that fail together come back spread out, later each time and the
+	// more there are, or all calls wait too long for good. Yet what is not asked for in time counts as told.
 	many := max(float64(b.set.Balancers)/askTogether, 1)
 	span := min(many*math.Exp2(float64(min(b.asked, 2)))/20, 1) * float64(b.set.AskWithin)
 	b.act.Timer(time.Duration(span*b.rng.Float64()), tokenWatch)
@@ -538,9 +538,8 @@
 	if b.warmth(now, s) == 1 {
 		return true
 	}
-	// In mean loads a second: filling it over its warm-up, at the part of its capacity that it surely
-	// has. Half of the stated multiple is left for chance and for proxies that do not keep to it.
-	rate := b.set.FallMultiple / 2 * b.capacityOf(now, s) / b.unit() / b.set.ColdFor.Seconds() /
+	// In mean loads a second: filling it over its warm-up, at the part of its capacity that it surely has.
+	rate := coldPart * b.set.FallMultiple * b.capacityOf(now, s) / b.unit() / b.set.ColdFor.Seconds() /
 		float64(b.set.Balancers)
 	s.coldTokens = min(s.coldTokens+rate*(now-s.coldRefilled).Seconds(), 1)
 	s.coldRefilled = now
@@ -563,8 +562,7 @@
 	x := fill
 	if s.has {
 		trust := 1 / (1 + max(0, (now-s.since).Seconds())/b.slowest.Seconds())
-		// What is piled up keeps every message waiting, however little is asked for now: it counts as load
-		// that is to be gone by the next report.
+		// What is piled up keeps every message waiting: it counts as load to be gone by the next report.
 		x = trust*(s.report.Load+max(s.report.Backlog, 0)/b.lag().Seconds()) + (1-trust)*fill
 	} else if b.set.Reports == ReportsOff {
 		// Nothing is reported: this proxy's own connections, taken for a fair sample, are all there is.
@@ -800,7 +798,9 @@
 	}
 	r.stage, r.asked = 0, 0
 	if o.Result == Timeout || o.Result == Error {
-		b.daring = max(b.daring*retreat, daringLeast)
+		if b.widely() {
+			b.daring = max(b.daring*retreat, daringLeast)
+		}
 		pause := float64(b.set.Classes[r.Class].Aim) / 4 * math.Exp2(float64(r.tries)) * (0.5 + b.rng.Float64())
 		b.wait(r, time.Duration(pause))
 		return
@@ -808,6 +808,17 @@
 	b.place(now, r)
 }
 
+// widely says that most servers fail: the failures of one are no reason to send less to all.
+func (b *Balancer) widely() bool {
+	failing := 0
+	for _, s := range b.servers {
+		if s.fails > 0 {
+			failing++
+		}
+	}
+	return 2*failing > len(b.servers)
+}
+
 // Ended says that the client left or that the request is over.
 func (b *Balancer) Ended(now time.Duration, id RequestID) {
 	if r := b.requests[id]; r != nil {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -477,6 +477,27 @@
 	}
 }
 
+// TestColdBudget guards against cold servers that stand idle while others are pressed: over its warm-up one gets most
+// of what the rule allows at the least capacity it can have, and never all of it.
+func TestColdBudget(t *testing.T) {
+	set := settings()
+	g := newRig(set, fleet(1, 1))
+	s, now, r := g.servers[0], t0, &request{load: 1}
+	s.Started = t0
+	sent, allowed := 0.0, 0.0
+	for now < t0+set.ColdFor-100*ms {
+		now += 10 * ms
+		allowed += set.FallMultiple * g.capacityOf(now, s) / set.ColdFor.Seconds() * 0.01
+		if g.warmEnough(now, r, s) {
+			s.coldTokens--
+			sent++
+		}
+	}
+	if sent < 0.6*allowed || sent > 0.85*allowed {
+		t.Errorf("sent %v where %v are allowed", sent, allowed)
+	}
+}
+
 // TestEffects guards rule 2 for every effect and scope.
 func TestEffects(t *testing.T) {
 	tests := []struct {
@@ -864,6 +885,28 @@
 	}
 }
 
+// TestDaringOne guards against one server that fails fast and has requests turned away everywhere: what fails at most
+// servers makes a proxy send less, what fails at one does not.
+func TestDaringOne(t *testing.T) {
+	for most, want := range map[int]bool{1: false, 4: true} {
+		g := newRig(settings(), fleet(4, 1))
+		for round := range 20 {
+			for _, s := range g.servers[:most] {
+				s.until, s.bad = 0, false
+				q := Request{ID: RequestID(100 + 4*round), Deadline: g.now + time.Second, Load: 0.01}
+				q.ID += RequestID(s.ID) % 4 * 1000
+				g.admit(g.now, q)
+				r := g.requests[q.ID]
+				g.send(g.now, r, s, false)
+				g.Outcome(g.now, Outcome{ID: q.ID, Server: s.ID, Result: Error, Report: NoReport})
+			}
+		}
+		if got := g.daring < 0.5; got != want {
+			t.Errorf("%d of 4 fail: sends %v of its requests", most, g.daring)
+		}
+	}
+}
+
 // TestDiscovery: one subscription, asked for with jitter, again after a failure and later each time.
 func TestDiscovery(t *testing.T) {
 	set := settings()
