--- a/integration/line_test.go
+++ b/integration/line_test.go
@@ -204,12 +204,7 @@
 // answered, a front is told that the relay is not ready, and the program ends.
 func TestTerm(t *testing.T) {
 	s := newSite(t, 2, nil)
-	var held []*client
-	for n := range 10 {
-		c := s.open(n, "")
-		c.want("UP ")
-		held = append(held, c)
-	}
+	held := s.hold(10)
 	front, late := s.dial(), s.dial()
 	front.say("PING")
 	front.want("PONG")
@@ -220,10 +215,7 @@
 	late.say("OPEN 00000000000000aa 00000000000000bb c=pay-status,t=water,d=2000")
 	late.want("BUSY ")
 	late.want(io.EOF.Error())
-	for _, c := range held {
-		c.want("MOVE")
-		c.want(io.EOF.Error())
-	}
+	moved(held...)
 	if err := <-s.done; err != nil {
 		t.Errorf("ended with %v", err)
 	}
--- a/integration/operator_test.go
+++ b/integration/operator_test.go
@@ -66,22 +66,14 @@
 // arrives and moves everyone; resumed, it takes clients in and keeps them.
 func TestOperatorDrain(t *testing.T) {
 	s := operated(t, 2, nil)
-	var held []*client
-	for n := range 6 {
-		c := s.open(n, "")
-		c.want("UP ")
-		held = append(held, c)
-	}
+	held := s.hold(6)
 	front := s.dial()
 	s.put("/-/drain")
 	front.say("PING")
 	front.want("ERR")
 	late := s.open(10, "")
 	late.want("UP ")
-	for _, c := range append(held, late) {
-		c.want("MOVE")
-		c.want(io.EOF.Error())
-	}
+	moved(append(held, late)...)
 	if code := s.call("GET", "/-/ready"); code != 200 {
 		t.Errorf("ready while drained: %d", code)
 	}
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -547,6 +547,26 @@
 	return c
 }
 
+// hold opens so many flows.
+func (r *relay) hold(n int) (held []*client) {
+	r.t.Helper()
+	for i := range n {
+		c := r.open(i, "")
+		c.want("UP ")
+		held = append(held, c)
+	}
+	return held
+}
+
+// moved wants all of them to be asked to move.
+func moved(held ...*client) {
+	for _, c := range held {
+		c.t.Helper()
+		c.want("MOVE")
+		c.want(io.EOF.Error())
+	}
+}
+
 func (c *client) say(line string) {
 	c.t.Helper()
 	if _, err := io.WriteString(c, line+"\r\n"); err != nil {
--- a/integration/upgrade_test.go
+++ b/integration/upgrade_test.go
@@ -38,12 +38,7 @@
 // and the first alone ends.
 func TestUpgrade(t *testing.T) {
 	s := operated(t, 3, nil)
-	var held []*client
-	for n := range 6 {
-		c := s.open(n, "")
-		c.want("UP ")
-		held = append(held, c)
-	}
+	held := s.hold(6)
 	quiet, half, front := s.dial(), s.dial(), s.dial()
 	fmt.Fprint(half, "OPEN 00000000000000aa 00000000000000bb c=pay-sta")
 	front.say("PING")
@@ -86,10 +81,7 @@
 	held[0].want(io.EOF.Error())
 	s.tries.check(t)
 	third.cmd.Process.Signal(syscall.SIGTERM)
-	for _, c := range all[1:] {
-		c.want("MOVE")
-		c.want(io.EOF.Error())
-	}
+	moved(all[1:]...)
 	third.ends()
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -94,6 +94,16 @@
 	return s
 }
 
+// up brings so many flows that stand.
+func (r *rig) up(n int) (all []*side) {
+	for range n {
+		s := r.open()
+		r.Up(s.id, 0)
+		all = append(all, s)
+	}
+	return all
+}
+
 // pass moves the clock on, with a Tick whenever one is due.
 func (r *rig) pass(d time.Duration) {
 	for end := r.now + d; ; {
@@ -219,12 +229,7 @@
 // moves every flow, none while clients are still sent here.
 func TestStop(t *testing.T) {
 	r := newRig(t, 2)
-	var up []*side
-	for range 5 {
-		s := r.open()
-		r.Up(s.id, 0)
-		up = append(up, s)
-	}
+	up := r.up(5)
 	late := r.open()
 	r.Stop()
 	if s := r.open(); len(s.answers) != 1 || s.answers[0] != "rejected" {
@@ -385,12 +390,7 @@
 // and those that are left after a while are moved, all within the time of a stop.
 func TestGiveUp(t *testing.T) {
 	r := newRig(t, 2)
-	var up []*side
-	for range 5 {
-		s := r.open()
-		r.Up(s.id, 0)
-		up = append(up, s)
-	}
+	up := r.up(5)
 	r.GiveUp()
 	next := newRig(t, 2)
 	next.now += time.Hour
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -416,28 +416,21 @@
 	c.Lines("MOVE")
 	c.WantEnd()
 
-	c, m = askedOf(r, first)
-	m.Say("UP y\r\n")
-	c.Lines("UP y")
-	first.GiveFlows(1, func(p Flow, client, member int) {
-		p.Flow.Member = "unheard of"
-		if err := second.TakeFlow(p, client, member); err != nil {
-			t.Error(err)
-		}
-	})
-	c.Lines("MOVE")
-	c.WantEnd()
-
-	c, m = askedOf(r, first)
-	m.Say("UP z\r\n")
-	c.Lines("UP z")
-	first.GiveFlows(1, func(p Flow, client, member int) {
-		r.Drain(0)
-		if err := second.TakeFlow(p, client, member); err != nil {
-			t.Error(err)
-		}
-	})
-	r.Pass(time.Millisecond)
-	c.Lines("MOVE")
-	c.WantEnd()
+	for _, unlike := range []func(*Flow){
+		func(p *Flow) { p.Flow.Member = "unheard of" },
+		func(*Flow) { r.Drain(0) },
+	} {
+		c, m = askedOf(r, first)
+		m.Say("UP y\r\n")
+		c.Lines("UP y")
+		first.GiveFlows(1, func(p Flow, client, member int) {
+			unlike(&p)
+			if err := second.TakeFlow(p, client, member); err != nil {
+				t.Error(err)
+			}
+		})
+		r.Pass(time.Millisecond)
+		c.Lines("MOVE")
+		c.WantEnd()
+	}
 }
--- a/internal/front/nats/nats_test.go
+++ b/internal/front/nats/nats_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"dahliarudder/internal/core"
 	"dahliarudder/internal/netloop/looptest"
 )
 
@@ -190,3 +191,33 @@
 	s.c.Say("PING\r\n")
 	s.c.Lines("PONG")
 }
+
+// TestLeave: a drained relay tells its clients, ends those for whom it holds nothing
+// once they have had time to hear of it, and resumed in time ends nobody.
+func TestLeave(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	f := New(r.Loop, r.Core, r.Log, "n0", Config{Class: "pay", Tenant: "water"})
+	c := r.Dial(r.Serve(f.Accept))
+	info := func(ldm bool) {
+		t.Helper()
+		if line := c.Line(); !strings.Contains(line, fmt.Sprintf(`"ldm":%v`, ldm)) {
+			t.Fatalf("got %q, want ldm %v", line, ldm)
+		}
+	}
+	info(false)
+	c.Say("CONNECT {\"verbose\":true}\r\n")
+	c.Lines("+OK")
+	f.Leave()
+	info(true)
+	r.Pass(core.StopNotice - time.Millisecond)
+	f.Stay()
+	info(false)
+	r.Pass(sweepEvery)
+	c.Say("PING\r\n")
+	c.Lines("PONG")
+	f.Leave()
+	info(true)
+	r.Pass(core.StopNotice)
+	r.Pass(sweepEvery)
+	c.WantEnd()
+}
