A second process keeps its own discovery address when the first knows of none

Seen on a last reading: config.Succeed took an empty address over when the first process had no list to go on from (just after SIGHUP moved discovery) and the address stood in the variable alone; listening sockets of fronts that the second has off stayed open. Both are mended, the first with a test that fails without it.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -178,6 +178,7 @@
 	if err != nil {
 		return err
 	}
+	r.decline()
 	if r.twin != nil {
 		r.exchange()
 	} else if r.open = true; cfg.Operator != "" {
--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -272,6 +272,14 @@
 	r.state = nil
 }
 
+// decline gives back the first process's sockets of fronts that are off here.
+func (r *relay) decline() {
+	for _, fd := range r.inherited {
+		unix.Close(fd)
+	}
+	r.inherited = nil
+}
+
 // inherit listens by the first process's socket, if it has one at that address.
 func (r *relay) inherit(front, addr string, accept func(*netloop.Conn)) (*netloop.Listener, error) {
 	fd, ok := r.inherited[front]
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -190,7 +190,7 @@
 // if the file names that: a variable may be older than what SIGHUP has brought there.
 // It returns whether both ask at the same address.
 func (c *Config) Succeed(discovery string) bool {
-	if c.written == discovery {
+	if discovery != "" && c.written == discovery {
 		c.Discovery = discovery
 	}
 	return c.Discovery == discovery
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -99,3 +99,31 @@
 		t.Errorf("an address that is none: %v", err)
 	}
 }
+
+// TestSucceed: a second process goes on where the first one asks, if the file names
+// that address, over a variable that names an older one; it never loses its own for a
+// first process that knows of none. A second address must be one.
+func TestSucceed(t *testing.T) {
+	for _, c := range []struct {
+		file, first, want string
+		same              bool
+	}{
+		{"127.0.0.1:3", "127.0.0.1:3", "127.0.0.1:3", true},
+		{"127.0.0.1:3", "127.0.0.1:2", "127.0.0.1:2", true},
+		{"127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:2", false},
+		{"", "", "127.0.0.1:2", false},
+	} {
+		cfg, err := load(t, `{"discovery":"`+c.file+`",`+settingsText+`}`,
+			map[string]string{"EDGE_LISTEN": "127.0.0.1:1", "EDGE_DISCOVERY": "127.0.0.1:2", "EDGE_OPERATOR": "127.0.0.1:5"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if same := cfg.Succeed(c.first); same != c.same || cfg.Discovery != c.want || cfg.Operator != "127.0.0.1:5" {
+			t.Errorf("%+v: %s, same %v", c, cfg.Discovery, same)
+		}
+	}
+	if _, err := load(t, `{`+settingsText+`}`, map[string]string{"EDGE_LISTEN": "127.0.0.1:1",
+		"EDGE_DISCOVERY": "127.0.0.1:2", "EDGE_OPERATOR": "here"}); !errors.Is(err, ErrInvalid) {
+		t.Errorf("an operators' address that is none: %v", err)
+	}
+}
