Tidy: listener and connection code stands in its own files; one way to hold the fronts

From a last reading of the change; behaviour as it was. channel.go held what belongs to listeners and connections (Inherit, Hold, Detach, Attach and the limits), which now stand beside their like in loop.go and conn.go; four loops in the upgrade code that held or released the fronts are one.

--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -80,9 +80,7 @@
 	case n.Serving:
 		r.log.Info("a successor serves")
 		r.twin.serving = true
-		for _, l := range r.fronts {
-			l.Hold(true)
-		}
+		r.hold(true)
 		r.news()
 		if r.lines != nil {
 			r.lines.GiveFresh(func(fd int, unread []byte) {
@@ -205,6 +203,13 @@
 	}
 }
 
+// hold has the fronts take no client in, or go on.
+func (r *relay) hold(held bool) {
+	for _, l := range r.fronts {
+		l.Hold(held)
+	}
+}
+
 // alone goes on as the only process. A successor that has ended without taking over
 // leaves its clients to this one.
 func (r *relay) alone(err error) {
@@ -220,9 +225,7 @@
 		r.begin()
 		return
 	}
-	for _, l := range r.fronts {
-		l.Hold(false)
-	}
+	r.hold(false)
 	r.wait()
 }
 
@@ -233,9 +236,7 @@
 		return
 	}
 	r.open = true
-	for _, l := range r.fronts {
-		l.Hold(false)
-	}
+	r.hold(false)
 	r.tell(handover.Note{Serving: true})
 	r.wait()
 }
@@ -246,9 +247,7 @@
 	if r.twin == nil || !r.twin.serving {
 		return false
 	}
-	for _, l := range r.fronts {
-		l.Hold(true)
-	}
+	r.hold(true)
 	if r.twin.older {
 		r.twin.peer.Leave()
 		r.twin = nil
--- a/internal/netloop/channel.go
+++ b/internal/netloop/channel.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -240,82 +239,5 @@
 	return s, nil
 }
 
-// Inherit listens by a socket that another process has opened and listens by too.
-func (l *Loop) Inherit(fd int, accept func(*Conn)) (*Listener, error) {
-	s := &Listener{l: l, fd: fd, accept: accept, budget: &l.budget}
-	if err := l.add(fd, unix.EPOLLIN, s, &l.budget); err != nil {
-		unix.Close(fd)
-		return nil, fmt.Errorf("listening: %w", err)
-	}
-	return s, nil
-}
-
-// Fd is the socket, to be handed over.
-func (s *Listener) Fd() int { return s.fd }
-
-// Hold has the listener take nothing in, or go on. What waits in the queue of a
-// socket that another process shares is that one's.
-func (s *Listener) Hold(held bool) {
-	if s.held = held; s.fd >= 0 {
-		s.rest.Stop()
-		s.watch()
-	}
-}
-
-// Limit sets how many descriptors the loop may hold.
-func (l *Loop) Limit(most int) { l.limit = most }
-
-// Held is how many it holds.
-func (l *Loop) Held() int { return l.open }
-
-// Grant lets the loop hold so many more, which came from another process that holds
-// them no longer.
-func (l *Loop) Grant(more int) { l.limit += more }
-
 // Quiet says that nothing waits to be sent.
 func (c *Channel) Quiet() bool { return len(c.wait) == 0 }
-
-// Detachable says whether Detach would work: the connection stands, is not ending and
-// has nothing to send.
-func (c *Conn) Detachable() bool {
-	return c.fd >= 0 && c.dialling == nil && c.failing == nil && !c.ending && !c.eof && len(c.out) == 0
-}
-
-// Detach takes the connection off the loop without ending it, and returns its
-// descriptor, which is the caller's then, and the bytes that were not taken. It
-// returns -1 if that cannot be.
-func (c *Conn) Detach() (fd int, unread []byte) {
-	if !c.Detachable() {
-		return -1, nil
-	}
-	fd, err := unix.FcntlInt(uintptr(c.fd), unix.F_DUPFD_CLOEXEC, 0)
-	if err != nil {
-		return -1, nil
-	}
-	unread = c.in
-	c.release()
-	return fd, unread
-}
-
-// Attach takes over a descriptor that was detached, here or in another process, and
-// the bytes that were not taken there; they are handed to the handler by Resume.
-func (l *Loop) Attach(fd int, unread []byte, h Handler) (*Conn, error) {
-	c := newConn(l, fd, &l.budget)
-	if err := l.add(fd, unix.EPOLLIN, c, c.budget); err != nil {
-		unix.Close(fd)
-		return nil, err
-	}
-	c.interest, c.h, c.in = unix.EPOLLIN, h, unread
-	c.count()
-	return c, nil
-}
-
-// ListensAt says whether a socket stands at an address.
-func ListensAt(fd int, addr string) bool {
-	at, err := netip.ParseAddrPort(addr)
-	if err != nil {
-		return false
-	}
-	is, err := netip.ParseAddrPort(local(fd))
-	return err == nil && is.Addr().Unmap() == at.Addr().Unmap() && (at.Port() == 0 || is.Port() == at.Port())
-}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -222,6 +222,41 @@
 	c.release()
 }
 
+// Detachable says whether Detach would work: the connection stands, is not ending and
+// has nothing to send.
+func (c *Conn) Detachable() bool {
+	return c.fd >= 0 && c.dialling == nil && c.failing == nil && !c.ending && !c.eof && len(c.out) == 0
+}
+
+// Detach takes the connection off the loop without ending it, and returns its
+// descriptor, which is the caller's then, and the bytes that were not taken. It
+// returns -1 if that cannot be.
+func (c *Conn) Detach() (fd int, unread []byte) {
+	if !c.Detachable() {
+		return -1, nil
+	}
+	fd, err := unix.FcntlInt(uintptr(c.fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return -1, nil
+	}
+	unread = c.in
+	c.release()
+	return fd, unread
+}
+
+// Attach takes over a descriptor that was detached, here or in another process, and
+// the bytes that were not taken there; they are handed to the handler by Resume.
+func (l *Loop) Attach(fd int, unread []byte, h Handler) (*Conn, error) {
+	c := newConn(l, fd, &l.budget)
+	if err := l.add(fd, unix.EPOLLIN, c, c.budget); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	c.interest, c.h, c.in = unix.EPOLLIN, h, unread
+	c.count()
+	return c, nil
+}
+
 // release is the one place where a connection gives back what it owns.
 func (c *Conn) release() {
 	for _, t := range []*Timer{c.dialling, c.failing, c.farewell} {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -346,6 +346,48 @@
 	return s.l.add(s.fd, unix.EPOLLIN, s, &s.l.budget)
 }
 
+// Inherit listens by a socket that another process has opened and listens by too.
+func (l *Loop) Inherit(fd int, accept func(*Conn)) (*Listener, error) {
+	s := &Listener{l: l, fd: fd, accept: accept, budget: &l.budget}
+	if err := l.add(fd, unix.EPOLLIN, s, &l.budget); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	return s, nil
+}
+
+// Fd is the socket, to be handed over.
+func (s *Listener) Fd() int { return s.fd }
+
+// Hold has the listener take nothing in, or go on. What waits in the queue of a
+// socket that another process shares is that one's.
+func (s *Listener) Hold(held bool) {
+	if s.held = held; s.fd >= 0 {
+		s.rest.Stop()
+		s.watch()
+	}
+}
+
+// Limit sets how many descriptors the loop may hold.
+func (l *Loop) Limit(most int) { l.limit = most }
+
+// Held is how many it holds.
+func (l *Loop) Held() int { return l.open }
+
+// Grant lets the loop hold so many more, which came from another process that holds
+// them no longer.
+func (l *Loop) Grant(more int) { l.limit += more }
+
+// ListensAt says whether a socket stands at an address.
+func ListensAt(fd int, addr string) bool {
+	at, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return false
+	}
+	is, err := netip.ParseAddrPort(local(fd))
+	return err == nil && is.Addr().Unmap() == at.Addr().Unmap() && (at.Port() == 0 || is.Port() == at.Port())
+}
+
 // Addr is the address that the socket is bound to.
 func (s *Listener) Addr() string { return local(s.fd) }
 
