Core: feeds, whose messages travel on one placed flow in a window with order and attempts kept

Need: publications were placed one by one, each like a connection of half a minute; see docs/design/nats.md.

The loop reads into one buffer of its own and sends what is queued in a round with one call.

No front uses feeds yet.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dahliarudder/internal/settings"
+	"dahliarudder/internal/window"
 	"dahliarudder/policy"
 )
 
@@ -130,8 +131,13 @@
 	back    time.Duration // when they put it back
 	left    bool          // it drains, is gone or is banned
 	told    time.Duration // when that was told
+	flows   int // attempts out and open flows
 	slow    bool
 	noted   time.Duration
+	pace    *window.Pace  // of the messages that are out there
+	paced   time.Duration // the start that it was made for
+	joined  time.Duration // when it was first named, if that was while we watched
+	line    []*Feed       // that wait for it
 }
 
 // Core is the state of one relay. All calls come from one goroutine.
@@ -148,6 +154,7 @@
 	running  bool
 	alarms   alarms
 	armed    time.Duration
+	feeds    map[ID]*Feed
 	bans     map[string]bool // by name, also of members that are not listed
 	stopping bool
 	draining bool
@@ -158,12 +165,13 @@
 // Counts is what has happened so far.
 type Counts struct {
 	Requests, Served, Rejected, Failed, Left, Attempts, Moves, Barred int
+	Messages                                                          Messages
 }
 
 // New makes a Core.
 func New(o Options) *Core {
 	c := &Core{Options: o, set: policy.Sane(o.Settings.Policy()), requests: map[ID]*request{},
-		members: map[policy.ServerID]*member{}, byName: map[string]*member{}, bans: map[string]bool{}, armed: math.MaxInt64}
+		members: map[policy.ServerID]*member{}, byName: map[string]*member{}, feeds: map[ID]*Feed{}, bans: map[string]bool{}, armed: math.MaxInt64}
 	if c.grace = settings.Span(o.Settings.Guarantees.Grace); c.grace <= 0 {
 		c.grace = 250 * time.Millisecond
 	}
@@ -178,6 +186,14 @@
 // Holds says whether a request is on its way or stands as an open flow.
 func (c *Core) Holds(id ID) bool { return c.requests[id] != nil }
 
+// Flows is how many flows this relay holds at a member or is setting up there.
+func (c *Core) Flows(id policy.ServerID) int {
+	if m := c.members[id]; m != nil {
+		return m.flows
+	}
+	return 0
+}
+
 // Limits is the settings as the module made them sane.
 func (c *Core) Limits() policy.Settings { return c.set }
 
@@ -334,6 +350,9 @@
 		if m == nil {
 			m = &member{noted: -noteEvery, banned: c.bans[e.Name], started: e.Started}
 			c.members[e.ID] = m
+			if kind == policy.ListDelta {
+				m.joined = now
+			}
 		}
 		m.Member, m.listed = e, e.Server
 		c.byName[e.Name] = m
@@ -469,6 +488,10 @@
 		a := heap.Pop(&c.alarms).(due)
 		r := c.requests[a.id]
 		switch {
+		case a.try == feedDue:
+			if f := c.feeds[a.id]; f != nil {
+				f.due(now)
+			}
 		case r == nil:
 		case a.try == moveFlow:
 			if r.leave == a.at {
@@ -523,6 +546,7 @@
 	r := &request{Request: p.Request, id: c.last, v: v, deadline: now, tries: 1, member: m, sent: now - p.Age,
 		standing: true, open: true}
 	c.requests[r.id] = r
+	m.flows++
 	c.Counts.Requests++
 	c.Counts.Attempts++
 	c.record(r, Served)
@@ -637,13 +661,12 @@
 	}
 }
 
-// gate is the one place that says whether an attempt may start: none after the
-// final answer, no second one out, no more than the settings allow, none that
-// the client no longer waits for, and none to a member that has left for longer
-// than the grace.
-func (c *Core) gate(now time.Duration, r *request, m *member) bool {
-	return !r.answered && r.member == nil && r.tries < c.set.MaxAttempts && now < r.deadline &&
-		m != nil && c.reachable(now, m)
+// gate is the one place that says whether an attempt may start, of a request or of a
+// message on a feed: none after the final answer, no second one out, no more than the
+// settings allow, none that the client no longer waits for, and none to a member that has
+// left for longer than the grace.
+func (c *Core) gate(now time.Duration, settled bool, tries int, due time.Duration, m *member) bool {
+	return !settled && tries < c.set.MaxAttempts && now < due && m != nil && c.reachable(now, m)
 }
 
 // reachable says whether anything new may go to a member, a probe as well.
@@ -657,7 +680,7 @@
 
 func (c *Core) send(r *request, v policy.Verdict) {
 	now, m := c.Clock(), c.members[v.Server]
-	if !c.gate(now, r, m) {
+	if !c.gate(now, r.answered || r.member != nil, r.tries, r.deadline, m) {
 		c.Counts.Barred++
 		c.tell(policy.End{ID: r.id, Try: r.tries, Server: v.Server, Result: policy.Moot, Closed: r.answered,
 			Report: policy.NoReport})
@@ -673,6 +696,7 @@
 
 func (c *Core) start(now time.Duration, r *request, m *member, wait time.Duration) {
 	r.member, r.sent = m, now
+	m.flows++
 	r.tries++
 	c.Counts.Attempts++
 	r.v.Send(r.id, &m.Member, r.tries-1, wait)
@@ -682,6 +706,7 @@
 func (c *Core) ended(r *request, result policy.Result, report policy.Report) {
 	m, try := r.member, r.tries-1
 	r.member = nil
+	m.flows--
 	if c.Ledger != nil {
 		c.Ledger.Attempt(&r.Request, r.id, try, m.Name, r.sent, c.Clock(), result)
 	}
@@ -754,8 +779,11 @@
 
 // ---- Time ----
 
-// moveFlow stands in an alarm in place of a try; -1 there is the deadline.
-const moveFlow = -2
+// These stand in an alarm in place of a try; -1 there is the deadline.
+const (
+	moveFlow = -2
+	feedDue  = -3
+)
 
 func (c *Core) alarm(at time.Duration, id ID, try int) {
 	heap.Push(&c.alarms, due{at, id, try})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -152,11 +152,12 @@
 	r := newRig(t, 2)
 	s := r.open()
 	q, m := r.requests[s.id], r.members[11]
-	if r.gate(r.now, q, m) {
+	open := func(m *member) bool { return r.gate(r.now, q.answered || q.member != nil, q.tries, q.deadline, m) }
+	if open(m) {
 		t.Error("a second attempt while one is out")
 	}
 	q.member = nil
-	if !r.gate(r.now, q, m) {
+	if !open(m) {
 		t.Fatal("the gate is shut")
 	}
 	for name, shut := range map[string]func() (undo func()){
@@ -169,13 +170,13 @@
 		},
 	} {
 		undo := shut()
-		if r.gate(r.now, q, m) {
+		if open(m) {
 			t.Errorf("%s: the gate is open", name)
 		}
 		undo()
 	}
 	m.left, m.told = true, r.now-250*time.Millisecond
-	if !r.gate(r.now, q, m) || r.gate(r.now, q, nil) {
+	if !open(m) || open(nil) {
 		t.Error("the grace is not kept, or an unknown member let in")
 	}
 }
--- /dev/null
+++ b/internal/core/feed.go
@@ -0,0 +1,465 @@
+package core
+
+import (
+	"time"
+
+	"dahliarudder/internal/window"
+	"dahliarudder/policy"
+)
+
+// A feed is the publishing side of one client for one class and tenant. It is placed once, as
+// any flow, and its messages travel on that flow. What a message may never do is enforced
+// here and in gate; what is sent next and what comes back is package window's. See
+// docs/design/nats.md.
+
+// Carrier is the wire's side of a feed. None of its calls may call the feed back but
+// through the loop.
+type Carrier interface {
+	// Connect starts the link of a new flow, which is abandoned after wait. It ends in Stands
+	// or Lost.
+	Connect(to *Member, wait time.Duration)
+	// Carry hands a message to the link and notes its Offset there. It is acknowledged by
+	// Taken, in its turn.
+	Carry(text []byte, m *window.Message)
+	// Cut ends the link, if there is one, so that nothing more can be taken there. It
+	// returns how many of its bytes have left.
+	Cut() (left uint64)
+	// Answer is the final answer of a message; after is when to come again with one that is
+	// rejected.
+	Answer(m *window.Message, text []byte, a Answer, after time.Duration)
+	// Room says that the window has room again after Put found none.
+	Room()
+}
+
+// Messages is what has happened to the messages on feeds.
+type Messages struct{ Taken, Served, Rejected, Failed, Attempts, Repeated int }
+
+// What a feed is doing.
+type feedState uint8
+
+const (
+	feedIdle    feedState = iota // it has no flow
+	feedPlacing                  // core looks for a member
+	feedUp                       // its flow stands
+	feedLeaving                  // its flow was given up; what is out may still be acknowledged
+	feedPausing                  // its flow was refused; it asks again
+)
+
+const (
+	// feedRest is after how long without a message a feed gives its place up.
+	feedRest = 30 * time.Second
+	// feedAgain is when a feed asks again that was failed without a word when.
+	feedAgain = 150 * time.Millisecond
+	// feedTurn is how many messages a feed may send to a cold member before others have a
+	// turn.
+	feedTurn = 4
+)
+
+// Feed is the publishing side of a client.
+type Feed struct {
+	c       *Core
+	q       Request
+	carrier Carrier
+	w       *window.Window
+	name    ID // its own, for alarms
+	state   feedState
+	flow    ID // the flow's request
+	try     int
+	member  *member // where its messages go
+	stood   bool    // it had a flow before
+	pauses  time.Duration
+	used    time.Duration
+	armed   time.Duration // when its alarm is due; 0 if there is none
+	full    bool          // Put found no room
+	lined   bool          // it waits in the member's line
+	over    bool
+}
+
+// FeedLimits bounds what one feed holds.
+type FeedLimits struct{ Messages, Bytes int }
+
+// Feed makes a feed. Nothing is placed before its first message.
+func (c *Core) Feed(q Request, l FeedLimits, carrier Carrier) *Feed {
+	c.last++
+	class := c.set.Classes[q.Class]
+	f := &Feed{c: c, q: q, carrier: carrier, name: c.last, w: window.New(window.Limits{Messages: l.Messages,
+		Bytes: l.Bytes, Attempts: c.set.MaxAttempts, Aim: class.Aim,
+		Repeat: class.Effect == policy.Safe || class.Effect == policy.Keyed && class.Scope == policy.ScopeAll})}
+	c.feeds[f.name] = f
+	return f
+}
+
+// ---- What fronts tell ----
+
+// Room says whether Put may be called; if not, the carrier's Room will say when.
+func (f *Feed) Room() bool {
+	f.full = !f.w.Room()
+	return !f.full
+}
+
+// Buffer is where the text of the next message is appended, for Put.
+func (f *Feed) Buffer() []byte { return f.w.Buffer() }
+
+// Oldest is the mark of the oldest message without a final answer.
+func (f *Feed) Oldest() (uint64, bool) { return f.w.Oldest() }
+
+// Put takes a message. Its text was appended to Buffer, its time runs from now.
+func (f *Feed) Put(m window.Message, text []byte) {
+	c, now := f.c, f.c.Clock()
+	c.last++
+	m.ID, m.Due = uint64(c.last), now+f.q.Wait
+	c.Counts.Messages.Taken++
+	f.used = now
+	switch {
+	case c.Ledger != nil && !c.Ledger.Ready(): // what cannot be recorded is not sent
+		f.turnAway(&m, text, stopAfter)
+		return
+	case f.state == feedPausing && m.Due <= f.pauses:
+		f.turnAway(&m, text, f.pauses-now)
+		return
+	}
+	f.w.Put(m, text)
+	switch f.state {
+	case feedIdle:
+		f.place()
+	case feedUp:
+		f.pump(now)
+	}
+	f.arm()
+}
+
+// turnAway answers a message that the window has not taken in.
+func (f *Feed) turnAway(m *window.Message, text []byte, after time.Duration) {
+	f.settle(m, Rejected)
+	f.carrier.Answer(m, text[len(f.w.Buffer()):], Rejected, after)
+}
+
+// Stands says that the link is up and takes messages.
+func (f *Feed) Stands() {
+	if f.state != feedPlacing || !f.c.Up(f.flow, f.try) {
+		return
+	}
+	if f.state == feedPlacing { // it may have been moved by that very word
+		f.state, f.stood = feedUp, true
+		f.pump(f.c.Clock())
+	}
+	f.arm()
+}
+
+// Taken says that the member has taken the n oldest messages that are out.
+func (f *Feed) Taken(n int) {
+	c, now := f.c, f.c.Clock()
+	settled, served := f.w.Out(), 0
+	f.w.Taken(now, n, func(m *window.Message) {
+		served++
+		f.attempt(m, policy.OK)
+		f.answer(m, Served, 0)
+	})
+	f.used = now
+	f.release(settled-f.w.Out(), served)
+	switch {
+	case f.w.Settled():
+		f.end(policy.Error, f.carrier.Cut())
+	case f.state == feedLeaving && f.w.Out() == 0:
+		f.end(policy.Cancelled, f.carrier.Cut())
+	case f.state == feedUp:
+		f.pump(now)
+	}
+	c.serveLine(f.member)
+	f.room()
+	f.arm()
+}
+
+// Refused says that the member has refused the oldest message of that subject that is out. It
+// returns whether there is one.
+func (f *Feed) Refused(subject uint64) bool { return f.w.Refused(subject) != nil }
+
+// Lost says that the link is gone, of whose bytes so many have left.
+func (f *Feed) Lost(result policy.Result, left uint64) {
+	f.end(result, left)
+	f.room()
+	f.arm()
+}
+
+// Close ends the feed with its client; what is out may or may not be taken.
+func (f *Feed) Close() {
+	if f.over {
+		return
+	}
+	f.over = true
+	f.back(policy.Cancelled, f.carrier.Cut())
+	f.w.GiveUp(1<<62, func(m *window.Message, _ bool) { f.settle(m, Lost) })
+	state := f.state
+	f.state = feedIdle
+	if state == feedPlacing || state == feedUp {
+		f.c.Left(f.flow)
+	}
+	delete(f.c.feeds, f.name)
+}
+
+// ---- The flow: Feed is the virtual server of its own ----
+
+func (f *Feed) place() {
+	if f.over || f.w.Idle() {
+		f.state = feedIdle
+		return
+	}
+	f.state = feedPlacing
+	q := f.q
+	q.Again = f.stood
+	if id := f.c.Open(q, f); f.state == feedPlacing {
+		f.flow = id
+	}
+}
+
+// Send starts a link to a member.
+func (f *Feed) Send(id ID, to *Member, try int, wait time.Duration) {
+	f.flow, f.try, f.member = id, try, f.c.members[to.ID]
+	f.carrier.Connect(to, wait)
+}
+
+// Cancel abandons the link, in setting up or as a whole.
+func (f *Feed) Cancel(int) { f.back(policy.Cancelled, f.carrier.Cut()) }
+
+// Reject has the feed ask again. What has no time left until then is answered at once.
+func (f *Feed) Reject(after time.Duration) { f.pause(after) }
+
+// Fail does the same.
+func (f *Feed) Fail() { f.pause(feedAgain) }
+
+func (f *Feed) pause(after time.Duration) {
+	now := f.c.Clock()
+	f.state, f.pauses = feedPausing, now+after
+	if f.c.stopping {
+		f.w.GiveUp(1<<62, func(m *window.Message, ran bool) { f.giveUp(m, ran, after) })
+	} else {
+		f.w.GiveUp(now+after, func(m *window.Message, ran bool) { f.giveUp(m, ran, after) })
+	}
+	f.room()
+	f.arm()
+}
+
+// Move gives the place up: nothing more is handed to the link, and once what is out there has
+// been acknowledged, or the link has ended, a new place is asked for.
+func (f *Feed) Move() {
+	f.state = feedLeaving
+	f.soon(f.c.Clock()) // after the core is done with the flow
+}
+
+// end gives a link up that has ended, or was cut just now.
+func (f *Feed) end(result policy.Result, left uint64) {
+	if f.over {
+		return
+	}
+	state := f.state
+	f.back(result, left)
+	switch state {
+	case feedPlacing: // core makes the next attempt or refuses
+		f.c.Ended(f.flow, f.try, result, policy.NoReport)
+	case feedUp:
+		f.state = feedLeaving
+		f.c.Ended(f.flow, f.try, result, policy.NoReport)
+		f.place()
+	case feedLeaving:
+		f.place()
+	}
+}
+
+// back takes in what was out on a link that has surely ended.
+func (f *Feed) back(result policy.Result, left uint64) {
+	out := f.w.Out()
+	f.w.Back(left, func(m *window.Message, r window.Result) {
+		switch {
+		case r == window.Turned:
+			f.attempt(m, policy.Error)
+		case r == window.NotLeft:
+			f.attempt(m, policy.ConnectFailed)
+		case result == policy.OK || result == policy.ConnectFailed:
+			f.attempt(m, policy.Reset)
+		default:
+			f.attempt(m, result)
+		}
+		f.c.Counts.Messages.Repeated++
+	}, func(m *window.Message) { f.answer(m, Failed, 0) })
+	f.w.GiveUp(f.c.Clock(), func(m *window.Message, ran bool) { f.giveUp(m, ran, feedAgain) })
+	f.release(out, 0)
+	if f.member != nil {
+		f.c.serveLine(f.member)
+	}
+}
+
+// ---- Sending ----
+
+// pump hands messages to the link while the window, the gate and the pace of a cold member let it.
+func (f *Feed) pump(now time.Duration) {
+	c, m := f.c, f.member
+	pace := m.paceOf(c)
+	for turn := 0; f.state == feedUp; turn++ {
+		next := f.w.Next()
+		if next == nil {
+			return
+		}
+		if !c.gate(now, false, next.Tries, next.Due, m) {
+			c.Counts.Barred++
+			if !c.reachable(now, m) { // it should have been moved before
+				f.state = feedLeaving
+				c.Ended(f.flow, f.try, policy.Cancelled, policy.NoReport)
+				f.soon(now)
+			}
+			return // else its time is over: the alarm gives it up
+		}
+		if pace.Cold(now) && (!pace.Free(now) || turn >= feedTurn && len(m.line) > 0) {
+			c.lineUp(m, f)
+			return
+		}
+		pace.Sent()
+		f.w.Begin(now)
+		c.Counts.Messages.Attempts++
+		f.carrier.Carry(f.w.Text(next), next)
+	}
+}
+
+// paceOf is what bounds the messages to a member that has just started.
+func (m *member) paceOf(c *Core) *window.Pace {
+	if started := max(m.Started, m.joined); m.pace == nil || m.paced != started {
+		m.pace, m.paced = window.NewPace(started, c.set.ColdFor), started
+	}
+	return m.pace
+}
+
+// release gives back what the pace counted.
+func (f *Feed) release(n, taken int) {
+	if f.member != nil && f.member.pace != nil && n > 0 {
+		f.member.pace.Back(n, taken)
+	}
+}
+
+func (c *Core) lineUp(m *member, f *Feed) {
+	if !f.lined {
+		f.lined = true
+		m.line = append(m.line, f)
+	}
+}
+
+// serveLine lets feeds go on that wait for a cold member, in their turn.
+func (c *Core) serveLine(m *member) {
+	if m == nil || m.pace == nil {
+		return
+	}
+	now := c.Clock()
+	for n := len(m.line); n > 0 && len(m.line) > 0 && m.pace.Free(now); n-- {
+		f := m.line[0]
+		m.line = m.line[1:]
+		f.lined = false
+		if f.state == feedUp && f.member == m {
+			f.pump(now)
+			f.arm()
+		}
+	}
+}
+
+// ---- Answers ----
+
+func (f *Feed) giveUp(m *window.Message, ran bool, after time.Duration) {
+	if ran {
+		f.answer(m, Failed, 0)
+	} else {
+		f.answer(m, Rejected, after)
+	}
+}
+
+func (f *Feed) answer(m *window.Message, a Answer, after time.Duration) {
+	f.settle(m, a)
+	if !f.over {
+		f.carrier.Answer(m, f.w.Text(m), a, after)
+	}
+}
+
+// settle records the final answer of a message.
+func (f *Feed) settle(m *window.Message, a Answer) {
+	n := &f.c.Counts.Messages
+	switch a {
+	case Served:
+		n.Served++
+	case Rejected:
+		n.Rejected++
+	default:
+		n.Failed++
+	}
+	if f.c.Ledger != nil {
+		q := f.q
+		q.Name = m.Name
+		f.c.Ledger.Answer(&q, ID(m.ID), f.c.Clock(), a, m.Tries)
+	}
+}
+
+// attempt records the end of an attempt of a message.
+func (f *Feed) attempt(m *window.Message, result policy.Result) {
+	if f.c.Ledger != nil {
+		q := f.q
+		q.Name = m.Name
+		f.c.Ledger.Attempt(&q, ID(m.ID), m.Tries-1, f.member.Name, m.Sent, f.c.Clock(), result)
+	}
+}
+
+// room tells the front that there is room again.
+func (f *Feed) room() {
+	if f.full && f.w.Room() && !f.over {
+		f.full = false
+		f.carrier.Room()
+	}
+}
+
+// ---- Time ----
+
+// arm has due called when something may be due. There is one alarm for a feed at most, which is
+// not moved on with each message: when it comes too early, it is set again.
+func (f *Feed) arm() {
+	at, ok := f.w.Due()
+	if silent, out := f.w.Silent(); out {
+		at, ok = min(at, silent), true
+	}
+	if f.state == feedPausing && (!ok || f.pauses < at) {
+		at, ok = f.pauses, true
+	}
+	if f.state == feedUp && !ok {
+		at, ok = f.used+feedRest, true
+	}
+	if ok {
+		f.soon(at)
+	}
+}
+
+func (f *Feed) soon(at time.Duration) {
+	if f.armed == 0 || at < f.armed {
+		f.armed = at
+		f.c.alarm(at, f.name, feedDue)
+		f.c.arm()
+	}
+}
+
+func (f *Feed) due(now time.Duration) {
+	if f.armed > now {
+		return // an alarm that an earlier one has replaced
+	}
+	f.armed = 0
+	silent, out := f.w.Silent()
+	switch {
+	case out && silent <= now:
+		f.end(policy.Timeout, f.carrier.Cut())
+	case f.state == feedLeaving && !out:
+		f.end(policy.Cancelled, f.carrier.Cut())
+	case f.state == feedPausing && f.pauses <= now:
+		f.place()
+	case f.state == feedUp && f.w.Idle() && now-f.used >= feedRest:
+		f.state = feedIdle
+		f.c.Left(f.flow)
+	case f.state == feedUp:
+		f.pump(now)
+	}
+	if _, out := f.w.Silent(); !out {
+		f.w.GiveUp(now, func(m *window.Message, ran bool) { f.giveUp(m, ran, feedAgain) })
+	}
+	f.room()
+	f.arm()
+}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -70,6 +70,7 @@
 	spare    *list.Element
 	giveUp   func()
 	budget   *budget
+	dirty    bool // what Queue has kept leaves at the end of the round
 }
 
 func newConn(l *Loop, fd int, from *budget) *Conn {
@@ -172,6 +173,48 @@
 	c.update()
 }
 
+// Queue is Write for those who write often: b leaves with all that is queued in this
+// round of the loop, at its end.
+func (c *Conn) Queue(b []byte) { c.Commit(append(c.Buffer(), b...)) }
+
+// Buffer is what is unsent, for a caller that appends to it and at once calls Commit
+// with the result. This spares the copy that Queue makes.
+func (c *Conn) Buffer() []byte {
+	if c.fd < 0 || c.ending || c.failing != nil {
+		return c.l.scrap[:0] // thrown away by Commit
+	}
+	if c.out == nil {
+		c.out = c.l.borrow()
+	}
+	return c.out
+}
+
+// Commit ends what Buffer has begun.
+func (c *Conn) Commit(out []byte) {
+	if c.fd < 0 || c.ending || c.failing != nil {
+		c.l.scrap = out
+		return
+	}
+	c.out = out
+	c.count()
+	if !c.dirty {
+		c.dirty = true
+		c.l.dirty = append(c.l.dirty, c)
+	}
+	if len(c.out) > c.outMost+outOver || len(c.out) > OutBound+outOver && c.l.crammed() {
+		c.later(ErrOverflow)
+	}
+}
+
+// push sends what was queued in this round.
+func (c *Conn) push() {
+	c.dirty = false
+	if c.fd >= 0 && c.dialling == nil && c.failing == nil && c.interest&unix.EPOLLOUT == 0 {
+		c.flush()
+		c.update()
+	}
+}
+
 // later tells an error met inside a call of the handler's from the loop.
 func (c *Conn) later(err error) {
 	if c.failing == nil {
@@ -264,6 +307,7 @@
 	}
 	c.Spare(nil)
 	c.left += len(c.out)
+	c.l.giveBack(c.out)
 	c.h, c.in, c.out, c.ending = deaf{}, nil, nil, true
 	c.count()
 	if c.fd >= 0 {
@@ -330,6 +374,7 @@
 	if len(c.out) > 0 {
 		return
 	}
+	c.l.giveBack(c.out)
 	c.out = nil
 	c.flushed()
 	c.h.Drained()
@@ -350,7 +395,7 @@
 // read takes in what is there. What comes after Finish is thrown away: closing
 // a socket with unread bytes would reset it.
 func (c *Conn) read(events uint32) {
-	var chunk [InBound]byte
+	chunk := c.l.chunk
 	for range readMost {
 		if c.fd < 0 || c.eof {
 			return
@@ -382,8 +427,7 @@
 			return
 		}
 		if !c.ending {
-			c.in = append(c.in, chunk[:n]...)
-			c.offer()
+			c.takeIn(chunk[:n])
 			if len(c.in) > InBound && c.l.crammed() {
 				c.fail(ErrOverflow)
 				return
@@ -406,6 +450,23 @@
 	}
 }
 
+// takeIn hands over bytes that were just read. Where none are kept already they go from the
+// loop's own buffer, and only what the handler leaves is copied.
+func (c *Conn) takeIn(b []byte) {
+	if len(c.in) > 0 {
+		c.in = append(c.in, b...)
+		c.offer()
+		return
+	}
+	c.busy = true
+	n := c.h.Data(b)
+	c.busy = false
+	if n = min(n, len(b)); n < len(b) && !c.ending {
+		c.in = append([]byte(nil), b[n:]...)
+	}
+	c.count()
+}
+
 // offer hands the unread bytes to the handler.
 func (c *Conn) offer() {
 	if len(c.in) == 0 {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -66,6 +66,11 @@
 	most       int     // how many that may be; 0 for no bound
 	events     [256]unix.EpollEvent
 	stopped    bool
+	spell      time.Duration
+	chunk      []byte   // what one read may bring
+	dirty      []*Conn  // that have something queued
+	free       [][]byte // buffers that nothing is in
+	scrap      []byte   // where writing goes that nobody sends
 
 	mu     sync.Mutex
 	posted []func()
@@ -83,7 +88,7 @@
 		unix.Close(poll)
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	l := &Loop{poll: poll, wake: wake, now: now, sources: map[int]source{}, budget: budget{limit: limit}}
+	l := &Loop{poll: poll, wake: wake, now: now, sources: map[int]source{}, budget: budget{limit: limit}, chunk: make([]byte, chunkSize)}
 	if err := l.watch(unix.EPOLL_CTL_ADD, wake, unix.EPOLLIN); err != nil {
 		unix.Close(poll)
 		unix.Close(wake)
@@ -96,6 +101,10 @@
 // Now is the loop's clock.
 func (l *Loop) Now() time.Duration { return l.now() }
 
+// Spell is how long the last round took: what is timed by this loop may be later by so much
+// for the loop's own work.
+func (l *Loop) Spell() time.Duration { return l.spell }
+
 // Free is how many more descriptors may be opened.
 func (b *budget) Free() int { return b.limit - b.open }
 
@@ -151,16 +160,49 @@
 	if err != nil && err != unix.EINTR {
 		return fmt.Errorf("epoll: %w", err)
 	}
+	began := l.now()
+	defer func() { l.spell = l.now() - began }()
 	for _, e := range l.events[:max(n, 0)] {
 		if s := l.sources[int(e.Fd)]; s != nil {
 			s.ready(e.Events)
 		}
 	}
 	l.fire()
+	for len(l.dirty) > 0 { // a push may have its handler queue more
+		batch := l.dirty
+		l.dirty = nil
+		for _, c := range batch {
+			c.push()
+		}
+	}
 	l.bury()
 	return nil
 }
 
+// chunkSize is the most that one read brings, and the size of the buffers that are kept
+// for the next writer, so many at most.
+const (
+	chunkSize = 64 << 10
+	freeMost  = 32
+)
+
+// borrow gets an empty buffer, and giveBack returns one. Without this every round of a
+// busy connection would have a buffer grow anew.
+func (l *Loop) borrow() []byte {
+	if n := len(l.free); n > 0 {
+		b := l.free[n-1]
+		l.free = l.free[:n-1]
+		return b[:0]
+	}
+	return make([]byte, 0, 512)
+}
+
+func (l *Loop) giveBack(b []byte) {
+	if cap(b) > 0 && cap(b) <= 2*chunkSize && len(l.free) < freeMost {
+		l.free = append(l.free, b)
+	}
+}
+
 func (l *Loop) bury() {
 	for _, s := range l.spent {
 		unix.Close(s.fd)
--- /dev/null
+++ b/internal/window/window.go
@@ -0,0 +1,308 @@
+// Package window is the memory of one feed: the messages that a client has published and
+// that have no final answer yet, in their order. It decides what may be sent next, what an
+// acknowledgement settles, what a lost link brings back and what is given up. It does no
+// I/O and is told the time. See docs/design/nats.md, "The window".
+package window
+
+import "time"
+
+// Start is how many messages of a feed are out at first, and again after a lost link.
+const Start = 16
+
+// The parts of the aim within which an acknowledgement lets the window grow, and beyond which
+// it is halved; and the part of a message's time that one attempt may take.
+const (
+	quick, late = 0.25, 0.5
+	patience    = 0.6
+)
+
+// Limits is what a window may hold and how it repeats.
+type Limits struct {
+	Messages int // waiting and out together
+	Bytes    int
+	Attempts int           // of one message
+	Aim      time.Duration // within which an acknowledgement is wanted
+	Repeat   bool          // what may have been taken may be sent again
+}
+
+// Message is one of them.
+type Message struct {
+	ID      uint64
+	Name    string        // for the record; may be empty
+	Subject uint64        // messages of one subject keep their order
+	Mark    uint64        // the front's own number, which grows from message to message
+	Due     time.Duration // when its time is over
+	Sent    time.Duration // when its latest attempt began
+	Offset  uint64        // how many bytes the link had been given after it; the carrier's
+	Tries   int
+	ran     bool // an attempt may have been taken
+	state   state
+	at, end int // where its text stands
+}
+
+type state uint8
+
+const (
+	waiting state = iota
+	out
+	refused  // by the member, which has not taken it
+	answered // it has its final answer
+)
+
+// Result is how an attempt ended that has brought no answer.
+type Result uint8
+
+// The results.
+const (
+	NotLeft Result = iota // its bytes never left
+	Lost                  // it may have been taken
+	Turned                // the member refused it
+)
+
+// Window is the messages of one feed.
+type Window struct {
+	Limits
+	ring  []Message // a power of two; message n stands at n modulo that
+	head  uint64    // the oldest without a final answer
+	acked uint64    // the oldest that is out and not acknowledged
+	sent  uint64    // the next to be sent
+	next  uint64    // the next to come
+	text  []byte    // of the messages from head on, with gaps
+	base  int       // how much text has gone before
+	bytes int       // that count against the limit
+	most  int       // how many may be out
+	cut   time.Duration
+	held  bool // a message was refused: nothing is sent until all that is out is settled
+}
+
+// New makes an empty window.
+func New(l Limits) *Window {
+	l.Messages, l.Bytes, l.Attempts = max(l.Messages, 1), max(l.Bytes, 1), max(l.Attempts, 1)
+	return &Window{Limits: l, most: min(Start, l.Messages)}
+}
+
+// Room says whether another message is taken in.
+func (w *Window) Room() bool { return w.Len() < w.Messages && w.bytes < w.Bytes }
+
+// Len is how many messages it holds, and Out how many of them are out.
+func (w *Window) Len() int { return int(w.next - w.head) }
+
+// Out is how many messages are out and not acknowledged.
+func (w *Window) Out() int { return int(w.sent - w.acked) }
+
+// Idle says that it holds nothing.
+func (w *Window) Idle() bool { return w.head == w.next }
+
+// Oldest is the mark of the oldest message without a final answer.
+func (w *Window) Oldest() (mark uint64, ok bool) {
+	if w.Idle() {
+		return 0, false
+	}
+	return w.at(w.head).Mark, true
+}
+
+func (w *Window) at(n uint64) *Message { return &w.ring[n&uint64(len(w.ring)-1)] }
+
+// Text is what is sent for a message; it is valid until the window changes.
+func (w *Window) Text(m *Message) []byte { return w.text[m.at-w.base : m.end-w.base] }
+
+// Buffer is where the text of the next message is appended, for Put.
+func (w *Window) Buffer() []byte { return w.text }
+
+// Put takes a message in, whose text was appended to Buffer.
+func (w *Window) Put(m Message, buffer []byte) {
+	if n := int(w.next - w.head); n == len(w.ring) {
+		w.grow(max(2*n, 4))
+	}
+	m.at, m.end = w.base+len(w.text), w.base+len(buffer)
+	m.Tries, m.Sent, m.Offset, m.ran, m.state = 0, 0, 0, false, waiting
+	w.text = buffer
+	w.bytes += m.end - m.at
+	*w.at(w.next) = m
+	w.next++
+}
+
+func (w *Window) grow(size int) {
+	old := *w
+	w.ring = make([]Message, size)
+	for n := w.head; n < w.next; n++ {
+		*w.at(n) = *old.at(n)
+	}
+}
+
+// Next is the message that may be sent now, nil if none may.
+func (w *Window) Next() *Message {
+	if w.held || w.sent == w.next || w.Out() >= w.most {
+		return nil
+	}
+	return w.at(w.sent)
+}
+
+// Begin says that an attempt of Next has begun.
+func (w *Window) Begin(now time.Duration) {
+	m := w.at(w.sent)
+	m.state, m.Sent = out, now
+	m.Tries++
+	w.sent++
+}
+
+// Taken says that the member has taken the n oldest that are out, but for those it has refused.
+// Each is handed to served, and the window learns from the time that took.
+func (w *Window) Taken(now time.Duration, n int, served func(*Message)) {
+	n = min(n, w.Out())
+	if n <= 0 {
+		return
+	}
+	took := now - w.at(w.acked+uint64(n)-1).Sent
+	for range n {
+		m := w.at(w.acked)
+		w.acked++
+		if m.state == out {
+			m.state = answered
+			served(m)
+		}
+	}
+	switch {
+	case took < time.Duration(quick*float64(w.Aim)):
+		w.most = min(w.most+n, w.Messages)
+	case took > time.Duration(late*float64(w.Aim)) && now-w.cut >= took:
+		w.most, w.cut = max(w.most/2, 1), now
+	}
+	w.shed()
+}
+
+// Refused says that the member has refused the oldest message of that subject that is out. It
+// returns it, or nil if there is none. Until Settled nothing more is sent.
+func (w *Window) Refused(subject uint64) *Message {
+	for n := w.acked; n < w.sent; n++ {
+		if m := w.at(n); m.state == out && m.Subject == subject {
+			m.state, w.held = refused, true
+			return m
+		}
+	}
+	return nil
+}
+
+// Settled says that a message was refused and the answers to all others are in: now the link
+// may be given up without a message being sent twice for nothing.
+func (w *Window) Settled() bool { return w.held && w.acked == w.sent }
+
+// Back says that the link has surely ended. Every message on it that has no answer comes back
+// in its order: ended is told how its attempt ended; where no other may follow, failed is told
+// after that, and the message has its final answer. Of the bytes that the link was given, so
+// many have left.
+func (w *Window) Back(left uint64, ended func(*Message, Result), failed func(*Message)) {
+	var last map[uint64]uint64 // the newest of each subject that was taken
+	if w.held {
+		last = map[uint64]uint64{}
+		for n := w.head; n < w.sent; n++ {
+			if m := w.at(n); m.state == answered {
+				last[m.Subject] = n
+			}
+		}
+	}
+	for n := w.head; n < w.sent; n++ {
+		m := w.at(n)
+		switch m.state {
+		case answered:
+			continue
+		case refused:
+			m.ran = true
+			ended(m, Turned)
+		case out:
+			if m.Offset <= left {
+				m.ran = true
+				ended(m, Lost)
+			} else {
+				ended(m, NotLeft)
+			}
+		}
+		// One behind which its subject went on would turn the order round.
+		if m.Tries >= w.Attempts || m.ran && !w.Repeat || m.state == refused && last[m.Subject] > n {
+			m.state = answered
+			failed(m)
+		} else {
+			m.state = waiting
+		}
+	}
+	// What has its answer leaves; the rest moves together, the order kept.
+	to := w.sent
+	for n := w.sent; n > w.head; n-- {
+		if m := w.at(n - 1); m.state == waiting {
+			to--
+			*w.at(to) = *m
+		} else {
+			w.bytes -= m.end - m.at
+		}
+	}
+	w.head, w.acked, w.sent = to, to, to
+	w.held, w.most = false, min(Start, w.Messages)
+	w.shed()
+}
+
+// GiveUp has the oldest messages given up that wait and whose time is over by then: each is handed
+// to up with whether it may have been taken. What is out stays: its link must end first.
+func (w *Window) GiveUp(by time.Duration, up func(m *Message, ran bool)) {
+	for w.head == w.sent && w.head < w.next {
+		m := w.at(w.head)
+		if m.Due > by {
+			break
+		}
+		m.state = answered
+		up(m, m.ran)
+		w.acked++
+		w.sent++
+		w.shed()
+	}
+}
+
+// Silent is when the oldest message that is out will have been without an answer for too long.
+func (w *Window) Silent() (at time.Duration, ok bool) {
+	if w.acked == w.sent {
+		return 0, false
+	}
+	m := w.at(w.acked)
+	at = m.Due
+	if m.Tries < w.Attempts { // time must be left for another
+		part := max(w.Aim, time.Duration(patience*float64(m.Due-m.Sent)))
+		at = min(at, m.Sent+part)
+	}
+	return at, true
+}
+
+// Due is when the time of the oldest message is over.
+func (w *Window) Due() (at time.Duration, ok bool) {
+	if w.Idle() {
+		return 0, false
+	}
+	return w.at(w.head).Due, true
+}
+
+// shed lets go of what has its final answer, from the oldest on.
+func (w *Window) shed() {
+	for w.head < w.acked {
+		m := w.at(w.head)
+		if m.state != answered {
+			return
+		}
+		w.bytes -= m.end - m.at
+		m.Name = ""
+		w.head++
+	}
+	if w.Idle() {
+		// An idle feed keeps no more than a little.
+		if w.base += len(w.text); cap(w.text) > 4<<10 {
+			w.text = nil
+		} else {
+			w.text = w.text[:0]
+		}
+		if len(w.ring) > 64 {
+			w.ring = nil
+		}
+		return
+	}
+	if gone := w.at(w.head).at - w.base; gone > len(w.text)/2 {
+		w.text = w.text[:copy(w.text, w.text[gone:])]
+		w.base += gone
+	}
+}
