NATS: publications travel in windows on placed flows; a stand-in cluster for tests

The front carries messages for core's feeds; subscriptions ask again while they are refused, and get what their old member has sent before a new one holds them. The parser works without allocations. Members without a load subject are gauged by the relay's own view.

The stand-in cluster has moved from the integration tests to internal/standin.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -167,6 +167,9 @@
 		if err := c.Fronts.NATS.Check(c.decoded); err != nil {
 			return fmt.Errorf("%w: fronts.nats: %v", ErrInvalid, err)
 		}
+		if c.Fronts.Line == nil {
+			c.Fronts.NATS.Adapt(c.decoded)
+		}
 	}
 	if c.Store != nil {
 		if err := c.Store.Check(); err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,7 +131,7 @@
 	back    time.Duration // when they put it back
 	left    bool          // it drains, is gone or is banned
 	told    time.Duration // when that was told
-	flows   int // attempts out and open flows
+	flows   int           // attempts out and open flows
 	slow    bool
 	noted   time.Duration
 	pace    *window.Pace  // of the messages that are out there
--- /dev/null
+++ b/internal/front/nats/config.go
@@ -0,0 +1,117 @@
+package nats
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"dahliarudder/internal/settings"
+)
+
+// Config is how the operator's file sets the front up. A zero stands for the default.
+type Config struct {
+	Listen         string `json:"listen"`
+	MaxPayload     int    `json:"max_payload"`       // bytes; 1 MiB
+	MaxControl     int    `json:"max_control_line"`  // bytes; 4 KiB
+	MaxSubs        int    `json:"max_subscriptions"` // of one client; 4096
+	MaxConnections int    `json:"max_connections"`   // of all clients; no bound but descriptors
+	PingMS         int    `json:"ping_interval_ms"`  // 30,000
+	PingMost       int    `json:"ping_max"`          // unanswered ones that end a client; 2
+	SlowMS         int    `json:"slow_after_ms"`     // a client may leave 64 KiB unread; 2,000
+	WindowMessages int    `json:"window_messages"`   // of one feed; 512
+	WindowBytes    int    `json:"window_bytes"`      // likewise; 1 MiB
+	// LoadSubject is where members answer a request with their load report; empty
+	// if they do not.
+	LoadSubject string   `json:"load_subject"`
+	MemberFlows int      `json:"member_flows"` // that fill a member which tells nothing of that; 10,000
+	ConnectURLs []string `json:"connect_urls"` // of other relays, told to clients
+	Class       string   `json:"class"`        // of what no route names
+	Tenant      string   `json:"tenant"`       // likewise
+	Routes      []Route  `json:"routes"`
+
+	unprobed bool // the settings allow no probes: the relay goes by its own view alone
+}
+
+// Route says what requests on matching subjects are; the first that matches counts.
+type Route struct {
+	Subject string `json:"subject"`
+	Class   string `json:"class"`
+	Tenant  string `json:"tenant"`
+}
+
+// bound is a number of the configuration with what it may be.
+type bound struct {
+	key         string
+	at          *int
+	usual       int
+	least, most int
+}
+
+func (c *Config) bounds() []bound {
+	return []bound{
+		{"max_payload", &c.MaxPayload, 1 << 20, 1, 8 << 20},
+		{"max_control_line", &c.MaxControl, maxControl, 256, maxInfo},
+		{"max_subscriptions", &c.MaxSubs, 4096, 1, 1 << 20},
+		{"max_connections", &c.MaxConnections, 0, 0, 1 << 20},
+		{"ping_interval_ms", &c.PingMS, 30_000, 100, 3_600_000},
+		{"ping_max", &c.PingMost, 2, 1, 100},
+		{"slow_after_ms", &c.SlowMS, 2000, 100, 60_000},
+		{"window_messages", &c.WindowMessages, 512, 1, 1 << 16},
+		{"window_bytes", &c.WindowBytes, 1 << 20, 1, 64 << 20},
+		{"member_flows", &c.MemberFlows, 10_000, 1, 1 << 24},
+	}
+}
+
+func (c *Config) fill() {
+	for _, b := range c.bounds() {
+		if *b.at == 0 {
+			*b.at = b.usual
+		}
+	}
+}
+
+func (c *Config) slowAfter() time.Duration { return time.Duration(c.SlowMS) * time.Millisecond }
+func (c *Config) pingEvery() time.Duration { return time.Duration(c.PingMS) * time.Millisecond }
+
+// Check says what is wrong with the configuration, by its key.
+func (c *Config) Check(set *settings.Settings) error {
+	for _, b := range c.bounds() {
+		if n := *b.at; n != 0 && (n < b.least || n > b.most) {
+			return fmt.Errorf("%s: %d is not between %d and %d", b.key, n, b.least, b.most)
+		}
+	}
+	if c.LoadSubject != "" && !validSubject(c.LoadSubject, false) {
+		return fmt.Errorf("load_subject: %q is no subject", c.LoadSubject)
+	}
+	if c.LoadSubject != "" && !set.Limits.Probes {
+		return fmt.Errorf("load_subject: settings.limits.probes is false, so that nothing would ask there")
+	}
+	for i, u := range c.ConnectURLs {
+		if _, err := netip.ParseAddrPort(u); err != nil {
+			return fmt.Errorf("connect_urls[%d]: %v", i, err)
+		}
+	}
+	for i, r := range append([]Route{{">", c.Class, c.Tenant}}, c.Routes...) {
+		at := ""
+		if i > 0 {
+			at = fmt.Sprintf("routes[%d].", i-1)
+		}
+		if !validSubject(r.Subject, true) {
+			return fmt.Errorf("%ssubject: %q is no subject", at, r.Subject)
+		}
+		if _, ok := set.Class(r.Class); r.Class != "" && !ok {
+			return fmt.Errorf("%sclass: unknown class %q", at, r.Class)
+		}
+		if _, ok := set.Tenant(r.Tenant); r.Tenant != "" && !ok {
+			return fmt.Errorf("%stenant: unknown tenant %q", at, r.Tenant)
+		}
+	}
+	return nil
+}
+
+// Adapt makes the settings those of a relay whose members all stand behind this front. Every
+// one is then reported of: by itself, or by the relay's own view.
+func (c *Config) Adapt(set *settings.Settings) {
+	c.unprobed = !set.Limits.Probes
+	set.Limits.Probes, set.Report.Source = true, "on_probe"
+}
--- a/internal/front/nats/parse.go
+++ b/internal/front/nats/parse.go
@@ -3,9 +3,8 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
+	"hash/maphash"
 	"strconv"
-	"strings"
 )
 
 // Bounds of a control line; CONNECT and INFO carry more.
@@ -14,6 +13,7 @@
 	maxInfo    = 32 << 10
 )
 
+// Errors with the texts of the public protocol.
 var (
 	errProtocol = errors.New("Unknown Protocol Operation")
 	errParse    = errors.New("Parser Error")
@@ -21,67 +21,142 @@
 	errPayload  = errors.New("Maximum Payload Violation")
 )
 
-// command is one protocol message, of either side.
+// op is an operation of the protocol.
+type op uint8
+
+const (
+	opNone op = iota
+	opConnect
+	opInfo
+	opPing
+	opPong
+	opOK
+	opErr
+	opPub
+	opHPub
+	opMsg
+	opHMsg
+	opSub
+	opUnsub
+)
+
+var ops = map[string]op{
+	"CONNECT": opConnect, "INFO": opInfo, "PING": opPing, "PONG": opPong, "+OK": opOK, "-ERR": opErr,
+	"PUB": opPub, "HPUB": opHPub, "MSG": opMsg, "HMSG": opHMsg, "SUB": opSub, "UNSUB": opUnsub,
+}
+
+// command is one protocol message, of either side. Its parts stand in the buffer that was
+// parsed.
 type command struct {
-	op      string // upper case
-	rest    string // what stands behind the operation, for CONNECT, INFO and -ERR
-	subject string
-	sid     string
-	reply   string
-	queue   string
-	max     int    // of UNSUB
-	header  int    // how much of payload is the header block
-	payload []byte // stands in the buffer that was parsed
+	op      op
+	rest    []byte // what stands behind the operation, for CONNECT, INFO and -ERR
+	subject []byte
+	sid     []byte
+	reply   []byte
+	queue   []byte
+	max     int // of UNSUB
+	header  int // how much of payload is the header block
+	payload []byte
 }
 
-// sized are the operations that a payload follows: whether it has a sid and
-// whether it has headers.
-var sized = map[string]struct{ sid, header bool }{
-	"PUB": {}, "HPUB": {header: true}, "MSG": {sid: true}, "HMSG": {sid: true, header: true},
+// operation reads the first word of a line, in any case of letters.
+func operation(word []byte) op {
+	var up [8]byte
+	if len(word) > len(up) {
+		return opNone
+	}
+	for i, b := range word {
+		if 'a' <= b && b <= 'z' {
+			b -= 'a' - 'A'
+		}
+		up[i] = b
+	}
+	return ops[string(up[:len(word)])]
 }
 
-// parse reads one message off b. With used 0 and no error the message is not
-// whole yet.
-func parse(b []byte, maxPayload int) (m command, used int, err error) {
+// words are those of a line behind its operation; more than the protocol knows are one too
+// many.
+type words struct {
+	at [6][]byte
+	n  int
+}
+
+func blank(b byte) bool { return b == ' ' || b == '\t' }
+
+func split(line []byte) (w words) {
+	for i := 0; i < len(line); {
+		if blank(line[i]) {
+			i++
+			continue
+		}
+		end := i
+		for end < len(line) && !blank(line[end]) {
+			end++
+		}
+		if w.n < len(w.at) {
+			w.at[w.n] = line[i:end]
+		}
+		w.n++
+		i = end
+	}
+	return w
+}
+
+// parse reads one message off b, in which a control line may be so long and a payload have so
+// many bytes. With used 0 and no error the message is not whole yet.
+func parse(b []byte, control, payload int) (m command, used int, err error) {
 	end := bytes.IndexByte(b[:min(len(b), maxInfo)], '\n')
 	if end < 0 {
-		if len(b) >= maxInfo || len(b) >= maxControl && !lengthy(b) {
+		if len(b) >= maxInfo || len(b) >= control && !lengthy(b) {
 			return m, 0, errControl
 		}
 		return m, 0, nil
 	}
-	if end >= maxControl && !lengthy(b) {
+	if end >= control && !lengthy(b) {
 		return m, 0, errControl
 	}
-	line := strings.TrimSuffix(string(b[:end]), "\r")
-	op, rest, _ := strings.Cut(strings.ReplaceAll(line, "\t", " "), " ")
-	m.op, m.rest = strings.ToUpper(op), strings.TrimSpace(rest)
-	words := strings.Fields(rest)
 	used = end + 1
-	if kind, ok := sized[m.op]; ok {
-		return m.sized(b, used, words, kind.sid, kind.header, maxPayload)
+	line := bytes.TrimSuffix(b[:end], []byte("\r"))
+	at := 0
+	for at < len(line) && !blank(line[at]) {
+		at++
 	}
+	m.op = operation(line[:at])
+	line = line[at:]
 	switch m.op {
-	case "CONNECT", "INFO", "PING", "PONG", "+OK", "-ERR":
-	case "SUB":
-		switch len(words) {
+	case opConnect, opInfo, opErr:
+		m.rest = bytes.TrimSpace(line)
+	case opPing, opPong, opOK:
+	case opSub:
+		w := split(line)
+		switch w.n {
 		case 2:
-			m.subject, m.sid = words[0], words[1]
+			m.subject, m.sid = w.at[0], w.at[1]
 		case 3:
-			m.subject, m.queue, m.sid = words[0], words[1], words[2]
+			m.subject, m.queue, m.sid = w.at[0], w.at[1], w.at[2]
 		default:
 			return m, 0, errParse
 		}
-	case "UNSUB":
-		if len(words) != 1 && len(words) != 2 {
+	case opUnsub:
+		w := split(line)
+		if w.n != 1 && w.n != 2 {
 			return m, 0, errParse
 		}
-		m.sid = words[0]
-		if len(words) == 2 {
-			if m.max, err = number(words[1]); err != nil {
-				return m, 0, err
+		m.sid = w.at[0]
+		if w.n == 2 {
+			var ok bool
+			if m.max, ok = number(w.at[1]); !ok {
+				return m, 0, errParse
 			}
 		}
+	case opPub:
+		return m.sized(b, used, split(line), false, false, payload)
+	case opHPub:
+		return m.sized(b, used, split(line), false, true, payload)
+	case opMsg:
+		return m.sized(b, used, split(line), true, false, payload)
+	case opHMsg:
+		return m.sized(b, used, split(line), true, true, payload)
 	default:
 		return m, 0, errProtocol
 	}
@@ -90,103 +165,145 @@
 
 // lengthy says whether a long line may follow.
 func lengthy(b []byte) bool {
-	op := strings.ToUpper(string(b[:min(len(b), 8)]))
-	return strings.HasPrefix(op, "CONNECT ") || strings.HasPrefix(op, "INFO ")
+	word, _, found := bytes.Cut(b[:min(len(b), 8)], []byte(" "))
+	o := operation(word)
+	return found && (o == opConnect || o == opInfo)
 }
 
-func number(s string) (int, error) {
-	n, err := strconv.ParseUint(s, 10, 31)
-	if err != nil {
-		return 0, errParse
+func number(b []byte) (n int, ok bool) {
+	if len(b) == 0 || len(b) > 9 {
+		return 0, false
 	}
-	return int(n), nil
+	for _, d := range b {
+		if d < '0' || d > '9' {
+			return 0, false
+		}
+		n = 10*n + int(d-'0')
+	}
+	return n, true
 }
 
 // sized reads a message with a payload: subject [sid] [reply] [header bytes] bytes.
-func (m command) sized(b []byte, used int, words []string, sid, header bool, maxPayload int) (command, int, error) {
+func (m command) sized(b []byte, used int, w words, sid, header bool, payload int) (command, int, error) {
 	least := 2
-	for _, has := range []bool{sid, header} {
-		if has {
-			least++
-		}
+	if sid {
+		least++
 	}
-	if len(words) != least && len(words) != least+1 {
+	if header {
+		least++
+	}
+	if w.n != least && w.n != least+1 {
 		return m, 0, errParse
 	}
-	m.subject, words = words[0], words[1:]
+	m.subject = w.at[0]
+	i := 1
 	if sid {
-		m.sid, words = words[0], words[1:]
+		m.sid = w.at[i]
+		i++
 	}
-	if len(words) == 2 && !header || len(words) == 3 {
-		m.reply, words = words[0], words[1:]
+	if w.n > least {
+		m.reply = w.at[i]
+		i++
 	}
-	size, err := number(words[len(words)-1])
-	if err == nil && header {
-		m.header, err = number(words[0])
+	ok := true
+	if header {
+		m.header, ok = number(w.at[i])
+		i++
 	}
-	if err != nil || m.header > size {
+	size, whole := number(w.at[i])
+	if !ok || !whole || m.header > size {
 		return m, 0, errParse
 	}
-	if size > maxPayload {
+	if size > payload {
 		return m, 0, errPayload
 	}
 	if len(b) < used+size+2 {
 		return m, 0, nil
 	}
-	if string(b[used+size:used+size+2]) != "\r\n" {
+	if b[used+size] != '\r' || b[used+size+1] != '\n' {
 		return m, 0, errParse
 	}
 	m.payload = b[used : used+size]
 	return m, used + size + 2, nil
 }
 
-// message is the text of a message to a subscriber.
-func (m command) message(sid string) []byte { return m.text("MSG", "HMSG", sid) }
-
-// publication is the text of a publication.
-func (m command) publication() []byte { return m.text("PUB", "HPUB", "") }
+// appendMessage appends the text of a message to a subscriber.
+func (m *command) appendMessage(to []byte, sid string) []byte {
+	if m.header > 0 {
+		to = append(to, "HMSG "...)
+	} else {
+		to = append(to, "MSG "...)
+	}
+	to = append(append(to, m.subject...), ' ')
+	to = append(append(to, sid...), ' ')
+	return m.appendRest(to)
+}
 
-func (m command) text(plain, headers, sid string) []byte {
-	words := []string{plain, m.subject}
+// appendPublication appends the text of a publication.
+func (m *command) appendPublication(to []byte) []byte {
 	if m.header > 0 {
-		words[0] = headers
+		to = append(to, "HPUB "...)
+	} else {
+		to = append(to, "PUB "...)
 	}
-	for _, w := range []string{sid, m.reply} {
-		if w != "" {
-			words = append(words, w)
-		}
+	to = append(append(to, m.subject...), ' ')
+	return m.appendRest(to)
+}
+
+func (m *command) appendRest(to []byte) []byte {
+	if len(m.reply) > 0 {
+		to = append(append(to, m.reply...), ' ')
 	}
 	if m.header > 0 {
-		words = append(words, strconv.Itoa(m.header))
+		to = append(strconv.AppendInt(to, int64(m.header), 10), ' ')
 	}
-	line := fmt.Appendf(nil, "%s %d\r\n", strings.Join(words, " "), len(m.payload))
-	return append(append(line, m.payload...), "\r\n"...)
+	to = append(strconv.AppendInt(to, int64(len(m.payload)), 10), '\r', '\n')
+	return append(append(to, m.payload...), '\r', '\n')
 }
 
+// seed is of this process: the hashes never leave it.
+var seed = maphash.MakeSeed()
+
+func subjectKey(subject []byte) uint64 { return maphash.Bytes(seed, subject) }
+
 // validSubject says whether s may be published to or, with wild, subscribed to.
-func validSubject(s string, wild bool) bool {
-	tokens := strings.Split(s, ".")
-	for i, t := range tokens {
-		switch {
-		case t == "":
-			return false
-		case t == "*" && !wild, t == ">" && (!wild || i < len(tokens)-1):
+func validSubject[T string | []byte](s T, wild bool) bool {
+	start := 0
+	for i := 0; i <= len(s); i++ {
+		if i < len(s) && s[i] != '.' {
+			continue
+		}
+		switch i - start {
+		case 0:
 			return false
+		case 1:
+			if s[start] == '*' && !wild || s[start] == '>' && (!wild || i < len(s)) {
+				return false
+			}
 		}
+		start = i + 1
 	}
 	return true
 }
 
 // matches says whether a subscription's pattern takes a subject.
-func matches(pattern, subject string) bool {
-	p, s := strings.Split(pattern, "."), strings.Split(subject, ".")
-	for i, t := range p {
-		switch {
-		case t == ">":
-			return len(s) > i
-		case i >= len(s), t != "*" && t != s[i]:
+func matches[S string | []byte](pattern string, subject S) bool {
+	p, s := 0, 0
+	for p <= len(pattern) && s <= len(subject) {
+		pe, se := p, s
+		for pe < len(pattern) && pattern[pe] != '.' {
+			pe++
+		}
+		for se < len(subject) && subject[se] != '.' {
+			se++
+		}
+		switch token := pattern[p:pe]; {
+		case token == ">":
+			return true
+		case token != "*" && token != string(subject[s:se]):
 			return false
 		}
+		p, s = pe+1, se+1
 	}
-	return len(p) == len(s)
+	return p > len(pattern) && s > len(subject)
 }
--- /dev/null
+++ b/internal/front/nats/probe.go
@@ -0,0 +1,122 @@
+package nats
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/settings"
+	"dahliarudder/policy"
+)
+
+// probe asks one member for its load, on a connection of its own.
+type probe struct {
+	f      *Front
+	id     policy.ServerID
+	c      *netloop.Conn
+	asked  time.Duration
+	within *netloop.Timer
+}
+
+const probeReply = "_dahlia.load.reply"
+
+// Probe asks a member for its load; the answer goes to the core. Of a member that reports
+// none, the relay's own view is the report.
+func (f *Front) Probe(to *core.Member) {
+	if f.unprobed {
+		f.Core.Probed(to.ID, policy.OK, f.gauge.Report(to.ID, f.Core.Flows(to.ID)))
+		return
+	}
+	if f.probes[to.ID] != nil {
+		return
+	}
+	p := &probe{f: f, id: to.ID}
+	f.probes[to.ID] = p
+	p.within = f.Loop.After(probeWithin, func() { p.done(policy.Timeout, policy.NoReport) })
+	p.c = f.Loop.Dial(to.Addr, f.Core.Limits().ConnectTimeout, p)
+}
+
+// Open is told by the loop.
+func (p *probe) Open() {}
+
+// Drained is told by the loop.
+func (p *probe) Drained() {}
+
+// Data is told by the loop.
+func (p *probe) Data(b []byte) int {
+	used := 0
+	for p.f.probes[p.id] == p {
+		m, n, err := parse(b[used:], maxControl, netloop.InBound)
+		if err != nil {
+			p.done(policy.Error, policy.NoReport)
+		}
+		if n == 0 {
+			return used
+		}
+		used += n
+		p.take(&m)
+	}
+	return len(b)
+}
+
+func (p *probe) take(m *command) {
+	switch m.op {
+	case opInfo:
+		p.f.hear(p.id, m.rest)
+		ask := `CONNECT {"verbose":false,"headers":true,"no_responders":true,"lang":"dahliarudder","version":"1"}` + "\r\n"
+		if p.f.LoadSubject != "" {
+			ask += fmt.Sprintf("SUB %s 1\r\nPUB %s %s 0\r\n", probeReply, p.f.LoadSubject, probeReply)
+		}
+		p.asked = p.f.Loop.Now()
+		p.c.Write([]byte(ask + "PING\r\n"))
+	case opPong:
+		p.f.gauge.Answered(p.id, p.f.took(p.asked))
+		if p.f.LoadSubject == "" {
+			p.own()
+		}
+	case opMsg:
+		p.done(policy.OK, p.f.gauge.Fill(parseReport(m.payload)))
+	case opHMsg: // nobody listens there
+		p.own()
+	case opErr:
+		p.done(policy.Error, policy.NoReport)
+	}
+}
+
+// own reports what the relay sees itself.
+func (p *probe) own() { p.done(policy.OK, p.f.gauge.Report(p.id, p.f.Core.Flows(p.id))) }
+
+// End is told by the loop.
+func (p *probe) End(err error) {
+	switch {
+	case errors.Is(err, netloop.ErrFull):
+		p.done(policy.Moot, policy.NoReport)
+	case err == io.EOF:
+		p.done(policy.Reset, policy.NoReport)
+	default:
+		p.done(policy.ConnectFailed, policy.NoReport)
+	}
+}
+
+func (p *probe) done(result policy.Result, report policy.Report) {
+	if p.f.probes[p.id] != p {
+		return
+	}
+	delete(p.f.probes, p.id)
+	p.within.Stop()
+	p.c.Finish()
+	p.f.Core.Probed(p.id, result, report)
+}
+
+// parseReport reads a load report, a JSON object of numbers.
+func parseReport(text []byte) policy.Report {
+	values := map[string]float64{}
+	if json.Unmarshal(text, &values) != nil {
+		return policy.NoReport
+	}
+	return settings.Report(values)
+}
--- a/internal/front/nats/processor.go
+++ b/internal/front/nats/processor.go
@@ -69,34 +69,34 @@
 }
 
 // call serves a publication on a reserved subject.
-func (c *client) call(m command) {
+func (c *client) call(m *command) {
 	var err error
-	switch m.subject {
+	reply := string(m.reply)
+	switch string(m.subject) {
 	case pickSubject:
 		var q pick
 		if err = json.Unmarshal(m.payload[m.header:], &q); err == nil {
-			c.pick(q, m.reply)
+			c.pick(q, reply)
 			return
 		}
 	case reportSubject:
 		var o outcome
 		if err = json.Unmarshal(m.payload[m.header:], &o); err == nil {
-			c.report(o, m.reply)
+			c.report(o, reply)
 			return
 		}
 	default:
-		if m.reply != "" && c.options.NoResponders {
-			const head = "NATS/1.0 503\r\n\r\n"
-			c.deliver(command{subject: m.reply, header: len(head), payload: []byte(head)})
+		if c.noticed(m.reply) {
+			c.notice(m.reply, "503")
 		}
 		return
 	}
-	c.say(m.reply, verdict{Verdict: "error", Error: err.Error()})
+	c.say(reply, verdict{Verdict: "error", Error: err.Error()})
 }
 
 func (c *client) say(subject string, v verdict) {
 	text, _ := json.Marshal(v)
-	c.deliver(command{subject: subject, payload: text})
+	c.deliver(command{subject: []byte(subject), payload: text})
 }
 
 func (c *client) pick(q pick, reply string) {
@@ -120,6 +120,9 @@
 	a := &asked{c: c, reply: reply, control: q.Control}
 	a.id = c.f.Core.Open(r, a)
 	if !a.over {
+		if c.asked == nil {
+			c.asked = map[core.ID]*asked{}
+		}
 		c.asked[a.id] = a
 	}
 }
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -133,6 +134,19 @@
 // Addr is the connection's own address.
 func (c *Conn) Addr() string { return local(c.fd) }
 
+// Peer is the other end's IP address.
+func (c *Conn) Peer() string {
+	at, err := unix.Getpeername(c.fd)
+	if err != nil {
+		return ""
+	}
+	ip, err := netip.ParseAddrPort(named(at))
+	if err != nil {
+		return ""
+	}
+	return ip.Addr().Unmap().String()
+}
+
 // Spare says that the connection may be given up when descriptors run short: then
 // end is called, and what has left by then still arrives. Who was spared longest
 // ago goes first. Nil takes it back.
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -509,6 +509,10 @@
 	if err != nil {
 		return ""
 	}
+	return named(at)
+}
+
+func named(at unix.Sockaddr) string {
 	switch at := at.(type) {
 	case *unix.SockaddrInet4:
 		return netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port)).String()
--- /dev/null
+++ b/internal/standin/nats.go
@@ -0,0 +1,594 @@
+// Package standin plays the outside systems that the relay speaks to, for tests, benchmarks and
+// the laboratory. This file is a cluster of servers of the NATS client protocol, written from its
+// public description: its nodes share one space of subjects.
+package standin
+
+import (
+	"bufio"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Mode is how a node takes publications.
+type Mode int32
+
+// The modes. In Silent it takes them and acknowledges nothing from then on.
+const (
+	Works Mode = iota
+	Refuses
+	Silent
+	Resets // ends the connection at the first byte of a publication
+	Cuts   // ends it after half of a delivered message
+)
+
+// Cluster is nodes that share one space of subjects.
+type Cluster struct {
+	Nodes []*Node
+	Tries *Tries // of publications by their payload; nil while nothing is counted
+	// Load answers requests on that subject with what the function says of the node.
+	LoadSubject string
+	Load        func(n *Node) string
+	// Login says whether CONNECT may enter; nil lets all in.
+	Login func(connect map[string]any) bool
+	// TLS is asked of clients if it is set.
+	TLS *tls.Config
+
+	mu    sync.RWMutex
+	exact map[string]map[*subscription]bool
+	wild  map[*subscription]bool
+	turn  atomic.Int64 // of queue groups
+	order func(subject, payload string)
+}
+
+// Node is one server.
+type Node struct {
+	*Cluster
+	ID     string
+	Addr   string
+	Info   map[string]any // more fields of its INFO
+	l      net.Listener
+	down   bool
+	mode   Mode
+	taken  int // publications
+	conns  map[*natsConn]bool
+	freeze chan struct{}
+}
+
+type subscription struct {
+	c              *natsConn
+	sid            string
+	subject, queue string
+	got            atomic.Int64
+	most           int // 0 is without end
+}
+
+type natsConn struct {
+	node    *Node
+	c       net.Conn
+	subs    map[string]*subscription
+	headers bool
+	noResp  bool
+	echo    bool
+	out     []string // counted publications that are not acknowledged
+	hushed  bool     // acknowledges nothing any more
+
+	mu     sync.Mutex // of what is written
+	ready  *sync.Cond
+	buffer []byte
+	full   *sync.Cond
+	closed bool
+}
+
+// bufferMost is what a connection may have unsent before who writes to it waits.
+const bufferMost = 4 << 20
+
+// NewCluster starts so many nodes on the loopback.
+func NewCluster(n int) (*Cluster, error) {
+	k := &Cluster{exact: map[string]map[*subscription]bool{}, wild: map[*subscription]bool{}}
+	for i := range n {
+		o := &Node{Cluster: k, ID: fmt.Sprintf("s-%08x", 0x71000000+i*0x0234567), conns: map[*natsConn]bool{}}
+		k.Nodes = append(k.Nodes, o)
+		if err := o.listen("127.0.0.1:0"); err != nil {
+			k.Close()
+			return nil, err
+		}
+	}
+	return k, nil
+}
+
+// Close ends all nodes.
+func (k *Cluster) Close() {
+	for _, o := range k.Nodes {
+		o.Kill()
+	}
+}
+
+func (o *Node) listen(addr string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	o.mu.Lock()
+	o.l, o.Addr, o.down = l, l.Addr().String(), false
+	o.mu.Unlock()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go o.serve(c)
+		}
+	}()
+	return nil
+}
+
+// Kill resets all connections of a node and has it take none in.
+func (o *Node) Kill() {
+	o.mu.Lock()
+	if o.l != nil {
+		o.l.Close()
+	}
+	o.down = true
+	conns := o.list()
+	o.mu.Unlock()
+	for _, c := range conns {
+		c.reset()
+	}
+}
+
+func (o *Node) list() (conns []*natsConn) {
+	for c := range o.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Restart has a killed node serve again at its address.
+func (o *Node) Restart() error { return o.listen(o.Addr) }
+
+// Set sets how a node takes publications.
+func (o *Node) Set(m Mode) {
+	o.mu.Lock()
+	o.mode = m
+	o.mu.Unlock()
+}
+
+// Freeze has a node read and answer nothing until Thaw.
+func (o *Node) Freeze() {
+	o.mu.Lock()
+	if o.freeze == nil {
+		o.freeze = make(chan struct{})
+	}
+	o.mu.Unlock()
+}
+
+// Thaw ends that.
+func (o *Node) Thaw() {
+	o.mu.Lock()
+	if o.freeze != nil {
+		close(o.freeze)
+		o.freeze = nil
+	}
+	o.mu.Unlock()
+}
+
+// Taken is how many publications a node has taken.
+func (o *Node) Taken() int {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.taken
+}
+
+// Conns is how many connections a node holds.
+func (o *Node) Conns() int {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return len(o.conns)
+}
+
+// Subscriptions is how many on that pattern each node holds.
+func (k *Cluster) Subscriptions(pattern string) []int {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	out := make([]int, len(k.Nodes))
+	for i, o := range k.Nodes {
+		for c := range o.conns {
+			for _, s := range c.subs {
+				if s.subject == pattern {
+					out[i]++
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Watch has f called with every publication that a node takes, in the order in which it does.
+func (k *Cluster) Watch(f func(subject, payload string)) {
+	k.mu.Lock()
+	k.order = f
+	k.mu.Unlock()
+}
+
+func (o *Node) serve(conn net.Conn) {
+	c := &natsConn{node: o, c: conn, subs: map[string]*subscription{}, echo: true}
+	c.ready, c.full = sync.NewCond(&c.mu), sync.NewCond(&c.mu)
+	o.mu.Lock()
+	if o.down {
+		o.mu.Unlock()
+		conn.Close()
+		return
+	}
+	info := map[string]any{"server_id": o.ID, "version": "2.10.0", "proto": 1, "headers": true, "max_payload": 1 << 20}
+	for key, v := range o.Info {
+		info[key] = v
+	}
+	if o.TLS != nil {
+		info["tls_required"] = true
+	}
+	o.conns[c] = true
+	o.mu.Unlock()
+	text, _ := json.Marshal(info)
+	fmt.Fprintf(conn, "INFO %s\r\n", text)
+	if o.TLS != nil {
+		c.c = tls.Server(conn, o.TLS)
+	}
+	go c.write()
+	c.read()
+	o.mu.Lock()
+	delete(o.conns, c)
+	for _, s := range c.subs {
+		o.remove(s)
+	}
+	for _, id := range c.out {
+		o.Tries.End(id)
+	}
+	o.mu.Unlock()
+	c.close()
+}
+
+func (c *natsConn) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.ready.Broadcast()
+	c.full.Broadcast()
+	c.mu.Unlock()
+	c.c.Close()
+}
+
+func (c *natsConn) reset() {
+	raw := c.c
+	if t, ok := raw.(*tls.Conn); ok {
+		raw = t.NetConn()
+	}
+	if t, ok := raw.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.close()
+}
+
+// write sends what is buffered, all that has come since at once.
+func (c *natsConn) write() {
+	var spare []byte
+	for {
+		c.mu.Lock()
+		for len(c.buffer) == 0 && !c.closed {
+			c.ready.Wait()
+		}
+		if c.closed && len(c.buffer) == 0 {
+			c.mu.Unlock()
+			return
+		}
+		b := c.buffer
+		c.buffer = spare[:0]
+		c.full.Broadcast()
+		c.mu.Unlock()
+		if _, err := c.c.Write(b); err != nil {
+			c.close()
+			return
+		}
+		spare = b
+	}
+}
+
+// say has a text sent; append gets the buffer.
+func (c *natsConn) say(add func(b []byte) []byte) {
+	c.mu.Lock()
+	for len(c.buffer) > bufferMost && !c.closed {
+		c.full.Wait()
+	}
+	if !c.closed {
+		c.buffer = add(c.buffer)
+		c.ready.Signal()
+	}
+	c.mu.Unlock()
+}
+
+func (c *natsConn) line(text string) {
+	c.say(func(b []byte) []byte { return append(append(b, text...), "\r\n"...) })
+}
+
+func (c *natsConn) read() {
+	in := bufio.NewReaderSize(c.c, 64<<10)
+	k := c.node.Cluster
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		k.mu.RLock()
+		frozen := c.node.freeze
+		k.mu.RUnlock()
+		if frozen != nil {
+			<-frozen
+		}
+		w := strings.Fields(string(line))
+		if len(w) == 0 {
+			return
+		}
+		switch strings.ToUpper(w[0]) {
+		case "CONNECT":
+			if !c.connect(line[len("CONNECT"):]) {
+				c.line("-ERR 'Authorization Violation'")
+				time.Sleep(10 * time.Millisecond) // let it leave
+				return
+			}
+		case "PONG":
+		case "PING":
+			c.ping()
+		case "SUB":
+			s := &subscription{c: c, subject: w[1], sid: w[len(w)-1]}
+			if len(w) == 4 {
+				s.queue = w[2]
+			}
+			k.mu.Lock()
+			c.subs[s.sid] = s
+			k.add(s)
+			k.mu.Unlock()
+		case "UNSUB":
+			k.mu.Lock()
+			if s := c.subs[w[1]]; s != nil {
+				if len(w) == 3 {
+					s.most, _ = strconv.Atoi(w[2])
+				}
+				if len(w) == 2 || int(s.got.Load()) >= s.most {
+					delete(c.subs, s.sid)
+					k.remove(s)
+				}
+			}
+			k.mu.Unlock()
+		case "PUB", "HPUB":
+			size, err := strconv.Atoi(w[len(w)-1])
+			if err != nil || len(w) < 3 {
+				return
+			}
+			payload := make([]byte, size+2)
+			if _, err := io.ReadFull(in, payload); err != nil {
+				return
+			}
+			header, rest := 0, w[1:len(w)-1]
+			if len(w[0]) == 4 {
+				header, _ = strconv.Atoi(rest[len(rest)-1])
+				rest = rest[:len(rest)-1]
+			}
+			reply := ""
+			if len(rest) == 2 {
+				reply = rest[1]
+			}
+			if !c.publish(rest[0], reply, header, payload[:size]) {
+				return
+			}
+		default:
+			c.line("-ERR 'Unknown Protocol Operation'")
+			return
+		}
+	}
+}
+
+func (c *natsConn) connect(text []byte) bool {
+	o := map[string]any{}
+	if json.Unmarshal(text, &o) != nil {
+		return false
+	}
+	c.headers, _ = o["headers"].(bool)
+	c.noResp, _ = o["no_responders"].(bool)
+	if echo, ok := o["echo"].(bool); ok {
+		c.echo = echo
+	}
+	return c.node.Login == nil || c.node.Login(o)
+}
+
+// ping acknowledges what came before it.
+func (c *natsConn) ping() {
+	k := c.node.Cluster
+	if k.Tries != nil {
+		k.mu.Lock()
+		if c.node.mode == Silent && len(c.out) > 0 {
+			c.hushed = true
+		}
+		if !c.hushed {
+			for _, id := range c.out {
+				k.Tries.End(id)
+			}
+			c.out = nil
+		}
+		k.mu.Unlock()
+	}
+	if !c.hushed {
+		c.line("PONG")
+	}
+}
+
+func (c *natsConn) publish(subject, reply string, header int, payload []byte) bool {
+	k := c.node.Cluster
+	if subject == k.LoadSubject && subject != "" {
+		k.deliver(c, reply, "", 0, []byte(k.Load(c.node)))
+		return true
+	}
+	k.mu.RLock()
+	mode, watch := c.node.mode, k.order
+	k.mu.RUnlock()
+	if k.Tries != nil {
+		id := string(payload[header:])
+		k.Tries.Begin(id)
+		k.mu.Lock()
+		c.node.taken++
+		c.out = append(c.out, id)
+		if mode == Refuses {
+			k.Tries.End(id)
+			c.out = c.out[:len(c.out)-1]
+		}
+		k.mu.Unlock()
+	}
+	switch mode {
+	case Refuses:
+		c.line(fmt.Sprintf("-ERR 'Permissions Violation for Publish to \"%s\"'", subject))
+		return true
+	case Silent:
+		return true
+	case Resets:
+		c.reset()
+		return false
+	}
+	if watch != nil {
+		watch(subject, string(payload[header:]))
+	}
+	if k.deliver(c, subject, reply, header, payload) == 0 && reply != "" && c.noResp {
+		k.deliverTo(c, reply)
+	}
+	return true
+}
+
+// deliverTo tells the publishing connection alone that nobody listens.
+func (k *Cluster) deliverTo(c *natsConn, reply string) {
+	k.mu.RLock()
+	var to *subscription
+	for _, s := range c.subs {
+		if SubjectMatches(s.subject, reply) {
+			to = s
+		}
+	}
+	k.mu.RUnlock()
+	if to != nil {
+		to.send(reply, "", 16, []byte("NATS/1.0 503\r\n\r\n"))
+	}
+}
+
+func (k *Cluster) add(s *subscription) {
+	if strings.ContainsAny(s.subject, "*>") {
+		k.wild[s] = true
+		return
+	}
+	if k.exact[s.subject] == nil {
+		k.exact[s.subject] = map[*subscription]bool{}
+	}
+	k.exact[s.subject][s] = true
+}
+
+func (k *Cluster) remove(s *subscription) {
+	delete(k.wild, s)
+	if m := k.exact[s.subject]; m != nil {
+		if delete(m, s); len(m) == 0 {
+			delete(k.exact, s.subject)
+		}
+	}
+}
+
+// deliver hands a message to every subscription, and to one of each queue group. Who has much
+// unsent holds up the publisher, and nobody else.
+func (k *Cluster) deliver(from *natsConn, subject, reply string, header int, payload []byte) int {
+	var buffer [16]*subscription
+	to := buffer[:0]
+	var groups map[string][]*subscription
+	take := func(s *subscription) {
+		switch {
+		case s.c == from && !from.echo:
+		case s.queue == "":
+			to = append(to, s)
+		default:
+			if groups == nil {
+				groups = map[string][]*subscription{}
+			}
+			groups[s.queue] = append(groups[s.queue], s)
+		}
+	}
+	k.mu.RLock()
+	for s := range k.exact[subject] {
+		take(s)
+	}
+	for s := range k.wild {
+		if SubjectMatches(s.subject, subject) {
+			take(s)
+		}
+	}
+	for _, g := range groups {
+		to = append(to, g[int(k.turn.Add(1))%len(g)])
+	}
+	k.mu.RUnlock()
+	for _, s := range to {
+		s.send(subject, reply, header, payload)
+	}
+	return len(to)
+}
+
+func (s *subscription) send(subject, reply string, header int, payload []byte) {
+	c, k := s.c, s.c.node.Cluster
+	got := int(s.got.Add(1))
+	k.mu.RLock()
+	most, cut := s.most, c.node.mode == Cuts
+	k.mu.RUnlock()
+	if most > 0 && got > most {
+		return
+	}
+	c.say(func(b []byte) []byte {
+		start := len(b)
+		if header > 0 {
+			b = append(b, "HMSG "...)
+		} else {
+			b = append(b, "MSG "...)
+		}
+		b = append(append(append(append(b, subject...), ' '), s.sid...), ' ')
+		if reply != "" {
+			b = append(append(b, reply...), ' ')
+		}
+		if header > 0 {
+			b = append(strconv.AppendInt(b, int64(header), 10), ' ')
+		}
+		b = append(strconv.AppendInt(b, int64(len(payload)), 10), "\r\n"...)
+		b = append(append(b, payload...), "\r\n"...)
+		if cut {
+			b = b[:start+(len(b)-start)/2]
+			c.closed = true
+		}
+		return b
+	})
+	if most > 0 && got == most {
+		k.mu.Lock()
+		delete(c.subs, s.sid)
+		k.remove(s)
+		k.mu.Unlock()
+	}
+}
+
+// SubjectMatches says whether a subscription's pattern takes a subject.
+func SubjectMatches(pattern, subject string) bool {
+	p, s := strings.Split(pattern, "."), strings.Split(subject, ".")
+	for i, t := range p {
+		if t == ">" {
+			return len(s) > i
+		}
+		if i >= len(s) || t != "*" && t != s[i] {
+			return false
+		}
+	}
+	return len(p) == len(s)
+}
