--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -34,6 +34,8 @@
 	// bufferPart of the memory is what the connections' buffers may hold together;
 	// slices that grow take up to twice their length.
 	bufferPart = 0.25
+	// feedPart is for the messages on feeds, which wait or are out.
+	feedPart = 0.125
 	// stopWithin ends a planned stop; SIGKILL comes no earlier than 3.7 s after SIGTERM.
 	stopWithin = 3 * time.Second
 	// flushWithin is what the store has for its last records; a platform that kills
@@ -133,8 +135,8 @@
 	}
 	r.watch = &pool.Watch{Loop: loop, Addr: cfg.Discovery, Log: r.log, Names: r.names}
 	var probe func(*core.Member)
-	r.core = core.New(core.Options{Settings: r.names.Settings, Seed: cfg.SeedNumber(), Clock: r.clock, Ledger: ledger,
-		Watch: r.watch.Ask,
+	r.core = core.New(core.Options{Settings: r.names.Settings, Seed: cfg.SeedNumber(), Clock: r.clock, Round: loop.Round, Ledger: ledger,
+		Watch: r.watch.Ask, FeedMemory: int(cfg.Limits.MemoryMB * feedPart * (1 << 20)),
 		Probe: func(to *core.Member) { probe(to) },
 		Wake: func(at time.Duration) {
 			r.next.Stop()
@@ -362,6 +364,7 @@
 	}
 	if mb := cfg.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(mb * 0.7 * (1 << 20)))
+		debug.SetGCPercent(300) // the live heap is small; the limit rules when it is not
 	}
 }
 
--- /dev/null
+++ b/integration/nats_bench_test.go
@@ -0,0 +1,187 @@
+package integration
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/nats-io/nats.go"
+
+	"dahliarudder/internal/standin"
+)
+
+// ways are the two that every figure is taken by in one run: to the nodes directly, and through
+// the relay before the same nodes.
+func ways(b *testing.B, run func(b *testing.B, url string, r *relay)) {
+	k, err := standin.NewCluster(3)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(k.Close)
+	r := natsRelay(b, k, nil)
+	b.Cleanup(r.stop)
+	b.Run("direct", func(b *testing.B) { run(b, "nats://"+k.Nodes[0].Addr, nil) })
+	b.Run("relay", func(b *testing.B) { run(b, "nats://"+r.addr["nats"], r) })
+}
+
+func benchClients(b *testing.B, url string, n int) []*nats.Conn {
+	b.Helper()
+	var all []*nats.Conn
+	for range n {
+		c, err := nats.Connect(url, nats.Timeout(patience), nats.ErrorHandler(func(_ *nats.Conn, _ *nats.Subscription, err error) {
+			b.Error(err)
+		}))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(c.Close)
+		all = append(all, c)
+	}
+	return all
+}
+
+// cpu is the processor time that the relay has used.
+func (r *relay) cpu() time.Duration {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), ") ")
+	w := strings.Fields(rest)
+	user, _ := strconv.Atoi(w[11])
+	system, _ := strconv.Atoi(w[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// resident is the relay's memory in bytes.
+func (r *relay) resident() int {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	n, _ := strconv.Atoi(strings.Fields(rest)[0])
+	return n << 10
+}
+
+// BenchmarkNATSPublish: publications a second, and with a subscription for each client
+// deliveries too.
+func BenchmarkNATSPublish(b *testing.B) {
+	for _, delivered := range []bool{false, true} {
+		for _, size := range []int{16, 128, 4096} {
+			for _, clients := range []int{1, 16, 256} {
+				name := "taken"
+				if delivered {
+					name = "delivered"
+				}
+				b.Run(fmt.Sprintf("%s/%dB/%d", name, size, clients), func(b *testing.B) {
+					ways(b, func(b *testing.B, url string, r *relay) { benchPublish(b, url, r, delivered, size, clients) })
+				})
+			}
+		}
+	}
+}
+
+func benchPublish(b *testing.B, url string, r *relay, delivered bool, size, clients int) {
+	all, payload := benchClients(b, url, clients), make([]byte, size)
+	var got atomic.Int64
+	for i, c := range all {
+		if delivered {
+			s, err := c.Subscribe(fmt.Sprintf("feed.%d", i), func(*nats.Msg) { got.Add(1) })
+			if err != nil {
+				b.Fatal(err)
+			}
+			s.SetPendingLimits(-1, -1)
+		}
+		c.Publish(fmt.Sprintf("feed.%d", i), payload)
+		if err := c.FlushTimeout(patience); err != nil {
+			b.Fatal(err)
+		}
+	}
+	each := max(b.N/clients, 1)
+	var began time.Duration
+	if r != nil {
+		began = r.cpu()
+	}
+	got.Store(0)
+	b.ResetTimer()
+	var wait sync.WaitGroup
+	for i, c := range all {
+		wait.Go(func() {
+			subject := fmt.Sprintf("feed.%d", i)
+			for range each {
+				c.Publish(subject, payload)
+			}
+			if err := c.FlushTimeout(2 * patience); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	wait.Wait()
+	if delivered {
+		until(b, "all deliveries", func() bool { return got.Load() >= int64(each*clients) })
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(each*clients)/b.Elapsed().Seconds(), "msgs/s")
+	if r != nil {
+		b.ReportMetric(float64((r.cpu()-began).Nanoseconds())/float64(each*clients), "cpu-ns/msg")
+	}
+}
+
+// BenchmarkNATSRequest: how long a request and its reply take, one at a time.
+func BenchmarkNATSRequest(b *testing.B) {
+	ways(b, func(b *testing.B, url string, r *relay) {
+		all := benchClients(b, url, 2)
+		if _, err := all[0].Subscribe("ask", func(m *nats.Msg) { m.Respond(m.Data) }); err != nil {
+			b.Fatal(err)
+		}
+		all[0].FlushTimeout(patience)
+		var took []time.Duration
+		b.ResetTimer()
+		for range b.N {
+			began := time.Now()
+			if _, err := all[1].Request("ask", []byte("0123456789abcdef"), patience); err != nil {
+				b.Fatal(err)
+			}
+			took = append(took, time.Since(began))
+		}
+		b.StopTimer()
+		slices.Sort(took)
+		b.ReportMetric(float64(took[len(took)/2].Nanoseconds())/1e3, "p50-us")
+		b.ReportMetric(float64(took[len(took)*99/100].Nanoseconds())/1e3, "p99-us")
+	})
+}
+
+// BenchmarkNATSIdle: the relay's memory for each client that has connected, holds a
+// subscription and says nothing. Its clients speak no library's code, to have room for them.
+func BenchmarkNATSIdle(b *testing.B) {
+	for _, clients := range []int{1000, 8000} {
+		b.Run(strconv.Itoa(clients), func(b *testing.B) {
+			k, err := standin.NewCluster(3)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer k.Close()
+			r := natsRelay(b, k, nil)
+			before := r.resident()
+			for range b.N {
+				var all []*client
+				for i := range clients {
+					c := r.natsDial()
+					c.want("INFO ")
+					fmt.Fprintf(c, "CONNECT {\"verbose\":false,\"protocol\":1}\r\nSUB feed.%d 1\r\nPING\r\n", i)
+					all = append(all, c)
+				}
+				for _, c := range all {
+					c.want("PONG")
+				}
+				b.ReportMetric(float64(r.resident()-before)/float64(clients), "bytes/client")
+				b.ReportMetric(float64(r.resident())/(1<<20), "MiB")
+				for _, c := range all {
+					c.Close()
+				}
+			}
+			r.stop()
+		})
+	}
+}
--- /dev/null
+++ b/integration/nats_load_test.go
@@ -0,0 +1,70 @@
+package integration
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/nats-io/nats.go"
+
+	"dahliarudder/internal/standin"
+)
+
+// natsRelay starts a relay with the NATS front alone, set up so, before a cluster that counts
+// nothing and reports no load.
+func natsRelay(t testing.TB, k *standin.Cluster, front map[string]any) *relay {
+	t.Helper()
+	d := newDiscovery(t, natsMembers(k)...)
+	set := map[string]any{"listen": "127.0.0.1:0", "class": "pay-status", "tenant": "water"}
+	for key, v := range front {
+		set[key] = v
+	}
+	return start(t, configure(t, d, map[string]any{"fronts": map[string]any{"nats": set},
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 24000}}), 1)
+}
+
+// TestNATSNothingRefused: before idle members a client's publications are never refused,
+// paced or all at once, whether members report load or not.
+func TestNATSNothingRefused(t *testing.T) {
+	for name, front := range map[string]map[string]any{"reports": {"load_subject": "node.load"}, "own view": {}} {
+		t.Run(name, func(t *testing.T) {
+			k := newCluster(t, 3)
+			r := natsRelay(t, k, front)
+			var mu sync.Mutex
+			refused, got := 0, 0
+			c, err := nats.Connect("nats://"+r.addr["nats"], nats.Timeout(patience), nats.ErrorHandler(func(_ *nats.Conn, _ *nats.Subscription, err error) {
+				mu.Lock()
+				refused++
+				t.Log(err)
+				mu.Unlock()
+			}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			must[*nats.Subscription](t)(c.Subscribe("status.*", func(*nats.Msg) {
+				mu.Lock()
+				got++
+				mu.Unlock()
+			}))
+			const many = 2300
+			for i := range many {
+				if i < 60 { // paced as in the report that this guards against
+					time.Sleep(5 * time.Millisecond)
+				}
+				if err := c.Publish(fmt.Sprintf("status.%d", i%7), fmt.Append(nil, i)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := c.FlushTimeout(patience); err != nil {
+				t.Fatal(err)
+			}
+			until(t, "all messages", func() bool { mu.Lock(); defer mu.Unlock(); return got == many })
+			if refused > 0 {
+				t.Errorf("%d of %d refused", refused, many)
+			}
+			checkTries(t, k.Tries)
+		})
+	}
+}
--- a/integration/nats_rig_test.go
+++ b/integration/nats_rig_test.go
@@ -8,7 +8,7 @@
 )
 
 // newCluster starts NATS nodes that count attempts and report their load.
-func newCluster(t *testing.T, n int) *standin.Cluster {
+func newCluster(t testing.TB, n int) *standin.Cluster {
 	k, err := standin.NewCluster(n)
 	if err != nil {
 		t.Fatal(err)
--- a/integration/nats_test.go
+++ b/integration/nats_test.go
@@ -50,7 +50,7 @@
 	return c
 }
 
-func must[T any](t *testing.T) func(v T, err error) T {
+func must[T any](t testing.TB) func(v T, err error) T {
 	return func(v T, err error) T {
 		t.Helper()
 		if err != nil {
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -48,7 +48,7 @@
 }
 
 // until waits for ok.
-func until(t *testing.T, what string, ok func() bool) {
+func until(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !ok(); time.Sleep(2 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -58,7 +58,7 @@
 }
 
 // listen serves connections to a new port of the loopback, each on its own.
-func listen(t *testing.T, serve func(net.Conn)) net.Listener {
+func listen(t testing.TB, serve func(net.Conn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -109,7 +109,7 @@
 	addr    string
 }
 
-func newDiscovery(t *testing.T, members ...member) *discovery {
+func newDiscovery(t testing.TB, members ...member) *discovery {
 	d := &discovery{at: 1, members: map[string]member{}, changed: map[string]int{}, news: make(chan struct{})}
 	for _, m := range members {
 		d.members[m.ID], d.changed[m.ID] = m, 1
@@ -119,7 +119,7 @@
 }
 
 // open has it served at one more address.
-func (d *discovery) open(t *testing.T) string {
+func (d *discovery) open(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -342,7 +342,7 @@
 
 // relay is the program, running.
 type relay struct {
-	t    *testing.T
+	t    testing.TB
 	cmd  *exec.Cmd
 	log  *syncBuffer
 	done chan error
@@ -368,7 +368,7 @@
 }
 
 // configure writes a configuration; more holds further keys.
-func configure(t *testing.T, d *discovery, more map[string]any) string {
+func configure(t testing.TB, d *discovery, more map[string]any) string {
 	t.Helper()
 	c := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": d.addr, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": d.known(),
@@ -385,7 +385,7 @@
 	return path
 }
 
-func write(t *testing.T, path, text string) {
+func write(t testing.TB, path, text string) {
 	t.Helper()
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -395,7 +395,7 @@
 var serving = regexp.MustCompile(`msg=serving front=(\w+) listen="([0-9.:]+)"`)
 
 // start runs the program until it serves.
-func start(t *testing.T, config string, fronts int) *relay {
+func start(t testing.TB, config string, fronts int) *relay {
 	t.Helper()
 	r := &relay{t: t, cmd: exec.Command(program, "serve", "--config", config), log: &syncBuffer{},
 		done: make(chan error, 1), addr: map[string]string{}, path: config}
@@ -480,7 +480,7 @@
 // ---- Clients ----
 
 type client struct {
-	t *testing.T
+	t testing.TB
 	net.Conn
 	in *bufio.Reader
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,10 +80,13 @@
 	Settings *settings.Settings
 	Seed     uint64
 	Clock    func() time.Duration
+	Round    func() time.Duration   // the time as of the loop's round, for messages; Clock if nil
 	Wake     func(at time.Duration) // have Tick called once at that time; replaces an earlier wish
 	Probe    func(to *Member)       // ends in Probed
 	Watch    func()                 // ask discovery; ends in Pool
 	Ledger   Ledger                 // nil for none
+	// FeedMemory is how many bytes the messages on all feeds may hold; 0 for no bound.
+	FeedMemory int
 }
 
 // StopNotice is how long after the start of a planned stop clients may still be
@@ -143,23 +146,24 @@
 // Core is the state of one relay. All calls come from one goroutine.
 type Core struct {
 	Options
-	set      policy.Settings // as the module made them sane
-	grace    time.Duration
-	facade   *policy.Facade
-	requests map[ID]*request
-	last     ID
-	members  map[policy.ServerID]*member
-	byName   map[string]*member
-	pending  []policy.Verdict
-	running  bool
-	alarms   alarms
-	armed    time.Duration
-	feeds    map[ID]*Feed
-	bans     map[string]bool // by name, also of members that are not listed
-	stopping bool
-	draining bool
-	moveAt   time.Duration // during a stop or a drain nobody is moved before
-	Counts   Counts
+	set       policy.Settings // as the module made them sane
+	grace     time.Duration
+	facade    *policy.Facade
+	requests  map[ID]*request
+	last      ID
+	members   map[policy.ServerID]*member
+	byName    map[string]*member
+	pending   []policy.Verdict
+	running   bool
+	alarms    alarms
+	armed     time.Duration
+	feeds     map[ID]*Feed
+	feedBytes int             // of their messages
+	bans      map[string]bool // by name, also of members that are not listed
+	stopping  bool
+	draining  bool
+	moveAt    time.Duration // during a stop or a drain nobody is moved before
+	Counts    Counts
 }
 
 // Counts is what has happened so far.
@@ -175,6 +179,9 @@
 	if c.grace = settings.Span(o.Settings.Guarantees.Grace); c.grace <= 0 {
 		c.grace = 250 * time.Millisecond
 	}
+	if c.Round == nil {
+		c.Round = c.Clock
+	}
 	c.facade = policy.Begin(c.Clock(), c.set, o.Seed)
 	c.arm()
 	return c
--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -18,6 +18,8 @@
 	// Connect starts the link of a new flow, which is abandoned after wait. It ends in Stands
 	// or Lost.
 	Connect(to *Member, wait time.Duration)
+	// Free says whether the link takes more now; if not, the feed's Drained says when.
+	Free() bool
 	// Carry hands a message to the link and notes its Offset there. It is acknowledged by
 	// Taken, in its turn.
 	Carry(text []byte, m *window.Message)
@@ -50,6 +52,8 @@
 	feedRest = 30 * time.Second
 	// feedAgain is when a feed asks again that was failed without a word when.
 	feedAgain = 150 * time.Millisecond
+	// feedLeast is what each feed may hold however many there are.
+	feedLeast = 4 << 10
 	// feedTurn is how many messages a feed may send to a cold member before others have a
 	// turn.
 	feedTurn = 4
@@ -71,6 +75,7 @@
 	used    time.Duration
 	armed   time.Duration // when its alarm is due; 0 if there is none
 	full    bool          // Put found no room
+	counted int           // of its bytes, in feedBytes
 	lined   bool          // it waits in the member's line
 	over    bool
 }
@@ -83,7 +88,7 @@
 	c.last++
 	class := c.set.Classes[q.Class]
 	f := &Feed{c: c, q: q, carrier: carrier, name: c.last, w: window.New(window.Limits{Messages: l.Messages,
-		Bytes: l.Bytes, Attempts: c.set.MaxAttempts, Aim: class.Aim,
+		Most: l.Bytes, Attempts: c.set.MaxAttempts, Aim: class.Aim,
 		Repeat: class.Effect == policy.Safe || class.Effect == policy.Keyed && class.Scope == policy.ScopeAll})}
 	c.feeds[f.name] = f
 	return f
@@ -93,19 +98,30 @@
 
 // Room says whether Put may be called; if not, the carrier's Room will say when.
 func (f *Feed) Room() bool {
-	f.full = !f.w.Room()
+	f.full = !f.hasRoom()
 	return !f.full
 }
 
-// Buffer is where the text of the next message is appended, for Put.
-func (f *Feed) Buffer() []byte { return f.w.Buffer() }
+// hasRoom keeps the windows of all feeds together within their memory: beyond it each has its
+// fair part, and always one message.
+func (f *Feed) hasRoom() bool {
+	c := f.c
+	if c.FeedMemory > 0 && c.feedBytes > c.FeedMemory && f.w.Bytes() > 0 &&
+		f.w.Bytes() >= max(c.FeedMemory/len(c.feeds), feedLeast) {
+		return false
+	}
+	return f.w.Room()
+}
+
+// Buffer is where the text of the next message, of so many bytes, is appended, for Put.
+func (f *Feed) Buffer(size int) []byte { return f.w.Buffer(size) }
 
 // Oldest is the mark of the oldest message without a final answer.
 func (f *Feed) Oldest() (uint64, bool) { return f.w.Oldest() }
 
 // Put takes a message. Its text was appended to Buffer, its time runs from now.
 func (f *Feed) Put(m window.Message, text []byte) {
-	c, now := f.c, f.c.Clock()
+	c, now := f.c, f.c.Round()
 	c.last++
 	m.ID, m.Due = uint64(c.last), now+f.q.Wait
 	c.Counts.Messages.Taken++
@@ -125,13 +141,14 @@
 	case feedUp:
 		f.pump(now)
 	}
+	f.room()
 	f.arm()
 }
 
 // turnAway answers a message that the window has not taken in.
 func (f *Feed) turnAway(m *window.Message, text []byte, after time.Duration) {
 	f.settle(m, Rejected)
-	f.carrier.Answer(m, text[len(f.w.Buffer()):], Rejected, after)
+	f.carrier.Answer(m, text[len(f.w.Buffer(0)):], Rejected, after)
 }
 
 // Stands says that the link is up and takes messages.
@@ -146,9 +163,16 @@
 	f.arm()
 }
 
+// Drained says that the link takes more again.
+func (f *Feed) Drained() {
+	if f.state == feedUp {
+		f.pump(f.c.Clock())
+	}
+}
+
 // Taken says that the member has taken the n oldest messages that are out.
 func (f *Feed) Taken(n int) {
-	c, now := f.c, f.c.Clock()
+	c, now := f.c, f.c.Round()
 	settled, served := f.w.Out(), 0
 	f.w.Taken(now, n, func(m *window.Message) {
 		served++
@@ -194,6 +218,7 @@
 	if state == feedPlacing || state == feedUp {
 		f.c.Left(f.flow)
 	}
+	f.room()
 	delete(f.c.feeds, f.name)
 }
 
@@ -312,6 +337,9 @@
 			c.lineUp(m, f)
 			return
 		}
+		if !f.carrier.Free() {
+			return
+		}
 		pace.Sent()
 		f.w.Begin(now)
 		c.Counts.Messages.Attempts++
@@ -402,9 +430,11 @@
 	}
 }
 
-// room tells the front that there is room again.
+// room counts what the feed holds, and tells the front that there is room again.
 func (f *Feed) room() {
-	if f.full && f.w.Room() && !f.over {
+	f.c.feedBytes += f.w.Bytes() - f.counted
+	f.counted = f.w.Bytes()
+	if f.full && f.hasRoom() && !f.over {
 		f.full = false
 		f.carrier.Room()
 	}
--- /dev/null
+++ b/internal/core/feed_test.go
@@ -0,0 +1,337 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/window"
+	"dahliarudder/policy"
+)
+
+// pipe is a carrier that keeps what it is told, and holds the core to the rules.
+type pipe struct {
+	r       *rig
+	f       *Feed
+	to      *Member // of the link that is there
+	out     []uint64
+	written uint64
+	shut    bool // the link takes nothing more for now
+	tries   map[uint64]int
+	due     map[uint64]time.Duration
+	answers map[uint64]Answer
+	after   time.Duration
+	rooms   int
+}
+
+func newPipe(r *rig, messages int) *pipe {
+	p := &pipe{r: r, tries: map[uint64]int{}, due: map[uint64]time.Duration{}, answers: map[uint64]Answer{}}
+	p.f = r.Feed(Request{Load: 0.01, Wait: 2 * time.Second}, FeedLimits{Messages: messages, Bytes: 1 << 20}, p)
+	return p
+}
+
+func (p *pipe) Connect(to *Member, _ time.Duration) {
+	if p.to != nil {
+		p.r.t.Errorf("a second link, to %s beside %s", to.Name, p.to.Name)
+	}
+	p.to, p.out, p.written = to, nil, 0
+}
+func (p *pipe) Free() bool { return !p.shut }
+func (p *pipe) Carry(text []byte, m *window.Message) {
+	p.written += uint64(len(text))
+	m.Offset = p.written
+	p.out = append(p.out, m.Mark)
+	p.tries[m.Mark]++
+	at := p.r.members[p.to.ID]
+	switch {
+	case p.tries[m.Mark] > 3, m.Tries != p.tries[m.Mark]:
+		p.r.t.Errorf("message %d: attempt %d (%d)", m.Mark, p.tries[m.Mark], m.Tries)
+	case p.answers[m.Mark] != "":
+		p.r.t.Errorf("message %d is sent after its answer %s", m.Mark, p.answers[m.Mark])
+	case at.left && p.r.now-at.told > 250*time.Millisecond:
+		p.r.t.Errorf("message %d is sent %v after its member left", m.Mark, p.r.now-at.told)
+	case string(text) != fmt.Sprint("message ", m.Mark):
+		p.r.t.Errorf("message %d has text %q", m.Mark, text)
+	}
+}
+func (p *pipe) Cut() uint64 {
+	p.to, p.out = nil, nil
+	return p.written
+}
+func (p *pipe) Answer(m *window.Message, _ []byte, a Answer, after time.Duration) {
+	if p.answers[m.Mark] != "" {
+		p.r.t.Errorf("message %d is answered %s after %s", m.Mark, a, p.answers[m.Mark])
+	}
+	if late := p.r.now - p.due[m.Mark]; late > 0 {
+		p.r.t.Errorf("message %d is answered %v late", m.Mark, late)
+	}
+	p.answers[m.Mark], p.after = a, after
+}
+func (p *pipe) Room() { p.rooms++ }
+
+// put publishes so many messages, as far as there is room.
+func (p *pipe) put(n int) {
+	for range n {
+		if !p.f.Room() {
+			return
+		}
+		mark := uint64(len(p.due) + 1)
+		p.due[mark] = p.r.now + 2*time.Second
+		p.f.Put(window.Message{Subject: mark % 3, Mark: mark}, fmt.Append(p.f.Buffer(20), "message ", mark))
+	}
+}
+
+// take has the member take so many.
+func (p *pipe) take(n int) {
+	n = min(n, len(p.out))
+	p.out = p.out[n:]
+	p.f.Taken(n)
+}
+
+// lose breaks the link, with so many of its bytes sent.
+func (p *pipe) lose(result policy.Result, left uint64) {
+	p.to, p.out = nil, nil
+	p.f.Lost(result, left)
+}
+
+func (p *pipe) count(a Answer) (n int) {
+	for _, x := range p.answers {
+		if x == a {
+			n++
+		}
+	}
+	return n
+}
+
+// TestFeed: any number of messages takes one place, and each has its answer and its record.
+func TestFeed(t *testing.T) {
+	r := newRig(t, 2)
+	p := newPipe(r, 500)
+	p.put(300)
+	if p.to == nil || len(p.out) > 0 {
+		t.Fatal("messages are sent before the link stands")
+	}
+	p.f.Stands()
+	for len(p.out) > 0 {
+		p.take(7)
+	}
+	if c := r.Counts; c.Requests != 1 || c.Messages.Served != 300 || p.count(Served) != 300 || r.Flows(p.to.ID) != 1 {
+		t.Errorf("%+v", c)
+	}
+	if len(r.book) != 1+2*300 {
+		t.Errorf("%d records", len(r.book))
+	}
+	r.pass(feedRest + time.Second)
+	if r.Held() != 0 || p.to != nil {
+		t.Error("a feed that rests keeps its place")
+	}
+	p.put(1)
+	p.f.Stands()
+	p.take(1)
+	if p.count(Served) != 301 {
+		t.Error("a feed that has rested does not go on")
+	}
+	p.f.Close()
+	if r.Held() != 0 || len(r.feeds) != 0 {
+		t.Error("something is left of a feed that was closed")
+	}
+}
+
+// TestFeedFull: a full window takes no more, and says when there is room.
+func TestFeedFull(t *testing.T) {
+	r := newRig(t, 2)
+	p := newPipe(r, 10)
+	p.put(20)
+	if p.f.Stands(); len(p.due) != 10 || len(p.out) != 10 || p.rooms != 0 {
+		t.Fatalf("%d taken, %d out", len(p.due), len(p.out))
+	}
+	if p.take(1); p.rooms != 1 {
+		t.Errorf("room was told %d times", p.rooms)
+	}
+}
+
+// TestFeedMemory: all feeds together keep within their memory, yet each may hold a message.
+func TestFeedMemory(t *testing.T) {
+	r := newRig(t, 2)
+	r.FeedMemory = 10 << 10
+	pipes := []*pipe{newPipe(r, 5000), newPipe(r, 5000), newPipe(r, 5000)}
+	for _, p := range pipes {
+		p.put(5000)
+	}
+	if r.feedBytes > 10<<10+2*feedLeast+100 {
+		t.Errorf("%d bytes are held", r.feedBytes)
+	}
+	for _, p := range pipes {
+		if len(p.due) == 0 {
+			t.Error("a feed may hold nothing")
+		}
+		p.f.Close()
+	}
+	if r.feedBytes != 0 {
+		t.Errorf("%d bytes are counted after the end", r.feedBytes)
+	}
+}
+
+// TestFeedDrain: nothing more is handed to a member once it drains; what is out is answered
+// there or sent again elsewhere, after its link has ended.
+func TestFeedDrain(t *testing.T) {
+	r := newRig(t, 2)
+	p := newPipe(r, 500)
+	p.put(5)
+	p.f.Stands()
+	first := p.to.ID
+	drained := list(2, policy.Ready)
+	drained[first-10].State = policy.Draining
+	r.Pool(policy.ListFull, drained)
+	if p.put(3); len(p.out) != 5 || p.to.ID != first {
+		t.Fatalf("%d out", len(p.out))
+	}
+	r.pass(time.Millisecond)
+	if p.take(3); p.to.ID != first {
+		t.Error("the link was cut while its answers come")
+	}
+	r.pass(1500 * time.Millisecond) // the last two say nothing
+	if p.to == nil || p.to.ID == first {
+		t.Fatal("no new place")
+	}
+	p.f.Stands()
+	if p.take(9); p.count(Served) != 8 || p.tries[4] != 2 || p.tries[6] != 1 {
+		t.Errorf("%d served, attempts %v", p.count(Served), p.tries)
+	}
+}
+
+// TestFeedRefused: messages wait while nothing has room, and are given up at once when their time
+// ends before they may come again.
+func TestFeedRefused(t *testing.T) {
+	r := newRig(t, 0)
+	p := newPipe(r, 500)
+	p.put(3)
+	r.pass(time.Second)
+	if len(p.answers) != 0 {
+		t.Fatalf("given up early: %v", p.answers)
+	}
+	if r.pass(time.Second); p.count(Rejected) != 3 || p.after <= 0 {
+		t.Errorf("answers %v, come again in %v", p.answers, p.after)
+	}
+	p.put(2)
+	r.Pool(policy.ListFull, list(2, policy.Ready))
+	r.pass(time.Second)
+	if p.to == nil {
+		t.Fatal("no place is asked for again")
+	}
+	p.f.Stands()
+	if p.take(2); p.count(Served) != 2 {
+		t.Errorf("answers %v", p.answers)
+	}
+	r.shut = true // the store fails
+	if p.put(1); p.count(Rejected) != 4 {
+		t.Errorf("answers %v while nothing can be recorded", p.answers)
+	}
+}
+
+// TestFeedCold: feeds that come together to a member that has just started send it no more than it
+// has shown to take, and all have their turn.
+func TestFeedCold(t *testing.T) {
+	r := newRig(t, 1)
+	r.members[10].joined = r.now // for the core alone: the module would let hardly any feed in
+	var pipes []*pipe
+	for range 200 {
+		p := newPipe(r, 100)
+		p.put(30)
+		pipes = append(pipes, p)
+	}
+	r.pass(50 * time.Millisecond)
+	out := func() (n int) {
+		for _, p := range pipes {
+			n += len(p.out)
+		}
+		return n
+	}
+	for _, p := range pipes {
+		if p.to != nil {
+			p.f.Stands()
+		}
+	}
+	if n := out(); n == 0 || n > window.Start {
+		t.Fatalf("%d messages are out at a cold member", n)
+	}
+	taken := 0
+	for range 1000 {
+		for _, p := range pipes {
+			if len(p.out) > 0 {
+				p.take(1)
+				taken++
+			}
+			if n := out(); n > window.Start+taken {
+				t.Fatalf("%d messages are out after %d were taken", n, taken)
+			}
+		}
+	}
+	for i, p := range pipes {
+		if p.to != nil && p.f.state == feedUp && p.count(Served) != 30 {
+			t.Fatalf("feed %d has had %d of 30 served", i, p.count(Served))
+		}
+	}
+	if taken < 100 {
+		t.Fatalf("only %d messages were taken: this test shows nothing", taken)
+	}
+}
+
+// TestFeedSteps: random publications, acknowledgements, refusals, lost links, drains and pauses:
+// the carrier checks each step, and in the end every message has one answer.
+func TestFeedSteps(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		r := newRig(t, 3)
+		var pipes []*pipe
+		for range 4 {
+			pipes = append(pipes, newPipe(r, 30))
+		}
+		members := list(3, policy.Ready)
+		for range 600 {
+			p := pipes[rng.IntN(len(pipes))]
+			switch rng.IntN(12) {
+			case 0, 1, 2:
+				p.put(rng.IntN(8))
+			case 3, 4:
+				if p.to != nil {
+					p.f.Stands()
+				}
+			case 5, 6, 7:
+				p.take(rng.IntN(6))
+			case 8:
+				if p.to != nil {
+					p.lose([]policy.Result{policy.Reset, policy.ConnectFailed, policy.Error}[rng.IntN(3)], rng.Uint64N(p.written+1))
+				}
+			case 9:
+				p.f.Refused(rng.Uint64N(3))
+			case 10:
+				i := rng.IntN(3)
+				members[i].State = []policy.State{policy.Ready, policy.Draining}[rng.IntN(2)]
+				r.Pool(policy.ListDelta, members[i:i+1])
+			case 11:
+				p.shut = !p.shut
+				if !p.shut {
+					p.f.Drained()
+				}
+			}
+			r.pass(time.Duration(rng.IntN(60)) * time.Millisecond)
+		}
+		r.pass(3 * time.Second)
+		sent := 0
+		for i, p := range pipes {
+			if len(p.answers) != len(p.due) {
+				t.Errorf("seed %d, feed %d: %d answers to %d messages", seed, i, len(p.answers), len(p.due))
+			}
+			sent += len(p.tries)
+			p.f.Close()
+		}
+		if c := r.Counts.Messages; c.Taken != c.Served+c.Rejected+c.Failed || sent == 0 || r.Held() != 0 || r.feedBytes != 0 {
+			t.Errorf("seed %d: %+v, %d held", seed, r.Counts, r.Held())
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -27,21 +27,24 @@
 		Protocol     int   `json:"protocol"`
 		Echo         *bool `json:"echo"`
 	}
-	connect   []byte // what CONNECT said; nil before it
-	subs      map[string]*sub
-	links     []*link
-	feeds     []*publisher
-	subjects  map[string]*publisher // where subjects belong that were published to before
-	asked     map[core.ID]*asked
-	mark      uint64   // of the newest publication
-	answers   []ticket // what is still to be said, in order
-	placing   int      // subscriptions that publications wait for
-	pings     int      // that the client has not answered
-	timer     *netloop.Timer
-	slowSince time.Duration // since when its links rest; 0 if they do not
-	later     bool          // goOn is on its way
-	leftBytes bool          // the client has ended its sending, but what it sent is not done yet
-	over      bool
+	connect  []byte // what CONNECT said; nil before it
+	subs     map[string]*sub
+	links    []*link
+	feeds    []*publisher
+	subjects map[string]*publisher // where subjects belong that were published to before
+	latest   *publisher            // that of latestSubject, the one published to last
+	asked    map[core.ID]*asked
+
+	latestSubject string
+	mark          uint64   // of the newest publication
+	answers       []ticket // what is still to be said, in order
+	placing       int      // subscriptions that publications wait for
+	pings         int      // that the client has not answered
+	timer         *netloop.Timer
+	slowSince     time.Duration // since when its links rest; 0 if they do not
+	later         bool          // goOn is on its way
+	leftBytes     bool          // the client has ended its sending, but what it sent is not done yet
+	over          bool
 }
 
 // subjectsMost bounds the memory of where subjects belong.
@@ -89,7 +92,11 @@
 			c.fail(err.Error())
 			break
 		}
-		if n == 0 || !c.do(&m) {
+		if n == 0 {
+			return used
+		}
+		if !c.do(&m) {
+			c.c.Rest() // goOn resumes
 			return used
 		}
 		used += n
@@ -294,7 +301,7 @@
 func (c *client) deliver(m command) {
 	for _, s := range c.subs {
 		if matches(s.subject, m.subject) {
-			c.c.Commit(m.appendMessage(c.c.Buffer(), s.sid))
+			c.c.Commit(m.appendMessage(c.c.Buffer(m.room(s.sid)), s.sid))
 			s.counted()
 			return
 		}
--- a/internal/front/nats/link.go
+++ b/internal/front/nats/link.go
@@ -77,7 +77,7 @@
 	l.written += uint64(l.c.Unsent() - before)
 }
 
-func (l *link) queue(b []byte) { l.commit(append(l.c.Buffer(), b...)) }
+func (l *link) queue(b []byte) { l.commit(append(l.c.Buffer(len(b)), b...)) }
 
 // ack has f run when the member has taken what was written so far.
 func (l *link) ack(f func()) {
@@ -132,14 +132,19 @@
 func (l *link) Open() {}
 
 // Drained is told by the loop.
-func (l *link) Drained() {}
+func (l *link) Drained() {
+	if l.feed != nil && l.ready {
+		l.feed.feed.Drained()
+	}
+}
 
 // Data is told by the loop.
 func (l *link) Data(b []byte) int {
 	used := 0
 	for !l.over {
 		if l.client.crowded() {
-			return used // the client's Drained goes on
+			l.c.Rest() // the client's Drained goes on
+			return used
 		}
 		m, n, err := parse(b[used:], 2*maxControl, l.f.MaxPayload+maxInfo)
 		if err != nil {
--- a/internal/front/nats/nats_test.go
+++ b/internal/front/nats/nats_test.go
@@ -130,7 +130,7 @@
 		t.Fatal("placed on the draining member again")
 	}
 	n.Say("PING\r\n")
-	n.Lines("PONG") // and nothing else, while the first still holds it
+	n.Lines("PONG")                           // and nothing else, while the first still holds it
 	m.Say("PONG\r\nMSG feed 1 4\r\nlate\r\n") // now it is not held there any more
 	n.Lines("SUB feed q 1", "PING")
 	n.Say("PONG\r\nMSG feed 1 3\r\nnew\r\n")
--- a/internal/front/nats/parse.go
+++ b/internal/front/nats/parse.go
@@ -40,11 +40,6 @@
 	opUnsub
 )
 
-var ops = map[string]op{
-	"CONNECT": opConnect, "INFO": opInfo, "PING": opPing, "PONG": opPong, "+OK": opOK, "-ERR": opErr,
-	"PUB": opPub, "HPUB": opHPub, "MSG": opMsg, "HMSG": opHMsg, "SUB": opSub, "UNSUB": opUnsub,
-}
-
 // command is one protocol message, of either side. Its parts stand in the buffer that was
 // parsed.
 type command struct {
@@ -71,7 +66,33 @@
 		}
 		up[i] = b
 	}
-	return ops[string(up[:len(word)])]
+	switch string(up[:len(word)]) {
+	case "PUB":
+		return opPub
+	case "HPUB":
+		return opHPub
+	case "MSG":
+		return opMsg
+	case "HMSG":
+		return opHMsg
+	case "SUB":
+		return opSub
+	case "UNSUB":
+		return opUnsub
+	case "PING":
+		return opPing
+	case "PONG":
+		return opPong
+	case "CONNECT":
+		return opConnect
+	case "INFO":
+		return opInfo
+	case "+OK":
+		return opOK
+	case "-ERR":
+		return opErr
+	}
+	return opNone
 }
 
 // words are those of a line behind its operation; more than the protocol knows are one too
@@ -227,6 +248,14 @@
 	return m, used + size + 2, nil
 }
 
+// lineRoom is what a line takes besides subjects and names.
+const lineRoom = 64
+
+// room is how many bytes the text of a message takes at most.
+func (m *command) room(sid string) int {
+	return len(m.subject) + len(sid) + len(m.reply) + len(m.payload) + lineRoom
+}
+
 // appendMessage appends the text of a message to a subscriber.
 func (m *command) appendMessage(to []byte, sid string) []byte {
 	if m.header > 0 {
--- a/internal/front/nats/publish.go
+++ b/internal/front/nats/publish.go
@@ -44,7 +44,10 @@
 	if c.placing > 0 {
 		return false
 	}
-	p := c.subjects[string(m.subject)]
+	p := c.latest
+	if p == nil || string(m.subject) != c.latestSubject {
+		p = c.subjects[string(m.subject)]
+	}
 	if p == nil {
 		if !validSubject(m.subject, false) {
 			c.warn("Invalid Publish Subject")
@@ -56,19 +59,17 @@
 		return false
 	}
 	c.mark++
-	q := window.Message{Subject: subjectKey(m.subject), Mark: c.mark}
+	q := window.Message{Subject: subjectKey(m.subject), Mark: c.mark, Reply: len(m.reply) > 0 && c.options.NoResponders}
 	if c.f.Core.Ledger != nil {
 		q.Name = "PUB " + string(m.subject)
 	}
 	if c.options.Verbose {
 		c.answers = append(c.answers, ticket{mark: c.mark, text: "+OK\r\n"})
 	}
-	if c.echo() {
-		p.feed.Put(q, m.appendPublication(p.feed.Buffer()))
-	} else {
-		tagged := c.tag(m)
-		p.feed.Put(q, tagged.appendPublication(p.feed.Buffer()))
+	if !c.echo() {
+		m = c.tag(m)
 	}
+	p.feed.Put(q, m.appendPublication(p.feed.Buffer(m.room(""))))
 	return true
 }
 
@@ -90,7 +91,8 @@
 	if len(c.subjects) >= subjectsMost || c.subjects == nil {
 		c.subjects = map[string]*publisher{}
 	}
-	c.subjects[string(subject)] = p
+	c.latest, c.latestSubject = p, string(subject)
+	c.subjects[c.latestSubject] = p
 	return p
 }
 
@@ -118,19 +120,22 @@
 	}
 }
 
+// Free says whether the link has sent most of what it was given; the feed's Drained follows.
+func (p *publisher) Free() bool { return p.link.c.Unsent() < highWater }
+
 // Carry hands a message to the link. Who may publish may hear on the reply subject that nobody
 // listens; members tell that the publishing connection alone.
 func (p *publisher) Carry(text []byte, m *window.Message) {
 	l := p.link
-	if p.c.options.NoResponders {
+	if m.Reply {
 		if q, _, err := parse(text, len(text)+1, len(text)); err == nil && len(q.reply) > 0 {
-			out := append(append(l.c.Buffer(), "SUB "...), q.reply...)
+			out := append(append(l.c.Buffer(len(q.reply)+lineRoom), "SUB "...), q.reply...)
 			out = strconv.AppendInt(append(out, ' '), int64(p.next), 10)
 			l.commit(append(out, '\r', '\n'))
 			p.next++
 		}
 	}
-	l.commit(append(l.c.Buffer(), text...))
+	l.commit(append(l.c.Buffer(len(text)), text...))
 	m.Offset = l.written
 	if p.fresh++; p.fresh == 1 {
 		p.c.f.Loop.After(0, func() { p.ping(l) })
@@ -149,7 +154,7 @@
 			return
 		}
 		if p.watch < sids {
-			out := l.c.Buffer()
+			out := l.c.Buffer(lineRoom * (sids - p.watch))
 			for ; p.watch < sids; p.watch++ {
 				out = strconv.AppendInt(append(out, "UNSUB "...), int64(p.watch), 10)
 				out = append(out, '\r', '\n')
--- a/internal/front/nats/sub.go
+++ b/internal/front/nats/sub.go
@@ -111,7 +111,7 @@
 		return
 	}
 	s.base = s.got
-	out := append(append(l.c.Buffer(), "SUB "...), s.subject...)
+	out := append(append(l.c.Buffer(len(s.subject)+len(s.queue)+lineRoom), "SUB "...), s.subject...)
 	if s.queue != "" {
 		out = append(append(out, ' '), s.queue...)
 	}
@@ -255,7 +255,7 @@
 			m.payload, m.header = m.payload[m.header:], 0
 		}
 	}
-	c.c.Commit(m.appendMessage(c.c.Buffer(), s.sid))
+	c.c.Commit(m.appendMessage(c.c.Buffer(m.room(s.sid)), s.sid))
 	s.counted()
 }
 
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -54,7 +54,7 @@
 	l        *Loop
 	fd       int // -1 once given back
 	h        Handler
-	in, out  []byte
+	in, out  store
 	inMost   int
 	outMost  int
 	interest uint32
@@ -72,6 +72,7 @@
 	giveUp   func()
 	budget   *budget
 	dirty    bool // what Queue has kept leaves at the end of the round
+	resting  bool // the handler has no use for more bytes before Resume
 }
 
 func newConn(l *Loop, fd int, from *budget) *Conn {
@@ -126,10 +127,10 @@
 func (c *Conn) Bound(in, out int) { c.inMost, c.outMost = in, out }
 
 // Unsent is how many written bytes have not left; it stays after the end.
-func (c *Conn) Unsent() int { return c.left + len(c.out) }
+func (c *Conn) Unsent() int { return c.left + c.out.size() }
 
 // Room is how many bytes may be written before the reader should rest.
-func (c *Conn) Room() int { return max(0, c.outMost-len(c.out)) }
+func (c *Conn) Room() int { return max(0, c.outMost-c.out.size()) }
 
 // Addr is the connection's own address.
 func (c *Conn) Addr() string { return local(c.fd) }
@@ -166,7 +167,7 @@
 	if c.fd < 0 || c.ending || c.failing != nil {
 		return
 	}
-	if len(c.out) == 0 {
+	if c.out.size() == 0 {
 		n, err := unix.Write(c.fd, b)
 		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
 			c.left += len(b)
@@ -178,9 +179,9 @@
 	if len(b) == 0 {
 		return
 	}
-	c.out = append(c.out, b...)
+	c.out.add(c.l, b)
 	c.count()
-	if len(c.out) > c.outMost+outOver || len(c.out) > OutBound+outOver && c.l.crammed() {
+	if c.out.size() > c.outMost+outOver || c.out.size() > OutBound+outOver && c.l.crammed() {
 		c.later(ErrOverflow)
 		return
 	}
@@ -189,18 +190,15 @@
 
 // Queue is Write for those who write often: b leaves with all that is queued in this
 // round of the loop, at its end.
-func (c *Conn) Queue(b []byte) { c.Commit(append(c.Buffer(), b...)) }
+func (c *Conn) Queue(b []byte) { c.Commit(append(c.Buffer(len(b)), b...)) }
 
-// Buffer is what is unsent, for a caller that appends to it and at once calls Commit
-// with the result. This spares the copy that Queue makes.
-func (c *Conn) Buffer() []byte {
+// Buffer is what is unsent, for a caller that appends so many bytes to it and at once calls
+// Commit with the result. This spares a copy.
+func (c *Conn) Buffer(more int) []byte {
 	if c.fd < 0 || c.ending || c.failing != nil {
 		return c.l.scrap[:0] // thrown away by Commit
 	}
-	if c.out == nil {
-		c.out = c.l.borrow()
-	}
-	return c.out
+	return c.out.open(c.l, more)
 }
 
 // Commit ends what Buffer has begun.
@@ -209,13 +207,13 @@
 		c.l.scrap = out
 		return
 	}
-	c.out = out
+	c.out.buf = out
 	c.count()
 	if !c.dirty {
 		c.dirty = true
 		c.l.dirty = append(c.l.dirty, c)
 	}
-	if len(c.out) > c.outMost+outOver || len(c.out) > OutBound+outOver && c.l.crammed() {
+	if c.out.size() > c.outMost+outOver || c.out.size() > OutBound+outOver && c.l.crammed() {
 		c.later(ErrOverflow)
 	}
 }
@@ -236,8 +234,13 @@
 	}
 }
 
+// Rest has nothing more read before Resume: for a handler that leaves bytes for want of room,
+// not because it needs more of them. Without this all that a peer sends is kept up to the bound.
+func (c *Conn) Rest() { c.resting = true }
+
 // Resume hands over bytes that the handler left, and reads on.
 func (c *Conn) Resume() {
+	c.resting = false
 	if c.fd < 0 || c.busy || c.dialling != nil || c.failing != nil {
 		return
 	}
@@ -247,7 +250,7 @@
 
 // count tells the loop how much the buffers hold.
 func (c *Conn) count() {
-	now := len(c.in) + len(c.out)
+	now := c.in.size() + c.out.size()
 	c.l.held += now - c.held
 	c.held = now
 }
@@ -262,7 +265,8 @@
 	if c.ending {
 		return
 	}
-	c.ending, c.h, c.in = true, deaf{}, nil
+	c.ending, c.h = true, deaf{}
+	c.forget()
 	c.count()
 	// A peer that neither reads nor ends must not hold the descriptor.
 	c.farewell = c.l.After(linger, c.release)
@@ -282,7 +286,7 @@
 // Detachable says whether Detach would work: the connection stands, is not ending and
 // has nothing to send.
 func (c *Conn) Detachable() bool {
-	return c.fd >= 0 && c.dialling == nil && c.failing == nil && !c.ending && !c.eof && len(c.out) == 0
+	return c.fd >= 0 && c.dialling == nil && c.failing == nil && !c.ending && !c.eof && c.out.size() == 0
 }
 
 // Detach takes the connection off the loop without ending it, and returns its
@@ -296,7 +300,7 @@
 	if err != nil {
 		return -1, nil
 	}
-	unread = c.in
+	unread = append(unread, c.in.data()...)
 	c.release()
 	return fd, unread
 }
@@ -309,7 +313,10 @@
 		unix.Close(fd)
 		return nil, err
 	}
-	c.interest, c.h, c.in = unix.EPOLLIN, h, unread
+	c.interest, c.h = unix.EPOLLIN, h
+	if len(unread) > 0 {
+		c.in.add(l, unread)
+	}
 	c.count()
 	return c, nil
 }
@@ -320,9 +327,10 @@
 		t.Stop()
 	}
 	c.Spare(nil)
-	c.left += len(c.out)
-	c.l.giveBack(c.out)
-	c.h, c.in, c.out, c.ending = deaf{}, nil, nil, true
+	c.left += c.out.size()
+	c.out.free(c.l)
+	c.forget()
+	c.h, c.ending = deaf{}, true
 	c.count()
 	if c.fd >= 0 {
 		c.l.drop(c.fd, c.budget)
@@ -330,6 +338,15 @@
 	}
 }
 
+// forget throws unread bytes away. A handler that is reading them still may.
+func (c *Conn) forget() {
+	if c.busy {
+		c.in = store{}
+	} else {
+		c.in.free(c.l)
+	}
+}
+
 // fail ends the connection on an error.
 func (c *Conn) fail(err error) {
 	h, told := c.h, c.eof
@@ -372,10 +389,10 @@
 }
 
 func (c *Conn) flush() {
-	if len(c.out) == 0 || c.fd < 0 {
+	if c.out.size() == 0 || c.fd < 0 {
 		return
 	}
-	n, err := unix.Write(c.fd, c.out)
+	n, err := unix.Write(c.fd, c.out.data())
 	if err == unix.EAGAIN || err == unix.EINTR {
 		return
 	}
@@ -383,20 +400,18 @@
 		c.fail(err)
 		return
 	}
-	c.out = c.out[:copy(c.out, c.out[n:])]
+	c.out.drop(c.l, n)
 	c.count()
-	if len(c.out) > 0 {
+	if c.out.size() > 0 {
 		return
 	}
-	c.l.giveBack(c.out)
-	c.out = nil
 	c.flushed()
 	c.h.Drained()
 }
 
 // flushed ends our sending once Finish was called and all has left.
 func (c *Conn) flushed() {
-	if !c.ending || len(c.out) > 0 || c.shut || c.fd < 0 {
+	if !c.ending || c.out.size() > 0 || c.shut || c.fd < 0 {
 		return
 	}
 	c.shut = true
@@ -416,7 +431,7 @@
 		}
 		room := len(chunk)
 		if !c.ending {
-			if room = min(room, c.inMost-len(c.in)); room == 0 {
+			if room = min(room, c.inMost-c.in.size()); room == 0 || c.resting {
 				break
 			}
 		}
@@ -442,7 +457,7 @@
 		}
 		if !c.ending {
 			c.takeIn(chunk[:n])
-			if len(c.in) > InBound && c.l.crammed() {
+			if c.in.size() > InBound && c.l.crammed() {
 				c.fail(ErrOverflow)
 				return
 			}
@@ -467,8 +482,8 @@
 // takeIn hands over bytes that were just read. Where none are kept already they go from the
 // loop's own buffer, and only what the handler leaves is copied.
 func (c *Conn) takeIn(b []byte) {
-	if len(c.in) > 0 {
-		c.in = append(c.in, b...)
+	if c.in.size() > 0 {
+		c.in.add(c.l, b)
 		c.offer()
 		return
 	}
@@ -476,21 +491,21 @@
 	n := c.h.Data(b)
 	c.busy = false
 	if n = min(n, len(b)); n < len(b) && !c.ending {
-		c.in = append([]byte(nil), b[n:]...)
+		c.in.add(c.l, b[n:])
 	}
 	c.count()
 }
 
 // offer hands the unread bytes to the handler.
 func (c *Conn) offer() {
-	if len(c.in) == 0 {
+	if c.in.size() == 0 {
 		return
 	}
 	c.busy = true
-	n := c.h.Data(c.in)
+	n := c.h.Data(c.in.data())
 	c.busy = false
-	if c.in = c.in[min(n, len(c.in)):]; len(c.in) == 0 {
-		c.in = nil
+	if c.in.buf != nil {
+		c.in.drop(c.l, min(n, c.in.size()))
 	}
 	c.count()
 }
@@ -501,10 +516,10 @@
 		return
 	}
 	var want uint32
-	if c.dialling != nil || len(c.out) > 0 {
+	if c.dialling != nil || c.out.size() > 0 {
 		want |= unix.EPOLLOUT
 	}
-	if c.dialling == nil && c.failing == nil && !c.eof && (c.ending || len(c.in) < c.inMost) {
+	if c.dialling == nil && c.failing == nil && !c.eof && (c.ending || c.in.size() < c.inMost && !c.resting) {
 		want |= unix.EPOLLIN
 	}
 	if want != c.interest {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -66,11 +66,13 @@
 	most       int     // how many that may be; 0 for no bound
 	events     [256]unix.EpollEvent
 	stopped    bool
-	spell      time.Duration
-	chunk      []byte   // what one read may bring
-	dirty      []*Conn  // that have something queued
-	free       [][]byte // buffers that nothing is in
-	scrap      []byte   // where writing goes that nobody sends
+	round      time.Duration // when this one began
+	spell      time.Duration // how long the last one took
+	chunk      []byte        // what one read may bring
+	dirty      []*Conn       // that have something queued
+	free       [][]byte      // buffers that nothing is in
+	freeBytes  int
+	scrap      []byte // where writing goes that nobody sends
 
 	mu     sync.Mutex
 	posted []func()
@@ -101,6 +103,9 @@
 // Now is the loop's clock.
 func (l *Loop) Now() time.Duration { return l.now() }
 
+// Round is when this round began, for who needs the time often and not to the microsecond.
+func (l *Loop) Round() time.Duration { return l.round }
+
 // Spell is how long the last round took: what is timed by this loop may be later by so much
 // for the loop's own work.
 func (l *Loop) Spell() time.Duration { return l.spell }
@@ -160,8 +165,8 @@
 	if err != nil && err != unix.EINTR {
 		return fmt.Errorf("epoll: %w", err)
 	}
-	began := l.now()
-	defer func() { l.spell = l.now() - began }()
+	l.round = l.now()
+	defer func() { l.spell = l.now() - l.round }()
 	for _, e := range l.events[:max(n, 0)] {
 		if s := l.sources[int(e.Fd)]; s != nil {
 			s.ready(e.Events)
@@ -179,30 +184,6 @@
 	return nil
 }
 
-// chunkSize is the most that one read brings, and the size of the buffers that are kept
-// for the next writer, so many at most.
-const (
-	chunkSize = 64 << 10
-	freeMost  = 32
-)
-
-// borrow gets an empty buffer, and giveBack returns one. Without this every round of a
-// busy connection would have a buffer grow anew.
-func (l *Loop) borrow() []byte {
-	if n := len(l.free); n > 0 {
-		b := l.free[n-1]
-		l.free = l.free[:n-1]
-		return b[:0]
-	}
-	return make([]byte, 0, 512)
-}
-
-func (l *Loop) giveBack(b []byte) {
-	if cap(b) > 0 && cap(b) <= 2*chunkSize && len(l.free) < freeMost {
-		l.free = append(l.free, b)
-	}
-}
-
 func (l *Loop) bury() {
 	for _, s := range l.spent {
 		unix.Close(s.fd)
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -18,8 +18,8 @@
 
 // Limits is what a window may hold and how it repeats.
 type Limits struct {
-	Messages int // waiting and out together
-	Bytes    int
+	Messages int           // waiting and out together
+	Most     int           // bytes
 	Attempts int           // of one message
 	Aim      time.Duration // within which an acknowledgement is wanted
 	Repeat   bool          // what may have been taken may be sent again
@@ -34,6 +34,7 @@
 	Due     time.Duration // when its time is over
 	Sent    time.Duration // when its latest attempt began
 	Offset  uint64        // how many bytes the link had been given after it; the carrier's
+	Reply   bool          // somebody waits to hear that nobody listens
 	Tries   int
 	ran     bool // an attempt may have been taken
 	state   state
@@ -77,16 +78,19 @@
 
 // New makes an empty window.
 func New(l Limits) *Window {
-	l.Messages, l.Bytes, l.Attempts = max(l.Messages, 1), max(l.Bytes, 1), max(l.Attempts, 1)
+	l.Messages, l.Most, l.Attempts = max(l.Messages, 1), max(l.Most, 1), max(l.Attempts, 1)
 	return &Window{Limits: l, most: min(Start, l.Messages)}
 }
 
 // Room says whether another message is taken in.
-func (w *Window) Room() bool { return w.Len() < w.Messages && w.bytes < w.Bytes }
+func (w *Window) Room() bool { return w.Len() < w.Messages && w.bytes < w.Most }
 
 // Len is how many messages it holds, and Out how many of them are out.
 func (w *Window) Len() int { return int(w.next - w.head) }
 
+// Bytes is how many bytes of messages it holds.
+func (w *Window) Bytes() int { return w.bytes }
+
 // Out is how many messages are out and not acknowledged.
 func (w *Window) Out() int { return int(w.sent - w.acked) }
 
@@ -106,13 +110,24 @@
 // Text is what is sent for a message; it is valid until the window changes.
 func (w *Window) Text(m *Message) []byte { return w.text[m.at-w.base : m.end-w.base] }
 
-// Buffer is where the text of the next message is appended, for Put.
-func (w *Window) Buffer() []byte { return w.text }
+// Buffer is where the text of the next message, of so many bytes at least, is appended, for Put.
+func (w *Window) Buffer(more int) []byte {
+	if len(w.text)+more > cap(w.text) {
+		live, old := w.text, w.text
+		if !w.Idle() {
+			live = w.text[w.at(w.head).at-w.base:]
+		}
+		w.base += len(w.text) - len(live)
+		w.text = append(texts.borrow(max(len(live)+more, 2*len(live))), live...)
+		texts.giveBack(old)
+	}
+	return w.text
+}
 
 // Put takes a message in, whose text was appended to Buffer.
 func (w *Window) Put(m Message, buffer []byte) {
 	if n := int(w.next - w.head); n == len(w.ring) {
-		w.grow(max(2*n, 4))
+		w.grow(2 * n)
 	}
 	m.at, m.end = w.base+len(w.text), w.base+len(buffer)
 	m.Tries, m.Sent, m.Offset, m.ran, m.state = 0, 0, 0, false, waiting
@@ -122,12 +137,14 @@
 	w.next++
 }
 
-func (w *Window) grow(size int) {
+func (w *Window) grow(least int) {
 	old := *w
-	w.ring = make([]Message, size)
+	w.ring = rings.borrow(max(least, few))
+	w.ring = w.ring[:cap(w.ring)]
 	for n := w.head; n < w.next; n++ {
 		*w.at(n) = *old.at(n)
 	}
+	rings.giveBack(old.ring)
 }
 
 // Next is the message that may be sent now, nil if none may.
@@ -267,7 +284,7 @@
 		part := max(w.Aim, time.Duration(patience*float64(m.Due-m.Sent)))
 		at = min(at, m.Sent+part)
 	}
-	return at, true
+	return min(at, w.at(w.head).Due), true // an older one may have been refused
 }
 
 // Due is when the time of the oldest message is over.
@@ -291,12 +308,14 @@
 	}
 	if w.Idle() {
 		// An idle feed keeps no more than a little.
-		if w.base += len(w.text); cap(w.text) > 4<<10 {
+		if w.base += len(w.text); cap(w.text) > small {
+			texts.giveBack(w.text)
 			w.text = nil
 		} else {
 			w.text = w.text[:0]
 		}
-		if len(w.ring) > 64 {
+		if len(w.ring) > few {
+			rings.giveBack(w.ring)
 			w.ring = nil
 		}
 		return
