NATS: TLS to clients and members on the loop, users, keys, JWT credentials and permissions

Need: teams that run feeds on NATS have TLS and logins, and the front had neither.

crypto/tls runs its handshake in a goroutine on a connection in memory, at most 64 at once, and after it is called by the loop alone. internal/auth holds users by bcrypt, tokens, NKeys and JWTs of trusted accounts, and what each may publish, subscribe and answer to; passwords are checked by two workers with a bounded queue. SIGHUP reads certificates and users again; a bad file is refused whole.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -147,7 +148,7 @@
 	})
 	r.watch.Told = r.core.Pool
 	if cfg.Fronts.NATS != nil {
-		r.nats = nats.New(loop, r.core, r.log, cfg.Name, *cfg.Fronts.NATS)
+		r.nats = nats.New(loop, r.core, r.log, cfg.Name, *cfg.Fronts.NATS, cfg.Security())
 		probe = r.nats.Probe
 	}
 	if cfg.Fronts.Line != nil {
@@ -303,11 +304,15 @@
 // reload takes over what a configuration that was read again may change: where
 // discovery is.
 func (r *relay) reload(fresh *config.Config) {
-	if keys := r.cfg.NeedRestart(fresh); len(keys) > 0 {
+	keys := r.cfg.NeedRestart(fresh)
+	if len(keys) > 0 {
 		r.log.WithField("keys", keys).Warn("changed, but only a restart takes them")
 	}
 	r.log.WithField("discovery", fresh.Discovery).Info("configuration read again")
 	r.watch.Move(fresh.Discovery)
+	if r.nats != nil && fresh.Security() != nil && !slices.Contains(keys, "fronts") {
+		r.nats.Renew(fresh.Security())
+	}
 }
 
 // stop ends the relay once nothing is held any more, and in any case in time.
--- a/integration/nats_rig_test.go
+++ b/integration/nats_rig_test.go
@@ -16,7 +16,8 @@
 	t.Cleanup(k.Close)
 	k.Tries, k.LoadSubject = standin.NewTries(), "node.load"
 	k.Load = func(n *standin.Node) string {
-		return fmt.Sprintf(`{"x0":%.2f,"x1":0,"inflight":%d}`, 0.1+0.001*float64(n.Conns()), n.Conns())
+		held := 100 + n.Conns() // of a thousand
+		return fmt.Sprintf(`{"x0":%.3f,"x1":0,"inflight":%d}`, float64(held)/1000, held)
 	}
 	return k
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -38,9 +38,10 @@
 	Fronts   *Fronts         `json:"fronts"` // nil: the line front alone
 	Store    *store.Config   `json:"store"`  // nil: nothing is recorded
 
-	decoded *settings.Settings
-	known   *pool.List
-	written string // discovery as the file has it
+	decoded  *settings.Settings
+	known    *pool.List
+	security *nats.Security // of the NATS front
+	written  string         // discovery as the file has it
 }
 
 // Fronts are the fronts that are on. Pool members speak the protocol of the
@@ -50,6 +51,20 @@
 	NATS *nats.Config `json:"nats"`
 }
 
+// lasting is what only a start takes: who may enter is read again on SIGHUP.
+func (f *Fronts) lasting() Fronts {
+	if f == nil {
+		return Fronts{}
+	}
+	out := *f
+	if f.NATS != nil {
+		n := *f.NATS
+		n.Auth = nil
+		out.NATS = &n
+	}
+	return out
+}
+
 // Load reads the file, if path is not empty, and lets the variables that env
 // knows take precedence.
 func Load(path string, env func(string) string) (*Config, error) {
@@ -90,7 +105,7 @@
 		{"name", c.Name, fresh.Name}, {"listen", c.Listen, fresh.Listen},
 		{"operator", c.Operator, fresh.Operator}, {"seed", c.Seed, fresh.Seed},
 		{"limits", c.Limits, fresh.Limits}, {"known", c.known, fresh.known}, {"settings", c.decoded, fresh.decoded},
-		{"fronts", c.Fronts, fresh.Fronts}, {"store", c.Store, fresh.Store},
+		{"fronts", c.Fronts.lasting(), fresh.Fronts.lasting()}, {"store", c.Store, fresh.Store},
 	} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
@@ -167,6 +182,9 @@
 		if err := c.Fronts.NATS.Check(c.decoded); err != nil {
 			return fmt.Errorf("%w: fronts.nats: %v", ErrInvalid, err)
 		}
+		if c.security, err = c.Fronts.NATS.Load(); err != nil {
+			return fmt.Errorf("%w: fronts.nats.%v", ErrInvalid, err)
+		}
 		if c.Fronts.Line == nil {
 			c.Fronts.NATS.Adapt(c.decoded)
 		}
@@ -199,6 +217,9 @@
 	return c.Discovery == discovery
 }
 
+// Security is what the files of the NATS front hold, nil if it is off.
+func (c *Config) Security() *nats.Security { return c.security }
+
 // Decoded is the settings.
 func (c *Config) Decoded() *settings.Settings { return c.decoded }
 
--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"dahliarudder/internal/auth"
 	"dahliarudder/internal/core"
 	"dahliarudder/internal/netloop"
 )
@@ -41,9 +42,15 @@
 	placing       int      // subscriptions that publications wait for
 	pings         int      // that the client has not answered
 	timer         *netloop.Timer
-	slowSince     time.Duration // since when its links rest; 0 if they do not
-	later         bool          // goOn is on its way
-	leftBytes     bool          // the client has ended its sending, but what it sent is not done yet
+	nonce         string            // that it may sign
+	may           *auth.Permissions // nil for all
+	replies       *auth.Replies     // what it may answer to besides; nil for nothing
+	expires       *netloop.Timer    // when its login does
+	sniffed       bool              // its first byte was looked at
+	entering      bool              // its password is being checked
+	slowSince     time.Duration     // since when its links rest; 0 if they do not
+	later         bool              // goOn is on its way
+	leftBytes     bool              // the client has ended its sending, but what it sent is not done yet
 	over          bool
 }
 
@@ -85,6 +92,9 @@
 
 // Data is told by the loop.
 func (c *client) Data(b []byte) int {
+	if !c.sniffed && !c.sniff(b[0]) {
+		return 0
+	}
 	used := 0
 	for !c.over {
 		m, n, err := parse(b[used:], c.f.MaxControl, c.f.MaxPayload)
@@ -185,6 +195,9 @@
 
 // do carries a command out; false if it must wait.
 func (c *client) do(m *command) bool {
+	if c.entering {
+		return false
+	}
 	if c.connect == nil && m.op != opConnect {
 		c.fail("Authorization Violation")
 		return true
@@ -228,13 +241,17 @@
 		c.fail(errParse.Error())
 		return
 	}
-	first := c.connect == nil
-	c.connect = append([]byte(nil), text...)
-	if first {
+	if c.connect != nil { // said again, it changes options and not who the client is
+		c.ok()
+		return
+	}
+	connect := append([]byte(nil), text...)
+	c.enter(connect, func() {
+		c.connect = connect
 		c.c.Spare(nil)
 		c.keepAlive()
-	}
-	c.ok()
+		c.ok()
+	})
 }
 
 // echo says whether the client takes its own publications.
@@ -281,6 +298,7 @@
 	c.over = true
 	delete(c.f.clients, c)
 	c.timer.Stop()
+	c.expires.Stop()
 	for _, p := range c.feeds {
 		p.feed.Close()
 	}
--- a/internal/front/nats/config.go
+++ b/internal/front/nats/config.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"dahliarudder/internal/auth"
 	"dahliarudder/internal/settings"
 )
 
@@ -29,6 +30,11 @@
 	Tenant      string   `json:"tenant"`       // likewise
 	Routes      []Route  `json:"routes"`
 
+	TLS       *ServerTLS   `json:"tls"`          // nil: clients are spoken to in plain
+	MemberTLS *MemberTLS   `json:"member_tls"`   // nil: members are
+	Auth      *auth.Config `json:"auth"`         // nil: all may enter
+	Login     *Login       `json:"member_login"` // nil: members are told the client's own
+
 	unprobed bool // the settings allow no probes: the relay goes by its own view alone
 }
 
--- a/internal/front/nats/link.go
+++ b/internal/front/nats/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -128,9 +129,6 @@
 	})
 }
 
-// Open is told by the loop; the member speaks first.
-func (l *link) Open() {}
-
 // Drained is told by the loop.
 func (l *link) Drained() {
 	if l.feed != nil && l.ready {
@@ -180,7 +178,7 @@
 		l.f.hear(l.member.ID, m.rest)
 		if !l.greeted {
 			l.greeted = true
-			l.connect()
+			l.greet(append([]byte(nil), m.rest...))
 		}
 	case opPing:
 		l.queue([]byte("PONG\r\n"))
@@ -189,10 +187,30 @@
 	}
 }
 
+// Open is told by the loop; the member speaks first, but where TLS does.
+func (l *link) Open() {
+	if cfg := l.f.memberTLS(l.member.Addr); cfg != nil && l.f.MemberTLS.HandshakeFirst {
+		l.c.Secure(cfg, true, l.f.Core.Limits().ConnectTimeout, func(tls.ConnectionState) {})
+	}
+}
+
+// greet answers the member's INFO, by TLS if that is configured.
+func (l *link) greet(info []byte) {
+	cfg := l.f.memberTLS(l.member.Addr)
+	if cfg == nil || l.c.Secured() {
+		l.connect(info)
+		return
+	}
+	l.c.Rest()
+	l.f.Loop.After(0, func() {
+		l.c.Secure(cfg, true, l.f.Core.Limits().ConnectTimeout, func(tls.ConnectionState) { l.connect(info) })
+	})
+}
+
 // connect says CONNECT with what the client said, but for what is the relay's own.
-func (l *link) connect() {
+func (l *link) connect(info []byte) {
 	options := map[string]any{}
-	err := json.Unmarshal(l.client.connect, &options)
+	err := errors.Join(json.Unmarshal(l.client.connect, &options), l.f.logIn(options, info))
 	options["verbose"], options["pedantic"], options["headers"], options["no_responders"] = false, false, true, true
 	options["echo"] = true // see origin
 	if _, ok := options["lang"]; !ok {
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -6,6 +6,7 @@
 package nats
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
@@ -54,10 +55,11 @@
 	leaving bool          // the relay stops or is drained
 	since   time.Duration // when that began
 	Counts  Counts
+	sec     *Security
 }
 
 // Counts is what has happened at this front.
-type Counts struct{ SlowConsumers, Turned int }
+type Counts struct{ SlowConsumers, Turned, Denied int }
 
 // route is a Route with its names looked up.
 type route struct {
@@ -81,7 +83,7 @@
 }
 
 // New makes a front on the core.
-func New(loop *netloop.Loop, c *core.Core, log logrus.FieldLogger, name string, cfg Config) *Front {
+func New(loop *netloop.Loop, c *core.Core, log logrus.FieldLogger, name string, cfg Config, sec *Security) *Front {
 	cfg.fill()
 	f := &Front{Loop: loop, Core: c, Log: log, Config: cfg, Name: name, clients: map[*client]struct{}{},
 		probes: map[policy.ServerID]*probe{}, members: map[policy.ServerID]*told{},
@@ -92,6 +94,7 @@
 		n.to.tenant, _ = c.Settings.Tenant(r.Tenant)
 		f.routes = append(f.routes, n)
 	}
+	f.Renew(sec)
 	loop.After(sweepEvery, f.sweep)
 	return f
 }
@@ -128,6 +131,7 @@
 	if c.remote != "" {
 		v["client_ip"] = c.remote
 	}
+	f.securityInfo(c, v)
 	if len(f.ConnectURLs) > 0 {
 		v["connect_urls"] = f.ConnectURLs
 	}
@@ -167,7 +171,12 @@
 	f.clients[c] = struct{}{}
 	conn.Handle(c)
 	conn.Bound(f.MaxPayload+f.MaxControl+2, 2*f.MaxPayload+4*highWater)
-	c.write(f.info(c))
+	if f.sec.server != nil && f.TLS.HandshakeFirst {
+		c.sniffed = true
+		conn.Secure(f.sec.server, false, connectWithin, func(tls.ConnectionState) { c.write(f.info(c)) })
+	} else {
+		c.write(f.info(c))
+	}
 	if f.Loop.Short() || f.MaxConnections > 0 && len(f.clients) > f.MaxConnections {
 		c.fail("maximum connections exceeded")
 		return
--- a/internal/front/nats/nats_test.go
+++ b/internal/front/nats/nats_test.go
@@ -90,7 +90,7 @@
 
 func newSite(t *testing.T, members int) *site {
 	r := looptest.NewRelay(t, members)
-	f := New(r.Loop, r.Core, r.Log, "n0", Config{Class: "pay", Tenant: "water"})
+	f := New(r.Loop, r.Core, r.Log, "n0", Config{Class: "pay", Tenant: "water"}, &Security{})
 	s := &site{r, r.Dial(r.Serve(f.Accept))}
 	s.c.Line()
 	s.c.Say("CONNECT {\"verbose\":true}\r\n")
@@ -184,7 +184,7 @@
 // 3 s; who has connected stays.
 func TestConnectWithin(t *testing.T) {
 	s := newSite(t, 1)
-	f := New(s.Loop, s.Core, s.Log, "n0", Config{Class: "pay", Tenant: "water"})
+	f := New(s.Loop, s.Core, s.Log, "n0", Config{Class: "pay", Tenant: "water"}, &Security{})
 	silent := s.Dial(s.Serve(f.Accept))
 	silent.Line()
 	silent.Say("CONNECT {")
@@ -199,7 +199,7 @@
 // once they have had time to hear of it, and resumed in time ends nobody.
 func TestLeave(t *testing.T) {
 	r := looptest.NewRelay(t, 1)
-	f := New(r.Loop, r.Core, r.Log, "n0", Config{Class: "pay", Tenant: "water"})
+	f := New(r.Loop, r.Core, r.Log, "n0", Config{Class: "pay", Tenant: "water"}, &Security{})
 	c := r.Dial(r.Serve(f.Accept))
 	info := func(ldm bool) {
 		t.Helper()
--- a/internal/front/nats/probe.go
+++ b/internal/front/nats/probe.go
@@ -1,6 +1,7 @@
 package nats
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 type probe struct {
 	f      *Front
 	id     policy.ServerID
+	addr   string
 	c      *netloop.Conn
 	asked  time.Duration
 	within *netloop.Timer
@@ -34,14 +36,18 @@
 	if f.probes[to.ID] != nil {
 		return
 	}
-	p := &probe{f: f, id: to.ID}
+	p := &probe{f: f, id: to.ID, addr: to.Addr}
 	f.probes[to.ID] = p
 	p.within = f.Loop.After(probeWithin, func() { p.done(policy.Timeout, policy.NoReport) })
 	p.c = f.Loop.Dial(to.Addr, f.Core.Limits().ConnectTimeout, p)
 }
 
 // Open is told by the loop.
-func (p *probe) Open() {}
+func (p *probe) Open() {
+	if cfg := p.f.memberTLS(p.addr); cfg != nil && p.f.MemberTLS.HandshakeFirst {
+		p.c.Secure(cfg, true, probeWithin, func(tls.ConnectionState) {})
+	}
+}
 
 // Drained is told by the loop.
 func (p *probe) Drained() {}
@@ -67,12 +73,18 @@
 	switch m.op {
 	case opInfo:
 		p.f.hear(p.id, m.rest)
-		ask := `CONNECT {"verbose":false,"headers":true,"no_responders":true,"lang":"dahliarudder","version":"1"}` + "\r\n"
-		if p.f.LoadSubject != "" {
-			ask += fmt.Sprintf("SUB %s 1\r\nPUB %s %s 0\r\n", probeReply, p.f.LoadSubject, probeReply)
+		info := append([]byte(nil), m.rest...)
+		cfg := p.f.memberTLS(p.addr)
+		if cfg == nil || p.c.Secured() {
+			p.ask(info)
+			return
 		}
-		p.asked = p.f.Loop.Now()
-		p.c.Write([]byte(ask + "PING\r\n"))
+		p.c.Rest()
+		p.f.Loop.After(0, func() {
+			if p.f.probes[p.id] == p {
+				p.c.Secure(cfg, true, probeWithin, func(tls.ConnectionState) { p.ask(info) })
+			}
+		})
 	case opPong:
 		p.f.gauge.Answered(p.id, p.f.took(p.asked))
 		if p.f.LoadSubject == "" {
@@ -87,6 +99,22 @@
 	}
 }
 
+// ask logs in and asks for the load.
+func (p *probe) ask(info []byte) {
+	options := map[string]any{"verbose": false, "headers": true, "no_responders": true, "lang": "dahliarudder", "version": "1"}
+	if err := p.f.logIn(options, info); err != nil {
+		p.done(policy.Moot, policy.NoReport)
+		return
+	}
+	text, _ := json.Marshal(options)
+	out := fmt.Sprintf("CONNECT %s\r\n", text)
+	if p.f.LoadSubject != "" {
+		out += fmt.Sprintf("SUB %s 1\r\nPUB %s %s 0\r\n", probeReply, p.f.LoadSubject, probeReply)
+	}
+	p.asked = p.f.Loop.Now()
+	p.c.Queue([]byte(out + "PING\r\n"))
+}
+
 // own reports what the relay sees itself.
 func (p *probe) own() { p.done(policy.OK, p.f.gauge.Report(p.id, p.f.Core.Flows(p.id))) }
 
--- a/internal/front/nats/publish.go
+++ b/internal/front/nats/publish.go
@@ -34,6 +34,10 @@
 		c.fail(errPayload.Error())
 		return true
 	case ownSubject(m.subject):
+		if !c.mayPublish(m.subject) {
+			c.forbid(m.subject)
+			return true
+		}
 		if c.placing > 0 || c.oldest() <= c.mark {
 			return false
 		}
@@ -53,7 +57,15 @@
 			c.warn("Invalid Publish Subject")
 			return true
 		}
-		p = c.publisher(m.subject)
+		if c.may != nil && !c.may.MayPublish(string(m.subject)) {
+			if !c.replies.MayAnswer(c.f.Loop.Round(), string(m.subject)) {
+				c.forbid(m.subject)
+				return true
+			}
+			p = c.feedOf(c.f.destination(m.subject)) // this once: it is not remembered
+		} else {
+			p = c.publisher(m.subject)
+		}
 	}
 	if !p.feed.Room() {
 		return false
@@ -73,21 +85,14 @@
 	return true
 }
 
-// publisher finds or makes the feed that a subject belongs to.
+// forbid tells of a subject that the client may not publish to.
+func (c *client) forbid(subject []byte) {
+	c.warn(fmt.Sprintf("Permissions Violation for Publish to %q", subject))
+}
+
+// publisher finds the feed that a subject belongs to, and remembers it.
 func (c *client) publisher(subject []byte) *publisher {
-	to := c.f.destination(subject)
-	var p *publisher
-	for _, q := range c.feeds {
-		if q.to == to {
-			p = q
-		}
-	}
-	if p == nil {
-		p = &publisher{c: c, to: to, watch: 1, next: 1}
-		name := "FEED " + strconv.Itoa(to.class) + " " + strconv.Itoa(to.tenant)
-		p.feed = c.f.Core.Feed(c.f.request(name, to), core.FeedLimits{Messages: c.f.WindowMessages, Bytes: c.f.WindowBytes}, p)
-		c.feeds = append(c.feeds, p)
-	}
+	p := c.feedOf(c.f.destination(subject))
 	if len(c.subjects) >= subjectsMost || c.subjects == nil {
 		c.subjects = map[string]*publisher{}
 	}
@@ -96,6 +101,20 @@
 	return p
 }
 
+// feedOf finds or makes the client's feed for a destination.
+func (c *client) feedOf(to destination) *publisher {
+	for _, p := range c.feeds {
+		if p.to == to {
+			return p
+		}
+	}
+	p := &publisher{c: c, to: to, watch: 1, next: 1}
+	name := "FEED " + strconv.Itoa(to.class) + " " + strconv.Itoa(to.tenant)
+	p.feed = c.f.Core.Feed(c.f.request(name, to), core.FeedLimits{Messages: c.f.WindowMessages, Bytes: c.f.WindowBytes}, p)
+	c.feeds = append(c.feeds, p)
+	return p
+}
+
 // Connect starts a link.
 func (p *publisher) Connect(to *core.Member, _ time.Duration) {
 	p.fresh, p.watch = 0, p.next
--- /dev/null
+++ b/internal/front/nats/security.go
@@ -0,0 +1,372 @@
+package nats
+
+import (
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/nats-io/jwt/v2"
+	"github.com/nats-io/nkeys"
+
+	"dahliarudder/internal/auth"
+)
+
+// ServerTLS is how clients are spoken to.
+type ServerTLS struct {
+	Cert           string `json:"cert"`
+	Key            string `json:"key"`
+	ClientCA       string `json:"client_ca"`       // who has signed clients' certificates
+	Verify         bool   `json:"verify"`          // clients must show one
+	HandshakeFirst bool   `json:"handshake_first"` // before INFO
+	Optional       bool   `json:"optional"`        // clients may go without TLS
+	MinVersion     string `json:"min_version"`     // "1.2" or "1.3"; 1.2 if empty
+}
+
+// MemberTLS is how members are spoken to.
+type MemberTLS struct {
+	CA             string `json:"ca"` // the system's if empty
+	Cert           string `json:"cert"`
+	Key            string `json:"key"`
+	ServerName     string `json:"server_name"` // the member's address if empty
+	HandshakeFirst bool   `json:"handshake_first"`
+	MinVersion     string `json:"min_version"`
+}
+
+// Login is the relay's own at members, in the place of each client's.
+type Login struct {
+	User     string `json:"user"`
+	Password string `json:"password"`
+	Token    string `json:"token"`
+	Seed     string `json:"nkey_seed_file"`
+	Creds    string `json:"credentials_file"` // a user's JWT and seed
+}
+
+// Security is what a Config's files hold; it can be read again while the relay runs.
+type Security struct {
+	server  *tls.Config
+	member  *tls.Config
+	book    *auth.Book // nil where all may enter
+	key     nkeys.KeyPair
+	jwt     string
+	enterer chan func() // to the workers that check passwords
+}
+
+// Load reads the files that the configuration names. Errors name the key.
+func (c *Config) Load() (*Security, error) {
+	s := &Security{}
+	if t := c.TLS; t != nil {
+		cfg, err := pair("tls", t.Cert, t.Key, t.MinVersion, true)
+		if err != nil {
+			return nil, err
+		}
+		if cfg.ClientCAs, err = pool("tls.client_ca", t.ClientCA); err != nil {
+			return nil, err
+		}
+		switch {
+		case t.Verify && cfg.ClientCAs == nil:
+			return nil, errors.New("tls.verify: needs tls.client_ca")
+		case t.Optional && t.HandshakeFirst:
+			return nil, errors.New("tls.optional: cannot be with tls.handshake_first")
+		case t.Verify:
+			cfg.ClientAuth = tls.RequireAndVerifyClientCert
+		case cfg.ClientCAs != nil:
+			cfg.ClientAuth = tls.VerifyClientCertIfGiven
+		}
+		s.server = cfg
+	}
+	if t := c.MemberTLS; t != nil {
+		cfg, err := pair("member_tls", t.Cert, t.Key, t.MinVersion, false)
+		if err != nil {
+			return nil, err
+		}
+		if cfg.RootCAs, err = pool("member_tls.ca", t.CA); err != nil {
+			return nil, err
+		}
+		cfg.ServerName = t.ServerName
+		s.member = cfg
+	}
+	if c.Auth != nil {
+		book, err := auth.Read(c.Auth)
+		if err != nil {
+			return nil, fmt.Errorf("auth.%w", err)
+		}
+		s.book = book
+	}
+	if c.Login != nil {
+		if err := s.login(c.Login); err != nil {
+			return nil, fmt.Errorf("member_login.%w", err)
+		}
+	}
+	return s, nil
+}
+
+// pair reads a certificate with its key.
+func pair(at, cert, key, version string, needed bool) (*tls.Config, error) {
+	cfg := &tls.Config{MinVersion: tls.VersionTLS12}
+	switch version {
+	case "", "1.2":
+	case "1.3":
+		cfg.MinVersion = tls.VersionTLS13
+	default:
+		return nil, fmt.Errorf("%s.min_version: %q is neither 1.2 nor 1.3", at, version)
+	}
+	if cert == "" && key == "" && !needed {
+		return cfg, nil
+	}
+	for name, path := range map[string]string{"cert": cert, "key": key} {
+		if _, err := os.Stat(path); err != nil {
+			return nil, fmt.Errorf("%s.%s: %v", at, name, err)
+		}
+	}
+	c, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		return nil, fmt.Errorf("%s.cert: %v", at, err)
+	}
+	if c.Leaf != nil && time.Now().After(c.Leaf.NotAfter) {
+		return nil, fmt.Errorf("%s.cert: has expired on %s", at, c.Leaf.NotAfter.Format(time.DateOnly))
+	}
+	cfg.Certificates = []tls.Certificate{c}
+	return cfg, nil
+}
+
+// pool reads certificates of authorities; nil if path is empty.
+func pool(at, path string) (*x509.CertPool, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %v", at, err)
+	}
+	p := x509.NewCertPool()
+	if !p.AppendCertsFromPEM(text) {
+		return nil, fmt.Errorf("%s: %s holds no certificate", at, path)
+	}
+	return p, nil
+}
+
+func (s *Security) login(l *Login) error {
+	ways := 0
+	for _, w := range []string{l.User, l.Token, l.Seed, l.Creds} {
+		if w != "" {
+			ways++
+		}
+	}
+	if ways != 1 {
+		return errors.New("user: want exactly one of user, token, nkey_seed_file and credentials_file")
+	}
+	at, path := "nkey_seed_file", l.Seed
+	if l.Creds != "" {
+		at, path = "credentials_file", l.Creds
+	}
+	if path == "" {
+		return nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("%s: %v", at, err)
+	}
+	if l.Creds != "" {
+		if s.jwt, err = jwt.ParseDecoratedJWT(text); err == nil {
+			s.key, err = jwt.ParseDecoratedNKey(text)
+		}
+	} else {
+		s.key, err = nkeys.FromSeed([]byte(strings.TrimSpace(string(text))))
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %s: %v", at, path, err)
+	}
+	return nil
+}
+
+// ---- Clients ----
+
+const (
+	// enterers check passwords, each a tenth of a second of work; so many clients may wait for
+	// them, and who comes then is refused at once.
+	enterers  = 2
+	enterMost = 256
+)
+
+// Renew takes over what was read again. Who has entered stays.
+func (f *Front) Renew(s *Security) {
+	if f.sec != nil && f.sec.enterer != nil {
+		close(f.sec.enterer) // its workers end when they are done
+	}
+	if s.book != nil {
+		s.enterer = make(chan func(), enterMost)
+		for range enterers {
+			go func() {
+				for check := range s.enterer {
+					check()
+				}
+			}()
+		}
+	}
+	f.sec = s
+}
+
+// securityInfo is what INFO says of all this.
+func (f *Front) securityInfo(c *client, v map[string]any) {
+	if f.sec.server != nil {
+		v["tls_required"] = !f.TLS.Optional
+		if f.TLS.Optional {
+			v["tls_available"] = true
+		}
+		if f.TLS.Verify {
+			v["tls_verify"] = true
+		}
+	}
+	if f.sec.book != nil {
+		v["auth_required"] = true
+		if f.sec.book.Signed() {
+			if c.nonce == "" {
+				var b [16]byte
+				rand.Read(b[:])
+				c.nonce = base64.RawURLEncoding.EncodeToString(b[:])
+			}
+			v["nonce"] = c.nonce
+		}
+	}
+}
+
+// sniff starts TLS at a client's first byte, or turns away who goes without where it must not. It
+// says whether the client's bytes may be read as they are.
+func (c *client) sniff(first byte) bool {
+	c.sniffed = true
+	const record = 0x16 // the first byte of a TLS handshake
+	switch {
+	case c.f.sec.server == nil || c.c.Secured():
+		return true
+	case first == record:
+		c.c.Rest()
+		c.f.Loop.After(0, func() { c.c.Secure(c.f.sec.server, false, connectWithin, func(tls.ConnectionState) {}) })
+		return false
+	case c.f.TLS.Optional:
+		return true
+	}
+	c.fail("Secure Connection - TLS Required")
+	return false
+}
+
+// enter checks who a client is; then is run once it has entered.
+func (c *client) enter(connect []byte, then func()) {
+	book := c.f.sec.book
+	if book == nil {
+		then()
+		return
+	}
+	claims, err := auth.Parse(connect)
+	if err != nil {
+		c.fail(errParse.Error())
+		return
+	}
+	decide := func(id *auth.Identity, err error) {
+		if c.over {
+			return
+		}
+		if err != nil {
+			c.f.Counts.Denied++
+			c.f.Log.WithError(err).WithField("client", c.remote).Info("denied")
+			if errors.Is(err, auth.ErrExpired) {
+				c.fail("User Authentication Expired")
+			} else {
+				c.fail("Authorization Violation")
+			}
+			return
+		}
+		c.may = id.Permissions
+		c.replies = auth.NewReplies(id.Permissions)
+		if !id.Expires.IsZero() {
+			c.expires = c.f.Loop.After(time.Until(id.Expires), func() { c.fail("User Authentication Expired") })
+		}
+		then()
+	}
+	if !book.Slow(claims) {
+		decide(book.Enter(claims, c.nonce, time.Now()))
+		return
+	}
+	c.entering = true
+	work := func() {
+		id, err := book.Enter(claims, c.nonce, time.Now())
+		c.f.Loop.Post(func() {
+			c.entering = false
+			decide(id, err)
+			c.goOn()
+		})
+	}
+	select {
+	case c.f.sec.enterer <- work:
+	default:
+		c.fail("Authentication Timeout")
+	}
+}
+
+// mayPublish says whether the client may publish to a subject.
+func (c *client) mayPublish(subject []byte) bool {
+	if c.may == nil || c.may.MayPublish(string(subject)) {
+		return true
+	}
+	return c.replies.MayAnswer(c.f.Loop.Round(), string(subject))
+}
+
+// ---- Members ----
+
+// memberTLS is what a member at that address is spoken to with; nil for plain TCP.
+func (f *Front) memberTLS(addr string) *tls.Config {
+	if f.sec.member == nil {
+		return nil
+	}
+	cfg := f.sec.member
+	if cfg.ServerName == "" {
+		cfg = cfg.Clone()
+		if at, err := netip.ParseAddrPort(addr); err == nil {
+			cfg.ServerName = at.Addr().String()
+		}
+	}
+	return cfg
+}
+
+// logIn puts the relay's own login into a CONNECT, where one is configured or the client's cannot be
+// passed on.
+func (f *Front) logIn(connect map[string]any, info []byte) error {
+	if f.Login == nil {
+		for _, key := range []string{"nkey", "sig", "jwt"} { // answers to the relay's own challenge
+			delete(connect, key)
+		}
+		return nil
+	}
+	auth.Strip(connect)
+	switch {
+	case f.sec.key != nil:
+		var said struct {
+			Nonce string `json:"nonce"`
+		}
+		if err := json.Unmarshal(info, &said); err != nil {
+			return err
+		}
+		sig, err := f.sec.key.Sign([]byte(said.Nonce))
+		if err != nil {
+			return err
+		}
+		connect["sig"] = base64.RawURLEncoding.EncodeToString(sig)
+		if f.sec.jwt != "" {
+			connect["jwt"] = f.sec.jwt
+		} else if connect["nkey"], err = f.sec.key.PublicKey(); err != nil {
+			return err
+		}
+	case f.Login.Token != "":
+		connect["auth_token"] = f.Login.Token
+	default:
+		connect["user"], connect["pass"] = f.Login.User, f.Login.Password
+	}
+	return nil
+}
--- a/internal/front/nats/sub.go
+++ b/internal/front/nats/sub.go
@@ -21,6 +21,7 @@
 	got     int
 	base    int  // how many it had got when it came to its member
 	local   bool // on the relay's own subjects
+	filter  bool // some of what it takes its client may not see
 	known   bool // it has stood, or its client was told that it does not yet
 	stood   bool
 	warned  bool // its client was told that it does not stand
@@ -46,6 +47,14 @@
 		c.warn("Invalid Subject")
 		return
 	}
+	if !c.may.MaySubscribe(string(m.subject), string(m.queue)) {
+		text := fmt.Sprintf("Permissions Violation for Subscription to %q", m.subject)
+		if len(m.queue) > 0 {
+			text += fmt.Sprintf(" using queue %q", m.queue)
+		}
+		c.warn(text)
+		return
+	}
 	if c.subs[string(m.sid)] != nil { // as at a server: the first one stays
 		c.ok()
 		return
@@ -55,7 +64,7 @@
 		return
 	}
 	s := &sub{c: c, sid: string(m.sid), subject: string(m.subject), queue: string(m.queue), local: ownSubject(m.subject),
-		since: c.f.Loop.Now()}
+		since: c.f.Loop.Now(), filter: c.may.Filters(string(m.subject))}
 	if c.subs == nil {
 		c.subs = map[string]*sub{}
 	}
@@ -247,6 +256,10 @@
 	if c.over || s.over && !s.draining {
 		return
 	}
+	if s.filter && c.may.Hides(string(m.subject)) {
+		return
+	}
+	c.replies.Asked(c.f.Loop.Round(), m.reply)
 	if m.header > 0 {
 		if who := untag(m); who != nil && !c.echo() && string(who) == c.origin() {
 			return
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -72,6 +72,7 @@
 	giveUp   func()
 	budget   *budget
 	dirty    bool // what Queue has kept leaves at the end of the round
+	sec      *secure
 	resting  bool // the handler has no use for more bytes before Resume
 }
 
@@ -127,7 +128,14 @@
 func (c *Conn) Bound(in, out int) { c.inMost, c.outMost = in, out }
 
 // Unsent is how many written bytes have not left; it stays after the end.
-func (c *Conn) Unsent() int { return c.left + c.out.size() }
+func (c *Conn) Unsent() int { return c.left + c.unsent() }
+
+func (c *Conn) unsent() int {
+	if c.sec != nil {
+		return c.out.size() + c.sec.cipher.size()
+	}
+	return c.out.size()
+}
 
 // Room is how many bytes may be written before the reader should rest.
 func (c *Conn) Room() int { return max(0, c.outMost-c.out.size()) }
@@ -167,6 +175,10 @@
 	if c.fd < 0 || c.ending || c.failing != nil {
 		return
 	}
+	if c.sec != nil {
+		c.Queue(b)
+		return
+	}
 	if c.out.size() == 0 {
 		n, err := unix.Write(c.fd, b)
 		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
@@ -245,12 +257,15 @@
 		return
 	}
 	c.offer()
+	if c.sec != nil && c.fd >= 0 {
+		c.sec.read()
+	}
 	c.update()
 }
 
 // count tells the loop how much the buffers hold.
 func (c *Conn) count() {
-	now := c.in.size() + c.out.size()
+	now := c.in.size() + c.unsent()
 	c.l.held += now - c.held
 	c.held = now
 }
@@ -286,7 +301,7 @@
 // Detachable says whether Detach would work: the connection stands, is not ending and
 // has nothing to send.
 func (c *Conn) Detachable() bool {
-	return c.fd >= 0 && c.dialling == nil && c.failing == nil && !c.ending && !c.eof && c.out.size() == 0
+	return c.fd >= 0 && c.dialling == nil && c.failing == nil && !c.ending && !c.eof && c.out.size() == 0 && c.sec == nil
 }
 
 // Detach takes the connection off the loop without ending it, and returns its
@@ -327,8 +342,11 @@
 		t.Stop()
 	}
 	c.Spare(nil)
-	c.left += c.out.size()
+	c.left += c.unsent()
 	c.out.free(c.l)
+	if c.sec != nil {
+		c.sec.end()
+	}
 	c.forget()
 	c.h, c.ending = deaf{}, true
 	c.count()
@@ -389,10 +407,20 @@
 }
 
 func (c *Conn) flush() {
-	if c.out.size() == 0 || c.fd < 0 {
+	if c.fd < 0 || c.unsent() == 0 {
 		return
 	}
-	n, err := unix.Write(c.fd, c.out.data())
+	from := &c.out
+	if c.sec != nil {
+		if err := c.sec.write(); err != nil {
+			c.fail(err)
+			return
+		}
+		if from = &c.sec.cipher; from.size() == 0 {
+			return // the handshake is not over
+		}
+	}
+	n, err := unix.Write(c.fd, from.data())
 	if err == unix.EAGAIN || err == unix.EINTR {
 		return
 	}
@@ -400,9 +428,9 @@
 		c.fail(err)
 		return
 	}
-	c.out.drop(c.l, n)
+	from.drop(c.l, n)
 	c.count()
-	if c.out.size() > 0 {
+	if c.unsent() > 0 {
 		return
 	}
 	c.flushed()
@@ -411,7 +439,11 @@
 
 // flushed ends our sending once Finish was called and all has left.
 func (c *Conn) flushed() {
-	if !c.ending || c.out.size() > 0 || c.shut || c.fd < 0 {
+	if !c.ending || c.unsent() > 0 || c.shut || c.fd < 0 {
+		return
+	}
+	if c.sec != nil && c.sec.bye() {
+		c.flush()
 		return
 	}
 	c.shut = true
@@ -445,14 +477,7 @@
 			c.fail(err)
 			return
 		case n == 0:
-			c.eof = true
-			if c.ending {
-				if c.shut {
-					c.release()
-				}
-				return
-			}
-			c.h.End(io.EOF)
+			c.heardEnd()
 			return
 		}
 		if !c.ending {
@@ -479,9 +504,37 @@
 	}
 }
 
-// takeIn hands over bytes that were just read. Where none are kept already they go from the
-// loop's own buffer, and only what the handler leaves is copied.
+// heardEnd says that the peer has ended its sending.
+func (c *Conn) heardEnd() {
+	if c.eof {
+		return
+	}
+	c.eof = true
+	if c.ending {
+		if c.shut {
+			c.release()
+		}
+		return
+	}
+	if c.sec != nil && !c.sec.up {
+		c.fail(io.ErrUnexpectedEOF)
+		return
+	}
+	c.h.End(io.EOF)
+}
+
+// takeIn takes bytes that were just read.
 func (c *Conn) takeIn(b []byte) {
+	if c.sec != nil {
+		c.sec.take(b)
+	} else {
+		c.takePlain(b)
+	}
+}
+
+// takePlain hands over bytes that were just read. Where none are kept already they go from the
+// loop's own buffer, and only what the handler leaves is copied.
+func (c *Conn) takePlain(b []byte) {
 	if c.in.size() > 0 {
 		c.in.add(c.l, b)
 		c.offer()
@@ -516,7 +569,7 @@
 		return
 	}
 	var want uint32
-	if c.dialling != nil || c.out.size() > 0 {
+	if c.dialling != nil || c.sec == nil && c.out.size() > 0 || c.sec != nil && (c.sec.cipher.size() > 0 || c.sec.up && c.out.size() > 0) {
 		want |= unix.EPOLLOUT
 	}
 	if c.dialling == nil && c.failing == nil && !c.eof && (c.ending || c.in.size() < c.inMost && !c.resting) {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -69,6 +69,8 @@
 	round      time.Duration // when this one began
 	spell      time.Duration // how long the last one took
 	chunk      []byte        // what one read may bring
+	plain      []byte        // where TLS records are decrypted; nil until there are any
+	shaking    int           // TLS handshakes under way
 	dirty      []*Conn       // that have something queued
 	free       [][]byte      // buffers that nothing is in
 	freeBytes  int
