--- /dev/null
+++ b/integration/nats_conformance_own_test.go
@@ -0,0 +1,439 @@
+package integration
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/nats-io/jwt/v2"
+	"github.com/nats-io/nats.go"
+	"github.com/nats-io/nkeys"
+	"golang.org/x/crypto/bcrypt"
+
+	"dahliarudder/internal/standin"
+)
+
+// direct is a client of a node itself, which plays a service there.
+func (s *confSite) direct(t *testing.T) *nats.Conn {
+	t.Helper()
+	c, err := nats.Connect("nats://"+s.k.Nodes[0].Addr, nats.Timeout(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// script answers requests on subjects by scripted JSON.
+func script(t *testing.T, c *nats.Conn, answers map[string]func(m *nats.Msg) string) {
+	t.Helper()
+	for subject, f := range answers {
+		must[*nats.Subscription](t)(c.Subscribe(subject, func(m *nats.Msg) {
+			if text := f(m); text != "" {
+				m.Respond([]byte(text))
+			}
+		}))
+	}
+	flush(t, c)
+}
+
+func says(text string) func(*nats.Msg) string { return func(*nats.Msg) string { return text } }
+
+// jetStream: the relay knows nothing of JetStream; its requests and reply subjects pass.
+func jetStream(t *testing.T, s *confSite) {
+	server := s.direct(t)
+	acks := make(chan string, 10)
+	const consumer = `{"type":"io.nats.jetstream.api.v1.consumer_info_response","stream_name":"ORDERS","name":"work","config":{"durable_name":"work","ack_policy":"explicit"},"num_pending":2}`
+	script(t, server, map[string]func(*nats.Msg) string{
+		"orders.new":                        says(`{"stream":"ORDERS","seq":7}`),
+		"$JS.API.STREAM.NAMES":              says(`{"type":"io.nats.jetstream.api.v1.stream_names_response","total":1,"offset":0,"limit":1024,"streams":["ORDERS"]}`),
+		"$JS.API.CONSUMER.INFO.ORDERS.work": says(consumer),
+		"$JS.API.CONSUMER.MSG.NEXT.ORDERS.work": func(m *nats.Msg) string {
+			for i := range 2 {
+				out := nats.NewMsg(m.Reply)
+				out.Reply, out.Data = fmt.Sprintf("$JS.ACK.ORDERS.work.1.%d.%d.1700000000000000000.0", i+1, i+1), fmt.Append(nil, "order ", i+1)
+				server.PublishMsg(out)
+			}
+			return ""
+		},
+		"$JS.ACK.>": func(m *nats.Msg) string { acks <- m.Subject + " " + string(m.Data); return "" },
+	})
+	js := must[nats.JetStreamContext](t)(s.lib(t).JetStream())
+	if ack := must[*nats.PubAck](t)(js.Publish("orders.new", []byte("x"))); ack.Sequence != 7 {
+		t.Errorf("%+v", ack)
+	}
+	sub := must[*nats.Subscription](t)(js.PullSubscribe("orders.*", "work", nats.Bind("ORDERS", "work")))
+	for i, m := range must[[]*nats.Msg](t)(sub.Fetch(2, nats.MaxWait(patience))) {
+		if string(m.Data) != fmt.Sprint("order ", i+1) {
+			t.Errorf("message %d is %s", i, m.Data)
+		}
+		if err := m.Ack(); err != nil {
+			t.Error(err)
+		}
+		if got := <-acks; !strings.HasPrefix(got, fmt.Sprintf("$JS.ACK.ORDERS.work.1.%d.", i+1)) || !strings.HasSuffix(got, "+ACK") {
+			t.Errorf("acknowledged by %s", got)
+		}
+	}
+}
+
+// keyValue: a watch is an ordered push consumer on a subject of the client's.
+func keyValue(t *testing.T, s *confSite) {
+	server := s.direct(t)
+	const stream = `{"type":"io.nats.jetstream.api.v1.stream_info_response","config":{"name":"KV_b","subjects":["$KV.b.>"],"max_msgs_per_subject":1,"allow_direct":true},"state":{"messages":1,"last_seq":1}}`
+	create := func(m *nats.Msg) string {
+		var q struct {
+			Config map[string]any `json:"config"`
+		}
+		if json.Unmarshal(m.Data, &q) != nil {
+			return ""
+		}
+		config, _ := json.Marshal(q.Config)
+		out := nats.NewMsg(fmt.Sprint(q.Config["deliver_subject"]))
+		out.Header.Set("Nats-Subject", "$KV.b.rate")
+		out.Subject, out.Reply, out.Data = fmt.Sprint(q.Config["deliver_subject"]), "$JS.ACK.KV_b.c.1.1.1.1700000000000000000.0", []byte("12")
+		time.AfterFunc(50*time.Millisecond, func() { server.PublishMsg(out) })
+		return fmt.Sprintf(`{"type":"io.nats.jetstream.api.v1.consumer_create_response","stream_name":"KV_b","name":"c","config":%s,"num_pending":1}`, config)
+	}
+	script(t, server, map[string]func(*nats.Msg) string{
+		"$JS.API.STREAM.INFO.KV_b":       says(stream),
+		"$JS.API.CONSUMER.CREATE.KV_b.>": create,
+		"$JS.API.CONSUMER.CREATE.KV_b":   create,
+		"$JS.API.CONSUMER.DELETE.>":      says(`{"success":true}`),
+	})
+	c := s.lib(t)
+	js := must[nats.JetStreamContext](t)(c.JetStream())
+	kv, err := js.KeyValue("b")
+	if err != nil {
+		t.Fatal(err, c.LastError())
+	}
+	w := must[nats.KeyWatcher](t)(kv.WatchAll())
+	defer w.Stop()
+	select {
+	case e := <-w.Updates():
+		if e == nil || string(e.Value()) != "12" {
+			t.Errorf("%+v", e)
+		}
+	case <-time.After(patience):
+		t.Error("no update came")
+	}
+}
+
+// ---- Clauses that need a relay of their own ----
+
+// hash is a quick bcrypt hash.
+func hash(word string) string {
+	h, _ := bcrypt.GenerateFromPassword([]byte(word), bcrypt.MinCost)
+	return string(h)
+}
+
+// own is a relay set up so, for one clause.
+func own(front map[string]any, play func(t *testing.T, s *confSite)) func(*testing.T, *confSite) {
+	return func(t *testing.T, _ *confSite) { play(t, newConfSite(t, front)) }
+}
+
+// enters says how a connection by the library ends: nil where it may enter.
+func (s *confSite) enters(options ...nats.Option) error {
+	c, err := nats.Connect("nats://"+s.addr["nats"], append(options, nats.Timeout(patience), nats.NoReconnect())...)
+	if err == nil {
+		c.Close()
+	}
+	return err
+}
+
+func (s *confSite) admits(t *testing.T, yes bool, options ...nats.Option) {
+	t.Helper()
+	if err := s.enters(options...); (err == nil) != yes {
+		t.Errorf("entering: %v, want %v", err, yes)
+	}
+}
+
+var ownSites = []clause{
+	{name: "ping interval and stale connections", raw: own(map[string]any{"ping_interval_ms": 150, "ping_max": 2}, func(t *testing.T, s *confSite) {
+		c := s.raw(t, "")
+		c.gets("PING")
+		c.says("PONG")
+		c.gets("PING", "PING", "-ERR 'Stale Connection'", "EOF")
+	})},
+	{name: "max_connections", raw: own(map[string]any{"max_connections": 2}, func(t *testing.T, s *confSite) {
+		s.raw(t, "")
+		c := s.raw(t, "")
+		c.says("PING")
+		c.gets("PONG")
+		d := s.natsDial()
+		d.want("INFO ")
+		d.gets("-ERR 'maximum connections exceeded'", "EOF")
+	})},
+	{name: "a slow consumer is ended, and nobody waits for it", raw: own(map[string]any{"slow_after_ms": 300}, func(t *testing.T, s *confSite) {
+		slow, quick := s.raw(t, ""), s.raw(t, "")
+		for _, c := range []*client{slow, quick} {
+			c.says("SUB flood 1", "PING")
+			c.gets("PONG")
+		}
+		const many = 3000
+		p, payload := s.lib(t), make([]byte, 16<<10)
+		go func() {
+			for range many {
+				p.Publish("flood", payload)
+			}
+		}()
+		for range many {
+			quick.want("MSG flood 1 16384")
+			quick.line()
+		}
+		s.logged("slow consumer")
+		for last := ""; ; {
+			line := slow.line()
+			if line == "EOF" || strings.Contains(line, "reset") {
+				if last != "" && last != "-ERR 'Slow Consumer'" && len(last) < 100 {
+					t.Errorf("its last line is %q", last)
+				}
+				return
+			}
+			last = line
+		}
+	})},
+	{name: "a relay that stops says so (ldm)", lib: own(nil, func(t *testing.T, s *confSite) {
+		lame := make(chan bool, 1)
+		c := s.lib(t, nats.LameDuckModeHandler(func(*nats.Conn) { lame <- true }))
+		flush(t, c)
+		s.stop()
+		select {
+		case <-lame:
+		case <-time.After(patience):
+			t.Error("the client never saw the notice")
+		}
+	})},
+	{name: "user and password, token", lib: own(map[string]any{"auth": map[string]any{"users": []any{
+		map[string]any{"user": "ann", "password": hash("one")}, map[string]any{"token": hash("two")}}}}, func(t *testing.T, s *confSite) {
+		s.admits(t, true, nats.UserInfo("ann", "one"))
+		s.admits(t, true, nats.Token("two"))
+		s.admits(t, false, nats.UserInfo("ann", "two"))
+		s.admits(t, false, nats.UserInfo("bob", "one"))
+		s.admits(t, false, nats.Token("one"))
+		s.admits(t, false)
+		c := s.natsDial()
+		c.want("INFO ")
+		c.says(`CONNECT {"user":"ann","pass":"no"}`)
+		c.gets("-ERR 'Authorization Violation'", "EOF")
+	})},
+	{name: "NKey challenge", lib: func(t *testing.T, _ *confSite) {
+		key, _ := nkeys.CreateUser()
+		public, _ := key.PublicKey()
+		s := newConfSite(t, map[string]any{"auth": map[string]any{"users": []any{map[string]any{"nkey": public}}}})
+		s.admits(t, true, nats.Nkey(public, key.Sign))
+		s.admits(t, false, nats.Nkey(public, func(nonce []byte) ([]byte, error) { return key.Sign(append(nonce, 'x')) }))
+		other, _ := nkeys.CreateUser()
+		s.admits(t, false, nats.Nkey(public, other.Sign))
+	}},
+	{name: "JWT credentials: signature, trust, expiry, permissions", lib: jwtCredentials},
+	{name: "permissions to publish and subscribe, allow_responses", raw: own(map[string]any{"auth": map[string]any{"users": []any{
+		map[string]any{"user": "all", "password": hash("w")},
+		map[string]any{"user": "few", "password": hash("w"), "permissions": map[string]any{
+			"publish": map[string]any{"allow": []string{"out.>"}, "deny": []string{"out.secret"}}, "allow_responses": map[string]any{"max": 1},
+			"subscribe": map[string]any{"allow": []string{"in.>", "work.* crew"}, "deny": []string{"in.secret"}}}}}}}, func(t *testing.T, s *confSite) {
+		few, all := s.raw(t, `"user":"few","pass":"w"`), s.raw(t, `"user":"all","pass":"w"`)
+		few.says("PUB out.secret 0", "", "PUB other 0", "", "PUB out.ok 0", "", "SUB other 1", "SUB in.secret 2", "SUB work.a 3", "SUB work.a crew 4", "SUB in.* 5", "PING")
+		few.gets(`-ERR 'Permissions Violation for Publish to "out.secret"'`, `-ERR 'Permissions Violation for Publish to "other"'`,
+			`-ERR 'Permissions Violation for Subscription to "other"'`, `-ERR 'Permissions Violation for Subscription to "in.secret"'`,
+			`-ERR 'Permissions Violation for Subscription to "work.a"'`, "PONG")
+		all.says("SUB box 1", "PUB in.secret 1", "1", "PUB in.open box 1", "2", "PING")
+		few.gets("MSG in.open 5 box 1", "2") // what is denied is not delivered by the wildcard
+		few.says("PUB box 2", "ok", "PUB box 2", "no", "PING")
+		few.gets(`-ERR 'Permissions Violation for Publish to "box"'`, "PONG")
+		all.gets("PONG", "MSG box 1 2", "ok")
+	})},
+	{name: "TLS after INFO and handshake first, client certificates", lib: func(t *testing.T, _ *confSite) {
+		ca := newAuthority(t)
+		cert, key := ca.issue(t, "relay")
+		for name, more := range map[string]map[string]any{"after INFO": {}, "first": {"handshake_first": true}, "1.3": {"min_version": "1.3"}} {
+			set := map[string]any{"cert": cert, "key": key, "client_ca": ca.file, "verify": true}
+			for k, v := range more {
+				set[k] = v
+			}
+			s := newConfSite(t, map[string]any{"tls": set})
+			mine, mineKey := ca.issue(t, "client")
+			options := []nats.Option{nats.RootCAs(ca.file), nats.Secure()}
+			if name == "first" {
+				options = append(options, nats.TLSHandshakeFirst())
+			}
+			s.admits(t, false, options...) // shows no certificate
+			c := s.lib(t, append(options, nats.ClientCert(mine, mineKey))...)
+			sub := must[*nats.Subscription](t)(c.SubscribeSync("secret"))
+			big := make([]byte, 60000)
+			for range 50 {
+				c.Publish("secret", big)
+			}
+			for range 50 {
+				if m := must[*nats.Msg](t)(sub.NextMsg(patience)); len(m.Data) != len(big) {
+					t.Fatalf("%d bytes came", len(m.Data))
+				}
+			}
+			if name == "after INFO" {
+				p := s.natsDial()
+				p.want("INFO ")
+				p.says("CONNECT {}")
+				p.gets("-ERR 'Secure Connection - TLS Required'", "EOF")
+			}
+			c.Close()
+			s.stop()
+		}
+	}},
+	{name: "certificates read again on SIGHUP, a bad one refused whole", lib: func(t *testing.T, _ *confSite) {
+		ca, next := newAuthority(t), newAuthority(t)
+		cert, key := ca.issue(t, "relay")
+		s := newConfSite(t, map[string]any{"tls": map[string]any{"cert": cert, "key": key}})
+		old := s.lib(t, nats.RootCAs(ca.file))
+		write(t, cert, "no certificate")
+		s.reload()
+		s.logged("the old configuration stays")
+		s.admits(t, true, nats.RootCAs(ca.file))
+		cert2, key2 := next.issue(t, "relay")
+		for from, to := range map[string]string{cert2: cert, key2: key} {
+			text, _ := os.ReadFile(from)
+			write(t, to, string(text))
+		}
+		s.reload()
+		until(t, "the new certificate", func() bool { return s.enters(nats.RootCAs(next.file)) == nil })
+		s.admits(t, false, nats.RootCAs(ca.file))
+		flush(t, old) // who has entered stays
+	}},
+	{name: "TLS and the relay's own login at members", lib: func(t *testing.T, _ *confSite) {
+		ca := newAuthority(t)
+		cert, key := ca.issue(t, "member")
+		pair, err := tls.LoadX509KeyPair(cert, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		k, err := standin.NewCluster(2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(k.Close)
+		var mu sync.Mutex
+		names := map[string]bool{}
+		k.TLS = &tls.Config{Certificates: []tls.Certificate{pair}}
+		k.Login = func(connect map[string]any) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			names[fmt.Sprint(connect["user"], connect["pass"], connect["sig"])] = true
+			return connect["user"] == "relay" && connect["pass"] == "word"
+		}
+		s := &confSite{k: k, relay: natsRelay(t, k, map[string]any{"member_tls": map[string]any{"ca": ca.file},
+			"member_login": map[string]any{"user": "relay", "password": "word"}, "auth": map[string]any{"users": []any{map[string]any{"user": "ann", "password": hash("one")}}}})}
+		c := s.lib(t, nats.UserInfo("ann", "one"))
+		sub := must[*nats.Subscription](t)(c.SubscribeSync("by.tls"))
+		c.Publish("by.tls", []byte("x"))
+		must[*nats.Msg](t)(sub.NextMsg(patience))
+		mu.Lock()
+		defer mu.Unlock()
+		if len(names) != 1 || !names["relayword<nil>"] {
+			t.Errorf("members heard %v", names)
+		}
+	}},
+}
+
+func jwtCredentials(t *testing.T, _ *confSite) {
+	operator, _ := nkeys.CreateOperator()
+	account, _ := nkeys.CreateAccount()
+	stranger, _ := nkeys.CreateAccount()
+	user, _ := nkeys.CreateUser()
+	public := func(k nkeys.KeyPair) string { p, _ := k.PublicKey(); return p }
+	issue := func(by nkeys.KeyPair, until time.Duration) string {
+		c := jwt.NewUserClaims(public(user))
+		c.Permissions.Pub.Allow.Add("mine.>")
+		if until != 0 {
+			c.Expires = time.Now().Add(until).Unix()
+		}
+		text, err := c.Encode(by)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	claims := jwt.NewAccountClaims(public(account))
+	signed, err := claims.Encode(operator)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newConfSite(t, map[string]any{"auth": map[string]any{"jwt": map[string]any{"operators": []string{public(operator)}, "accounts": []string{signed}}}})
+	by := func(text string, key nkeys.KeyPair) nats.Option {
+		return nats.UserJWT(func() (string, error) { return text, nil }, key.Sign)
+	}
+	s.admits(t, true, by(issue(account, time.Hour), user))
+	s.admits(t, true, by(issue(account, 0), user))
+	s.admits(t, false, by(issue(account, -time.Minute), user))
+	s.admits(t, false, by(issue(stranger, time.Hour), user))
+	other, _ := nkeys.CreateUser()
+	s.admits(t, false, by(issue(account, time.Hour), other))
+	got := make(chan error, 10)
+	c := s.lib(t, by(issue(account, 3*time.Second), user), nats.ErrorHandler(func(_ *nats.Conn, _ *nats.Subscription, err error) { got <- err }),
+		nats.ClosedHandler(func(c *nats.Conn) { got <- c.LastError() }))
+	c.Publish("theirs", nil)
+	for _, want := range []string{"Permissions Violation for Publish", "authentication expired"} {
+		select {
+		case err := <-got:
+			if err == nil || !strings.Contains(strings.ToLower(err.Error()), strings.ToLower(want)) {
+				t.Errorf("the library hears %v, want %s", err, want)
+			}
+		case <-time.After(patience):
+			t.Errorf("the library never hears %s", want)
+		}
+	}
+}
+
+// authority signs certificates for one test.
+type authority struct {
+	file string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	dir  string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{dir: t.TempDir()}
+	a.key, _ = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	a.cert = &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.file = a.pem(t, "ca.pem", "CERTIFICATE", der)
+	return a
+}
+
+func (a *authority) pem(t *testing.T, name, kind string, der []byte) string {
+	path := filepath.Join(a.dir, name)
+	write(t, path, string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})))
+	return path
+}
+
+// issue writes a certificate for the loopback and its key.
+func (a *authority) issue(t *testing.T, name string) (cert, key string) {
+	t.Helper()
+	k, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	c := &x509.Certificate{SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &k.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, _ := x509.MarshalECPrivateKey(k)
+	return a.pem(t, name+".pem", "CERTIFICATE", der), a.pem(t, name+".key", "EC PRIVATE KEY", raw)
+}
--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -50,7 +50,9 @@
 	entering      bool              // its password is being checked
 	slowSince     time.Duration     // since when its links rest; 0 if they do not
 	later         bool              // goOn is on its way
-	leftBytes     bool              // the client has ended its sending, but what it sent is not done yet
+	fencing       bool
+	fenced        uint64 // the mark that all links are past
+	leftBytes     bool   // the client has ended its sending, but what it sent is not done yet
 	over          bool
 }
 
@@ -62,8 +64,51 @@
 	mark uint64 // publications up to this one have their final answer
 	sub  *sub   // that this subscription stands or was refused; or has ended, if ends
 	ends bool
-	text string
-	then func()
+	// What members have sent to the client by then comes first: a publication and the
+	// subscription that takes it are on links of their own.
+	fence bool
+	text  string
+	then  func()
+}
+
+// fence is a PING on every link that holds subscriptions. Publications up to its mark were taken
+// before it.
+type fence struct {
+	c    *client
+	mark uint64
+	left int
+}
+
+func (b *fence) step() {
+	if b.left--; b.left == 0 {
+		b.c.fenced, b.c.fencing = b.mark, false
+		b.c.goOn()
+	}
+}
+
+// behind says whether all links are past what the publications up to a mark have brought, and if
+// not has them say so.
+func (c *client) behind(mark uint64) bool {
+	if c.fenced >= mark {
+		return true
+	}
+	if c.fencing {
+		return false
+	}
+	b := &fence{c: c, mark: mark, left: 1}
+	c.fencing = true
+	for _, l := range c.links {
+		if l.feed == nil && l.ready {
+			b.left++
+			l.fence(b)
+		}
+	}
+	if b.left == 1 {
+		c.fenced, c.fencing = mark, false
+		return true
+	}
+	b.left--
+	return false
 }
 
 func (c *client) write(b []byte) { c.c.Queue(b) }
@@ -157,6 +202,9 @@
 		if t.mark >= oldest || t.sub != nil && !(t.sub.known && !t.ends || t.sub.over && !t.sub.draining) {
 			return
 		}
+		if t.fence && !c.behind(t.mark) {
+			return
+		}
 		c.answers = c.answers[1:]
 		if t.text != "" {
 			c.write([]byte(t.text))
@@ -209,7 +257,7 @@
 	case opConnect:
 		c.greet(m.rest)
 	case opPing:
-		c.answer(ticket{text: "PONG\r\n"})
+		c.answer(ticket{text: "PONG\r\n", fence: true})
 	case opPong:
 		c.pings = 0
 	case opPub, opHPub:
@@ -220,7 +268,12 @@
 		if s := c.subs[string(m.sid)]; s != nil {
 			// What was published before it still counts for it.
 			most := m.max
-			c.answer(ticket{sub: s, then: func() { s.limit(most) }})
+			c.placing++ // what is published after it is not
+			c.answer(ticket{sub: s, fence: true, then: func() {
+				c.placing--
+				s.limit(most)
+				c.goOn()
+			}})
 			if c.options.Verbose {
 				c.answer(ticket{text: "+OK\r\n"})
 			}
--- a/internal/front/nats/link.go
+++ b/internal/front/nats/link.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"dahliarudder/internal/core"
@@ -28,6 +29,7 @@
 	written uint64   // bytes handed to the connection
 	waiting []func() // for ready
 	acks    []func() // one for each PING that is out
+	fences  []*fence
 	subs    map[int]*sub
 	last    int           // the newest sid
 	toAck   []func()      // wait for the PING at the end of this round
@@ -104,6 +106,19 @@
 	})
 }
 
+// fence has a barrier told when the member's answers are past this point, or the link is gone.
+func (l *link) fence(b *fence) {
+	l.fences = append(l.fences, b)
+	l.confirm(func() { l.past(b) })
+}
+
+func (l *link) past(b *fence) {
+	if i := slices.Index(l.fences, b); i >= 0 {
+		l.fences = slices.Delete(l.fences, i, i+1)
+		b.step()
+	}
+}
+
 func (l *link) add(s *sub) int {
 	l.last++
 	l.subs[l.last] = s
@@ -318,6 +333,11 @@
 	l.over = true
 	l.idle.Stop()
 	l.acks, l.waiting = nil, nil
+	fences := l.fences
+	l.fences = nil
+	for _, b := range fences {
+		b.step()
+	}
 	for i, x := range l.client.links {
 		if x == l {
 			l.client.links = append(l.client.links[:i], l.client.links[i+1:]...)
--- a/internal/front/nats/publish.go
+++ b/internal/front/nats/publish.go
@@ -53,7 +53,7 @@
 		p = c.subjects[string(m.subject)]
 	}
 	if p == nil {
-		if !validSubject(m.subject, false) {
+		if c.options.Pedantic && !validSubject(m.subject, false) { // others may have wildcards in it, as key-value watches do
 			c.warn("Invalid Publish Subject")
 			return true
 		}
--- a/internal/front/nats/sub.go
+++ b/internal/front/nats/sub.go
@@ -288,8 +288,9 @@
 	}
 	if most <= s.got {
 		s.end()
-		if s.draining { // what the client says after it is answered after what it still gets
-			s.c.answers = append([]ticket{{sub: s, ends: true}}, s.c.answers...)
+		if s.draining { // what the client says after it waits for what it still gets
+			s.c.placing++
+			s.c.answers = append([]ticket{{sub: s, ends: true, then: func() { s.c.placing--; s.c.goOn() }}}, s.c.answers...)
 		}
 		return
 	}
