--- a/cmd/dahliarudder/main.go
+++ b/cmd/dahliarudder/main.go
@@ -75,6 +75,7 @@
 			cmd.Printf("dahliarudder %s (%s)\n", version, toolchain)
 		},
 	})
+	root.AddCommand(keysCommand())
 	root.SetOut(os.Stdout)
 	return root
 }
--- a/integration/line_test.go
+++ b/integration/line_test.go
@@ -426,10 +426,3 @@
 	held.want("GOT 1 still here")
 	s.stop()
 }
-
-// TestDeployed: the operator's file that is shipped can be used.
-func TestDeployed(t *testing.T) {
-	if out, err := run("check", "--config", "../deploy/nats.json"); err != nil {
-		t.Errorf("%v, %s", err, out)
-	}
-}
--- a/integration/nats_chaos_test.go
+++ b/integration/nats_chaos_test.go
@@ -188,6 +188,8 @@
 			c.Close()
 		}
 		all = nil
-		until(t, "the end of them", func() bool { return k.Subscriptions("herd.0")[0]+k.Subscriptions("herd.0")[1]+k.Subscriptions("herd.0")[2] == 0 })
+		until(t, "the end of them", func() bool {
+			return k.Subscriptions("herd.0")[0]+k.Subscriptions("herd.0")[1]+k.Subscriptions("herd.0")[2] == 0
+		})
 	}
 }
--- a/integration/nats_test.go
+++ b/integration/nats_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -366,3 +367,44 @@
 	s.flush(c)
 	s.stop()
 }
+
+// TestDeployed: the operator's file that is shipped works as docs/nats.md says: with certificates
+// for trial, by TLS, for its users.
+func TestDeployed(t *testing.T) {
+	dir := t.TempDir()
+	if out, err := run("keys", "certificate", "--dir", filepath.Join(dir, "tls")); err != nil {
+		t.Fatalf("%v, %s", err, out)
+	}
+	k := newCluster(t, 2)
+	text := string(must[[]byte](t)(os.ReadFile("../deploy/nats.json")))
+	for old, now := range map[string]string{"127.0.0.1:8500": newDiscovery(t, natsMembers(k)...).addr, `"listen": "127.0.0.1:4222"`: `"listen": "127.0.0.1:0"`,
+		`"operator": "127.0.0.1:9901",`: "", `"dahliarudder.db"`: fmt.Sprintf("%q", filepath.Join(dir, "record.db"))} {
+		if !strings.Contains(text, old) {
+			t.Errorf("the file does not name %s", old)
+		}
+		text = strings.ReplaceAll(text, old, now)
+	}
+	path := filepath.Join(dir, "nats.json")
+	write(t, path, text)
+	if out, err := run("check", "--config", path); err != nil {
+		t.Fatalf("%v, %s", err, out)
+	}
+	r := start(t, path, 1)
+	ca := nats.RootCAs(filepath.Join(dir, "tls", "ca.pem"))
+	connect := func(user, word string) (*nats.Conn, error) {
+		return nats.Connect("nats://"+r.addr["nats"], ca, nats.UserInfo(user, word), nats.Timeout(patience), nats.NoReconnect())
+	}
+	desk := must[*nats.Conn](t)(connect("status-desk", "desk-trial"))
+	defer desk.Close()
+	billing := must[*nats.Conn](t)(connect("billing", "billing-trial"))
+	defer billing.Close()
+	if _, err := connect("billing", "desk-trial"); err == nil {
+		t.Error("a wrong password enters")
+	}
+	sub := must[*nats.Subscription](t)(desk.SubscribeSync("status.>"))
+	flush(t, desk)
+	billing.Publish("status.paid", []byte("42"))
+	if m := must[*nats.Msg](t)(sub.NextMsg(patience)); string(m.Data) != "42" {
+		t.Errorf("got %s", m.Data)
+	}
+}
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -236,7 +236,11 @@
 	if !known {
 		return nil, ErrDenied
 	}
-	if by := claims.IssuerAccount; by != "" && by != claims.Issuer && (account == nil || account.Subject != by) {
+	of := claims.Issuer
+	if account != nil {
+		of = account.Subject
+	}
+	if by := claims.IssuerAccount; by != "" && by != of {
 		return nil, ErrDenied // signed by a key that is not that account's
 	}
 	until := claims.Expires
--- /dev/null
+++ b/internal/auth/auth_test.go
@@ -0,0 +1,111 @@
+package auth
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/nats-io/jwt/v2"
+	"github.com/nats-io/nkeys"
+)
+
+// TestCovers: a pattern covers what takes no more than it.
+func TestCovers(t *testing.T) {
+	for _, c := range []struct {
+		pattern, subject string
+		want             bool
+	}{
+		{"a.b", "a.b", true}, {"a.*", "a.b", true}, {"a.*", "a.*", true}, {"a.*", "a.>", false}, {"a.>", "a.b.c", true}, {"a.>", "a.>", true},
+		{"a.>", "a", false}, {">", "a.b", true}, {"a.b", "a.*", false}, {"a", "a.b", false}, {"a.b", "a", false}, {"*.b", "a.b", true}, {"*", ">", false},
+	} {
+		if Covers(c.pattern, c.subject) != c.want {
+			t.Errorf("%s covers %s: %v", c.pattern, c.subject, !c.want)
+		}
+	}
+}
+
+// TestPermissions: deny goes before allow, groups are named, wildcards are filtered.
+func TestPermissions(t *testing.T) {
+	p := &Permissions{Publish: List{Allow: []string{"a.>"}, Deny: []string{"a.x"}}, Subscribe: List{Allow: []string{"s.*", "w crew.*"}, Deny: []string{"s.x"}}}
+	got := fmt.Sprint(p.MayPublish("a.b"), p.MayPublish("a.x"), p.MayPublish("b"), " ", p.MaySubscribe("s.a", ""), p.MaySubscribe("s.x", ""), p.MaySubscribe("s.>", ""),
+		p.MaySubscribe("w", ""), p.MaySubscribe("w", "crew.1"), " ", p.Filters("s.*"), p.Filters("s.a"), p.Hides("s.x"), p.Hides("s.a"))
+	if want := "true false false true false false false true true false true false"; got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+	var none *Permissions
+	if !none.MayPublish("x") || !none.MaySubscribe("x", "q") || none.Filters("*") {
+		t.Error("no permissions are a bound")
+	}
+}
+
+// TestReplies: so many answers, for so long, to the newest requests.
+func TestReplies(t *testing.T) {
+	r := NewReplies(&Permissions{Responses: &Responses{Max: 2, ExpiresMS: 1000}})
+	r.Asked(0, []byte("box"))
+	if !r.MayAnswer(1, "box") || !r.MayAnswer(2, "box") || r.MayAnswer(3, "box") || r.MayAnswer(3, "other") {
+		t.Error("not two answers to one request")
+	}
+	r.Asked(0, []byte("late"))
+	if r.MayAnswer(time.Second, "late") {
+		t.Error("an answer after its time")
+	}
+	for i := range 3 * repliesMost {
+		r.Asked(time.Minute, fmt.Append(nil, i))
+	}
+	if len(r.open) > repliesMost || len(r.order) > repliesMost || !r.MayAnswer(time.Minute, fmt.Sprint(3*repliesMost-1)) {
+		t.Errorf("%d requests are kept", len(r.open))
+	}
+	if NewReplies(&Permissions{}).MayAnswer(0, "x") {
+		t.Error("answers without a rule")
+	}
+}
+
+// TestRevoked: an account's JWT may revoke users, sign by other keys, and end all its users with it.
+func TestRevoked(t *testing.T) {
+	pair := func(k nkeys.KeyPair, err error) (nkeys.KeyPair, string) {
+		p, _ := k.PublicKey()
+		return k, p
+	}
+	operator, op := pair(nkeys.CreateOperator())
+	account, acc := pair(nkeys.CreateAccount())
+	signer, sig := pair(nkeys.CreateAccount())
+	_, user := pair(nkeys.CreateUser())
+	now := time.Now()
+	enter := func(change func(*jwt.AccountClaims), by nkeys.KeyPair, named string) error {
+		claims := jwt.NewAccountClaims(acc)
+		claims.SigningKeys.Add(sig)
+		change(claims)
+		text, err := claims.Encode(operator)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := Read(&Config{JWT: &Trust{Operators: []string{op}, Accounts: []string{text}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		u := jwt.NewUserClaims(user)
+		u.BearerToken, u.IssuerAccount = true, named
+		word, err := u.Encode(by)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = b.Enter(&Claims{JWT: word}, "", now)
+		return err
+	}
+	for name, c := range map[string]struct {
+		change func(*jwt.AccountClaims)
+		by     nkeys.KeyPair
+		named  string
+		want   error
+	}{
+		"its own key":      {func(*jwt.AccountClaims) {}, account, "", nil},
+		"a signing key":    {func(*jwt.AccountClaims) {}, signer, acc, nil},
+		"for another":      {func(*jwt.AccountClaims) {}, signer, sig, ErrDenied},
+		"revoked":          {func(a *jwt.AccountClaims) { a.RevokeAt(user, now.Add(time.Hour)) }, account, "", ErrRevoked},
+		"an ended account": {func(a *jwt.AccountClaims) { a.Expires = now.Add(-time.Minute).Unix() }, account, "", ErrExpired},
+	} {
+		if err := enter(c.change, c.by, c.named); err != c.want {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strconv"
 
@@ -127,6 +128,9 @@
 		}
 	}
 	c.written = c.Discovery
+	if c.Fronts != nil && c.Fronts.NATS != nil {
+		c.Fronts.NATS.Dir = filepath.Dir(path)
+	}
 	return c, nil
 }
 
--- a/internal/front/nats/config.go
+++ b/internal/front/nats/config.go
@@ -35,7 +35,8 @@
 	Auth      *auth.Config `json:"auth"`         // nil: all may enter
 	Login     *Login       `json:"member_login"` // nil: members are told the client's own
 
-	unprobed bool // the settings allow no probes: the relay goes by its own view alone
+	Dir      string `json:"-"` // of the file, for paths that are not absolute
+	unprobed bool   // the settings allow no probes: the relay goes by its own view alone
 }
 
 // Route says what requests on matching subjects are; the first that matches counts.
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -37,6 +37,10 @@
 // highWater is how many unsent bytes to a client its links rest at.
 const highWater = 64 << 10
 
+// linkWater is how many unsent bytes a link has before its feed waits; a message more still fits
+// the loop's buffers.
+const linkWater = 48 << 10
+
 // Front serves the NATS client protocol.
 type Front struct {
 	Loop *netloop.Loop
--- a/internal/front/nats/security.go
+++ b/internal/front/nats/security.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -63,11 +64,11 @@
 func (c *Config) Load() (*Security, error) {
 	s := &Security{}
 	if t := c.TLS; t != nil {
-		cfg, err := pair("tls", t.Cert, t.Key, t.MinVersion, true)
+		cfg, err := pair("tls", c.file(t.Cert), c.file(t.Key), t.MinVersion, true)
 		if err != nil {
 			return nil, err
 		}
-		if cfg.ClientCAs, err = pool("tls.client_ca", t.ClientCA); err != nil {
+		if cfg.ClientCAs, err = pool("tls.client_ca", c.file(t.ClientCA)); err != nil {
 			return nil, err
 		}
 		switch {
@@ -83,11 +84,11 @@
 		s.server = cfg
 	}
 	if t := c.MemberTLS; t != nil {
-		cfg, err := pair("member_tls", t.Cert, t.Key, t.MinVersion, false)
+		cfg, err := pair("member_tls", c.file(t.Cert), c.file(t.Key), t.MinVersion, false)
 		if err != nil {
 			return nil, err
 		}
-		if cfg.RootCAs, err = pool("member_tls.ca", t.CA); err != nil {
+		if cfg.RootCAs, err = pool("member_tls.ca", c.file(t.CA)); err != nil {
 			return nil, err
 		}
 		cfg.ServerName = t.ServerName
@@ -101,13 +102,22 @@
 		s.book = book
 	}
 	if c.Login != nil {
-		if err := s.login(c.Login); err != nil {
+		if err := s.login(c.Login, c.file); err != nil {
 			return nil, fmt.Errorf("member_login.%w", err)
 		}
 	}
 	return s, nil
 }
 
+// file is where a path of the configuration leads: one that is not absolute counts from the
+// configuration's own file.
+func (c *Config) file(path string) string {
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(c.Dir, path)
+}
+
 // pair reads a certificate with its key.
 func pair(at, cert, key, version string, needed bool) (*tls.Config, error) {
 	cfg := &tls.Config{MinVersion: tls.VersionTLS12}
@@ -153,7 +163,7 @@
 	return p, nil
 }
 
-func (s *Security) login(l *Login) error {
+func (s *Security) login(l *Login, file func(string) string) error {
 	ways := 0
 	for _, w := range []string{l.User, l.Token, l.Seed, l.Creds} {
 		if w != "" {
@@ -170,6 +180,7 @@
 	if path == "" {
 		return nil
 	}
+	path = file(path)
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return fmt.Errorf("%s: %v", at, err)
