TLS on the loop: tests by both versions and sides, failed and surplus handshakes; an early end is told

Need: a peer that ended its sending before the handshake was over was never told to the handler, which kept the client until its timer. Found by the new test.

--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -265,7 +265,10 @@
 	case opSub:
 		c.subscribe(m)
 	case opUnsub:
-		if s := c.subs[string(m.sid)]; s != nil {
+		if s := c.subs[string(m.sid)]; s != nil && !s.known && m.max == 0 {
+			s.end() // given up before it ever stood
+			c.ok()
+		} else if s != nil {
 			// What was published before it still counts for it.
 			most := m.max
 			c.placing++ // what is published after it is not
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -509,6 +509,10 @@
 	if c.eof {
 		return
 	}
+	if c.sec != nil && !c.sec.up && !c.ending {
+		c.fail(io.ErrUnexpectedEOF)
+		return
+	}
 	c.eof = true
 	if c.ending {
 		if c.shut {
@@ -516,10 +520,6 @@
 		}
 		return
 	}
-	if c.sec != nil && !c.sec.up {
-		c.fail(io.ErrUnexpectedEOF)
-		return
-	}
 	c.h.End(io.EOF)
 }
 
--- /dev/null
+++ b/internal/netloop/secure_test.go
@@ -0,0 +1,162 @@
+package netloop_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"math/big"
+	random "math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// certificate is one for a test, which nobody checks.
+func certificate(t *testing.T) *tls.Config {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, c, c, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, InsecureSkipVerify: true}
+}
+
+// talker is the far end of a TLS connection, in goroutines of its own.
+type talker struct {
+	*tls.Conn
+	got chan []byte // all that came, once it has ended
+}
+
+func (a *talker) listen() {
+	a.got = make(chan []byte, 1)
+	go func() {
+		all, err := io.ReadAll(a.Conn)
+		if err != nil {
+			all = append(all, err.Error()...)
+		}
+		a.got <- all
+	}()
+}
+
+// TestSecure: bytes pass both ways in pieces of any size, by both versions, with the handshake to
+// either side, and a polite end is one on both.
+func TestSecure(t *testing.T) {
+	for _, version := range []uint16{tls.VersionTLS12, tls.VersionTLS13} {
+		for _, client := range []bool{false, true} {
+			b := looptest.New(t, 32)
+			e, p := pair(b)
+			cfg := certificate(t)
+			cfg.MaxVersion = version
+			e.c.Bound(1<<20, 1<<20)
+			e.take = 1 << 20
+			up := false
+			e.c.Write([]byte("plain\n"))
+			e.c.Secure(cfg, client, looptest.Patience, func(tls.ConnectionState) { up = true })
+			p.Want("plain\n")
+			p.SetReadDeadline(time.Time{})
+			far := &talker{}
+			if client {
+				far.Conn = tls.Server(p.Conn, cfg)
+			} else {
+				far.Conn = tls.Client(p.Conn, cfg)
+			}
+			shaken := make(chan error, 1)
+			go func() { shaken <- far.Handshake() }()
+			b.Until("the handshake", func() bool { return up })
+			if err := <-shaken; err != nil {
+				t.Fatal(err)
+			}
+			far.listen()
+			rng := random.New(random.NewPCG(uint64(version), 3))
+			there, back := strings.Repeat("to the loop ", 20000), strings.Repeat("from the loop ", 20000)
+			go func() {
+				for rest := there; len(rest) > 0; {
+					n := min(1+rng.IntN(30000), len(rest))
+					io.WriteString(far.Conn, rest[:n])
+					rest = rest[n:]
+				}
+			}()
+			for rest := back; len(rest) > 0; {
+				n := min(1+random.IntN(30000), len(rest))
+				e.c.Write([]byte(rest[:n]))
+				rest = rest[n:]
+				b.Turn()
+			}
+			b.Until("all bytes", func() bool { return len(e.got) == len(there) })
+			if string(e.got) != there {
+				t.Error("other bytes came")
+			}
+			e.c.Finish()
+			var got []byte
+			b.Until("the end", func() bool {
+				select {
+				case got = <-far.got:
+					return true
+				default:
+					return false
+				}
+			})
+			if string(got) != back {
+				t.Errorf("%d of %d bytes went out, ending in %.60q", len(got), len(back), got[max(0, len(got)-60):])
+			}
+			far.Close()
+		}
+	}
+}
+
+// TestSecureFails: what is no handshake, one that does not come, and one too many end the connection
+// with a word to the handler, and their goroutines.
+func TestSecureFails(t *testing.T) {
+	b := looptest.New(t, 512)
+	cfg := certificate(t)
+	start := func() (*end, *looptest.Peer) {
+		e, p := pair(b)
+		e.c.Secure(cfg, false, time.Second, func(tls.ConnectionState) { t.Error("a handshake succeeded") })
+		return e, p
+	}
+	e, p := start()
+	p.Say(strings.Repeat("no handshake ", 100))
+	b.Until("its end", func() bool { return len(e.over) > 0 })
+	e, p = start()
+	p.Finish()
+	b.Until("its end", func() bool { return len(e.over) > 0 })
+	var slow []*end
+	for range 64 {
+		e, _ := start()
+		slow = append(slow, e)
+	}
+	e, _ = start()
+	b.Until("the refusal", func() bool { return len(e.over) > 0 })
+	if !errors.Is(e.over[0], netloop.ErrHandshakes) {
+		t.Errorf("one too many ends with %v", e.over[0])
+	}
+	b.Pass(time.Second)
+	for _, e := range slow {
+		if len(e.over) != 1 || !errors.Is(e.over[0], netloop.ErrDialTimeout) {
+			t.Fatalf("a slow handshake ends with %v", e.over)
+		}
+	}
+	b.Until("room for others", func() bool {
+		e, p := pair(b)
+		up := false
+		e.c.Secure(cfg, false, looptest.Patience, func(tls.ConnectionState) { up = true })
+		p.SetReadDeadline(time.Time{})
+		go tls.Client(p.Conn, cfg).Handshake()
+		for end := time.Now().Add(200 * time.Millisecond); !up && len(e.over) == 0 && time.Now().Before(end); {
+			b.Turn()
+		}
+		return up
+	})
+}
