Connections do with less while the buffers hold half of what they may

Need: 256 clients that publish and take 4 KiB messages held 63 MB in buffers of 48 MB; links were ended for it and deliveries lost (the benchmark hung in one of two runs).

While half is held, reads bring no more than the basic share and marks of unsent bytes are a quarter.

--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -126,7 +126,7 @@
 
 // crowded says that the client has not taken what it was sent; its links rest until it has.
 func (c *client) crowded() bool {
-	if c.c.Unsent() <= highWater {
+	if c.c.Unsent() <= c.f.water(highWater) {
 		return false
 	}
 	if c.slowSince == 0 {
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -41,6 +41,14 @@
 // the loop's buffers.
 const linkWater = 48 << 10
 
+// water is a mark of unsent bytes, lowered while the buffers of all connections hold much.
+func (f *Front) water(mark int) int {
+	if f.Loop.Tight() {
+		return mark / 4
+	}
+	return mark
+}
+
 // Front serves the NATS client protocol.
 type Front struct {
 	Loop *netloop.Loop
--- a/internal/front/nats/publish.go
+++ b/internal/front/nats/publish.go
@@ -140,7 +140,7 @@
 }
 
 // Free says whether the link has sent most of what it was given; the feed's Drained follows.
-func (p *publisher) Free() bool { return p.link.c.Unsent() < linkWater }
+func (p *publisher) Free() bool { return p.link.c.Unsent() < p.c.f.water(linkWater) }
 
 // Carry hands a message to the link. Who may publish may hear on the reply subject that nobody
 // listens; members tell that the publishing connection alone.
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -466,6 +466,11 @@
 			if room = min(room, c.inMost-c.in.size()); room == 0 || c.resting {
 				break
 			}
+			if c.l.Tight() { // no more than fits the basic share, or completes a large message
+				if room = min(room, InBound); c.in.size() < InBound {
+					room = min(room, InBound-c.in.size())
+				}
+			}
 		}
 		n, err := unix.Read(c.fd, chunk[:room])
 		switch {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -150,6 +150,10 @@
 // each may have the room of one large message, all at once may not.
 func (l *Loop) Memory(most int) { l.most = most }
 
+// Tight says that the buffers hold half of what they may. Who can do with less then should, well
+// before connections are ended for it.
+func (l *Loop) Tight() bool { return l.most > 0 && l.held > l.most/2 }
+
 func (l *Loop) crammed() bool { return l.most > 0 && l.held > l.most }
 
 // Post has f run on the loop. It may be called from any goroutine.
