--- a/integration/nats_chaos_test.go
+++ b/integration/nats_chaos_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -193,3 +194,98 @@
 		})
 	}
 }
+
+// TestNATSDrainUnderLoad: while clients publish, each node in turn drains: within the 250 ms of the
+// rule and a generous allowance for a busy machine it holds no subscription, and each stands
+// at exactly one other.
+func TestNATSDrainUnderLoad(t *testing.T) {
+	const allowance, many = 3 * time.Second, 60
+	k := newCluster(t, 3)
+	k.Tries = nil
+	d := newDiscovery(t, natsMembers(k)...)
+	r := start(t, configure(t, d, map[string]any{"fronts": map[string]any{"nats": map[string]any{"listen": "127.0.0.1:0",
+		"class": "pay-status", "tenant": "water"}}}), 1)
+	c := must[*nats.Conn](t)(nats.Connect("nats://"+r.addr["nats"], nats.Timeout(patience), nats.NoReconnect()))
+	defer c.Close()
+	for i := range many {
+		must[*nats.Subscription](t)(c.Subscribe(fmt.Sprint("load.", i), func(*nats.Msg) {}))
+	}
+	flush(t, c)
+	stop, done := make(chan bool), make(chan bool)
+	go func() {
+		defer close(done)
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+				c.Publish(fmt.Sprint("load.", n%many), []byte("0123456789"))
+				if n%50 == 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		}
+	}()
+	for at, o := range k.Nodes {
+		d.set(o.ID, "DRAINING")
+		began, last := time.Now(), ""
+		for {
+			held, left := map[int]int{}, 0
+			for i := range many {
+				for node, n := range k.Subscriptions(fmt.Sprint("load.", i)) {
+					held[i] += n
+					if node == at {
+						left += n
+					}
+				}
+			}
+			wrong := left
+			for i := range many {
+				if held[i] != 1 {
+					wrong++
+				}
+			}
+			if wrong == 0 {
+				break
+			}
+			if last = fmt.Sprintf("%d at the draining node, %v held", left, held); time.Since(began) > 250*time.Millisecond+allowance {
+				t.Fatalf("%v after the word: %s", time.Since(began), last)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Logf("node %d is left after %v", at, time.Since(began))
+		d.set(o.ID, "SERVING")
+	}
+	close(stop)
+	<-done
+}
+
+// TestNATSUpgrade: a client of the library comes through an upgrade of the relay: it is told, it
+// connects to the second process, its subscription stands there and its publications arrive.
+func TestNATSUpgrade(t *testing.T) {
+	k := newCluster(t, 2)
+	k.Tries = nil
+	d := newDiscovery(t, natsMembers(k)...)
+	r := start(t, configure(t, d, map[string]any{"operator": "127.0.0.1:0", "fronts": map[string]any{"nats": map[string]any{"listen": "127.0.0.1:0",
+		"class": "pay-status", "tenant": "water"}}}), 2)
+	again := make(chan bool, 10)
+	c := must[*nats.Conn](t)(nats.Connect("nats://"+r.addr["nats"], nats.Timeout(patience), nats.MaxReconnects(-1), nats.ReconnectWait(20*time.Millisecond),
+		nats.ReconnectHandler(func(*nats.Conn) { again <- true }), nats.ErrorHandler(func(*nats.Conn, *nats.Subscription, error) {})))
+	defer c.Close()
+	sub := must[*nats.Subscription](t)(c.SubscribeSync("through"))
+	flush(t, c)
+	next := r.successor(2)
+	r.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-again:
+	case <-time.After(patience):
+		t.Fatal("the client never came again")
+	}
+	r.ends()
+	flush(t, c)
+	c.Publish("through", []byte("after"))
+	if m := must[*nats.Msg](t)(sub.NextMsg(patience)); string(m.Data) != "after" {
+		t.Errorf("got %s", m.Data)
+	}
+	next.stop()
+}
