--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -102,14 +102,19 @@
 	return b, nil
 }
 
-func (b *Book) user(u *User) error {
-	ways := 0
-	for _, w := range []string{u.User, u.Token, u.NKey} {
+// One says whether exactly one of these is set.
+func One(words ...string) bool {
+	n := 0
+	for _, w := range words {
 		if w != "" {
-			ways++
+			n++
 		}
 	}
-	if ways != 1 {
+	return n == 1
+}
+
+func (b *Book) user(u *User) error {
+	if !One(u.User, u.Token, u.NKey) {
 		return errors.New(": want exactly one of user, token and nkey")
 	}
 	key, hash := "password", u.Password
--- a/internal/front/nats/security.go
+++ b/internal/front/nats/security.go
@@ -164,13 +164,7 @@
 }
 
 func (s *Security) login(l *Login, file func(string) string) error {
-	ways := 0
-	for _, w := range []string{l.User, l.Token, l.Seed, l.Creds} {
-		if w != "" {
-			ways++
-		}
-	}
-	if ways != 1 {
+	if !auth.One(l.User, l.Token, l.Seed, l.Creds) {
 		return errors.New("user: want exactly one of user, token, nkey_seed_file and credentials_file")
 	}
 	at, path := "nkey_seed_file", l.Seed
