A feed leaves a cold member's line with its link; asked requests of a client are bounded

Cause, found in a review of the change: a feed that waited for a cold member stayed in its line after its link had ended. It then got no place in the line of the member it went to, and its messages waited out their time; and clients that came and went while a cold member answered nothing made the line grow without bound.

A feed knows the one line it stands in, and leaves it with its link. The gate is told whether a message is out, in the place of a constant. A client holds at most max_subscriptions requests at the processor. Stand-in code that no test used is gone. The new test fails without the change.

--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"dahliarudder/internal/window"
@@ -76,7 +77,7 @@
 	armed   time.Duration // when its alarm is due; 0 if there is none
 	full    bool          // Put found no room
 	counted int           // of its bytes, in feedBytes
-	lined   bool          // it waits in the member's line
+	waits   *member       // in whose line it stands; nil if in none
 	over    bool
 }
 
@@ -292,6 +293,7 @@
 
 // back takes in what was out on a link that has surely ended.
 func (f *Feed) back(result policy.Result, left uint64) {
+	f.leaveLine()
 	out := f.w.Out()
 	f.w.Back(left, func(m *window.Message, r window.Result) {
 		switch {
@@ -324,7 +326,7 @@
 		if next == nil {
 			return
 		}
-		if !c.gate(now, false, next.Tries, next.Due, m) {
+		if !c.gate(now, !next.Waiting(), next.Tries, next.Due, m) {
 			c.Counts.Barred++
 			if !c.reachable(now, m) { // it should have been moved before
 				f.state = feedLeaving
@@ -362,13 +364,26 @@
 	}
 }
 
+// lineUp has a feed wait until the member has taken more.
 func (c *Core) lineUp(m *member, f *Feed) {
-	if !f.lined {
-		f.lined = true
+	if f.waits != m {
+		f.leaveLine()
+		f.waits = m
 		m.line = append(m.line, f)
 	}
 }
 
+// leaveLine ends that: a feed whose link has ended would else keep its place there, and get none
+// where it goes next.
+func (f *Feed) leaveLine() {
+	if m := f.waits; m != nil {
+		f.waits = nil
+		if i := slices.Index(m.line, f); i >= 0 {
+			m.line = slices.Delete(m.line, i, i+1)
+		}
+	}
+}
+
 // serveLine lets feeds go on that wait for a cold member, in their turn.
 func (c *Core) serveLine(m *member) {
 	if m == nil || m.pace == nil {
@@ -377,8 +392,7 @@
 	now := c.Clock()
 	for n := len(m.line); n > 0 && len(m.line) > 0 && m.pace.Free(now); n-- {
 		f := m.line[0]
-		m.line = m.line[1:]
-		f.lined = false
+		f.leaveLine()
 		if f.state == feedUp && f.member == m {
 			f.pump(now)
 			f.arm()
--- a/internal/core/feed_test.go
+++ b/internal/core/feed_test.go
@@ -278,6 +278,33 @@
 	}
 }
 
+// TestFeedLine: who waits for a cold member leaves its line with its link, and is in the line of
+// where it goes next: else it would wait there until its messages' time is over.
+func TestFeedLine(t *testing.T) {
+	r := newRig(t, 1)
+	m := r.members[10]
+	m.joined = r.now
+	hog, next, last := newPipe(r, 100), newPipe(r, 100), newPipe(r, 100)
+	for _, p := range []*pipe{hog, next, last} {
+		p.put(2 * window.Start)
+		p.f.Stands()
+	}
+	if len(m.line) != 2 || len(next.out) > 0 {
+		t.Fatalf("%d in line", len(m.line))
+	}
+	if last.f.Close(); len(m.line) != 1 {
+		t.Errorf("%d in line after one has closed", len(m.line))
+	}
+	other := &member{Member: Member{Name: "other"}}
+	r.lineUp(other, next.f)
+	if len(m.line) != 0 || len(other.line) != 1 {
+		t.Errorf("%d and %d in line after one has gone to the other", len(m.line), len(other.line))
+	}
+	if next.lose(policy.Reset, 0); len(other.line) != 0 {
+		t.Error("a feed whose link has ended is in line")
+	}
+}
+
 // TestFeedSteps: random publications, acknowledgements, refusals, lost links, drains and pauses:
 // the carrier checks each step, and in the end every message has one answer.
 func TestFeedSteps(t *testing.T) {
--- a/internal/front/nats/processor.go
+++ b/internal/front/nats/processor.go
@@ -117,6 +117,10 @@
 	if q.Group != "" {
 		r.Group = hash(q.Group)
 	}
+	if len(c.asked) >= c.f.MaxSubs { // each is held until it has ended and is forgotten
+		c.say(reply, verdict{Verdict: "reject", AfterMS: keepVerdict.Milliseconds()})
+		return
+	}
 	a := &asked{c: c, reply: reply, control: q.Control}
 	a.id = c.f.Core.Open(r, a)
 	if !a.over {
--- a/internal/standin/nats.go
+++ b/internal/standin/nats.go
@@ -51,16 +51,15 @@
 // Node is one server.
 type Node struct {
 	*Cluster
-	ID     string
-	Addr   string
-	Info   map[string]any // more fields of its INFO
-	l      net.Listener
-	down   bool
-	mode   Mode
-	taken  int // publications
-	conns  map[*natsConn]bool
-	freeze chan struct{}
-	info   map[string]any // more fields of its INFO
+	ID    string
+	Addr  string
+	Info  map[string]any // more fields of its INFO
+	l     net.Listener
+	down  bool
+	mode  Mode
+	taken int // publications
+	conns map[*natsConn]bool
+	info  map[string]any // more fields of its INFO
 }
 
 type subscription struct {
@@ -180,25 +179,6 @@
 	}
 }
 
-// Freeze has a node read and answer nothing until Thaw.
-func (o *Node) Freeze() {
-	o.mu.Lock()
-	if o.freeze == nil {
-		o.freeze = make(chan struct{})
-	}
-	o.mu.Unlock()
-}
-
-// Thaw ends that.
-func (o *Node) Thaw() {
-	o.mu.Lock()
-	if o.freeze != nil {
-		close(o.freeze)
-		o.freeze = nil
-	}
-	o.mu.Unlock()
-}
-
 // Taken is how many publications a node has taken.
 func (o *Node) Taken() int {
 	o.mu.RLock()
@@ -344,12 +324,6 @@
 		if err != nil {
 			return
 		}
-		k.mu.RLock()
-		frozen := c.node.freeze
-		k.mu.RUnlock()
-		if frozen != nil {
-			<-frozen
-		}
 		w := strings.Fields(string(line))
 		if len(w) == 0 {
 			return
--- a/internal/standin/tries.go
+++ b/internal/standin/tries.go
@@ -33,13 +33,6 @@
 	c.out[id]--
 }
 
-// Of is how many attempts a request has had.
-func (c *Tries) Of(id string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.all[id]
-}
-
 // Broken lists the rules that were broken: two attempts out at once, or more than three.
 func (c *Tries) Broken() (all []string) {
 	c.mu.Lock()
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -155,6 +155,9 @@
 	return w.at(w.sent)
 }
 
+// Waiting says that a message has no final answer and no attempt out.
+func (m *Message) Waiting() bool { return m.state == waiting }
+
 // Begin says that an attempt of Next has begun.
 func (w *Window) Begin(now time.Duration) {
 	m := w.at(w.sent)
