A group opens a further server only where half of it is free; faster relief of full servers

Seen: with the same trace, a group that found its home full went wherever a few connections fitted; each such place costs three connection loads for the whole life of a connection there (30 to 54 s), so relief by moving made more places and more load.

Lines at fault: place, which let a group spill to the brim anywhere; relieve, whose part was reckoned for relays that look at once.

--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,133 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// fleetPlay drives many relays in virtual time against plain members, each of which bears 35 connections and pays for a
+// group once with 3; probes are answered at once, by reports up to 400 ms old.
+type fleetPlay struct {
+	relays []*Facade
+	rng    *rand.Rand
+	list   []Server
+	held   map[ServerID]map[RequestID]uint64 // the connections at a member, and their groups
+	group  map[RequestID]uint64
+	// What members report, which is late and rough.
+	reports map[ServerID]Report
+	renewed time.Duration
+	turned  int
+	probes  int
+}
+
+func newFleetPlay(relays, members int, set Settings) *fleetPlay {
+	set.Balancers, set.Groups = relays, true
+	p := &fleetPlay{rng: rand.New(rand.NewPCG(1, 2)), list: fleet(members, 1), held: map[ServerID]map[RequestID]uint64{},
+		group: map[RequestID]uint64{}}
+	for _, s := range p.list {
+		p.held[s.ID] = map[RequestID]uint64{}
+	}
+	for i := range relays {
+		f := Begin(t0, set, uint64(i))
+		f.Report(t0, Pool{ListFull, p.list})
+		p.relays = append(p.relays, f)
+	}
+	return p
+}
+
+func (p *fleetPlay) groups(at ServerID) int {
+	groups := map[uint64]bool{}
+	for _, g := range p.held[at] {
+		groups[g] = true
+	}
+	return len(groups)
+}
+
+func (p *fleetPlay) do(now time.Duration, f *Facade, verdicts []Verdict) {
+	for _, v := range append([]Verdict(nil), verdicts...) {
+		switch v.Do {
+		case DoSend:
+			p.held[v.Server][v.ID] = p.group[v.ID]
+			p.do(now, f, f.Report(now, Up{v.ID}))
+		case DoProbe:
+			p.probes++
+			p.do(now, f, f.Report(now, Probed{v.Server, OK, p.reports[v.Server]}))
+		case DoReject, DoFail:
+			p.turned++
+		case DoMove:
+			for _, at := range p.held {
+				delete(at, v.ID)
+			}
+			p.do(now, f, f.Report(now, End{ID: v.ID, Result: Cancelled, Closed: true, Report: NoReport}))
+		}
+	}
+}
+
+func (p *fleetPlay) renew(now time.Duration) {
+	if now-p.renewed < 400*ms {
+		return
+	}
+	p.renewed, p.reports = now, map[ServerID]Report{}
+	for _, s := range p.list {
+		n := float64(len(p.held[s.ID]))
+		load := (n + 3*float64(p.groups(s.ID))) / 35 * (0.85 + 0.3*p.rng.Float64())
+		p.reports[s.ID] = Report{n, load, load, max(load-1, 0)}
+	}
+}
+
+// place has connections arrive at relays drawn by chance, 20 ms apart.
+func (p *fleetPlay) place(now time.Duration, ids []RequestID) time.Duration {
+	for _, id := range ids {
+		now += 20 * ms
+		p.renew(now)
+		for _, f := range p.relays {
+			p.do(now, f, f.Tick(now))
+		}
+		f := p.relays[p.rng.IntN(len(p.relays))]
+		again := p.group[id] != 0
+		if !again {
+			p.group[id] = 100 + uint64([]int{0, 0, 0, 0, 1, 1, 2, 3, 4}[p.rng.IntN(9)])
+		}
+		p.do(now, f, f.Pick(now, Request{ID: id, Group: p.group[id], Load: 1, Deadline: now + 2*time.Second, Again: again}))
+	}
+	return now
+}
+
+// TestFleetGroups guards against a fleet that fills up with the price of its groups: eighty relays, each of which sees
+// two of the connections, are told three times that members leave, whose connections come again. Without a word between
+// them the relays keep each of five groups on few members, or what the groups cost leaves no room for connections.
+func TestFleetGroups(t *testing.T) {
+	p := newFleetPlay(80, 16, settings())
+	var ids []RequestID
+	for id := range RequestID(190) {
+		ids = append(ids, id)
+	}
+	now := p.place(t0, ids)
+	for gone := 0; gone < 6; gone += 2 {
+		ids = ids[:0]
+		for i := gone; i < gone+2; i++ {
+			p.list[i].State = Draining
+			for id := range RequestID(1000) {
+				if _, held := p.held[p.list[i].ID][id]; held {
+					ids = append(ids, id+1000*RequestID(gone/2+1))
+					p.group[ids[len(ids)-1]] = p.group[id]
+				}
+			}
+			clear(p.held[p.list[i].ID])
+		}
+		for _, f := range p.relays {
+			p.do(now, f, f.Report(now, Pool{ListDelta, p.list[gone : gone+2]}))
+		}
+		now = p.place(now, ids) + time.Second
+	}
+	pairs, most := 0, 0
+	for _, s := range p.list {
+		pairs += p.groups(s.ID)
+		most = max(most, len(p.held[s.ID])+3*p.groups(s.ID))
+	}
+	t.Logf("%d places, at most %d at one, %d turned away, %d probes", pairs, most, p.turned, p.probes)
+	if pairs > 22 || most > 35 || p.turned > 20 {
+		t.Errorf("five groups stand on %d places, a member bears %d of 35, %d were turned away", pairs, most, p.turned)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,9 +40,11 @@
 	backOffMost = 5
 	// flowLags is over how many report ages the demand is averaged: one proxy sees few requests in one.
 	flowLags = 3.0
-	// groupSlice is how many servers a group has for its home, and ramp the part of a server over which fewer
-	// of its connections go there as it fills. Two servers gave 0.24 where three gave 0.33 (join+vast).
-	groupSlice, ramp = 3, 0.2
+	// groupSlice is how many servers a group has for its home: what comes next in its order pays for the group
+	// again, so it is opened to the group only where it is filled no more than opening, room for many. ramp
+	// is the part of a server over which fewer of a group go there as it fills. docs/design/fleet.md has the
+	// measurements.
+	groupSlice, opening, ramp = 1, 0.5, 0.35
 	// retreat is what one failure to set up leaves of the part of its requests that a proxy dares to send, and
 	// daringLeast what it always sends, to see whether setting up works again.
 	retreat, daringLeast = 0.8, 0.03
@@ -96,7 +98,7 @@
 // while no request comes: what piles up there shows nowhere else.
 func (b *Balancer) look(now time.Duration) {
 	for _, s := range b.servers {
-		if b.tokens > probeMost && s.State == Ready && !s.probing && now-s.reported >= b.lag()/2 &&
+		if b.tokens >= 1 && s.State == Ready && !s.probing && now-s.reported >= b.lag()/2 &&
 			(s.mine > 0 || s.bad && now >= s.until) {
 			b.probe(s)
 		}
@@ -360,19 +362,17 @@
 		if b.ask(now, r, tiered) {
 			return
 		}
-		levels := []float64{easy, firm, brim}
-		if b.overShare(r.Tenant) || r.stage < 2 && b.affinity(r) == 0 {
+		levels, ordered := []float64{easy, firm, brim}, b.affinity(r) != 0
+		if b.overShare(r.Tenant) || r.stage < 2 && !ordered {
 			levels = levels[:1] // over its share: only room that nobody else presses for
+		} else if ordered {
+			levels = levels[2:]
 		}
 		reach := r.stage + max(0, r.stage-1)
 		for i := range (reach + 1) * len(levels) {
 			tier, level := i%(reach+1), levels[i/(reach+1)]
-			if b.affinity(r) != 0 {
-				// A server outside the slice pays for the group again: fill the slice to the brim first.
-				tier, level = i/len(levels), levels[i%len(levels)]
-				if tier == homeHere && !b.overShare(r.Tenant) {
-					level = brim
-				}
+			if b.set.Groups && ordered && tier != homeHere {
+				level = min(level, opening) // a server outside the slice pays for the group again
 			}
 			if s := b.pick(now, r, tier, tiered[tier], level); s != nil {
 				b.send(now, r, s, tier == foreignHere || tier == foreignAway)
@@ -500,9 +500,9 @@
 		}
 		if ordered {
 			// All proxies know the same order, and few servers are to pay for a group: they fill one after
-			// the other. As one fills fewer go there, or what all send by one late report would herd. Packets
-			// of an open connection must be found again by another proxy.
-			if b.set.Pass || b.rng.Float64()*ramp*k < spare {
+			// the other. As its home fills fewer go there, or what all send by one late report would herd.
+			// Packets of an open connection must be found again by another proxy.
+			if b.set.Pass || tier != homeHere || b.rng.Float64()*ramp*k < spare {
 				return s
 			}
 			continue
@@ -945,6 +945,7 @@
 	s.relieved = now
 	for _, r := range slices.Clone(s.conns) {
 		part := b.daring * (x - brim) / x
+		part *= 2 - part // as two looks would: each proxy looks but now and then
 		if b.overShare(r.Tenant) {
 			part *= 3 // what is over a share is worth little and goes first
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -424,20 +424,27 @@
 	return g.where(g.ask(q))
 }
 
-// TestLookLeavesProbes guards against looking at own servers eating up the probes that placing needs: a fleet of many
-// proxies with few requests each had none left when its servers were replaced.
-func TestLookLeavesProbes(t *testing.T) {
-	g := newRig(settings(), fleet(4, 1))
-	for i, s := range g.servers {
-		g.Existing(g.now, Request{ID: RequestID(500 + i), Load: 0.1}, s.ID)
-	}
-	for range 50 {
-		g.now += g.lag()
-		g.look(g.now)
-		g.answer()
-	}
-	if g.tokens < probeMost-1 {
-		t.Errorf("%.1f probes left for placing", g.tokens)
+// TestGroupOpening guards against paying for a group everywhere: once its home is full it goes on to the next server in
+// its order that is empty enough for many of it, and is turned away where all others have room for a few only.
+func TestGroupOpening(t *testing.T) {
+	set := settings()
+	set.Groups = true
+	home := alone(set, Request{Group: 77, Load: 0.1})
+	for _, others := range []float64{0.2, 0.7} {
+		used := map[ServerID]bool{}
+		for seed := range uint64(40) {
+			rec := &recorder{}
+			g := &rig{Balancer: New(set, seed, rec), recorder: rec, now: t0, load: map[ServerID]float64{}}
+			g.Members(t0, ListCached, fleet(8, 1))
+			for _, s := range g.servers {
+				g.load[s.ID] = others
+			}
+			g.load[home] = 0.95
+			used[g.where(g.ask(Request{Group: 77, Load: 0.1}))] = true
+		}
+		if open := !used[0]; open != (others < opening) || len(used) > 1 || used[home] {
+			t.Errorf("home full, others at %v: sent to %v", others, used)
+		}
 	}
 }
 
