Cold members come into use at once: their capacity rises evenly, their first window is not cut

A token comes to a relay on average when it is due, but a relay with 0.2 to 0.5 requests a second for that member uses it 2 to 5 s later, of the 3 to 8.6 s that a member is cold.

Lines at fault: warmth, which took the least share until age passed it, where the rule says that capacity rises no slower than evenly; listed, where a budget began at nothing though nothing had been sent yet. The part of a window that coldPart leaves (1/coldPart - 1 of FallFor, 1 s here) is there from the start; together with what comes in a window it is the rule's budget, not more.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 		ColdFrom  float64 `json:"cold-from"`
 		Cold      float64 `json:"cold-ms"`
 		Grace     float64 `json:"drain-grace-ms"`
+		Fall      float64 `json:"fall-ms"`
 		Overload  float64 `json:"overload-factor"`
 	} `json:"guarantees"`
 	HostTypes []string `json:"host-types"`
@@ -98,9 +99,9 @@
 		ConnectTimeout: Span(s.Limits.ConnectTimeout),
 		AskWithin:      Span(s.Guarantees.AskWithin), AnswerSlack: Span(s.Guarantees.Slack),
 		ColdFrom: s.Guarantees.ColdFrom, ColdFor: Span(s.Guarantees.Cold),
-		FallMultiple: s.Guarantees.Overload,
-		PriceCross:   s.Prices.CrossZone,
-		PriceProbe:   s.Prices.Probe,
+		FallMultiple: s.Guarantees.Overload, FallFor: Span(s.Guarantees.Fall),
+		PriceCross: s.Prices.CrossZone,
+		PriceProbe: s.Prices.Probe,
 	}
 	switch s.Report.Source {
 	case "on_probe":
--- a/policy/api.go
+++ b/policy/api.go
@@ -84,6 +84,7 @@
 	ColdFrom     float64       // least part of its capacity a started server has
 	ColdFor      time.Duration // time after which it is warm at the latest
 	FallMultiple float64       // more than this multiple of its present capacity pushes it over
+	FallFor      time.Duration // when kept up for so long
 
 	PriceCross float64 // each price: what one a request costs, as a part of all worth
 	PriceProbe float64
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,11 +170,11 @@
 		s = &server{owner: b.owner(e.ID), report: NoReport}
 		b.byID[e.ID] = s
 		b.servers = append(b.servers, s)
-		s.coldTokens, s.coldRefilled = -b.rng.Float64(), now
+		b.chill(now, s)
 	} else if e.Started > s.Started {
 		// A new process: what was known of the old one is void.
 		s.health, s.has, s.recent = health{}, false, nil
-		s.coldTokens, s.coldRefilled = -b.rng.Float64(), now
+		b.chill(now, s)
 	}
 	s.Server = e
 }
@@ -537,7 +537,15 @@
 	if s.Started == 0 || age >= b.set.ColdFor {
 		return 1
 	}
-	return max(b.set.ColdFrom, age.Seconds()/b.set.ColdFor.Seconds())
+	// Capacity rises no slower than evenly.
+	return min(b.set.ColdFrom+(1-b.set.ColdFrom)*max(age, 0).Seconds()/b.set.ColdFor.Seconds(), 1)
+}
+
+// chill begins the budget of a cold server. What coldPart leaves of a window is there at once: a proxy with
+// few requests comes late with what it may send, and nothing was sent before the server was listed.
+func (b *Balancer) chill(now time.Duration, s *server) {
+	early := b.set.FallFor.Seconds() * (1/coldPart - 1)
+	s.coldTokens, s.coldRefilled = -b.rng.Float64(), now-time.Duration(early*float64(time.Second))
 }
 
 // warmEnough keeps this proxy within its part of what all may send to a cold server together.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -551,6 +551,39 @@
 	}
 }
 
+// TestColdFirstWindow guards against cold servers that come into use only as they are warm where each of many proxies
+// has few requests, and rule 4: on average all send most of what a window's budget allows in the first window, and no
+// more than that.
+func TestColdFirstWindow(t *testing.T) {
+	for _, proxies := range []int{4, 80} {
+		set := settings()
+		set.Balancers, set.FallFor = proxies, 3*time.Second
+		rng := rand.New(rand.NewPCG(1, 2))
+		sent, allowed := 0.0, 0.0
+		for trial := range uint64(40) {
+			var all []*rig
+			for p := range uint64(proxies) {
+				g := newRig(set, nil)
+				g.Balancer = New(set, 100*trial+p, g.recorder)
+				g.Members(t0, ListDelta, []Server{{ID: 1, State: Ready, Weight: 1, Started: t0}})
+				all = append(all, g)
+			}
+			for now := t0; now < t0+set.FallFor; now += 10 * ms {
+				g := all[rng.IntN(proxies)]
+				s := g.servers[0]
+				if g.warmEnough(now, &request{load: 1}, s) {
+					s.coldTokens--
+					sent++
+				}
+				allowed += set.FallMultiple * g.capacityOf(now, s) / set.ColdFor.Seconds() * 0.01
+			}
+		}
+		if part := sent / allowed; part < 0.7 || part > 1 {
+			t.Errorf("%d proxies sent %.2f of what the first window allows", proxies, part)
+		}
+	}
+}
+
 // TestEffects guards rule 2 for every effect and scope.
 func TestEffects(t *testing.T) {
 	tests := []struct {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -44,6 +44,7 @@
 	span(&s.ConnectTimeout, 250*time.Millisecond)
 	span(&s.AskWithin, 10*time.Second)
 	span(&s.ColdFor, 10*time.Second)
+	span(&s.FallFor, 3*time.Second)
 	s.AnswerSlack = max(s.AnswerSlack, 0)
 	s.ColdFrom = within(s.ColdFrom, 0.01, 1, 0.1)
 	s.FallMultiple = within(s.FallMultiple, 1, 1e3, 1)
