--- /dev/null
+++ b/integration/linked_test.go
@@ -0,0 +1,34 @@
+package integration
+
+import (
+	"debug/elf"
+	"os"
+	"strings"
+	"testing"
+)
+
+// TestLinked guards against a relay that is no longer linked against the C library: what the platform loads into the
+// process would not be loaded, without a word.
+func TestLinked(t *testing.T) {
+	f, err := elf.Open(program)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if f.Section(".interp") == nil {
+		t.Error("the program has no dynamic interpreter")
+	}
+	libraries, err := f.ImportedLibraries()
+	if err != nil || !strings.Contains(strings.Join(libraries, " "), "libc.so") {
+		t.Errorf("linked against %v, %v", libraries, err)
+	}
+	deploy, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"CGO_ENABLED=1", "-ldflags=-linkmode=external", `run = "exec `} {
+		if !strings.Contains(string(deploy), part) {
+			t.Errorf("the deploy file lacks %s", part)
+		}
+	}
+}
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -37,7 +37,8 @@
 		os.Exit(1)
 	}
 	program = filepath.Join(dir, "dahliarudder")
-	build := exec.Command("go", "build", "-o", program, "dahliarudder/cmd/dahliarudder")
+	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", program, "dahliarudder/cmd/dahliarudder")
+	build.Env = append(os.Environ(), "CGO_ENABLED=1") // as the deploy file builds it
 	build.Stderr = os.Stderr
 	code := 1
 	if err := build.Run(); err == nil {
