Levels of fill are parts of what a cold member will bear once it is warm

The rule's budget already bounds what it is sent.

Line at fault: pick, which took the level as a part of the present capacity. It is now a part of the warm one, up to the brim of the present.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -494,6 +494,7 @@
 		}
 		k := b.capacityOf(now, s)
 		used := b.usedOf(now, s)
+		level := min(level/b.warmth(now, s), max(brim, level)) // the levels are of what it will bear once warm
 		spare := k*level - used - load
 		if spare <= 0 || guest && used*b.foreignShare(s)+load > k*level*b.lent(s) {
 			continue
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -448,6 +448,30 @@
 	}
 }
 
+// TestGroupOpeningCold guards against members that stay empty while they warm up: what counts is what a server will bear
+// once it is warm, so a group is opened on a cold one that a warm one of that fill would not take.
+func TestGroupOpeningCold(t *testing.T) {
+	set := settings()
+	set.Groups = true
+	for _, cold := range []bool{false, true} {
+		g := newRig(set, nil)
+		list := fleet(4, 1)
+		if cold {
+			for i := range list {
+				list[i].Started = t0 - 3*time.Second
+			}
+		}
+		g.Members(t0-3*time.Second, ListCached, list)
+		for _, s := range g.servers {
+			g.load[s.ID] = 0.6
+		}
+		g.load[alone(set, Request{Group: 77, Load: 0.1})] = 0.95
+		if sent := g.where(g.ask(Request{Group: 77, Load: 0.1})) != 0; sent != cold {
+			t.Errorf("cold %v: sent %v", cold, sent)
+		}
+	}
+}
+
 // TestPassMode: another proxy sends packets of an open connection where the first sent it, even a full server.
 func TestPassMode(t *testing.T) {
 	set := settings()
