A cold member bears at once what it can take now, shared by one draw of each relay

Each relay's tokens accrue at its N-th part of the rate (policy.go, warmEnough); over a warm-up of 3 to 8.6 s a relay gains some hundredths of a token, so only the few whose draw starts near zero may send, and they do at their next request, 2 to 5 s on.

Change: what the member bears now, brim times its present capacity, is there from its listing, shared by the same draw: a relay may send while its own sends and its draw stay under its part of that.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -131,3 +131,35 @@
 		t.Errorf("five groups stand on %d places, a member bears %d of 35, %d were turned away", pairs, most, p.turned)
 	}
 }
+
+// TestColdAtOnce guards against a cold server that stands idle while 300 proxies each have one request for it within
+// half a second: together they send most of what it bears at once, and no more than that and the rate's budget.
+func TestColdAtOnce(t *testing.T) {
+	const proxies, trials = 300, 20
+	set := settings()
+	set.Balancers, set.FallFor = proxies, 3*time.Second
+	rng := rand.New(rand.NewPCG(3, 4))
+	sent, bears, allowed := 0.0, 0.0, 0.0
+	for trial := range uint64(trials) {
+		for p := range uint64(proxies) {
+			g := newRig(set, nil)
+			g.Balancer = New(set, 1000*trial+p, g.recorder)
+			g.Members(t0, ListDelta, []Server{{ID: 1, State: Ready, Weight: 1, Started: t0}})
+			now := t0 + time.Duration(rng.Int64N(int64(500*ms)))
+			if s := g.servers[0]; g.warmEnough(now, &request{load: 1}, s) {
+				sent++
+			}
+			if p == 0 {
+				s := g.servers[0]
+				bears += brim * g.capacityOf(t0, s)
+				// What the rate allows by the end of the half second, with the part of a window there at once.
+				early := set.FallFor.Seconds()*(1/coldPart-1) + 0.5
+				allowed += coldPart * set.FallMultiple * g.capacityOf(t0+500*ms, s) / set.ColdFor.Seconds() * early
+			}
+		}
+	}
+	if sent < 0.7*bears || sent > bears+allowed {
+		t.Errorf("%d proxies sent %.1f in %d trials; it bears %.1f at once, the rate allows %.1f", proxies, sent, trials,
+			bears, allowed)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -546,7 +546,8 @@
 // few requests comes late with what it may send, and nothing was sent before the server was listed.
 func (b *Balancer) chill(now time.Duration, s *server) {
 	early := b.set.FallFor.Seconds() * (1/coldPart - 1)
-	s.coldTokens, s.coldRefilled = -b.rng.Float64(), now-time.Duration(early*float64(time.Second))
+	s.coldDraw, s.coldSent = b.rng.Float64(), 0
+	s.coldTokens, s.coldRefilled = -s.coldDraw, now-time.Duration(early*float64(time.Second))
 }
 
 // warmEnough keeps this proxy within its part of what all may send to a cold server together.
@@ -559,8 +560,11 @@
 		float64(b.set.Balancers)
 	s.coldTokens = min(s.coldTokens+rate*(now-s.coldRefilled).Seconds(), 1)
 	s.coldRefilled = now
+	// What it bears now is there from the start, by the same draw: tokens that accrue came 2 to 5 s late. A send
+	// pays for both, so all together spend the larger of the two.
+	bears := brim * b.capacityOf(now, s) / b.unit() / float64(b.set.Balancers)
 	// A heavy connection could spend the budget of all proxies at one stroke.
-	return s.coldTokens >= 0 && b.loadOf(r) <= 2*b.unit()
+	return (s.coldTokens >= 0 || s.coldSent+s.coldDraw <= bears) && b.loadOf(r) <= 2*b.unit()
 }
 
 // capacityOf is k in units of load: what the server's reports say, shrunk to what its kind's say.
@@ -704,6 +708,7 @@
 		r.ranAt, r.ranOn = now, s.Server
 	}
 	s.coldTokens -= b.loadOf(r) / b.unit()
+	s.coldSent += b.loadOf(r) / b.unit()
 	b.occupy(now, r, s)
 	if !foreign {
 		b.adapt(r, hStep*tolerance)
--- a/policy/state.go
+++ b/policy/state.go
@@ -55,6 +55,8 @@
 	conns        []*request // own connections here, those being set up included
 	mine, alien  float64    // how many they are, and the foreign ones of them
 	coldTokens   float64
+	coldDraw     float64 // where this proxy stands among all in the budget of a cold server
+	coldSent     float64
 	coldRefilled time.Duration
 }
 
