--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -74,6 +74,9 @@
 		loop.Close()
 		return errors.Join(err, r.closeStore())
 	}
+	if cfg.CountsMS > 0 {
+		r.count(time.Duration(cfg.CountsMS*float64(time.Millisecond)), core.Counts{})
+	}
 	go func() {
 		for s := range signals {
 			if s != syscall.SIGHUP {
@@ -95,6 +98,20 @@
 	return errors.Join(err, r.closeStore())
 }
 
+// count logs what the core counted in each span, as fields that many relays' logs can be
+// added up by: the relay's clock in seconds, then one field a count.
+func (r *relay) count(every time.Duration, before core.Counts) {
+	r.loop.After(every, func() {
+		now := r.core.Counts
+		r.log.WithFields(logrus.Fields{"at": math.Round(r.clock().Seconds()*1e3) / 1e3,
+			"requests": now.Requests - before.Requests, "served": now.Served - before.Served,
+			"rejected": now.Rejected - before.Rejected, "failed": now.Failed - before.Failed,
+			"left": now.Left - before.Left, "attempts": now.Attempts - before.Attempts,
+			"moves": now.Moves - before.Moves, "barred": now.Barred - before.Barred}).Info("counts")
+		r.count(every, now)
+	})
+}
+
 // relay is what serve puts together.
 type relay struct {
 	cfg       *config.Config
--- a/integration/line_test.go
+++ b/integration/line_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -426,3 +428,21 @@
 	held.want("GOT 1 still here")
 	s.stop()
 }
+
+// TestCounts: with counts_ms each relay logs what it counted in each span, and the
+// spans add up to what happened.
+func TestCounts(t *testing.T) {
+	s := newSite(t, 2, map[string]any{"counts_ms": 100})
+	for n := range 5 {
+		s.open(n, "").want("UP ")
+	}
+	sum := regexp.MustCompile(`msg=counts at=[0-9.]+ attempts=\d+ barred=\d+ failed=\d+ left=\d+ moves=\d+ rejected=\d+ requests=(\d+)`)
+	until(t, "five requests counted", func() bool {
+		n := 0
+		for _, m := range sum.FindAllStringSubmatch(s.relay.log.String(), -1) {
+			k, _ := strconv.Atoi(m[1])
+			n += k
+		}
+		return n == 5
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,9 @@
 	"dahliarudder/internal/store"
 )
 
+// The bounds of counts_ms: at most ten lines a second, at least one an hour.
+const leastCountsMS, mostCountsMS = 100, 3_600_000
+
 // ErrInvalid is wrapped by every error about a configuration that cannot be used.
 var ErrInvalid = errors.New("invalid configuration")
 
@@ -38,6 +41,9 @@
 	Settings json.RawMessage `json:"settings"`
 	Fronts   *Fronts         `json:"fronts"` // nil: the line front alone
 	Store    *store.Config   `json:"store"`  // nil: nothing is recorded
+	// CountsMS is how often, in milliseconds, the relay logs what it has counted since the
+	// last time; 0: never.
+	CountsMS float64 `json:"counts_ms"`
 
 	decoded  *settings.Settings
 	known    *pool.List
@@ -107,6 +113,7 @@
 		{"operator", c.Operator, fresh.Operator}, {"seed", c.Seed, fresh.Seed},
 		{"limits", c.Limits, fresh.Limits}, {"known", c.known, fresh.known}, {"settings", c.decoded, fresh.decoded},
 		{"fronts", c.Fronts.lasting(), fresh.Fronts.lasting()}, {"store", c.Store, fresh.Store},
+		{"counts_ms", c.CountsMS, fresh.CountsMS},
 	} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
@@ -203,6 +210,11 @@
 			return fmt.Errorf("%w: known: %v", ErrInvalid, err)
 		}
 	}
+	if c.CountsMS != 0 && !(c.CountsMS >= leastCountsMS && c.CountsMS <= mostCountsMS) {
+		// Guards against a log that costs the processor time it is meant to account for.
+		return fmt.Errorf("%w: counts_ms: %v is neither 0 nor from %d to %d", ErrInvalid, c.CountsMS,
+			leastCountsMS, mostCountsMS)
+	}
 	if c.Seed != "" {
 		if _, err := strconv.ParseUint(c.Seed, 16, 64); err != nil {
 			return fmt.Errorf("%w: seed: %v", ErrInvalid, err)
