--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -44,18 +44,18 @@
 		t.Fatal(err)
 	}
 	for name, rest := range map[string]string{
-		"no front":         `"fronts":{}}`,
-		"NATS address":     `"fronts":{"nats":{}}}`,
-		"NATS payload":     `"fronts":{"nats":{"listen":"127.0.0.1:4","max_payload":-1}}}`,
-		"NATS class":       `"fronts":{"nats":{"listen":"127.0.0.1:4","class":"gold"}}}`,
-		"NATS route":       `"fronts":{"nats":{"listen":"127.0.0.1:4","routes":[{"subject":"a..b"}]}}}`,
-		"NATS load":        `"fronts":{"nats":{"listen":"127.0.0.1:4","load_subject":"a.>"}}}`,
-		"store driver":     `"store":{"driver":"paper","dsn":"x"}}`,
-		"store without":    `"store":{"driver":"sqlite"}}`,
-		"limits":           `"limits":{"sockets":-1}}`,
-		"members no list":  `"known":[]}`,
-		"counts too often": `"counts_ms":10}`,
-		"counts never":     `"counts_ms":-1}`,
+		"no front":        `"fronts":{}}`,
+		"NATS address":    `"fronts":{"nats":{}}}`,
+		"NATS payload":    `"fronts":{"nats":{"listen":"127.0.0.1:4","max_payload":-1}}}`,
+		"NATS class":      `"fronts":{"nats":{"listen":"127.0.0.1:4","class":"gold"}}}`,
+		"NATS route":      `"fronts":{"nats":{"listen":"127.0.0.1:4","routes":[{"subject":"a..b"}]}}}`,
+		"NATS load":       `"fronts":{"nats":{"listen":"127.0.0.1:4","load_subject":"a.>"}}}`,
+		"store driver":    `"store":{"driver":"paper","dsn":"x"}}`,
+		"store without":   `"store":{"driver":"sqlite"}}`,
+		"limits":          `"limits":{"sockets":-1}}`,
+		"members no list": `"known":[]}`,
+		"counts often":    `"counts_ms":10}`,
+		"counts below":    `"counts_ms":-1}`,
 	} {
 		if _, err := load(t, head+rest, nil); !errors.Is(err, ErrInvalid) {
 			t.Errorf("%s: %v", name, err)
