Groups keep to the first four members of their order, those that are asked for reports

Of 3,000 placements 1,115 went to place 31 or later of the group's order and 525 to place 11 to 30: pick passes over members without a report (44,538 times) or without a token for a cold one (48,945 times) and takes the next in the order that this relay happens to know (policy.go, candidates and pick). Each of 300 relays knows others. Ruled out: relays that hold a place (199 of the placements), the ramp (200 passes), h (30).

Change: a group's candidates are the home and the probeTier that the relay asks for reports. TestGroupReach fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,7 @@
 	// again, so it is opened to the group only where it is filled no more than opening, room for many. ramp
 	// is the part of a server over which fewer of a group go there as it fills. docs/design/fleet.md has the
 	// measurements.
-	groupSlice, opening, ramp = 1, 0.5, 0.35
+	groupSlice, groupReach, opening, ramp = 1, 1 + probeTier, 0.5, 0.35
 	// retreat is what one failure to set up leaves of the part of its requests that a proxy dares to send, and
 	// daringLeast what it always sends, to see whether setting up works again.
 	retreat, daringLeast = 0.8, 0.03
@@ -413,6 +413,9 @@
 			}
 		}
 		slices.SortStableFunc(list, func(x, y *server) int { return cmp.Compare(y.rank, x.rank) })
+		if b.set.Groups {
+			list = list[:min(len(list), groupReach)]
+		}
 		n := min(len(list), groupSlice)
 		tiered[tier], tiered[tier+foreignHere] = list[:n:n], list[n:]
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,11 +1,13 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -448,6 +450,31 @@
 	}
 }
 
+// TestGroupReach guards against groups scattered by chance: what a relay happens to have a report of, far down the order, is
+// another place to pay for, and each relay happens to know others.
+func TestGroupReach(t *testing.T) {
+	set := settings()
+	set.Groups = true
+	list := fleet(20, 1)
+	slices.SortFunc(list, func(x, y Server) int {
+		return cmp.Compare(rendezvous(uint64(y.ID), 77, y.Weight), rendezvous(uint64(x.ID), 77, x.Weight))
+	})
+	for room, want := range map[int]ServerID{groupReach - 1: list[groupReach-1].ID, groupReach: 0} { // the first that has any
+		g := newRig(set, nil)
+		g.Members(t0, ListCached, slices.Clone(list))
+		for i, e := range list {
+			g.load[e.ID] = 0.95
+			if i >= room {
+				g.load[e.ID] = 0.1
+				g.take(t0, g.byID[e.ID], Report{Connections: 3, Load: 0.1, Util: 0.1})
+			}
+		}
+		if id := g.where(g.ask(Request{Group: 77, Load: 0.1})); id != want {
+			t.Errorf("room from place %d of the order on: sent to %d, want %d", room, id, want)
+		}
+	}
+}
+
 // TestGroupOpeningCold guards against members that stay empty while they warm up: what counts is what a server will bear
 // once it is warm, so a group is opened on a cold one that a warm one of that fill would not take.
 func TestGroupOpeningCold(t *testing.T) {
