A group's second look asks three further members of its order, which may take it

The third look of a group (ask, stage 2) asked nobody: its tiers of the home zone and away are empty with groups.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,7 @@
 	// again, so it is opened to the group only where it is filled no more than opening, room for many. ramp
 	// is the part of a server over which fewer of a group go there as it fills. docs/design/fleet.md has the
 	// measurements.
-	groupSlice, groupReach, opening, ramp = 1, 1 + probeTier, 0.5, 0.35
+	groupSlice, groupReach, opening, ramp = 1, 1 + 2*probeTier, 0.5, 0.35
 	// retreat is what one failure to set up leaves of the part of its requests that a proxy dares to send, and
 	// daringLeast what it always sends, to see whether setting up works again.
 	retreat, daringLeast = 0.8, 0.03
@@ -62,13 +62,11 @@
 func New(set Settings, seed uint64, actions Actions) *Balancer {
 	set = sane(set)
 	b := &Balancer{set: set, act: actions, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		byID: map[ServerID]*server{}, zones: make([]zone, set.Zones), requests: map[RequestID]*request{},
+		byID: map[ServerID]*server{}, requests: map[RequestID]*request{},
+		zones:   slices.Repeat([]zone{{fill: easy}}, set.Zones), // until reports say otherwise
 		waiters: map[ServerID][]RequestID{}, kinds: map[int]*kind{},
 		h: slices.Repeat([]float64{1}, len(set.Tenants)), held: make([]float64, len(set.Tenants)),
 		classLoad: make([]float64, len(set.Classes))}
-	for i := range b.zones {
-		b.zones[i].fill = easy // until reports say otherwise
-	}
 	b.horizon, b.slowest, b.messageAim = set.Classes[0].Aim, set.Classes[0].Deadline, set.Classes[0].MessageAim
 	for _, c := range set.Classes {
 		b.messageAim = min(b.messageAim, c.MessageAim)
@@ -446,6 +444,9 @@
 	want := slices.Clone(tiered[min(r.stage, homeAway)])
 	if r.stage == 2 {
 		want = append(want, tiered[foreignAway]...)
+		if near := tiered[foreignHere]; b.set.Groups && r.Group != 0 { // those that were not asked before
+			want = slices.Clone(near[min(probeTier, len(near)):])
+		}
 	}
 	if b.affinity(r) == 0 {
 		b.rng.Shuffle(len(want), func(i, j int) { want[i], want[j] = want[j], want[i] })
