--- a/integration/nats_conformance_own_test.go
+++ b/integration/nats_conformance_own_test.go
@@ -251,7 +251,7 @@
 			`-ERR 'Permissions Violation for Subscription to "other"'`, `-ERR 'Permissions Violation for Subscription to "in.secret"'`,
 			`-ERR 'Permissions Violation for Subscription to "work.a"'`, "PONG")
 		all.says("SUB box 1", "PUB in.secret 1", "1", "PUB in.open box 1", "2", "PING")
-		all.gets("PONG") // before it is answered: PONG waits for all of a client's links, and the answer could pass it
+		all.gets("PONG")                     // before it is answered: PONG waits for all of a client's links, and the answer could pass it
 		few.gets("MSG in.open 5 box 1", "2") // what is denied is not delivered by the wildcard
 		few.says("PUB box 2", "ok", "PUB box 2", "no", "PING")
 		few.gets(`-ERR 'Permissions Violation for Publish to "box"'`, "PONG")
