--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,10 +40,10 @@
 	backOffMost = 5
 	// flowLags is over how many report ages the demand is averaged: one proxy sees few requests in one.
 	flowLags = 3.0
-	// groupSlice is how many servers a group has for its home: what comes next in its order pays for the group
-	// again, so it is opened to the group only where it is filled no more than opening, room for many. ramp
-	// is the part of a server over which fewer of a group go there as it fills. docs/design/fleet.md has the
-	// measurements.
+	// groupSlice is how many servers a group has for its home. What comes next in its order, up to groupReach,
+	// pays for the group again and opens only where filled no more than opening, room for many; further on each
+	// proxy knows others and would scatter the group. ramp is the part of a server over which fewer of a group
+	// go there as it fills. docs/design/fleet.md has the measurements.
 	groupSlice, groupReach, opening, ramp = 1, 1 + 2*probeTier, 0.5, 0.35
 	// groupRush is how many times the connections of a warm server may want a cold one together: who holds a
 	// connection is mostly of a large group, which all want the same server. docs/design/fleet.md.
