Reach and the shared cold budget hold for requests of a group only

A request without a group (NATS flows, deploy/nats.json has groups on) may go to any member from any relay, yet its cold budget was divided by the few relays that a group's would be: TestColdAtOnce, now with such a request too, has 300 relays send 636 where a member bears 82 and the rate allows 41 more.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -106,7 +106,7 @@
 		places, fullest, turned = places+n, fullest+most, turned+t
 	}
 	t.Logf("%d plays: %d places, %d at the fullest, %d turned away", plays, places, fullest, turned)
-	if places > 17*plays || fullest > 35*plays || turned > 20*plays {
+	if places > 17*plays || fullest > 35*plays || turned > 4*plays {
 		t.Errorf("in %d plays five groups stand on %d places, the fullest members bear %d of %d, %d were turned away", plays,
 			places, fullest, 35*plays, turned)
 	}
@@ -145,12 +145,12 @@
 
 // TestColdAtOnce guards against a cold server that stands idle while many proxies each have one request for it within
 // half a second: together they send most of what it bears at once, and no more than that and the rate's budget. Any
-// of 300 proxies may want it; with groups only those of the few groups that it stands near in the order of, the largest too.
+// of 300 proxies may want it, also one without a group on a site with groups; of a group only those of the few groups that it stands near in the order of, the largest too.
 func TestColdAtOnce(t *testing.T) {
 	const proxies, trials = 300, 20
 	set := settings()
-	set.Balancers, set.FallFor = proxies, 3*time.Second
-	for _, set.Groups = range []bool{false, true} {
+	set.Balancers, set.FallFor, set.Groups = proxies, 3*time.Second, true
+	for _, group := range []uint64{0, 77} {
 		rng := rand.New(rand.NewPCG(3, 4))
 		sent, bears, allowed := 0.0, 0.0, 0.0
 		for trial := range uint64(trials) {
@@ -160,11 +160,11 @@
 				g.Balancer = New(set, 1000*trial+p, g.recorder)
 				g.Members(t0, ListDelta, []Server{{ID: 1, State: Ready, Weight: 1, Started: t0}})
 				now, s := t0+time.Duration(rng.Int64N(int64(500*ms))), g.servers[0]
-				if g.warmEnough(now, &request{load: 1}, s) {
+				if g.warmEnough(now, &request{Request: Request{Group: group}, load: 1}, s) {
 					sent++
 				}
 				if p == 0 {
-					if set.Groups {
+					if group != 0 {
 						want = uint64(groupRush * easy * g.capacityOf(t0+set.ColdFor, s))
 					}
 					bears += brim * g.capacityOf(t0, s)
@@ -175,7 +175,7 @@
 			}
 		}
 		if sent < 0.7*bears || sent > bears+allowed {
-			t.Errorf("groups %v: %.1f sent in %d trials; it bears %.1f at once, the rate allows %.1f", set.Groups, sent, trials,
+			t.Errorf("group %d: %.1f sent in %d trials; it bears %.1f at once, the rate allows %.1f", group, sent, trials,
 				bears, allowed)
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -411,7 +411,7 @@
 			}
 		}
 		slices.SortStableFunc(list, func(x, y *server) int { return cmp.Compare(y.rank, x.rank) })
-		if b.set.Groups {
+		if grouped {
 			list = list[:min(len(list), groupReach)]
 		}
 		n := min(len(list), groupSlice)
@@ -559,7 +559,7 @@
 		return true
 	}
 	k, rivals := b.capacityOf(now, s)/b.unit(), float64(b.set.Balancers)
-	if b.set.Groups { // the other proxies have no connection that wants it: its budget is not for them
+	if b.set.Groups && r.Group != 0 { // the other proxies have none that wants it: its budget is not for them
 		rivals = min(rivals, max(groupRush*max(b.fill(), easy)*k/b.warmth(now, s), 1))
 	}
 	// In mean loads a second: filling it over its warm-up, at the part of its capacity that it surely has.
