--- a/cmd/dahliarudder/main.go
+++ b/cmd/dahliarudder/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"errors"
+	"fmt"
 	"os"
 	"runtime/debug"
 
@@ -53,13 +55,16 @@
 		},
 	}, &cobra.Command{
 		Use:   "check",
-		Short: "Say whether the configuration can be used",
+		Short: "Say whether the configuration can be used, and which settings cannot work",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			c, err := load()
 			if err != nil {
 				return err
 			}
+			if err := errors.Join(c.Decoded().Problems()...); err != nil {
+				return fmt.Errorf("%w:\n%w", config.ErrInvalid, err)
+			}
 			cmd.Printf("%s: the configuration is sound\n", c.Name)
 			return nil
 		},
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 
 	"dahliarudder/internal/core"
 	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/settings"
 	"dahliarudder/policy"
 )
 
@@ -37,6 +39,7 @@
 	Log  logrus.FieldLogger
 
 	connectWithin time.Duration
+	probeIdle     time.Duration         // how long a probe's connection is kept
 	open          map[*virtual]struct{} // whose flow stands
 	fresh         map[*virtual]struct{} // whose first line has not come
 	ids           map[uint64]*virtual   // by the client's id, from its first line to its end
@@ -47,7 +50,8 @@
 // New makes a front on the core.
 func New(loop *netloop.Loop, c *core.Core, log logrus.FieldLogger) *Front {
 	f := &Front{Loop: loop, Core: c, Log: log, connectWithin: c.Limits().ConnectTimeout,
-		open: map[*virtual]struct{}{}, fresh: map[*virtual]struct{}{}, elsewhere: map[uint64]bool{}, ids: map[uint64]*virtual{}, probes: map[policy.ServerID]*probe{}}
+		probeIdle: time.Duration(probeIdle * float64(cmp.Or(settings.Span(c.Settings.Limits.Keepalive), keepalive))),
+		open:      map[*virtual]struct{}{}, fresh: map[*virtual]struct{}{}, elsewhere: map[uint64]bool{}, ids: map[uint64]*virtual{}, probes: map[policy.ServerID]*probe{}}
 	loop.After(sweepEvery, f.sweep)
 	return f
 }
@@ -467,10 +471,11 @@
 
 // ---- Probes ----
 
-// Times of probes.
 const (
 	probeWithin = 400 * time.Millisecond
-	probeIdle   = 4 * time.Second // members end idle connections after 5 s
+	// probeIdle is the part of the settings' keepalive for which an idle connection to a member is kept: one that
+	// the member ends just as it is used costs a second connection.
+	probeIdle, keepalive = 0.8, 5 * time.Second // the latter where the settings do not say
 )
 
 // probe is the connection on which one member is probed.
@@ -559,6 +564,8 @@
 		p.within.Stop()
 	case errors.Is(err, netloop.ErrFull):
 		p.done(policy.Moot, policy.NoReport)
+	case errors.Is(err, netloop.ErrDialTimeout): // it says nothing at all
+		p.done(policy.Timeout, policy.NoReport)
 	case p.reused && p.f.Core.Reachable(p.id): // it may have been ended for idleness just then
 		p.dial()
 	case errors.Is(err, io.EOF) || p.c != nil:
@@ -573,7 +580,7 @@
 	p.asked = false
 	p.within.Stop()
 	if result == policy.OK {
-		p.within = p.f.Loop.After(probeIdle, p.hangUp)
+		p.within = p.f.Loop.After(p.f.probeIdle, p.hangUp)
 	} else {
 		p.hangUp()
 	}
--- a/internal/front/nats/probe.go
+++ b/internal/front/nats/probe.go
@@ -125,6 +125,8 @@
 	switch {
 	case errors.Is(err, netloop.ErrFull):
 		p.done(policy.Moot, policy.NoReport)
+	case errors.Is(err, netloop.ErrDialTimeout): // it says nothing at all
+		p.done(policy.Timeout, policy.NoReport)
 	case err == io.EOF:
 		p.done(policy.Reset, policy.NoReport)
 	default:
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,7 +1,11 @@
 package settings
 
 import (
+	"encoding/json"
 	"errors"
+	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,3 +50,68 @@
 		t.Errorf("senseless settings: %v", err)
 	}
 }
+
+// TestProblems: the operators' examples have none; a setting that cannot work is named with its value and the reason,
+// alone, whichever of the examples it is put into.
+func TestProblems(t *testing.T) {
+	for _, file := range []string{"../../deploy/nats.json", "../../deploy/few-reports.json"} {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for path, bad := range map[string]any{
+			"":                           nil,
+			"balancers":                  0,
+			"classes.0.aim-ms":           -1,
+			"classes.1.aim-ms":           1e6,
+			"classes.0.worth":            0,
+			"classes.1.effect":           "maybe",
+			"extra.message-aim-ms":       []float64{60},
+			"extra.mode":                 "",
+			"discovery":                  "guess",
+			"guarantees.cold-from":       0,
+			"guarantees.fall-ms":         -3,
+			"guarantees.overload-factor": 0.5,
+			"limits.max-attempts":        0,
+			"limits.probes":              false,
+			"prices.probe":               1.5,
+			"report.names":               []string{"outstanding"},
+			"tenants.0.share":            0,
+			"zone":                       9,
+		} {
+			var whole map[string]any
+			if err := json.Unmarshal(text, &whole); err != nil {
+				t.Fatal(err)
+			}
+			var at any = whole["settings"]
+			keys := strings.Split(path, ".")
+			for _, key := range keys[:len(keys)-1] {
+				if list, ok := at.([]any); ok {
+					i, _ := strconv.Atoi(key)
+					at = list[i]
+				} else {
+					at = at.(map[string]any)[key]
+				}
+			}
+			if path != "" {
+				at.(map[string]any)[keys[len(keys)-1]] = bad
+			}
+			set, _ := json.Marshal(whole["settings"])
+			s, err := Decode(set)
+			if err != nil {
+				t.Fatal(err)
+			}
+			found := s.Problems()
+			if path == "" && len(found) == 0 {
+				continue
+			}
+			last := keys[len(keys)-1]
+			if path == "limits.probes" {
+				last = "report.source" // which wants them
+			}
+			if len(found) != 1 || !strings.Contains(found[0].Error(), last) || strings.HasSuffix(found[0].Error(), ": ") {
+				t.Errorf("%s, %s = %v: %v", file, path, bad, found)
+			}
+		}
+	}
+}
