Relays of an installation know which of them live, and divide shared budgets by that

Change: internal/peers, a SWIM state machine without I/O, envelopes by the installation's key, by how many budgets are divided; internal/netloop/datagram.go; internal/peering on the loop; GET /-/peers; news Relays to the module (cold budgets and spread of list calls; no line more in policy.go). Off unless peers is set: no socket, no memory. Design note with what was not taken: docs/design/peers.md; operators' page docs/peers.md; deploy/peers.json.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -23,6 +23,8 @@
 	"dahliarudder/internal/handover"
 	"dahliarudder/internal/netloop"
 	"dahliarudder/internal/operator"
+	"dahliarudder/internal/peering"
+	"dahliarudder/internal/peers"
 	"dahliarudder/internal/pool"
 	"dahliarudder/internal/store"
 	"dahliarudder/policy"
@@ -103,11 +105,15 @@
 func (r *relay) count(every time.Duration, before core.Counts) {
 	r.loop.After(every, func() {
 		now := r.core.Counts
-		r.log.WithFields(logrus.Fields{"at": math.Round(r.clock().Seconds()*1e3) / 1e3,
+		line := logrus.Fields{"at": math.Round(r.clock().Seconds()*1e3) / 1e3,
 			"requests": now.Requests - before.Requests, "served": now.Served - before.Served,
 			"rejected": now.Rejected - before.Rejected, "failed": now.Failed - before.Failed,
 			"left": now.Left - before.Left, "attempts": now.Attempts - before.Attempts,
-			"moves": now.Moves - before.Moves, "barred": now.Barred - before.Barred}).Info("counts")
+			"moves": now.Moves - before.Moves, "barred": now.Barred - before.Barred}
+		if r.peers != nil {
+			line["relays"], line["shared_by"] = r.peers.Shares()
+		}
+		r.log.WithFields(line).Info("counts")
 		r.count(every, now)
 	})
 }
@@ -121,9 +127,10 @@
 	names     pool.Names
 	watch     *pool.Watch
 	core      *core.Core
-	next      *netloop.Timer // when the core is due
-	nats      *nats.Front    // nil if it is off
-	store     *store.Store   // nil if it is off
+	next      *netloop.Timer   // when the core is due
+	nats      *nats.Front      // nil if it is off
+	store     *store.Store     // nil if it is off
+	peers     *peering.Service // nil if it is off
 	listeners []*netloop.Listener
 	sockets   int                          // descriptors that the loop may hold
 	memory    int                          // bytes that its buffers may
@@ -199,6 +206,9 @@
 		return err
 	}
 	r.decline()
+	if cfg.Peers != nil {
+		r.meet(*cfg.Peers)
+	}
 	if r.twin != nil {
 		r.exchange()
 	} else if r.open = true; cfg.Operator != "" {
@@ -207,6 +217,37 @@
 	return nil
 }
 
+// meet begins to know the other relays.
+func (r *relay) meet(p config.Peers) {
+	set := r.names.Settings
+	zone := ""
+	if set.Zone >= 0 && set.Zone < len(set.Zones) {
+		zone = string(set.Zones[set.Zone])
+	}
+	r.peers = peering.New(peering.Options{Loop: r.loop, Log: r.log, Name: r.cfg.Name, Zone: zone, Listen: p.Listen, Address: p.Address,
+		Known: p.Known, Reach: p.Reach, Keys: p.Keys(), Configured: max(set.Balancers, 1), Seed: r.cfg.SeedNumber(), Wall: time.Now,
+		Share: r.core.Relays,
+		Own: func() (peers.Phase, uint64, uint64) {
+			phase := peers.Serving
+			switch {
+			case !r.open || !r.core.Usable():
+				phase = peers.Starting
+			case !r.core.Welcomes():
+				phase = peers.Draining
+			}
+			list, _ := r.watch.List()
+			return phase, list.Generation, uint64(r.core.Held())
+		}})
+}
+
+// Peers is what is known of the other relays, as JSON; empty where peers are not set up.
+func (r *relay) Peers() string {
+	if r.peers == nil {
+		return ""
+	}
+	return r.peers.Text()
+}
+
 func (r *relay) listen(front, addr string, accept func(*netloop.Conn)) error {
 	l, err := r.inherit(front, addr, accept)
 	r.took(front, l, err)
@@ -336,6 +377,7 @@
 func (r *relay) stop() {
 	loop := r.loop
 	r.log.WithField("held", r.core.Held()).Info("stopping")
+	r.peers.Leave() // nothing new is placed from here on
 	deadline := loop.Now() + stopWithin
 	least := loop.Now() + core.StopNotice
 	if r.yield() {
--- /dev/null
+++ b/integration/peers_test.go
@@ -0,0 +1,297 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/standin"
+)
+
+// circle is several relays that know of each other, each reaching each other by a link of its own.
+type circle struct {
+	t      testing.TB
+	relays []*relay
+	conf   []string
+	links  [][]*standin.Link // from, to
+	addrs  []string
+}
+
+const circleKey = "a key of this installation, 32 characters and more"
+
+// freePort is an address of the loopback that nobody listens at now.
+func freePort(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newCircle(t testing.TB, n int, linked bool) *circle {
+	c := &circle{t: t}
+	d := newDiscovery(t)
+	for range n {
+		c.addrs = append(c.addrs, freePort(t))
+	}
+	for i := range n {
+		reach := map[string]string{}
+		row := make([]*standin.Link, n)
+		for j := range n {
+			if !linked || i == j {
+				continue
+			}
+			l, err := standin.NewLink(uint64(i*n + j))
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(l.Close)
+			if err := l.To(c.addrs[j]); err != nil {
+				t.Fatal(err)
+			}
+			row[j] = l
+			reach[fmt.Sprintf("n%d", j)] = l.Addr()
+		}
+		c.links = append(c.links, row)
+		known := []string{"127.0.0.1:9"} // one known address is down
+		if i > 0 && linked {
+			known = append(known, row[0].Addr())
+		} else if i > 0 {
+			known = append(known, c.addrs[0])
+		}
+		path := configure(t, d, map[string]any{"name": fmt.Sprintf("n%d", i), "operator": "127.0.0.1:0", "seed": fmt.Sprintf("%x", 77+i),
+			"settings": json.RawMessage(strings.Replace(settingsText, `"balancers":1`, fmt.Sprintf(`"balancers":%d`, n), 1)),
+			"peers":    map[string]any{"listen": c.addrs[i], "known": known, "key_file": "key", "reach": reach}})
+		write(t, filepath.Join(filepath.Dir(path), "key"), circleKey+"\n")
+		c.conf = append(c.conf, path)
+		c.relays = append(c.relays, nil)
+	}
+	for i := range n {
+		c.start(i)
+	}
+	return c
+}
+
+func (c *circle) start(i int) { c.relays[i] = start(c.t, c.conf[i], 2) }
+
+// account is what a relay says of its peers.
+type account struct {
+	Self  struct{ Incarnation uint64 }
+	Live  int
+	Down  int
+	Share float64 `json:"budgets_divided_by"`
+	Peers []struct {
+		Name, State, Phase string
+		Incarnation        uint64
+	}
+	Refused map[string]int
+	Clashes int
+}
+
+func (c *circle) account(i int) (a account) {
+	client := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Get("http://" + c.relays[i].addr["operator"] + "/-/peers")
+	if err != nil {
+		return a
+	}
+	defer answer.Body.Close()
+	text, _ := io.ReadAll(answer.Body)
+	json.Unmarshal(text, &a)
+	return a
+}
+
+// sees waits until relay i holds another for one of these states.
+func (c *circle) sees(i, j int, states ...string) {
+	c.t.Helper()
+	until(c.t, fmt.Sprintf("n%d to hold n%d for %v", i, j, states), func() bool {
+		for _, p := range c.account(i).Peers {
+			for _, s := range states {
+				if p.Name == fmt.Sprintf("n%d", j) && p.State == s {
+					return true
+				}
+			}
+		}
+		time.Sleep(30 * time.Millisecond)
+		return false
+	})
+}
+
+func (c *circle) allAlive() {
+	c.t.Helper()
+	for i := range c.relays {
+		for j := range c.relays {
+			if i != j {
+				c.sees(i, j, "alive")
+			}
+		}
+	}
+}
+
+// cut parts the relays before side from the others, both ways or one.
+func (c *circle) cut(side int, on, both bool) {
+	for i, row := range c.links {
+		for j, l := range row {
+			if l != nil && (i < side && j >= side || both && i >= side && j < side) {
+				l.Cut(on)
+			}
+		}
+	}
+}
+
+// TestPeersProcesses: relays that start together with one known address down find each other; a killed one is known to be gone by
+// the refusal at its door, and known again when it is back with all it knew lost; one that is stopped for a while is
+// missed and taken back; one that ends by itself has said so.
+func TestPeersProcesses(t *testing.T) {
+	c := newCircle(t, 4, false)
+	c.allAlive()
+	before := c.account(1).Peers
+	c.relays[3].cmd.Process.Kill()
+	for i := range 3 {
+		c.sees(i, 3, "gone")
+	}
+	if a := c.account(0); a.Live != 3 || a.Down != 1 {
+		t.Errorf("%d live, %d down", a.Live, a.Down)
+	}
+	c.start(3)
+	c.allAlive()
+	for _, was := range before {
+		for _, is := range c.account(1).Peers {
+			if was.Name == "n3" && is.Name == "n3" && is.Incarnation <= was.Incarnation {
+				t.Errorf("back with incarnation %d, before %d", is.Incarnation, was.Incarnation)
+			}
+		}
+	}
+	c.relays[2].cmd.Process.Signal(syscall.SIGSTOP)
+	c.sees(0, 2, "suspect", "dead")
+	c.sees(1, 2, "dead")
+	c.relays[2].cmd.Process.Signal(syscall.SIGCONT)
+	c.allAlive()
+	c.relays[1].stop()
+	for _, i := range []int{0, 2, 3} {
+		c.sees(i, 1, "left")
+	}
+}
+
+// TestPeersLinks: what is between the processes breaks. A cut both ways and one way, loss, repetition and delays beyond the time of
+// a ping; who is in the minority takes half of its part of the budgets that all share, and all agree again afterwards.
+func TestPeersLinks(t *testing.T) {
+	c := newCircle(t, 5, true)
+	c.allAlive()
+	until(t, "budgets divided by five", func() bool { return c.account(0).Share == 5 && c.account(4).Share == 5 })
+	c.cut(2, true, true)
+	c.sees(0, 4, "dead")
+	c.sees(4, 0, "dead")
+	for i := range c.relays {
+		until(t, fmt.Sprintf("n%d to divide budgets as its side may", i), func() bool {
+			if share := c.account(i).Share; i >= 2 {
+				return share <= 4 && share >= 3 // three of five, and a fifth less at most in 5 s
+			} else {
+				return share == 10 // two of five: half of a fifth
+			}
+		})
+	}
+	c.cut(2, false, true)
+	c.allAlive()
+	c.cut(1, true, false) // n0 is not heard, but hears
+	c.sees(4, 0, "suspect", "dead")
+	c.cut(1, false, false)
+	for _, row := range c.links {
+		for _, l := range row {
+			if l != nil {
+				l.Rough(0.3, 0.2, 50*time.Millisecond, 400*time.Millisecond)
+			}
+		}
+	}
+	time.Sleep(5 * time.Second) // so that there is something to recover from
+	for _, row := range c.links {
+		for _, l := range row {
+			if l != nil {
+				l.Rough(0, 0, 0, 0)
+			}
+		}
+	}
+	c.allAlive()
+
+	// What no peer has sent, or has sent before, is refused by its reason.
+	l := c.links[0][1]
+	real, _ := l.Last()
+	l.Inject(real)
+	l.Inject(real)
+	l.Inject(real[:20])
+	l.Inject(append(append([]byte(nil), real[:len(real)-1]...), real[len(real)-1]^1))
+	l.Inject(make([]byte, 9000))
+	foreign := append([]byte(nil), real...)
+	foreign[2] ^= 1
+	l.Inject(foreign)
+	until(t, "what was refused", func() bool {
+		r := c.account(1).Refused
+		return r["repeated"] > 0 && r["size"] > 1 && r["tag"] > 0 && r["key"] > 0
+	})
+	c.allAlive()
+}
+
+// TestPeersOff: without the setting there is no account and no descriptor more; a key that others may read stops the start.
+func TestPeersOff(t *testing.T) {
+	s := newSite(t, 1, map[string]any{"operator": "127.0.0.1:0"})
+	if code := s.call("GET", "/-/peers"); code != http.StatusNotFound {
+		t.Errorf("peers are off, and the call says %d", code)
+	}
+	d := newDiscovery(t)
+	path := configure(t, d, map[string]any{"peers": map[string]any{"listen": "127.0.0.1:0", "key_file": "key"}})
+	key := filepath.Join(filepath.Dir(path), "key")
+	write(t, key, circleKey)
+	if out, err := run("check", "--config", path); err != nil {
+		t.Errorf("%v, %s", err, out)
+	}
+	if err := os.Chmod(key, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := run("check", "--config", path); err == nil || !strings.Contains(out, "0600") {
+		t.Errorf("%v, %s", err, out)
+	}
+}
+
+// TestPeersFifty measures with as many real processes as PEERS_PROCESSES says: how soon all others hold a killed one for gone. It is not part
+// of the usual run.
+func TestPeersFifty(t *testing.T) {
+	n, err := strconv.Atoi(os.Getenv("PEERS_PROCESSES"))
+	if err != nil {
+		t.Skip("PEERS_PROCESSES is not set")
+	}
+	c := newCircle(t, n, false)
+	until(t, "all to see all", func() bool { time.Sleep(time.Second); return c.account(0).Live == n && c.account(n-1).Live == n })
+	time.Sleep(10 * time.Second)
+	var took []time.Duration
+	c.relays[n/2].cmd.Process.Kill()
+	began, seen := time.Now(), map[int]bool{n / 2: true}
+	for len(seen) < n && time.Since(began) < patience {
+		for i := range n {
+			if !seen[i] && c.account(i).Live < n {
+				seen[i] = true
+				took = append(took, time.Since(began))
+			}
+		}
+	}
+	slices.Sort(took)
+	t.Logf("%d of %d noticed; p50 %v, last %v", len(took), n-1, took[len(took)/2], took[len(took)-1])
+	usage, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.relays[0].cmd.Process.Pid))
+	for line := range strings.Lines(string(usage)) {
+		if strings.HasPrefix(line, "VmRSS") {
+			t.Log(strings.TrimSpace(line))
+		}
+	}
+	stat, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.relays[0].cmd.Process.Pid))
+	f := strings.Fields(string(stat))
+	t.Logf("processor ticks, user %s, system %s", f[13], f[14])
+}
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -336,7 +336,7 @@
  "classes":[{"name":"pay-status","aim-ms":500,"deadline-ms":3000,"worth":3,"effect":"read_like","key-scope":"all","window-ms":0},
   {"name":"payee-check","aim-ms":500,"deadline-ms":2000,"worth":5,"effect":"read_like","key-scope":"all","window-ms":0}],
  "tenants":[{"name":"water","share":0.5},{"name":"waste","share":0.5}],
- "limits":{"probes":true,"max-attempts":3,"cancel":true,"connect-timeout-ms":250},
+ "limits":{"probes":true,"max-attempts":3,"cancel":true,"connect-timeout-ms":250,"keepalive-ms":5000},
  "report":{"names":["x0","x1","outstanding"],"source":"on_probe"},"prices":{"probe":0.0014},
  "guarantees":{"answer-slack-ms":8,"cold-ms":8600,"cold-from":0.31,"overload-factor":2.5,"ask-within-ms":10000,"drain-grace-ms":250,"fall-ms":3000},
  "extra":{"mode":"proxy","groups":true,"message-aim-ms":[250,100]},"discovery":"subscribe"}`
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"strconv"
 
 	"dahliarudder/internal/front/nats"
+	"dahliarudder/internal/peers"
 	"dahliarudder/internal/pool"
 	"dahliarudder/internal/settings"
 	"dahliarudder/internal/store"
@@ -41,6 +42,7 @@
 	Settings json.RawMessage `json:"settings"`
 	Fronts   *Fronts         `json:"fronts"` // nil: the line front alone
 	Store    *store.Config   `json:"store"`  // nil: nothing is recorded
+	Peers    *Peers          `json:"peers"`  // nil: this relay knows of no other
 	// CountsMS is how often, in milliseconds, the relay logs what it has counted since the
 	// last time; 0: never.
 	CountsMS float64 `json:"counts_ms"`
@@ -48,9 +50,50 @@
 	decoded  *settings.Settings
 	known    *pool.List
 	security *nats.Security // of the NATS front
+	dir      string         // of the file
 	written  string         // discovery as the file has it
 }
 
+// Peers is how this relay and the others of its installation know of each other.
+type Peers struct {
+	Listen  string            `json:"listen"`   // UDP, and TCP that says no more than that a process is there
+	Address string            `json:"address"`  // what others reach it at, if not Listen
+	Known   []string          `json:"known"`    // addresses to begin with
+	KeyFile string            `json:"key_file"` // one or two keys, a line each; relative to the configuration
+	Reach   map[string]string `json:"reach"`    // by name: where this relay reaches one, if not at the address it names
+
+	keys peers.Keys
+}
+
+// Keys is what the file holds.
+func (p *Peers) Keys() peers.Keys { return p.keys }
+
+func (p *Peers) check(name, dir string) (err error) {
+	if name == "" || len(name) > 64 {
+		return fmt.Errorf("name: %q: peers know each other by names of 1 to 64 bytes", name)
+	}
+	if p.Address == "" {
+		p.Address = p.Listen
+	}
+	addresses := append([]string{p.Listen, p.Address}, p.Known...)
+	for _, at := range p.Reach {
+		addresses = append(addresses, at)
+	}
+	for _, at := range addresses {
+		if _, err := netip.ParseAddrPort(at); err != nil {
+			return fmt.Errorf("peers: %v", err)
+		}
+	}
+	path := p.KeyFile
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(dir, path)
+	}
+	if p.keys, err = peers.ReadKeys(path); err != nil {
+		return fmt.Errorf("peers.key_file: %v", err)
+	}
+	return nil
+}
+
 // Fronts are the fronts that are on. Pool members speak the protocol of the
 // front that serves the request; they are probed by the line front if it is on.
 type Fronts struct {
@@ -113,7 +156,7 @@
 		{"operator", c.Operator, fresh.Operator}, {"seed", c.Seed, fresh.Seed},
 		{"limits", c.Limits, fresh.Limits}, {"known", c.known, fresh.known}, {"settings", c.decoded, fresh.decoded},
 		{"fronts", c.Fronts.lasting(), fresh.Fronts.lasting()}, {"store", c.Store, fresh.Store},
-		{"counts_ms", c.CountsMS, fresh.CountsMS},
+		{"counts_ms", c.CountsMS, fresh.CountsMS}, {"peers", c.Peers, fresh.Peers},
 	} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
@@ -134,7 +177,7 @@
 			return nil, fmt.Errorf("%w: %s: %v", ErrInvalid, path, err)
 		}
 	}
-	c.written = c.Discovery
+	c.written, c.dir = c.Discovery, filepath.Dir(path)
 	if c.Fronts != nil && c.Fronts.NATS != nil {
 		c.Fronts.NATS.Dir = filepath.Dir(path)
 	}
@@ -200,6 +243,11 @@
 			c.Fronts.NATS.Adapt(c.decoded)
 		}
 	}
+	if c.Peers != nil {
+		if err := c.Peers.check(c.Name, c.dir); err != nil {
+			return fmt.Errorf("%w: %v", ErrInvalid, err)
+		}
+	}
 	if c.Store != nil {
 		if err := c.Store.Check(); err != nil {
 			return fmt.Errorf("%w: store: %v", ErrInvalid, err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -63,6 +64,35 @@
 	}
 }
 
+// TestPeers: the operators' example is sound once its key is there; what it may get wrong is told.
+func TestPeers(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/peers.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range []struct {
+		old, new string
+		sound    bool
+	}{{"", "", true}, {`"listen": "127.0.0.1:7400"`, `"listen": "here"`, false}, {"127.0.0.1:7401", "there:1", false},
+		{"peers.key", "none", false}, {"guide-relay-1", "", false}, {`"peers.key"`, `"peers.key", "reach": {"n1": "x"}`, false}} {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, "peers.key"), []byte("a key of 32 characters at the least"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(dir, "c.json")
+		if err := os.WriteFile(path, []byte(strings.Replace(string(text), tt.old, tt.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, err := Load(path, func(string) string { return "" })
+		if (err == nil) != tt.sound || err != nil && !errors.Is(err, ErrInvalid) {
+			t.Errorf("%s in the place of %s: %v", tt.new, tt.old, err)
+		}
+		if tt.sound && (c.Peers.Address != c.Peers.Listen || len(c.Peers.Keys()) != 1) {
+			t.Errorf("%+v", c.Peers)
+		}
+	}
+}
+
 // TestReload: a discovery address that the file has changed counts, also over the
 // variable that named the one before; one that it has not changed does not bring
 // an older one back. What only a restart takes is named, and nothing else.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -341,6 +341,9 @@
 	c.tell(policy.FlowDelay{ID: id, Took: took})
 }
 
+// Relays is by how many the budgets are divided that all relays share.
+func (c *Core) Relays(share float64) { c.tell(policy.Relays{Share: share}) }
+
 // Probed is the answer to a probe.
 func (c *Core) Probed(server policy.ServerID, result policy.Result, report policy.Report) {
 	c.tell(policy.Probed{Server: server, Result: result, Report: report})
--- /dev/null
+++ b/internal/netloop/datagram.go
@@ -0,0 +1,78 @@
+package netloop
+
+import (
+	"fmt"
+
+	"golang.org/x/sys/unix"
+)
+
+// datagramBurst bounds the datagrams that are read before other sockets have a turn.
+const datagramBurst = 64
+
+// Datagrams is a UDP socket.
+type Datagrams struct {
+	l       *Loop
+	fd      int // -1 once given back
+	heard   func(from string, b []byte)
+	Dropped int // that could not leave: the next ones say the same
+}
+
+// Datagrams opens a UDP socket. Heard may keep nothing of b. What is longer than the loop's own buffer, which is longer than
+// any datagram, does not exist.
+func (l *Loop) Datagrams(addr string, heard func(from string, b []byte)) (*Datagrams, error) {
+	at, family, err := address(addr)
+	if err != nil {
+		return nil, err
+	}
+	fd, err := unix.Socket(family, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("datagrams at %s: %w", addr, err)
+	}
+	d := &Datagrams{l: l, fd: fd, heard: heard}
+	if err = unix.Bind(fd, at); err == nil {
+		err = l.add(fd, unix.EPOLLIN, d, &l.budget)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("datagrams at %s: %w", addr, err)
+	}
+	return d, nil
+}
+
+// Addr is where the socket is.
+func (d *Datagrams) Addr() string { return local(d.fd) }
+
+// Send sends one, or drops it where there is no room: nothing waits.
+func (d *Datagrams) Send(to string, b []byte) {
+	at, _, err := address(to)
+	if err == nil && d.fd >= 0 {
+		err = unix.Sendto(d.fd, b, unix.MSG_DONTWAIT, at)
+	}
+	if err != nil {
+		d.Dropped++
+	}
+}
+
+// Close gives the socket back. A nil one may be closed.
+func (d *Datagrams) Close() {
+	if d != nil && d.fd >= 0 {
+		d.l.drop(d.fd, &d.l.budget)
+		d.fd = -1
+	}
+}
+
+func (d *Datagrams) ready(uint32) {
+	for range datagramBurst {
+		if d.fd < 0 {
+			return
+		}
+		n, from, err := unix.Recvfrom(d.fd, d.l.chunk, unix.MSG_DONTWAIT)
+		switch {
+		case err == unix.EINTR || err == unix.ECONNREFUSED: // the latter is of one that was sent
+			continue
+		case err != nil:
+			return
+		}
+		d.heard(named(from), d.l.chunk[:n])
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,6 +34,8 @@
 	Ban(member string, out bool, done func(error))
 	Drain()
 	Resume()
+	// Peers is what is known of the other relays, as JSON; empty if this one knows of none.
+	Peers() string
 }
 
 // Front serves the second address.
@@ -98,6 +100,7 @@
 	ready    = "/-/ready"
 	drain    = "/-/drain"
 	resume   = "/-/resume"
+	peers    = "/-/peers"
 	backends = "/-/backends/"
 )
 
@@ -113,6 +116,14 @@
 				c.answer(http.StatusServiceUnavailable, "not ready")
 			}
 		}
+	case peers:
+		want, do = http.MethodGet, func() {
+			if text := c.f.Relay.Peers(); text != "" {
+				c.answer(http.StatusOK, text)
+			} else {
+				c.answer(http.StatusNotFound, "peers are not set up")
+			}
+		}
 	case drain:
 		do = func() { c.f.Relay.Drain(); c.answer(http.StatusOK, "draining") }
 	case resume:
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -13,6 +13,7 @@
 
 // relay keeps what it was told; a ban is done when the test says so.
 type relay struct {
+	peers string
 	ready bool
 	said  []string
 	done  func(error)
@@ -22,6 +23,7 @@
 func (r *relay) Known(id string) bool { return id == "s-1" || id == "a b" }
 func (r *relay) Drain()               { r.said = append(r.said, "drain") }
 func (r *relay) Resume()              { r.said = append(r.said, "resume") }
+func (r *relay) Peers() string        { return r.peers }
 func (r *relay) Ban(id string, out bool, done func(error)) {
 	r.said, r.done = append(r.said, fmt.Sprint(id, " ", out)), done
 }
--- /dev/null
+++ b/internal/peering/peering.go
@@ -0,0 +1,275 @@
+// Package peering carries what package peers decides: datagrams on the loop, and knocks at the doors of relays that
+// fell silent. It decides nothing.
+package peering
+
+import (
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/peers"
+)
+
+const (
+	knockWithin = time.Second
+	sayEvery    = time.Second
+	// doorMost is how many connections of those who knock are held at once.
+	doorMost = 16
+	// retryEvery is when an address is tried again that another process still holds: the one whose place this takes.
+	retryEvery = 500 * time.Millisecond
+)
+
+// Options is what a Service is made of.
+type Options struct {
+	Loop       *netloop.Loop
+	Log        logrus.FieldLogger
+	Name, Zone string
+	Listen     string
+	Address    string // as others reach it
+	Known      []string
+	Reach      map[string]string
+	Keys       peers.Keys
+	Configured int // relays
+	Seed       uint64
+	Wall       func() time.Time
+	// Own says what this relay does: its phase, the generation of its list, and its open flows.
+	Own func() (phase peers.Phase, generation, flows uint64)
+	// Share is told by how many the budgets are divided that all relays share, when that changes.
+	Share func(float64)
+}
+
+// Service is this relay among its peers.
+type Service struct {
+	Options
+	m         *peers.Machine
+	seal      peers.Sealer
+	open      peers.Opener
+	sock      *netloop.Datagrams
+	door      *netloop.Listener
+	tick      *netloop.Timer
+	div       peers.Divisor
+	share     float64
+	malformed int
+	in, out   map[string]int // bytes, by name
+	closed    bool
+}
+
+// New begins, also where the address is still held by another process: then it is tried again.
+func New(o Options) *Service {
+	start := uint64(o.Wall().UnixMilli())
+	s := &Service{Options: o, seal: peers.Sealer{Keys: o.Keys, Name: o.Name, Start: start}, open: peers.Opener{Keys: o.Keys},
+		div: peers.Divisor{Configured: o.Configured}, share: float64(o.Configured), in: map[string]int{}, out: map[string]int{}}
+	self := peers.Update{Name: o.Name, Addr: o.Address, Zone: o.Zone, Incarnation: start}
+	s.m = peers.New(o.Loop.Now(), self, o.Known, rand.New(rand.NewPCG(o.Seed, start)))
+	s.listen()
+	return s
+}
+
+func (s *Service) listen() {
+	var err error
+	if s.sock, err = s.Loop.Datagrams(s.Listen, s.heard); err == nil {
+		s.door, err = s.Loop.ListenApart(s.Listen, doorMost, func(c *netloop.Conn) { c.Handle(shut{}); c.Finish() })
+	}
+	if err != nil {
+		s.Log.WithError(err).Warn("peers: the address cannot be had yet")
+		s.sock.Close()
+		s.Loop.After(retryEvery, func() {
+			if !s.closed {
+				s.listen()
+			}
+		})
+		return
+	}
+	s.Log.WithField("listen", s.sock.Addr()).Info("peers")
+	s.say()
+	s.due()
+}
+
+// say tells of this relay, and the module of how many there are.
+func (s *Service) say() {
+	if s.closed {
+		return
+	}
+	phase, generation, flows := s.Own()
+	now := s.Loop.Now()
+	s.m.Say(now, phase, generation, flows, 0)
+	s.open.Forget(now)
+	live, down := s.m.Counts()
+	if share := s.div.At(now, live, down); share != s.share {
+		s.Log.WithFields(logrus.Fields{"from": s.share, "to": share}).Info("peers: budgets are divided anew")
+		s.share = share
+		s.Share(share)
+	}
+	s.Loop.After(sayEvery, s.say)
+}
+
+// due does what is due and waits for the next.
+func (s *Service) due() {
+	s.tick.Stop()
+	if s.closed {
+		return
+	}
+	s.send(s.m.Tick(s.Loop.Now()))
+	s.tick = s.Loop.After(s.m.Next()-s.Loop.Now(), s.due)
+}
+
+// heard takes a datagram.
+func (s *Service) heard(from string, b []byte) {
+	now := s.Loop.Now()
+	name, content, err := s.open.Open(now, uint64(s.Wall().UnixMilli()), from, b)
+	if err != nil {
+		return // counted by its reason
+	}
+	m, err := peers.Decode(content)
+	if err != nil {
+		s.malformed++
+		return
+	}
+	if _, known := s.in[name]; known || len(s.in) < peers.PeersMost {
+		s.in[name] += len(b)
+	}
+	s.send(s.m.Receive(now, name, m))
+	if next := s.m.Next(); !s.closed && next < now+time.Second {
+		s.tick.Stop()
+		s.tick = s.Loop.After(next-now, s.due)
+	}
+}
+
+func (s *Service) send(out []peers.Out) {
+	for _, o := range out {
+		to, elsewhere := s.Reach[o.Name]
+		if !elsewhere {
+			to = o.Addr
+		}
+		if o.Knock {
+			if u := o.Message.Updates[0]; !elsewhere { // a refusal counts at a relay's own door alone
+				k := &knock{s: s, name: u.Name, incarnation: u.Incarnation}
+				k.c = s.Loop.Dial(to, knockWithin, k)
+			}
+			continue
+		}
+		content, _ := o.Message.Append(nil, peers.DatagramMost-peers.Overhead)
+		b := s.seal.Seal(content, uint64(s.Wall().UnixMilli()))
+		if _, known := s.out[o.Name]; known || len(s.out) < peers.PeersMost {
+			s.out[o.Name] += len(b)
+		}
+		s.sock.Send(to, b)
+	}
+}
+
+// Leave says farewell and gives the address back.
+func (s *Service) Leave() {
+	if s == nil || s.closed {
+		return
+	}
+	if s.closed = true; s.sock != nil {
+		s.send(s.m.Leave(s.Loop.Now()))
+	}
+	s.tick.Stop()
+	s.sock.Close()
+	s.door.Close()
+}
+
+// Shares says how many relays live, and by how many budgets are divided.
+func (s *Service) Shares() (live int, share float64) {
+	live, _ = s.m.Counts()
+	return live, s.share
+}
+
+var stateNames = map[peers.State]string{peers.Alive: "alive", peers.Suspect: "suspect", peers.Dead: "dead", peers.Gone: "gone", peers.Left: "left"}
+var phaseNames = map[peers.Phase]string{peers.Starting: "starting", peers.Recovering: "recovering", peers.Serving: "serving",
+	peers.Draining: "draining", peers.Leaving: "leaving"}
+
+// Account is what operators are told of one relay. Times are milliseconds ago.
+type Account struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"`
+	Phase       string `json:"phase"`
+	Incarnation uint64 `json:"incarnation"`
+	Generation  uint64 `json:"generation"`
+	Flows       uint64 `json:"flows"`
+	Since       int64  `json:"since_ms"`
+	Heard       int64  `json:"heard_ms"` // -1: never by its own word
+	In          int    `json:"bytes_in"`
+	Out         int    `json:"bytes_out"`
+	Accuser     string `json:"accuser,omitempty"`
+}
+
+// Text is the whole account, as JSON.
+func (s *Service) Text() string {
+	now := s.Loop.Now()
+	account := func(u peers.Update) Account {
+		return Account{Name: u.Name, Address: u.Addr, Zone: u.Zone, State: stateNames[u.State], Phase: phaseNames[u.Phase],
+			Incarnation: u.Incarnation, Generation: u.Generation, Flows: u.Flows, Accuser: u.Accuser, In: s.in[u.Name], Out: s.out[u.Name]}
+	}
+	live, down := s.m.Counts()
+	all := struct {
+		Self       Account        `json:"self"`
+		Live       int            `json:"live"`
+		Down       int            `json:"down"`
+		Configured int            `json:"configured"`
+		Share      float64        `json:"budgets_divided_by"`
+		Refused    map[string]int `json:"refused"`
+		Clashes    int            `json:"clashes"`
+		Beyond     int            `json:"beyond_the_bound"`
+		Peers      []Account      `json:"peers"`
+	}{Self: account(s.m.Self()), Live: live, Down: down, Configured: s.Configured, Share: s.share, Refused: map[string]int{},
+		Clashes: s.m.Clashes, Beyond: s.m.Refusals, Peers: []Account{}}
+	for reason, n := range s.open.Refused {
+		all.Refused[reason] = n
+	}
+	if s.malformed > 0 {
+		all.Refused["malformed"] = s.malformed
+	}
+	for _, p := range s.m.Peers() {
+		a := account(p.Update)
+		a.Since, a.Heard = (now - p.Since).Milliseconds(), -1
+		if p.Heard > 0 {
+			a.Heard = (now - p.Heard).Milliseconds()
+		}
+		all.Peers = append(all.Peers, a)
+	}
+	text, _ := json.MarshalIndent(all, "", " ")
+	return string(text)
+}
+
+// knock is one try at a relay's door.
+type knock struct {
+	s           *Service
+	c           *netloop.Conn
+	name        string
+	incarnation uint64
+}
+
+// Open is told by the loop: somebody is there.
+func (k *knock) Open() { k.c.Finish() }
+
+// Data is told by the loop.
+func (k *knock) Data(b []byte) int { return len(b) }
+
+// Drained is told by the loop.
+func (k *knock) Drained() {}
+
+// End is told by the loop.
+func (k *knock) End(err error) {
+	if errors.Is(err, unix.ECONNREFUSED) && !k.s.closed {
+		k.s.m.Refused(k.s.Loop.Now(), k.name, k.incarnation)
+		k.s.due()
+	}
+	k.c.Finish()
+}
+
+// shut is the handler of who knocks here: the connection itself was the answer.
+type shut struct{}
+
+func (shut) Open()             {}
+func (shut) Data(b []byte) int { return len(b) }
+func (shut) Drained()          {}
+func (shut) End(error)         {}
--- /dev/null
+++ b/internal/peers/count.go
@@ -0,0 +1,46 @@
+package peers
+
+import "time"
+
+// Divisor is by how many relays a budget is divided that all of them share, as a budget for members that have just started
+// is. It does no I/O. docs/design/peers.md, "What it changes", has why no group of relays that cannot see each other can
+// spend more than a third over the budget together, which is what the decision module leaves of the rule.
+type Divisor struct {
+	Configured int
+	now, want  float64
+	at         time.Duration
+}
+
+const (
+	fall      = 0.2             // at most such a part
+	fallEvery = 5 * time.Second // in this time: by then those on the other side know that they are few
+	fewer     = 2.0             // who sees no majority takes this part of its budget: others may not count it
+)
+
+// At is the divisor, given how many relays live, this one included, and how many are known for certain to be down.
+func (d *Divisor) At(now time.Duration, live, down int) float64 {
+	all := float64(d.Configured)
+	want := min(float64(live), all)
+	if 2*float64(live) <= max(all-float64(down), 1) {
+		want = fewer * all
+	}
+	if d.now == 0 {
+		d.now, d.at = max(want, all), now
+	}
+	if want != d.want {
+		d.want, d.at = want, now // a view that still changes is no ground to take more
+	}
+	if want >= d.now {
+		d.now, d.at = want, now // at once: it is the cautious side
+	} else if steps := int((now - d.at) / fallEvery); steps > 0 {
+		for range min(steps, 64) {
+			if next := d.now * (1 - fall); d.now > all {
+				d.now = max(all, want) // who was alone, as at its start
+			} else {
+				d.now = max(next, want)
+			}
+		}
+		d.at += time.Duration(steps) * fallEvery
+	}
+	return d.now
+}
--- /dev/null
+++ b/internal/peers/envelope_test.go
@@ -0,0 +1,134 @@
+package peers
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	oldKey = []byte("the key that was used before, 32 and more")
+	newKey = []byte("the key that comes into use, 32 and more")
+)
+
+// TestEnvelope: what a peer has sent is taken once, also out of order and with a clock minutes away, by either key while both are
+// in the file; what is cut, changed, foreign, repeated, too old, or of an earlier process is refused by its reason.
+func TestEnvelope(t *testing.T) {
+	const now = time.Hour
+	wall := uint64(1_800_000_000_000)
+	far := wall - 5*60_000 // the sender's clock
+	s := Sealer{Keys: Keys{oldKey}, Name: "n1", Start: 7000}
+	o := Opener{Keys: Keys{newKey, oldKey}}
+	var sealed [][]byte
+	for i := range 80 {
+		sealed = append(sealed, s.Seal([]byte{byte(i)}, far+uint64(i)))
+	}
+	take := func(b []byte, at time.Duration, want error) {
+		t.Helper()
+		name, content, err := o.Open(at, wall+uint64((at-now).Milliseconds()), "10.0.0.1:7", b)
+		if !errors.Is(err, want) || want == nil && (name != "n1" || len(content) != 1) {
+			t.Errorf("%q %v: %v, want %v", name, content, err, want)
+		}
+	}
+	take(sealed[0], now, nil)
+	take(sealed[2], now, nil)
+	take(sealed[1], now, nil)
+	take(sealed[1], now, ErrRepeat)
+	take(sealed[2], now, ErrRepeat)
+	take(sealed[79], now, nil)
+	take(sealed[10], now, ErrRepeat) // too far behind to know
+	take(sealed[20], now, nil)
+	take(sealed[20], now, ErrRepeat)
+	take(sealed[50], now+31*time.Second, ErrOld)
+	take(sealed[3][:30], now, ErrSize)
+	take(make([]byte, 9000), now, ErrSize)
+	changed := bytes.Clone(sealed[4])
+	changed[len(changed)-1] ^= 1
+	take(changed, now, ErrTag)
+	other := Sealer{Keys: Keys{[]byte("a key that nobody here has, 32 and more")}, Name: "n1", Start: 9000}
+	take(other.Seal([]byte{1}, far), now, ErrKey)
+	newer := bytes.Clone(sealed[5])
+	newer[0] = 2
+	take(newer, now, ErrVersion)
+
+	next := Sealer{Keys: Keys{newKey}, Name: "n1", Start: 8000} // it was restarted, and signs by the new key
+	take(next.Seal([]byte{1}, far+1000), now+time.Second, nil)
+	take(sealed[60], now+time.Second, ErrOld) // of the process before
+	name, _, err := o.Open(now+time.Second, wall, "10.0.0.2:7", s.Seal([]byte{1}, far+1000))
+	if !errors.Is(err, ErrOther) {
+		t.Errorf("two of one name: %q, %v", name, err)
+	}
+	back := Sealer{Keys: Keys{newKey}, Name: "n1", Start: 100} // its clock was set back
+	take(back.Seal([]byte{1}, far+2000), now+2*time.Second, ErrOld)
+	take(back.Seal([]byte{1}, far), now+2*forgetAfter, nil)
+	if o.Refused["repeated"] != 4 || o.Refused["tag"] != 1 {
+		t.Errorf("counted %v", o.Refused)
+	}
+	o.Forget(now + time.Hour)
+	if len(o.senders) != 0 {
+		t.Error("a sender long gone is kept")
+	}
+}
+
+// TestReadKeys: one or two keys, of some length, from a file that others cannot read.
+func TestReadKeys(t *testing.T) {
+	for _, tt := range []struct {
+		text string
+		mode os.FileMode
+		keys int
+	}{{string(oldKey) + "\n", 0o600, 1}, {string(newKey) + "\n\n" + string(oldKey), 0o400, 2}, {string(oldKey), 0o640, 0},
+		{"short\n", 0o600, 0}, {"", 0o600, 0}, {strings.Repeat(string(oldKey)+"\n", 3), 0o600, 0}} {
+		path := filepath.Join(t.TempDir(), "key")
+		if err := os.WriteFile(path, []byte(tt.text), tt.mode); err != nil {
+			t.Fatal(err)
+		}
+		if keys, err := ReadKeys(path); len(keys) != tt.keys || (err == nil) != (tt.keys > 0) {
+			t.Errorf("%q: %d keys, %v", tt.text, len(keys), err)
+		}
+	}
+}
+
+// FuzzDecode: whatever the bytes, decoding ends within its bounds, and what was read is written and read the same.
+func FuzzDecode(f *testing.F) {
+	m := Message{Kind: Ask, Seq: 7, Target: "n2", At: "10.0.0.2:1", Updates: []Update{{Name: "n1", Addr: "10.0.0.1:1", State: Suspect,
+		Incarnation: math.MaxUint64, Zone: "a", Phase: Draining, Generation: 4, Flows: 5, Rate: 6, Accuser: "n3", Unknown: []byte{0x78, 1}}}}
+	b, _ := m.Append(nil, DatagramMost)
+	f.Add(b)
+	f.Add(b[:len(b)-3])
+	f.Add([]byte{0x2a, 0xff, 0xff, 0xff, 0xff, 0x0f})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if len(m.Updates) > updatesMost {
+			t.Fatalf("%d updates", len(m.Updates))
+		}
+		again, n := m.Append(nil, 1<<20)
+		same, err := Decode(again)
+		if err != nil || n != len(m.Updates) || !reflect.DeepEqual(m, same) {
+			t.Errorf("%+v became %+v: %v", m, same, err)
+		}
+	})
+}
+
+// FuzzOpen: no bytes but those that a key has sealed are opened.
+func FuzzOpen(f *testing.F) {
+	s := Sealer{Keys: Keys{oldKey}, Name: "n1", Start: 1}
+	whole := s.Seal([]byte("content"), 5)
+	f.Add(whole)
+	f.Add(whole[:len(whole)-1])
+	f.Add([]byte{version})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		o := Opener{Keys: Keys{oldKey}}
+		if _, _, err := o.Open(time.Hour, 5, "a", b); err == nil && !bytes.Equal(b, whole) {
+			t.Errorf("opened %x", b)
+		}
+	})
+}
--- a/policy/facade.go
+++ b/policy/facade.go
@@ -66,6 +66,8 @@
 		ID   RequestID
 		Load float64
 	}
+	// Relays is by how many the budgets are divided that all relays share.
+	Relays struct{ Share float64 }
 	// FlowDelay is how long a message on an open flow takes at its server.
 	FlowDelay struct {
 		ID   RequestID
@@ -73,13 +75,18 @@
 	}
 )
 
-func (n Pool) tell(b *Balancer, now time.Duration)      { b.Members(now, n.Kind, n.Servers) }
-func (n Standing) tell(b *Balancer, now time.Duration)  { b.Existing(now, n.Request, n.Server) }
-func (n Up) tell(b *Balancer, now time.Duration)        { b.First(now, n.ID) }
-func (n End) tell(b *Balancer, now time.Duration)       { b.Outcome(now, Outcome(n)) }
-func (n Left) tell(b *Balancer, now time.Duration)      { b.Ended(now, n.ID) }
-func (n Probed) tell(b *Balancer, now time.Duration)    { b.Probed(now, n.Server, n.Result, n.Report) }
-func (n FlowLoad) tell(b *Balancer, now time.Duration)  { b.Load(now, n.ID, n.Load) }
+func (n Pool) tell(b *Balancer, now time.Duration)     { b.Members(now, n.Kind, n.Servers) }
+func (n Standing) tell(b *Balancer, now time.Duration) { b.Existing(now, n.Request, n.Server) }
+func (n Up) tell(b *Balancer, now time.Duration)       { b.First(now, n.ID) }
+func (n End) tell(b *Balancer, now time.Duration)      { b.Outcome(now, Outcome(n)) }
+func (n Left) tell(b *Balancer, now time.Duration)     { b.Ended(now, n.ID) }
+func (n Probed) tell(b *Balancer, now time.Duration)   { b.Probed(now, n.Server, n.Result, n.Report) }
+func (n FlowLoad) tell(b *Balancer, now time.Duration) { b.Load(now, n.ID, n.Load) }
+func (n Relays) tell(b *Balancer, _ time.Duration) {
+	if n.Share >= 1 { // a senseless one moves nothing
+		b.relays = n.Share
+	}
+}
 func (n FlowDelay) tell(b *Balancer, now time.Duration) { b.Slow(now, n.ID, n.Took) }
 
 // Facade drives a Balancer by calls that return verdicts. The slice that a call
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,7 +77,7 @@
 		b.messageAim = min(b.messageAim, c.MessageAim)
 		b.horizon, b.slowest = min(b.horizon, c.Aim), max(b.slowest, c.Deadline)
 	}
-	b.tokens, b.daring = 3*b.probeAllowance(), 1
+	b.tokens, b.daring, b.relays = 3*b.probeAllowance(), 1, float64(set.Balancers)
 	return b
 }
 
@@ -112,7 +112,7 @@
 func (b *Balancer) askLater() {
 	// Guards against a polling storm: proxies that fail together come back spread out, later each time and the
 	// more there are, or all calls wait too long for good. Yet what is not asked for in time counts as told.
-	many := max(float64(b.set.Balancers)/askTogether, 1)
+	many := max(b.relays/askTogether, 1)
 	span := min(many*math.Exp2(float64(min(b.asked, 2)))/20, 1) * float64(b.set.AskWithin)
 	b.act.Timer(time.Duration(span*b.rng.Float64()), tokenWatch)
 }
@@ -535,7 +535,7 @@
 	if b.warmth(now, s) == 1 {
 		return true
 	}
-	k, rivals := b.capacityOf(now, s)/b.unit(), float64(b.set.Balancers)
+	k, rivals := b.capacityOf(now, s)/b.unit(), b.relays
 	if b.set.Groups && r.Group != 0 { // the other proxies have none that wants it: its budget is not for them
 		rivals = min(rivals, max(groupRush*max(b.fill(), easy)*k/b.warmth(now, s), 1))
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -549,6 +549,38 @@
 	}
 }
 
+// TestRelays: where eight of twelve proxies are known to be gone, the four that are left send a cold server what twelve might, and
+// still no more than the rule allows; a senseless number moves nothing.
+func TestRelays(t *testing.T) {
+	set := settings()
+	set.Balancers = 12
+	play := func(share float64) (sent float64) {
+		list := fleet(6, 1)
+		for seed := range uint64(4) {
+			g := &rig{recorder: &recorder{}, now: t0, load: map[ServerID]float64{}}
+			g.Balancer = New(set, seed, g.recorder)
+			cold := append([]Server(nil), list...)
+			cold[0].Started = t0 - ms
+			g.Members(t0, ListCached, cold)
+			for _, s := range list[1:] {
+				g.load[s.ID] = 0.7
+			}
+			Relays{Share: share}.tell(g.Balancer, t0)
+			for range 40 {
+				g.now += 50 * ms
+				if g.where(g.ask(Request{Tenant: g.byID[list[0].ID].owner, Load: 1})) == list[0].ID {
+					sent++
+				}
+			}
+		}
+		return sent
+	}
+	all, few, odd := play(12), play(4), play(math.NaN())
+	if budget := 3*0.45*16.0/9*2 + brim*16*(0.3+0.7*2.2/9); few > budget || few < 1.5*all || odd != all {
+		t.Errorf("four of twelve sent %v, by the number of those that live %v of %v, by none %v", all, few, budget, odd)
+	}
+}
+
 // spendCold is what a send spends of a cold server's budget.
 func spendCold(s *server) { s.coldTokens, s.coldSent = s.coldTokens-1, s.coldSent+1 }
 
