A relay that has just started asks again about members that it has placed on

Cause: policy.go, ask: a report counted as new for 600 ms whatever was placed since, and what a member bears was believed by a first report with one connection (9 of 50). Change: until sixteen reports of a member a report is new only if nothing was placed there since. Test: TestGuessAsked, fails without.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -429,7 +429,8 @@
 		b.rng.Shuffle(len(want), func(i, j int) { want[i], want[j] = want[j], want[i] })
 	}
 	for _, s := range want[:min(len(want), probeTier)] {
-		if s.has && now-s.reported < 2*b.horizon || b.tokens < 1 && !s.probing {
+		fresh := s.has && now-s.reported < 2*b.horizon && (s.reports >= 2*priorReports || s.placed <= s.reported)
+		if fresh || b.tokens < 1 && !s.probing {
 			continue
 		}
 		if !s.probing {
@@ -838,7 +839,6 @@
 			b.answers(s)
 			b.take(now, s, report)
 			// A message waits for what is piled up, or where that is not told for what is asked beyond capacity.
-			// Where messages are timed, Slow has mostly been here before.
 			full := report.Backlog > b.messageAim.Seconds()/2 || report.Backlog < 0 && report.Load > over
 			if full && now-s.relieved >= b.lag() {
 				b.relieve(now, s)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -581,6 +581,26 @@
 	}
 }
 
+// TestGuessAsked: a proxy that has just started and gets many clients at once finds by the reports what members bear, beyond what the
+// first one with a single connection and some other load makes it believe.
+func TestGuessAsked(t *testing.T) {
+	for name, set := range sites() {
+		set.Zones, set.Groups = 1, true
+		g := newRig(set, fleet(2, 1))
+		for n := range 20 {
+			g.now += ms
+			for _, s := range g.servers {
+				g.load[s.ID], g.count[s.ID] = 0.1+0.01*s.mine, s.mine
+			}
+			id := g.ask(Request{Group: uint64(n + 2), Load: -1})
+			if g.where(id) == 0 {
+				t.Fatalf("%s: client %d found no room, with %v and %v connections", name, n, g.servers[0].mine, g.servers[1].mine)
+			}
+			g.First(g.now, id)
+		}
+	}
+}
+
 // spendCold is what a send spends of a cold server's budget.
 func spendCold(s *server) { s.coldTokens, s.coldSent = s.coldTokens-1, s.coldSent+1 }
 
@@ -811,6 +831,13 @@
 	}
 	for id := range RequestID(6) {
 		g.Request(g.now, Request{ID: 200 + id, Deadline: g.now + 2*time.Second, Load: 0.01})
+		for ; len(g.probes) > 0; g.probes = g.probes[1:] {
+			again := Report{Connections: 30, Load: 0.5, Util: -1}
+			if g.probes[0] == full.ID {
+				again.Load, again.Backlog = 0.3, 1.5
+			}
+			g.Probed(g.now, g.probes[0], OK, again)
+		}
 	}
 	for _, s := range g.sends {
 		if s.server == full.ID {
--- a/policy/state.go
+++ b/policy/state.go
@@ -53,6 +53,7 @@
 	capacity     float64       // learned capacity, in connections
 	reports      float64
 	recent       []placement
+	placed       time.Duration // when the last one was
 	conns        []*request // own connections here, those being set up included
 	mine, alien  float64    // how many they are, and the foreign ones of them
 	coldTokens   float64
@@ -121,7 +122,7 @@
 // occupy and vacate keep count of what is where.
 func (b *Balancer) occupy(now time.Duration, r *request, s *server) {
 	r.at = s
-	s.recent = append(s.recent, placement{now, b.loadOf(r)})
+	s.recent, s.placed = append(s.recent, placement{now, b.loadOf(r)}), now
 	b.count(r, s, 1)
 }
 
