Only a relay that holds several flows of a member asks again after a placement there

Change: policy.go, ask: asked again from four own flows on (shrink); the bound of sixteen reports is not needed with it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -429,7 +429,7 @@
 		b.rng.Shuffle(len(want), func(i, j int) { want[i], want[j] = want[j], want[i] })
 	}
 	for _, s := range want[:min(len(want), probeTier)] {
-		fresh := s.has && now-s.reported < 2*b.horizon && (s.reports >= 2*priorReports || s.placed <= s.reported)
+		fresh := s.has && now-s.reported < 2*b.horizon && (s.mine < shrink || s.placed <= s.reported)
 		if fresh || b.tokens < 1 && !s.probing {
 			continue
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -54,8 +54,8 @@
 	reports      float64
 	recent       []placement
 	placed       time.Duration // when the last one was
-	conns        []*request // own connections here, those being set up included
-	mine, alien  float64    // how many they are, and the foreign ones of them
+	conns        []*request    // own connections here, those being set up included
+	mine, alien  float64       // how many they are, and the foreign ones of them
 	coldTokens   float64
 	coldDraw     float64 // where this proxy stands among all in the budget of a cold server
 	coldSent     float64
