--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -227,7 +227,7 @@
 	r.peers = peering.New(peering.Options{Loop: r.loop, Log: r.log, Name: r.cfg.Name, Zone: zone, Listen: p.Listen, Address: p.Address,
 		Known: p.Known, Reach: p.Reach, Keys: p.Keys(), Configured: max(set.Balancers, 1), Seed: r.cfg.SeedNumber(), Wall: time.Now,
 		Share: r.core.Relays,
-		Own: func() (peers.Phase, uint64, uint64) {
+		Own: func() (peers.Phase, uint64, uint64, uint64) {
 			phase := peers.Serving
 			switch {
 			case !r.open || !r.core.Usable():
@@ -236,7 +236,7 @@
 				phase = peers.Draining
 			}
 			list, _ := r.watch.List()
-			return phase, list.Generation, uint64(r.core.Held())
+			return phase, list.Generation, uint64(r.core.Held()), uint64(r.core.Counts.Requests)
 		}})
 }
 
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -37,8 +37,8 @@
 	Configured int // relays
 	Seed       uint64
 	Wall       func() time.Time
-	// Own says what this relay does: its phase, the generation of its list, and its open flows.
-	Own func() (phase peers.Phase, generation, flows uint64)
+	// Own says what this relay does: its phase, the generation of its list, its open flows, and how many requests it has had.
+	Own func() (phase peers.Phase, generation, flows, requests uint64)
 	// Share is told by how many the budgets are divided that all relays share, when that changes.
 	Share func(float64)
 }
@@ -55,6 +55,7 @@
 	div       peers.Divisor
 	share     float64
 	malformed int
+	requests  uint64         // when they were last told
 	in, out   map[string]int // bytes, by name
 	closed    bool
 }
@@ -95,9 +96,10 @@
 	if s.closed {
 		return
 	}
-	phase, generation, flows := s.Own()
+	phase, generation, flows, requests := s.Own()
 	now := s.Loop.Now()
-	s.m.Say(now, phase, generation, flows, 0)
+	s.m.Say(now, phase, generation, flows, requests-s.requests) // as sayEvery is a second
+	s.requests = requests
 	s.open.Forget(now)
 	live, down := s.m.Counts()
 	if share := s.div.At(now, live, down); share != s.share {
@@ -195,6 +197,7 @@
 	Incarnation uint64 `json:"incarnation"`
 	Generation  uint64 `json:"generation"`
 	Flows       uint64 `json:"flows"`
+	Rate        uint64 `json:"requests_per_s"`
 	Since       int64  `json:"since_ms"`
 	Heard       int64  `json:"heard_ms"` // -1: never by its own word
 	In          int    `json:"bytes_in"`
@@ -207,7 +210,7 @@
 	now := s.Loop.Now()
 	account := func(u peers.Update) Account {
 		return Account{Name: u.Name, Address: u.Addr, Zone: u.Zone, State: stateNames[u.State], Phase: phaseNames[u.Phase],
-			Incarnation: u.Incarnation, Generation: u.Generation, Flows: u.Flows, Accuser: u.Accuser, In: s.in[u.Name], Out: s.out[u.Name]}
+			Incarnation: u.Incarnation, Generation: u.Generation, Flows: u.Flows, Rate: u.Rate, Accuser: u.Accuser, In: s.in[u.Name], Out: s.out[u.Name]}
 	}
 	live, down := s.m.Counts()
 	all := struct {
