Half a line of a client's is no debt of its member's

Seen on reading the change again: since a client that took over 4 s for one line was moved and its member blamed, as the clock ran from the line's first byte whether or not the line ended. Cause: line/silence.go, silent; line/two.go passed such a debt on as well. Change: silent only once a whole line is owed, and half a second after that line; the clock still runs from its first byte. Test: TestHalfLine, fails without the change; TestStopped holds.

--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -238,6 +238,25 @@
 	}
 }
 
+// TestHalfLine: a client that takes long over a line is not sent away for the member's silence, nor as the line ends.
+func TestHalfLine(t *testing.T) {
+	r, c, m := standingFlow(t)
+	c.Say("hel")
+	m.Want("hel")
+	for range 30 {
+		r.Pass(sweepEvery)
+	}
+	c.Say("lo\r\n")
+	m.Lines("lo")
+	r.Pass(sweepEvery)
+	m.Say("well\r\n")
+	c.Lines("well")
+	r.Pass(sweepEvery)
+	if r.Core.Held() != 1 {
+		t.Error("the flow is over")
+	}
+}
+
 // TestClientGone: a client's machine that vanished must not hold a flow for ever.
 func TestClientGone(t *testing.T) {
 	r, c, m := standingFlow(t)
--- a/internal/front/line/silence.go
+++ b/internal/front/line/silence.go
@@ -48,8 +48,11 @@
 	return took, owed
 }
 
-// silent says that the member has stopped, ended that it said so but its connection has not ended, gone that
-// the client has.
-func (s *silence) silent(now time.Duration) bool { return s.owed > 0 && now-s.owed > silentAfter }
-func (s *silence) ended(now time.Duration) bool  { return s.last > 0 && now-s.last > endedAfter }
-func (s *silence) gone(now time.Duration) bool   { return now-s.heard > clientGone }
+// silent says that the member has stopped. To half a line it owes nothing, and to one that took long it has a moment.
+func (s *silence) silent(now time.Duration) bool {
+	return s.asked > 0 && now-s.owed > silentAfter && now-s.asked > moveWithin
+}
+
+// ended says that the member has said its last word but its connection has not ended, gone that the client has gone.
+func (s *silence) ended(now time.Duration) bool { return s.last > 0 && now-s.last > endedAfter }
+func (s *silence) gone(now time.Duration) bool  { return now-s.heard > clientGone }
--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -59,7 +59,7 @@
 			return
 		}
 		p := Flow{ID: v.open.id, Within: v.within, Tail: s.tail, Last: s.word, Heard: now - s.heard}
-		if s.owed > 0 {
+		if s.asked > 0 {
 			p.Asked = max(now-s.owed, 1)
 		}
 		client, fromClient := v.c.Detach()
@@ -82,7 +82,7 @@
 		s.last = now
 	}
 	if v.flow = s; p.Asked > 0 {
-		s.owed = now - p.Asked
+		s.owed, s.asked = now-p.Asked, now-p.Asked
 	}
 	var err, err2 error
 	v.c, err = f.Loop.Attach(client, p.FromClient, v)
