--- a/cmd/dahliarudder/main.go
+++ b/cmd/dahliarudder/main.go
@@ -80,7 +80,7 @@
 			cmd.Printf("dahliarudder %s (%s)\n", version, toolchain)
 		},
 	})
-	root.AddCommand(keysCommand())
+	root.AddCommand(keysCommand(), rehearseCommand())
 	root.SetOut(os.Stdout)
 	return root
 }
--- a/integration/line_test.go
+++ b/integration/line_test.go
@@ -102,8 +102,8 @@
 	for _, mode := range []string{"busy", "err", "reset"} {
 		t.Run(mode, func(t *testing.T) {
 			s := newSite(t, 3, nil)
-			s.backends[0].set(mode)
-			s.backends[1].set(mode)
+			s.backends[0].Set(mode)
+			s.backends[1].Set(mode)
 			answers := map[string]int{}
 			for n := range 12 {
 				c := s.open(n, "")
@@ -128,7 +128,7 @@
 func TestAllBad(t *testing.T) {
 	s := newSite(t, 2, nil)
 	for _, b := range s.backends {
-		b.set("err")
+		b.Set("err")
 	}
 	c := s.open(1, "")
 	if answer := c.line(); !strings.HasPrefix(answer, "BUSY") && answer != "ERR" {
@@ -143,7 +143,7 @@
 func TestSilentMember(t *testing.T) {
 	s := newSite(t, 2, nil)
 	for _, b := range s.backends {
-		b.set("silent")
+		b.Set("silent")
 	}
 	c := s.open(1, "")
 	if answer := c.line(); !strings.HasPrefix(answer, "BUSY") && answer != "ERR" {
@@ -166,12 +166,12 @@
 	for b := range held {
 		leaving = b
 	}
-	s.d.set(leaving.id, "DRAINING")
+	s.d.Set(leaving.id, "DRAINING")
 	for _, c := range held[leaving] {
 		c.want("MOVE")
 		c.want(io.EOF.Error())
 	}
-	until(t, "the member to be left", func() bool { return leaving.holds() == 0 })
+	until(t, "the member to be left", func() bool { return leaving.Holds() == 0 })
 	for n := range 12 {
 		c := s.open(100+n, "")
 		if b := s.holder(c.want("UP ")); b == leaving {
@@ -233,22 +233,22 @@
 	c := s.open(1, "")
 	c.want("UP ")
 	c.Conn.(*net.TCPConn).CloseWrite()
-	until(t, "the member's end", func() bool { return b.holds() == 0 })
+	until(t, "the member's end", func() bool { return b.Holds() == 0 })
 	c = s.open(2, "")
 	c.want("UP ")
-	b.each(func(m net.Conn) { m.(*net.TCPConn).SetLinger(0); m.Close() })
+	b.Each(func(m net.Conn) { m.(*net.TCPConn).SetLinger(0); m.Close() })
 	if end := c.line(); !strings.Contains(end, "reset") {
 		t.Errorf("a member's reset reached the client as %q", end)
 	}
 	c = s.open(3, "")
 	c.want("UP ")
-	b.each(func(m net.Conn) { m.(*net.TCPConn).CloseWrite() })
+	b.Each(func(m net.Conn) { m.(*net.TCPConn).CloseWrite() })
 	c.want(io.EOF.Error())
 	c = s.open(4, "")
 	c.want("UP ")
 	c.Conn.(*net.TCPConn).SetLinger(0)
 	c.Close()
-	until(t, "the member's end", func() bool { return b.holds() == 0 })
+	until(t, "the member's end", func() bool { return b.Holds() == 0 })
 	s.stop()
 }
 
@@ -256,13 +256,13 @@
 // has, and goes on asking; once it is back, changes reach it.
 func TestDiscoveryLoss(t *testing.T) {
 	s := newSite(t, 2, nil)
-	until(t, "the first watch", func() bool { return s.d.count() > 0 })
-	s.d.setDown(true)
+	until(t, "the first watch", func() bool { return s.d.Calls() > 0 })
+	s.d.SetDown(true)
 	s.logged("discovery call failed")
 	c := s.open(1, "")
 	b := s.holder(c.want("UP "))
-	s.d.setDown(false)
-	s.d.set(b.id, "DRAINING")
+	s.d.SetDown(false)
+	s.d.Set(b.id, "DRAINING")
 	c.want("MOVE")
 	s.open(2, "").want("UP ")
 	s.stop()
@@ -298,13 +298,13 @@
 	}
 	next := newDiscovery(t, list...)
 	s.reload(silent.Addr().String(), next.addr)
-	until(t, "a watch at the new address", func() bool { return next.count() > 1 })
+	until(t, "a watch at the new address", func() bool { return next.Calls() > 1 })
 	for n := range 12 {
 		if s.holder(s.open(100+n, "").want("UP ")) == gone {
 			t.Error("sent to a member that the new address says is draining")
 		}
 	}
-	next.set(b.id, "DRAINING")
+	next.Set(b.id, "DRAINING")
 	c.want("MOVE")
 	s.reload(next.addr, silent.Addr().String())
 	s.logged("read again")
@@ -401,7 +401,7 @@
 	for _, c := range clients {
 		c.Close()
 	}
-	until(t, "the flows' end", func() bool { return s.backends[0].holds() == 0 })
+	until(t, "the flows' end", func() bool { return s.backends[0].Holds() == 0 })
 	n := 1000
 	until(t, "room", func() bool { n++; return strings.HasPrefix(s.open(n, "").line(), "UP ") })
 	s.stop()
--- a/integration/nats_chaos_test.go
+++ b/integration/nats_chaos_test.go
@@ -86,8 +86,8 @@
 					o.Kill()
 					undo = func() { until(t, "a restart", func() bool { return o.Restart() == nil }) }
 				case 1:
-					d.set(o.ID, "DRAINING")
-					undo = func() { d.set(o.ID, "SERVING") }
+					d.Set(o.ID, "DRAINING")
+					undo = func() { d.Set(o.ID, "SERVING") }
 				case 2, 3, 4:
 					o.Set([]standin.Mode{standin.Refuses, standin.Resets, standin.Silent}[rng.IntN(3)])
 					undo = func() { o.Set(standin.Works) }
@@ -227,7 +227,7 @@
 		}
 	}()
 	for at, o := range k.Nodes {
-		d.set(o.ID, "DRAINING")
+		d.Set(o.ID, "DRAINING")
 		began, last := time.Now(), ""
 		for {
 			held, left := map[int]int{}, 0
@@ -254,7 +254,7 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 		t.Logf("node %d is left after %v", at, time.Since(began))
-		d.set(o.ID, "SERVING")
+		d.Set(o.ID, "SERVING")
 	}
 	close(stop)
 	<-done
--- a/integration/nats_conformance_test.go
+++ b/integration/nats_conformance_test.go
@@ -100,12 +100,12 @@
 		t.Fatal("no node holds the subscription")
 	}
 	id := s.k.Nodes[at].ID
-	s.d.set(id, "DRAINING")
+	s.d.Set(id, "DRAINING")
 	until(t, "the move", func() bool {
 		n := s.k.Subscriptions(subject)
 		return n[at] == 0 && slices.Max(n) > 0
 	})
-	s.d.set(id, "SERVING")
+	s.d.Set(id, "SERVING")
 }
 
 const headersOn = `"headers":true,"no_responders":true`
--- a/integration/nats_test.go
+++ b/integration/nats_test.go
@@ -153,7 +153,7 @@
 			leaving = i
 		}
 	}
-	s.d.set(s.k.Nodes[leaving].ID, "DRAINING")
+	s.d.Set(s.k.Nodes[leaving].ID, "DRAINING")
 	until(t, "the move", func() bool {
 		held := s.k.Subscriptions("feed")
 		return held[leaving] == 0 && sum(held) == 8
@@ -321,7 +321,7 @@
 	if v := report(open, "up"); v.Verdict != "up" {
 		t.Errorf("verdict %+v", v)
 	}
-	s.d.set(open.Member, "DRAINING")
+	s.d.Set(open.Member, "DRAINING")
 	next := func(want string) {
 		t.Helper()
 		m := must[*nats.Msg](t)(control.NextMsg(patience))
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -14,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -78,43 +77,20 @@
 	return l
 }
 
-// ---- Discovery ----
+// ---- Stand-ins ----
 
-// member is an entry of the list.
-type member struct {
-	ID        string  `json:"instanceId"`
-	Addr      string  `json:"hostPort"`
-	Zone      string  `json:"zone"`
-	Kind      string  `json:"machineType"`
-	Cell      int     `json:"cell"`
-	Lifecycle string  `json:"lifecycle"`
-	Weight    float64 `json:"weight"`
-	Started   int64   `json:"startedAtMs"`
-}
-
-type list struct {
-	Generation int      `json:"generation"`
-	Reset      bool     `json:"reset"`
-	Instances  []member `json:"instances"`
-}
+// member is an entry of discovery's list.
+type member = standin.Entry
 
-// discovery is the stand-in for discovery.
+// discovery is the stand-in for discovery, at one address.
 type discovery struct {
-	mu      sync.Mutex
-	at      int // the newest generation
-	members map[string]member
-	changed map[string]int // when each member changed last
-	news    chan struct{}
-	down    bool
-	calls   int
-	addr    string
+	*standin.Discovery
+	addr string
 }
 
 func newDiscovery(t testing.TB, members ...member) *discovery {
-	d := &discovery{at: 1, members: map[string]member{}, changed: map[string]int{}, news: make(chan struct{})}
-	for _, m := range members {
-		d.members[m.ID], d.changed[m.ID] = m, 1
-	}
+	d := &discovery{Discovery: standin.NewDiscovery(members...)}
+	t.Cleanup(d.Close)
 	d.addr = d.open(t)
 	return d
 }
@@ -122,212 +98,41 @@
 // open has it served at one more address.
 func (d *discovery) open(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := d.Open("", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: d}
-	go server.Serve(l)
-	t.Cleanup(func() { server.Close() })
-	return l.Addr().String()
-}
-
-func (d *discovery) list(since int) list {
-	out := list{Generation: d.at, Reset: since < 0, Instances: []member{}}
-	for id, m := range d.members {
-		if d.changed[id] > since {
-			out.Instances = append(out.Instances, m)
-		}
-	}
-	return out
-}
-
-// known is the whole list, as a relay's configuration holds it.
-func (d *discovery) known() list {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.list(-1)
-}
-
-// set changes a member.
-func (d *discovery) set(id, lifecycle string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.at++
-	m := d.members[id]
-	m.Lifecycle = lifecycle
-	d.members[id], d.changed[id] = m, d.at
-	close(d.news)
-	d.news = make(chan struct{})
+	return addr
 }
 
-func (d *discovery) setDown(down bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.down = down
-	close(d.news)
-	d.news = make(chan struct{})
-}
-
-func (d *discovery) count() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.calls
-}
-
-func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.calls++
-	since := -1
-	if s := r.URL.Query().Get("since"); s != "" {
-		since, _ = strconv.Atoi(s)
-	}
-	wait, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
-	timer := time.After(time.Duration(wait) * time.Millisecond)
-	for since >= d.at && !d.down {
-		news := d.news
-		d.mu.Unlock()
-		late := false
-		select {
-		case <-news:
-		case <-timer:
-			late = true
-		case <-r.Context().Done():
-			late = true
-		}
-		d.mu.Lock()
-		if late {
-			break
-		}
-	}
-	if d.down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	json.NewEncoder(w).Encode(d.list(since))
-}
-
-// ---- Pool members ----
-
-// backend is the stand-in for a pool member that speaks the platform's protocol.
+// backend is a pool member that bears everything.
 type backend struct {
-	id    string
-	l     net.Listener
-	mu    sync.Mutex
-	mode  string // how a first line is answered: "" is UP
-	tries *standin.Tries
-	held  map[net.Conn]bool
-	lines []string // first lines
-	bad   []string // first lines that no client may send
+	*standin.Member
+	id string
 }
 
 func newBackend(t *testing.T, id string, c *standin.Tries) *backend {
-	b := &backend{id: id, tries: c, held: map[net.Conn]bool{}}
-	b.l = listen(t, b.serve)
-	t.Cleanup(func() { b.each(func(c net.Conn) { c.Close() }) })
+	b := &backend{standin.NewMember(id), id}
+	b.Tries = c
+	if _, err := b.Open(""); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Kill)
 	return b
 }
 
 func (b *backend) member() member {
-	return member{ID: b.id, Addr: b.l.Addr().String(), Zone: "a", Kind: "m1", Lifecycle: "SERVING", Weight: 1}
-}
-
-func (b *backend) set(mode string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.mode = mode
-}
-
-func (b *backend) holds() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.held)
+	return member{ID: b.id, Addr: b.Addr(), Zone: "a", Kind: "m1", Lifecycle: "SERVING", Weight: 1}
 }
 
 func (b *backend) firstLines() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return append([]string(nil), b.lines...)
-}
-
-func (b *backend) each(f func(net.Conn)) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for c := range b.held {
-		f(c)
-	}
-}
-
-var openLine = regexp.MustCompile(`^OPEN [0-9a-f]{16} [0-9a-f]{16} \S+$`)
-
-func (b *backend) serve(c net.Conn) {
-	defer c.Close()
-	in := bufio.NewReader(c)
-	for {
-		line, err := in.ReadString('\n')
-		if err != nil {
-			return
-		}
-		line = strings.TrimSuffix(line, "\r\n")
-		if line == "STATS" {
-			fmt.Fprintf(c, "PONG x0=%.2f,x1=0,inflight=%d\r\n", 0.1+0.01*float64(b.holds()), b.holds())
-			continue
-		}
-		b.open(c, in, line)
-		return
-	}
+	all, _ := b.FirstLines()
+	return all
 }
 
-func (b *backend) open(c net.Conn, in *bufio.Reader, line string) {
-	b.mu.Lock()
-	b.lines = append(b.lines, line)
-	if !openLine.MatchString(line) {
-		b.bad = append(b.bad, line)
-	}
-	mode := b.mode
-	b.mu.Unlock()
-	if !openLine.MatchString(line) {
-		fmt.Fprint(c, "SYNTAX\r\n")
-		return
-	}
-	id := strings.Fields(line)[1]
-	b.tries.Begin(id)
-	defer b.tries.End(id)
-	switch mode {
-	case "busy":
-		fmt.Fprint(c, "BUSY inflight=9\r\n")
-		return
-	case "err":
-		fmt.Fprint(c, "ERR\r\n")
-		return
-	case "reset":
-		c.(*net.TCPConn).SetLinger(0)
-		return
-	case "silent":
-		in.ReadString('\n')
-		return
-	}
-	b.mu.Lock()
-	b.held[c] = true
-	b.mu.Unlock()
-	defer func() {
-		b.mu.Lock()
-		delete(b.held, c)
-		b.mu.Unlock()
-	}()
-	fmt.Fprintf(c, "UP %s/%s\r\n", b.id, id)
-	for n := 1; ; n++ {
-		line, err := in.ReadString('\n')
-		if err != nil {
-			return
-		}
-		if line == "END\r\n" {
-			fmt.Fprint(c, "BYE inflight=1\r\n")
-			return
-		}
-		fmt.Fprintf(c, "LOAD %d\r\nGOT %d %s", 50000+n, n, line)
-	}
+func (b *backend) bad() []string {
+	_, bad := b.FirstLines()
+	return bad
 }
 
 // ---- The relay ----
@@ -372,7 +177,7 @@
 func configure(t testing.TB, d *discovery, more map[string]any) string {
 	t.Helper()
 	c := map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": d.addr, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": d.known(),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": d.Known(nil),
 		"settings": json.RawMessage(settingsText)}
 	for k, v := range more {
 		c[k] = v
--- /dev/null
+++ b/internal/rehearsal/measure.go
@@ -0,0 +1,206 @@
+package rehearsal
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// bin is the grain of all that is counted by time.
+const bin = 100 * time.Millisecond
+
+// Service counts asked and well served connection seconds.
+type Service struct {
+	from, to time.Duration
+	all      series
+	by       map[string]*series // "class pay", "zone north"
+}
+
+type series struct{ asked, served []float64 } // seconds, by bin
+
+// NewService counts between these times.
+func NewService(from, to time.Duration) *Service {
+	return &Service{from: from, to: to, all: newSeries(to), by: map[string]*series{}}
+}
+
+// Cut ends the measuring earlier.
+func (s *Service) Cut(at time.Duration) { s.to = max(min(s.to, at), s.from+bin) }
+
+func newSeries(to time.Duration) series {
+	n := int(to/bin) + 1
+	return series{make([]float64, n), make([]float64, n)}
+}
+
+func (s *Service) add(served bool, tags []string, from, to time.Duration) {
+	to = min(to, s.to)
+	for from < to {
+		i := int(from / bin)
+		end := min(to, time.Duration(i+1)*bin)
+		for t := -1; t < len(tags); t++ {
+			x := &s.all
+			if t >= 0 {
+				if x = s.by[tags[t]]; x == nil {
+					n := newSeries(s.to)
+					x = &n
+					s.by[tags[t]] = x
+				}
+			}
+			if served {
+				x.served[i] += (end - from).Seconds()
+			} else {
+				x.asked[i] += (end - from).Seconds()
+			}
+		}
+		from = end
+	}
+}
+
+// Asked is a time in which a client wants to be connected; Served, one in which it was, and well.
+func (s *Service) Asked(tags []string, from, to time.Duration)  { s.add(false, tags, from, to) }
+func (s *Service) Served(tags []string, from, to time.Duration) { s.add(true, tags, from, to) }
+
+func (x *series) share(from, to time.Duration) float64 {
+	asked, served := 0.0, 0.0
+	for i := int(from / bin); i < int(to/bin) && i < len(x.asked); i++ {
+		asked += x.asked[i]
+		served += x.served[i]
+	}
+	if asked == 0 {
+		return 1
+	}
+	return served / asked
+}
+
+// Whole is the served share of what was asked.
+func (s *Service) Whole() float64 { return s.all.share(s.from, s.to) }
+
+// Worst is the least share in any span of so long, and when that begins.
+func (s *Service) Worst(long time.Duration) (share float64, at time.Duration) {
+	share = math.Inf(1)
+	for t := s.from; t == s.from || t+long <= s.to; t += bin {
+		if v := s.all.share(t, min(t+long, s.to)); v < share {
+			share, at = v, t
+		}
+	}
+	return share, at
+}
+
+// By is the share of each tag.
+func (s *Service) By() map[string]float64 {
+	out := map[string]float64{}
+	for tag, x := range s.by {
+		out[tag] = x.share(s.from, s.to)
+	}
+	return out
+}
+
+// At is how many connections were asked for and well served, each second.
+func (s *Service) At() (asked, served []float64) {
+	per := int(time.Second / bin)
+	for i := 0; i+per <= len(s.all.asked); i += per {
+		a, v := 0.0, 0.0
+		for k := i; k < i+per; k++ {
+			a += s.all.asked[k]
+			v += s.all.served[k]
+		}
+		asked, served = append(asked, a), append(served, v)
+	}
+	return asked, served
+}
+
+// backFor is how long service must stay.
+const backFor = 5 * time.Second
+
+// Back is how long after the last fault's end service was at 99% of what it was before the first one, and stayed there for
+// five seconds; false if it never was.
+func (s *Service) Back(first, last time.Duration) (time.Duration, bool) {
+	before := 1.0
+	if first > s.from {
+		before = s.all.share(s.from, first)
+	}
+	for t := last; t+backFor <= s.to; t += bin {
+		good := true
+		for k := t; k < t+backFor && good; k += time.Second {
+			good = s.all.share(k, k+time.Second) >= 0.99*before
+		}
+		if good {
+			return t - last, true
+		}
+	}
+	return 0, false
+}
+
+// Peak is the most of something in any span of so long.
+type Peak struct {
+	Over time.Duration
+	came []mark
+	sum  float64
+	Most float64
+	At   time.Duration
+	All  float64
+}
+
+type mark struct {
+	at time.Duration
+	n  float64
+}
+
+// Add counts n more. Times do not fall.
+func (p *Peak) Add(at time.Duration, n float64) {
+	p.came = append(p.came, mark{at, n})
+	p.sum += n
+	p.All += n
+	for p.came[0].at <= at-p.Over {
+		p.sum -= p.came[0].n
+		p.came = p.came[1:]
+	}
+	if p.sum > p.Most {
+		p.Most, p.At = p.sum, at
+	}
+}
+
+// Compared is how a figure of one variant stands to that of the first.
+type Compared struct {
+	Mean, Least, Most float64
+	Diff              float64 // to the first variant's mean
+	Noise             float64 // twice the standard error of that difference
+	Real              bool    // the difference is larger
+}
+
+// Compare holds the repetitions of a variant against those of the first, after Welch: neither needs the spread of the other. With
+// fewer than three repetitions of each nothing is called real.
+func Compare(first, other []float64) Compared {
+	c := Compared{Least: math.Inf(1), Most: math.Inf(-1)}
+	for _, v := range other {
+		c.Least, c.Most = min(c.Least, v), max(c.Most, v)
+	}
+	base, spread := moments(first)
+	mean, own := moments(other)
+	c.Mean, c.Diff = mean, mean-base
+	c.Noise = 2 * math.Sqrt(spread/float64(max(len(first), 1))+own/float64(max(len(other), 1)))
+	c.Real = len(first) >= 3 && len(other) >= 3 && math.Abs(c.Diff) > c.Noise
+	return c
+}
+
+// moments are the mean and the variance.
+func moments(all []float64) (mean, variance float64) {
+	if len(all) == 0 {
+		return 0, 0
+	}
+	for _, v := range all {
+		mean += v / float64(len(all))
+	}
+	for _, v := range all {
+		variance += (v - mean) * (v - mean) / float64(max(len(all)-1, 1))
+	}
+	return mean, variance
+}
+
+// Quantile is the value below which a part of all is.
+func Quantile(all []float64, part float64) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	sort.Float64s(all)
+	return all[min(int(part*float64(len(all))), len(all)-1)]
+}
--- /dev/null
+++ b/internal/rehearse/false_test.go
@@ -0,0 +1,231 @@
+package rehearse
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/rehearsal"
+	"dahliarudder/internal/standin"
+)
+
+// The test's own program is also the relay that it rehearses: one that breaks a rule as its configuration's "script" says.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		falseRelay(os.Args[3])
+	}
+	os.Exit(m.Run())
+}
+
+// falseRelay is as simple as a relay can be that keeps all rules, but for what the script says.
+func falseRelay(path string) {
+	var c struct {
+		Listen, Discovery, Script string
+		Known                     standin.List
+	}
+	text, _ := os.ReadFile(path)
+	json.Unmarshal(text, &c)
+	var mu sync.Mutex
+	members := map[string]standin.Entry{}
+	order := []string{}
+	learn := func(l standin.List) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, e := range l.Instances {
+			if _, ok := members[e.ID]; !ok {
+				order = append(order, e.ID)
+			}
+			members[e.ID] = e
+		}
+	}
+	learn(c.Known)
+	go func() {
+		for at := 0; ; time.Sleep(20 * time.Millisecond) {
+			answer, err := http.Get(fmt.Sprintf("http://%s/api/targets?since=%d&timeout_ms=1000", c.Discovery, at))
+			if err != nil {
+				continue
+			}
+			var l standin.List
+			json.NewDecoder(answer.Body).Decode(&l)
+			answer.Body.Close()
+			learn(l)
+			at = l.Generation
+		}
+	}()
+	// pick is a member with that lifecycle: the newest one for "cold", else the first.
+	pick := func(lifecycle string) string {
+		mu.Lock()
+		defer mu.Unlock()
+		all := slices.Clone(order)
+		if c.Script == "cold" {
+			slices.Reverse(all)
+		}
+		for _, id := range all {
+			if members[id].Lifecycle == lifecycle {
+				return members[id].Addr
+			}
+		}
+		return ""
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		os.Exit(3)
+	}
+	for {
+		client, err := l.Accept()
+		if err != nil {
+			os.Exit(4)
+		}
+		go serveFalsely(client, c.Script, pick)
+	}
+}
+
+var brokeOnce atomic.Bool
+
+func serveFalsely(client net.Conn, script string, pick func(string) string) {
+	defer client.Close()
+	in := bufio.NewReader(client)
+	line, err := in.ReadString('\n')
+	if line == "PING\r\n" {
+		io.WriteString(client, "PONG\r\n")
+		return
+	}
+	if err != nil {
+		return
+	}
+	at := pick("SERVING")
+	if script != "cold" && script != "draining" && brokeOnce.Swap(true) {
+		script = "" // once is enough
+	}
+	switch script {
+	case "two answers":
+		io.WriteString(client, "BUSY 9000\r\nBUSY 9000\r\n")
+		return
+	case "no answer":
+		io.Copy(io.Discard, in)
+		return
+	case "false answer":
+		io.WriteString(client, "UP s0/0000000000000000\r\n")
+		io.Copy(io.Discard, in)
+		return
+	case "crash":
+		os.Exit(1)
+	case "draining":
+		if drains := pick("DRAINING"); drains != "" {
+			at = drains
+		}
+	case "two out":
+		if other, err := net.Dial("tcp", at); err == nil {
+			defer other.Close()
+			io.WriteString(other, line)
+		}
+	case "too many":
+		for range 4 {
+			if other, err := net.Dial("tcp", at); err == nil {
+				io.WriteString(other, line)
+				bufio.NewReader(other).ReadString('\n')
+				other.Close()
+				time.Sleep(100 * time.Millisecond) // the member has seen the end of it
+			}
+		}
+	}
+	member, err := net.Dial("tcp", at)
+	if err != nil {
+		io.WriteString(client, "BUSY 200\r\n")
+		return
+	}
+	defer member.Close()
+	io.WriteString(member, line)
+	out := bufio.NewReader(member)
+	up, err := out.ReadString('\n')
+	if err != nil {
+		up = "BUSY 200\r\n"
+	}
+	io.WriteString(client, up)
+	switch script {
+	case "cut off":
+		time.Sleep(500 * time.Millisecond)
+		client.Close()
+		time.Sleep(10 * time.Second) // the member's side stays
+		return
+	case "waiting":
+		io.Copy(io.Discard, in)
+		return
+	}
+	go func() { io.Copy(member, in); member.(*net.TCPConn).CloseWrite() }()
+	io.Copy(client, out)
+}
+
+// TestFalseRelays: the judge catches each rule that a scripted relay breaks, and nothing else; the relay that breaks none is
+// found to break none.
+func TestFalseRelays(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	config := `{"limits":{"cores":1},"settings":{"balancers":1,"zones":["a"],"host-types":["m1"],
+	 "classes":[{"name":"pay","aim-ms":500,"deadline-ms":2500,"worth":1,"effect":"read_like","key-scope":"all"}],
+	 "tenants":[{"name":"water","share":1}],"limits":{"max-attempts":4,"probes":true},"report":{"names":["x0"],"source":"on_probe"},
+	 "guarantees":{"answer-slack-ms":8,"cold-ms":8600,"cold-from":0.31,"overload-factor":2.5,"drain-grace-ms":250,"fall-ms":1000}}}`
+	if err := os.WriteFile(filepath.Join(dir, "config.json"), []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for script, rule := range map[string]string{
+		"honest": "", "two answers": rehearsal.TwoAnswers, "no answer": rehearsal.NoAnswer, "false answer": rehearsal.FalseAnswer,
+		"two out": rehearsal.TwoOut, "too many": rehearsal.TooMany, "draining": rehearsal.Draining, "cold": rehearsal.Overdriven,
+		"cut off": rehearsal.CutOff, "waiting": rehearsal.LeftWaiting, "crash": rehearsal.Crash,
+	} {
+		t.Run(script, func(t *testing.T) {
+			t.Parallel()
+			seconds, step := 6, `{"at_ms":1500,"do":"drain","who":["s0"]}`
+			if script == "cold" {
+				step = `{"at_ms":1500,"do":"replace","who":["s0"]}`
+			}
+			if script == "waiting" {
+				seconds = 12
+			}
+			f, err := rehearsal.Decode(fmt.Appendf(nil, `{"config":"config.json","change":{"script":%q},"seed":3,"seconds":%d,"from_ms":1000,
+			 "relays":{"count":1},"members":{"count":3,"cores":[1,1],"open_ms":40,"leave_ms":3000},"front":{"ping_ms":200},
+			 "clients":{"standing":5,"per_second":%d,"stay_ms":20000,"load":[0.001,0.001],"line_ms":200},"faults":[%s]}`,
+				script, seconds, map[bool]int{true: 24, false: 6}[script == "cold"], step))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &Rehearsal{File: f, Dir: dir, Program: self, Work: t.TempDir(), Say: func(string, ...any) {}}
+			x, err := r.Play(context.Background(), f.Variants[0], 1, f.Seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			broken := map[string]int{}
+			for _, b := range x.Broken {
+				broken[b.Rule]++
+			}
+			if rule != "" && broken[rule] == 0 || len(broken) > 1 || rule == "" && len(broken) > 0 {
+				t.Errorf("found %v, want %q\n%v", broken, rule, x.Broken)
+			}
+			if rule == "" && x.Service < 0.5 {
+				t.Errorf("%.2f well served; answers %v", x.Service, x.Answers)
+			}
+			page := filepath.Join(r.Work, "page.html")
+			if err := WritePage(page, "about", []*Result{x}); err != nil {
+				t.Fatal(err)
+			}
+			if text, _ := os.ReadFile(page); strings.Count(string(text), "</svg>") != 2 || strings.Contains(string(text), "http") && strings.Contains(string(text), "src=") {
+				t.Error("the page has not its two plots, or needs something else")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/rehearse/faults.go
@@ -0,0 +1,201 @@
+package rehearse
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"dahliarudder/internal/rehearsal"
+	"dahliarudder/internal/standin"
+)
+
+const (
+	// frontLearns is how long after SIGTERM a front still sends clients: the protocol's page says 0.2 to 0.4 s.
+	frontLearns = 300 * time.Millisecond
+	// awakens is how long a relay that went on is excused: all that waited comes at once.
+	awakens = time.Second
+)
+
+// steps does what the time line says.
+func (r *run) steps(ctx context.Context) {
+	for _, s := range r.plan.Steps {
+		if !sleep(ctx, s.At-r.now()) {
+			return
+		}
+		who := s.Who
+		if s.To != "" {
+			who += " to " + s.To
+		}
+		r.Say("\r%7.1f s: %s %s%s\n", s.At.Seconds(), s.Do, who, strings.Repeat(" ", 40))
+		switch {
+		case s.To != "":
+			r.breakLink(s)
+		case s.Who == "discovery":
+			r.breakDiscovery(s)
+		case s.Who[0] == 'n':
+			r.breakRelay(s)
+		default:
+			r.breakMember(ctx, s)
+		}
+	}
+}
+
+func (r *run) breakLink(s rehearsal.Step) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w, at := r.ways[[2]string{s.Who, s.To}], r.now()
+	rough := standin.Rough{Delay: rehearsal.Millis(s.Rough.Delay), Jitter: rehearsal.Millis(s.Rough.Jitter), Rate: int(s.Rough.Rate * 1000)}
+	switch s.Do {
+	case "cut":
+		w.there, w.back = standin.Rough{Cut: true}, standin.Rough{Cut: true}
+	case "cut_one_way":
+		w.there, w.back = standin.Rough{Cut: true}, standin.Rough{}
+	case "rough":
+		w.there, w.back = rough, rough
+	case "heal":
+		w.there, w.back = standin.Rough{}, standin.Rough{}
+	}
+	if w.udp != nil {
+		w.udp.Cut(w.there.Cut)
+		w.udp.Rough(s.Rough.Loss, s.Rough.Repeat, w.there.Delay, w.there.Jitter)
+		if s.Do == "heal" {
+			w.udp.Rough(0, 0, 0, 0)
+		}
+		return
+	}
+	for _, p := range w.pipes {
+		if s.Do == "reset" {
+			p.Reset()
+		} else {
+			p.Set(w.there, w.back)
+		}
+	}
+	// A relay answers for what is behind it, not for the way to its clients.
+	switch {
+	case s.Do == "reset":
+		relay := s.To
+		if s.Who != "front" {
+			relay = s.Who // flows end with their member's side, as they should
+		}
+		r.judge.Trouble(at, relay)
+		r.judge.Calm(at+awakens, relay)
+	case s.Who != "front":
+	case s.Do == "heal":
+		r.judge.Calm(at+awakens, s.To)
+	default:
+		r.judge.Trouble(at, s.To)
+	}
+}
+
+func (r *run) breakDiscovery(s rehearsal.Step) {
+	switch s.Do {
+	case "down", "up":
+		r.disc.SetDown(s.Do == "down")
+	case "late", "on_time":
+		late := s.Late
+		if s.Do == "on_time" {
+			late = 0
+		}
+		r.disc.SetLate(late)
+	case "old":
+		r.disc.Restart()
+	}
+}
+
+func (r *run) breakRelay(s rehearsal.Step) {
+	i, _ := strconv.Atoi(s.Who[1:])
+	n := r.relays[i]
+	switch s.Do {
+	case "kill":
+		r.with(func(at time.Duration) { r.judge.Trouble(at, n.name) })
+		n.signal(syscall.SIGKILL, true)
+	case "stop":
+		r.with(func(at time.Duration) { r.judge.Trouble(at, n.name) })
+		n.signal(syscall.SIGSTOP, false)
+	case "continue":
+		n.signal(syscall.SIGCONT, false)
+		r.with(func(at time.Duration) { r.judge.Calm(at+awakens, n.name) })
+	case "term":
+		n.signal(syscall.SIGTERM, true)
+		go func() {
+			time.Sleep(frontLearns)
+			r.front.out(n.name)
+			<-n.done
+			r.with(func(at time.Duration) { r.judge.Trouble(at, n.name) })
+		}()
+	case "start":
+		go func() { // an end that takes its time comes first
+			<-n.done
+			if s.Lose {
+				n.lose()
+			}
+			r.with(func(at time.Duration) {
+				r.judge.Calm(at, n.name)
+				r.judge.Restarted(n.name)
+			})
+			r.mu.Lock()
+			closing := r.closing
+			r.mu.Unlock()
+			if closing {
+				return
+			}
+			if err := n.start(); err != nil {
+				r.with(func(at time.Duration) { r.judge.Crashed(at, n.name, err.Error()) })
+			}
+		}()
+	}
+}
+
+func (r *run) breakMember(ctx context.Context, s rehearsal.Step) {
+	i, _ := strconv.Atoi(s.Who[1:])
+	r.mu.Lock()
+	m := r.byIndex[i]
+	r.mu.Unlock()
+	leave := func() {
+		m.Set(standin.ModeBusy)
+		r.disc.Set(m.ID, "DRAINING")
+		go func() {
+			if sleep(ctx, rehearsal.Millis(r.File.Members.Leave)) {
+				m.SendAway()
+				sleep(ctx, time.Second)
+				m.Kill()
+				r.disc.Set(m.ID, standin.Deleted)
+			}
+		}()
+	}
+	begin := func(m *member) {
+		now := time.Now()
+		m.Start(now)
+		r.mu.Lock()
+		m.entry.Started, m.entry.Lifecycle = now.UnixMilli(), "SERVING"
+		r.judge.Member(m.name, r.plan.Cores[i], r.since(m.entry.Started))
+		entry := m.entry
+		r.mu.Unlock()
+		r.disc.Put(entry)
+	}
+	switch s.Do {
+	case "silent":
+		m.Set(standin.ModeMute)
+	case "failing":
+		m.Set(standin.ModeErr)
+	case "well":
+		m.Set(standin.ModeWell)
+	case "die":
+		m.Kill()
+		r.disc.Set(m.ID, standin.Deleted)
+	case "return":
+		begin(m)
+	case "drain":
+		leave()
+	case "replace":
+		leave()
+		next, err := r.newMember(i, m.lives+1)
+		if err != nil {
+			r.Say("%s has no successor: %v\n", m.name, err)
+			return
+		}
+		begin(next)
+	}
+}
--- /dev/null
+++ b/internal/rehearse/page.go
@@ -0,0 +1,136 @@
+package rehearse
+
+import (
+	"bytes"
+	"html/template"
+	"image/color"
+	"os"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// The page's colours: a line for each variant, in this order.
+var colours = []color.Color{color.RGBA{0x1f, 0x5a, 0xa6, 255}, color.RGBA{0xc4, 0x4e, 0x1c, 255}, color.RGBA{0x2c, 0x7d, 0x4f, 255}, color.RGBA{0x7a, 0x3e, 0x8e, 255}}
+
+// WritePage writes one page with the table and the plots in it.
+func WritePage(path, about string, all []*Result) error {
+	var table bytes.Buffer
+	Table(&table, all)
+	data := struct {
+		About, Table string
+		Plots        []template.HTML
+		Steps        []Mark
+	}{About: about, Table: table.String()}
+	if len(all) > 0 {
+		data.Steps = all[0].Steps
+	}
+	for _, p := range []struct {
+		title, unit string
+		of          func(*Result) []float64
+		asked       bool
+	}{
+		{"Connections well served", "connections", func(r *Result) []float64 { return r.Served }, true},
+		{"Well served, of those asked for", "%", func(r *Result) []float64 {
+			out := make([]float64, len(r.Served))
+			for i := range out {
+				if out[i] = 100; r.Asked[i] > 0 {
+					out[i] = 100 * r.Served[i] / r.Asked[i]
+				}
+			}
+			return out
+		}, false},
+	} {
+		svg, err := lines(p.title, p.unit, all, p.of, p.asked)
+		if err != nil {
+			return err
+		}
+		data.Plots = append(data.Plots, svg)
+	}
+	var out bytes.Buffer
+	if err := page.Execute(&out, data); err != nil {
+		return err
+	}
+	return os.WriteFile(path, out.Bytes(), 0o644)
+}
+
+// lines draws one figure over time, a line for each play, with the faults on the axis.
+func lines(title, unit string, all []*Result, of func(*Result) []float64, asked bool) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "s", unit
+	p.Y.Min, p.Legend.Top, p.Legend.Left = 0, false, true
+	add := func(values []float64, c color.Color, name string, dashed bool) error {
+		points := make(plotter.XYs, len(values))
+		for i, v := range values {
+			points[i] = plotter.XY{X: float64(i) + 0.5, Y: v}
+		}
+		l, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		l.Color, l.Width = c, vg.Points(1.2)
+		if dashed {
+			l.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		}
+		p.Add(l)
+		if name != "" {
+			p.Legend.Add(name, l)
+		}
+		return nil
+	}
+	number := map[string]int{}
+	for i, r := range all {
+		if i == 0 && asked {
+			if err := add(r.Asked, color.Gray{0x88}, "asked for", true); err != nil {
+				return "", err
+			}
+		}
+		name := ""
+		if _, ok := number[r.Variant]; !ok {
+			number[r.Variant], name = len(number), r.Variant
+		}
+		if err := add(of(r), colours[number[r.Variant]%len(colours)], name, false); err != nil {
+			return "", err
+		}
+	}
+	if len(all) > 0 {
+		top := p.Y.Max
+		for _, s := range all[0].Steps {
+			l, err := plotter.NewLine(plotter.XYs{{X: s.At, Y: 0}, {X: s.At, Y: top}})
+			if err != nil {
+				return "", err
+			}
+			l.Color, l.Width = color.RGBA{0xb0, 0x30, 0x30, 0x90}, vg.Points(0.6)
+			p.Add(l)
+		}
+	}
+	canvas := vgsvg.New(26*vg.Centimeter, 9*vg.Centimeter)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return "", err
+	}
+	text := out.String()
+	if i := strings.Index(text, "<svg"); i > 0 { // what comes before is for a file of its own
+		text = text[i:]
+	}
+	return template.HTML(text), nil
+}
+
+var page = template.Must(template.New("page").Parse(`<!doctype html>
+<meta charset="utf-8">
+<title>Rehearsal</title>
+<style>body{font:15px/1.5 sans-serif;margin:2em auto;max-width:70em;padding:0 1em;color:#222}pre{overflow:auto;background:#f5f5f3;padding:1em}svg{max-width:100%;height:auto}li{font-variant-numeric:tabular-nums}</style>
+<h1>Rehearsal</h1>
+<p>{{.About}}</p>
+{{range .Plots}}{{.}}
+{{end}}
+<h2>Figures</h2>
+<pre>{{.Table}}</pre>
+<h2>Time line</h2>
+<ul>{{range .Steps}}<li>{{printf "%.1f" .At}} s: {{.What}}</li>{{end}}</ul>
+`))
--- /dev/null
+++ b/internal/rehearse/relay.go
@@ -0,0 +1,220 @@
+package rehearse
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// userHertz is the unit of processor time in /proc.
+const userHertz = 100
+
+// relay is one process of the program, and those that come after it under its name.
+type relay struct {
+	*run
+	name                               string
+	index, zone                        int
+	dir                                string
+	listen, operator, peers, discovery string
+
+	cmd    *exec.Cmd
+	done   chan struct{}
+	how    string // it ended
+	wanted bool   // its end
+	starts int
+	cpu    float64 // of processes that have ended
+	memory float64 // MB, the most of any
+	bytes  int     // to other relays
+}
+
+// configure writes its files.
+func (n *relay) configure() error {
+	if err := os.MkdirAll(n.dir, 0o700); err != nil {
+		return err
+	}
+	c := map[string]any{}
+	for k, v := range n.config {
+		c[k] = v
+	}
+	settings := map[string]json.RawMessage{}
+	if err := json.Unmarshal(n.config["settings"], &settings); err != nil {
+		return err
+	}
+	settings["balancers"], _ = json.Marshal(n.File.Relays.Count)
+	settings["zone"], _ = json.Marshal(n.zone)
+	settings["me"], _ = json.Marshal(n.index)
+	c["settings"], c["name"], c["listen"], c["operator"], c["discovery"] = settings, n.name, n.listen, n.operator, n.discovery
+	c["seed"] = fmt.Sprintf("%x", n.plan.Seed+uint64(n.index)*7919+uint64(n.starts))
+	list := n.disc.Known(nil) // outside the lock of door
+	for i, e := range list.Instances {
+		list.Instances[i].Addr = n.door(n.name, e)
+	}
+	if n.starts == 0 { // later starts hold what the first one held: a list that may be old
+		c["known"] = list
+	}
+	if _, on := c["peers"]; on {
+		p := map[string]any{}
+		json.Unmarshal(n.config["peers"], &p)
+		reach, known := map[string]string{}, []string{}
+		for _, o := range n.relays {
+			if o == n {
+				continue
+			}
+			addr := o.peers
+			if w := n.ways[[2]string{n.name, o.name}]; w != nil {
+				addr = w.udp.Addr()
+				reach[o.name] = addr
+				w.udp.To(o.peers)
+			}
+			if len(known) < 3 {
+				known = append(known, addr)
+			}
+		}
+		p["listen"], p["known"], p["reach"], p["key_file"] = n.peers, known, reach, "key"
+		delete(p, "address")
+		c["peers"] = p
+		if err := os.WriteFile(filepath.Join(n.dir, "key"), []byte("a key that lives as long as the rehearsal does\n"), 0o600); err != nil {
+			return err
+		}
+	}
+	text, err := json.MarshalIndent(c, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(n.dir, "config.json"), text, 0o600)
+}
+
+// start begins a process.
+func (n *relay) start() error {
+	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	state := filepath.Join(n.dir, "state")
+	if err := os.MkdirAll(state, 0o700); err != nil {
+		return err
+	}
+	cmd := exec.Command(n.program, "serve", "--config", filepath.Join(n.dir, "config.json"))
+	cmd.Stderr, cmd.Stdout, cmd.Dir = log, log, state
+	cmd.Env = append(os.Environ(), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "EDGE_CONFIG=", "EDGE_OPERATOR=", "TMPDIR="+state)
+	// A group of its own: Ctrl-C is for the rehearsal, which ends them itself; and they never outlive it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	n.mu.Lock()
+	n.cmd, n.done, n.how, n.wanted = cmd, done, "", false
+	n.starts++
+	n.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		n.with(func(at time.Duration) {
+			n.how = "with no error"
+			if err != nil {
+				n.how = err.Error()
+			}
+			if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+				n.memory = max(n.memory, float64(u.Maxrss)/1024)
+			}
+			n.cpu += (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Seconds()
+			if !n.wanted && !n.closing {
+				n.judge.Crashed(at, n.name, n.how)
+			}
+		})
+		close(done)
+	}()
+	return nil
+}
+
+// ended says how its process ended, "" while it runs.
+func (n *relay) ended() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.how
+}
+
+// signal sends one to the process if it runs. Wanted: its end is meant.
+func (n *relay) signal(s syscall.Signal, wanted bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd == nil || n.how != "" {
+		return false
+	}
+	n.wanted = n.wanted || wanted
+	return n.cmd.Process.Signal(s) == nil
+}
+
+// lose takes its state directory away.
+func (n *relay) lose() error { return os.RemoveAll(filepath.Join(n.dir, "state")) }
+
+// look reads what the process has used so far and what it has sent to others.
+func (n *relay) look() (cpu, memory float64, bytes int) {
+	n.mu.Lock()
+	cpu, memory = n.cpu, n.memory
+	cmd, runs := n.cmd, n.how == ""
+	_, peers := n.config["peers"]
+	n.mu.Unlock()
+	if cmd == nil || !runs {
+		return cpu, memory, 0
+	}
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", cmd.Process.Pid)); err == nil {
+		if f := strings.Fields(string(text[lastParen(text):])); len(f) > 12 {
+			user, _ := strconv.ParseFloat(f[11], 64)
+			system, _ := strconv.ParseFloat(f[12], 64)
+			cpu += (user + system) / userHertz
+		}
+	}
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid)); err == nil {
+		for _, l := range strings.Split(string(text), "\n") {
+			if v, ok := strings.CutPrefix(l, "VmHWM:"); ok {
+				kb, _ := strconv.ParseFloat(strings.Fields(v)[0], 64)
+				memory = max(memory, kb/1024)
+			}
+		}
+	}
+	if peers {
+		client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		if answer, err := client.Get("http://" + n.operator + "/-/peers"); err == nil {
+			text, _ := io.ReadAll(io.LimitReader(answer.Body, 1<<22))
+			answer.Body.Close()
+			var said struct {
+				Peers []struct {
+					Out int `json:"bytes_out"`
+				}
+			}
+			json.Unmarshal(text, &said)
+			for _, p := range said.Peers {
+				bytes += p.Out
+			}
+		}
+	}
+	return cpu, memory, bytes
+}
+
+func lastParen(text []byte) int { return bytes.LastIndexByte(text, ')') + 1 }
+
+// finish ends the process, in peace first.
+func (n *relay) finish() {
+	if n.done == nil {
+		return
+	}
+	n.signal(syscall.SIGCONT, true)
+	n.signal(syscall.SIGTERM, true)
+	select {
+	case <-n.done:
+	case <-time.After(5 * time.Second):
+		n.signal(syscall.SIGKILL, true)
+		<-n.done
+	}
+}
--- /dev/null
+++ b/internal/rehearse/result.go
@@ -0,0 +1,245 @@
+package rehearse
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"dahliarudder/internal/rehearsal"
+)
+
+// lateMost is how late one in a hundred of the rehearsal's own acts may be: beyond it, what is measured is the rehearsal.
+const lateMost = 50.0
+
+// Result is what one play showed. Times are in the unit that the name ends in.
+type Result struct {
+	Variant    string  `json:"variant"`
+	Repetition int     `json:"repetition"`
+	Seed       uint64  `json:"seed"`
+	Seconds    float64 `json:"seconds"`
+	// Invalid says why the play says nothing of the relays; empty if it does.
+	Invalid string             `json:"invalid,omitempty"`
+	Broken  []rehearsal.Break  `json:"broken"`
+	Service float64            `json:"service"` // part of the connection seconds asked for
+	Worst   float64            `json:"worst_10_s"`
+	WorstAt float64            `json:"worst_10_s_at_s"`
+	By      map[string]float64 `json:"by"`
+	Back    *float64           `json:"back_after_s"` // from the last fault to full service; null: no faults, or never
+	SetUp   map[string]float64 `json:"set_up_ms"`
+	Answers map[string]int     `json:"answers"`
+	Tries   float64            `json:"tries_a_client"`
+	TryMost int                `json:"tries_of_one_client_most"`
+	Fresh   float64            `json:"new_connections_in_1_s_over_what_the_member_can_take_most"`
+	Lists   float64            `json:"list_calls_in_100_ms_most"`
+	Probes  float64            `json:"probes_a_s"`
+	Relays  []Relay            `json:"relays"`
+	Late    map[string]float64 `json:"rehearsal_late_ms"`
+	Asked   []float64          `json:"asked"` // connections, each second
+	Served  []float64          `json:"served"`
+	Steps   []Mark             `json:"faults"`
+}
+
+// Relay is what one relay used.
+type Relay struct {
+	Name   string  `json:"name"`
+	Starts int     `json:"starts"`
+	CPU    float64 `json:"cpu_s"`
+	Memory float64 `json:"memory_mb"`
+	Peers  int     `json:"bytes_to_relays"`
+}
+
+// Mark is a fault on the time axis.
+type Mark struct {
+	At   float64 `json:"at_s"`
+	What string  `json:"what"`
+}
+
+func (r *run) result(v rehearsal.Variant, repetition int) *Result {
+	x := &Result{Variant: v.Name, Repetition: repetition, Seed: r.plan.Seed, SetUp: map[string]float64{}, Late: map[string]float64{}, Broken: []rehearsal.Break{}}
+	for _, n := range r.relays {
+		cpu, memory, bytes := n.look()
+		x.Relays = append(x.Relays, Relay{n.name, n.starts, cpu, memory, bytes})
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	end := min(r.now(), r.plan.To)
+	x.Seconds = end.Seconds()
+	for name, q := range map[string]float64{"p50": 50, "p90": 90, "p99": 99, "most": 100} {
+		x.SetUp[name] = float64(r.setUp.ValueAtPercentile(q)) / 1000
+		x.Late[name] = float64(r.late.ValueAtPercentile(q)) / 1000
+	}
+	r.judge.Late = time.Duration(x.Late["most"] * float64(time.Millisecond))
+	x.Broken = append(x.Broken, r.judge.Close(end)...)
+	if x.Late["p99"] > lateMost {
+		x.Invalid = fmt.Sprintf("the rehearsal itself was late: %.0f ms in one case of a hundred, %.0f ms are allowed", x.Late["p99"], lateMost)
+	}
+	x.Service, x.By = r.service.Whole(), r.service.By()
+	worst, at := r.service.Worst(10 * time.Second)
+	x.Worst, x.WorstAt = worst, at.Seconds()
+	first, last, any := r.plan.Faults()
+	if back, ok := r.service.Back(first, last); any && ok {
+		s := back.Seconds()
+		x.Back = &s
+	}
+	x.Answers, x.TryMost = r.answers, r.most
+	x.Tries = float64(r.tries) / float64(max(len(r.plan.Sessions), 1))
+	for _, p := range r.fresh {
+		x.Fresh = max(x.Fresh, p.Most)
+	}
+	x.Lists, x.Probes = r.lists.Most, r.probes.All/end.Seconds()
+	x.Asked, x.Served = r.service.At()
+	for _, s := range r.plan.Steps {
+		x.Steps = append(x.Steps, Mark{s.At.Seconds(), strings.TrimSpace(s.Do + " " + s.Who + " " + s.To)})
+	}
+	return x
+}
+
+// figures are those that variants are held against each other by.
+var figures = []struct {
+	name string
+	of   func(*Result) float64
+	unit string
+}{
+	{"well served", func(r *Result) float64 { return 100 * r.Service }, "%"},
+	{"worst 10 s", func(r *Result) float64 { return 100 * r.Worst }, "%"},
+	{"full service again after", func(r *Result) float64 { return back(r) }, "s"},
+	{"set-up p50", func(r *Result) float64 { return r.SetUp["p50"] }, "ms"},
+	{"set-up p99", func(r *Result) float64 { return r.SetUp["p99"] }, "ms"},
+	{"tries a client", func(r *Result) float64 { return r.Tries }, ""},
+	{"new connections of a member, peak", func(r *Result) float64 { return r.Fresh }, "x"},
+	{"list calls in 100 ms, peak", func(r *Result) float64 { return r.Lists }, ""},
+	{"probes", func(r *Result) float64 { return r.Probes }, "/s"},
+	{"processor time of a relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return n.CPU }) / r.Seconds * 100 }, "% of a core"},
+	{"memory of a relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return n.Memory }) }, "MB"},
+	{"bytes from relay to relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return float64(n.Peers) }) / r.Seconds }, "/s each"},
+	{"rules broken", func(r *Result) float64 { return float64(len(r.Broken)) }, ""},
+}
+
+// back is the time to full service; a play that never got there counts as all that was left of it.
+func back(r *Result) float64 {
+	if r.Back != nil {
+		return *r.Back
+	}
+	if len(r.Steps) == 0 {
+		return 0
+	}
+	return r.Seconds - r.Steps[len(r.Steps)-1].At
+}
+
+func (r *Result) mean(of func(Relay) float64) float64 {
+	sum := 0.0
+	for _, n := range r.Relays {
+		sum += of(n) / float64(len(r.Relays))
+	}
+	return sum
+}
+
+// Table writes what all plays showed: one column for each variant.
+func Table(w io.Writer, all []*Result) {
+	var names []string
+	by := map[string][]*Result{}
+	for _, r := range all {
+		if by[r.Variant] == nil {
+			names = append(names, r.Variant)
+		}
+		by[r.Variant] = append(by[r.Variant], r)
+	}
+	if len(names) == 0 {
+		return
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprint(t, "\n")
+	for i, n := range names {
+		fmt.Fprintf(t, "\t%s", n)
+		if i > 0 {
+			fmt.Fprint(t, "\tdifference\tnoise\t")
+		}
+	}
+	fmt.Fprintln(t)
+	for _, f := range figures {
+		fmt.Fprint(t, f.name)
+		values := func(n string) (out []float64) {
+			for _, r := range by[n] {
+				out = append(out, f.of(r))
+			}
+			return out
+		}
+		first := values(names[0])
+		for i, n := range names {
+			c := rehearsal.Compare(first, values(n))
+			fmt.Fprintf(t, "\t%s", figure(c.Mean, f.unit))
+			if len(by[n]) > 1 {
+				fmt.Fprintf(t, " (%s to %s)", figure(c.Least, ""), figure(c.Most, ""))
+			}
+			if i > 0 {
+				word := "within it"
+				if c.Real {
+					word = "larger"
+				}
+				if len(by[n]) < 3 || len(first) < 3 {
+					word = "not known"
+				}
+				fmt.Fprintf(t, "\t%s\t%s\t%s", figure(c.Diff, ""), figure(c.Noise, ""), word)
+			}
+		}
+		fmt.Fprintln(t)
+	}
+	t.Flush()
+	for _, n := range names {
+		r := by[n][0]
+		fmt.Fprintf(w, "\n%s, by part:", n)
+		for _, k := range keys(r.By) {
+			fmt.Fprintf(w, "  %s %.1f%%", k, 100*r.By[k])
+		}
+		fmt.Fprintln(w)
+		for _, r := range by[n] {
+			if r.Invalid != "" {
+				fmt.Fprintf(w, "%s, repetition %d is INVALID: %s\n", n, r.Repetition, r.Invalid)
+			}
+			for i, b := range r.Broken {
+				if i == 8 {
+					fmt.Fprintf(w, "  and %d more\n", len(r.Broken)-i)
+					break
+				}
+				fmt.Fprintf(w, "%s, repetition %d: RULE BROKEN at %.2f s, %s: %s: %s\n", n, r.Repetition, b.At.Seconds(), b.Relay, b.Rule, b.What)
+			}
+		}
+	}
+	fmt.Fprintf(w, "\nseed %d; the rehearsal itself was late by %.1f ms at p99\n", all[0].Seed, all[0].Late["p99"])
+}
+
+// figure writes a number with three digits that count.
+func figure(v float64, unit string) string {
+	text := fmt.Sprintf("%.2f", v)
+	if v >= 100 || v <= -100 {
+		text = fmt.Sprintf("%.0f", v)
+	} else if v >= 10 || v <= -10 {
+		text = fmt.Sprintf("%.1f", v)
+	}
+	if unit == "" || unit == "%" || unit[0] == '/' {
+		return text + unit
+	}
+	return text + " " + unit
+}
+
+func keys[V any](m map[string]V) (all []string) {
+	for k := range m {
+		all = append(all, k)
+	}
+	sort.Strings(all)
+	return all
+}
+
+// WriteJSON writes all results to a file.
+func WriteJSON(path string, all []*Result) error {
+	text, err := json.MarshalIndent(all, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
--- /dev/null
+++ b/internal/rehearse/run.go
@@ -0,0 +1,528 @@
+// Package rehearse plays a rehearsal: it starts processes of the program with stand-ins for all around them, breaks what the
+// file says, and carries what crossed the sockets to the judge.
+package rehearse
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+	"unicode"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dahliarudder/internal/rehearsal"
+	"dahliarudder/internal/settings"
+	"dahliarudder/internal/standin"
+)
+
+// Rehearsal is a file with what it needs to be played.
+type Rehearsal struct {
+	File    *rehearsal.File
+	Dir     string // of the file
+	Program string // the relay
+	Work    string // where the relays' files and logs are
+	Say     func(format string, args ...any)
+}
+
+// run is one play of it.
+type run struct {
+	*Rehearsal
+	plan    *rehearsal.Plan
+	set     *settings.Settings
+	config  map[string]json.RawMessage // of a relay, before what is each one's own
+	program string
+	dir     string
+	began   time.Time
+
+	mu      sync.Mutex // guards all below, and the judge
+	judge   *rehearsal.Judge
+	service *rehearsal.Service
+	relays  []*relay
+	members map[string]*member // by name now
+	byIndex []*member          // who stands for s0 and on now
+	ways    map[[2]string]*way
+	front   *front
+	disc    *standin.Discovery
+	setUp   *hdrhistogram.Histogram // microseconds
+	late    *hdrhistogram.Histogram // of the rehearsal itself, microseconds
+	lists   *rehearsal.Peak
+	probes  *rehearsal.Peak
+	fresh   map[string]*rehearsal.Peak // new connections of each member, as part of what it can take
+	answers map[string]int
+	tries   int // of all sessions
+	most    int // of one
+	open    int
+	closing bool
+}
+
+// way is one link, which all connections of a pair pass that the file breaks.
+type way struct {
+	there, back standin.Rough
+	pipes       []*standin.Pipe
+	udp         *standin.Link
+}
+
+type member struct {
+	*standin.Member
+	name, zone string
+	index      int
+	doors      map[string]string // by relay
+	entry      standin.Entry
+	lives      int
+}
+
+func (r *run) now() time.Duration { return time.Since(r.began) }
+
+// with runs f under the lock with the time.
+func (r *run) with(f func(at time.Duration)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.now())
+}
+
+// site is what the plan is drawn from.
+func site(set *settings.Settings) rehearsal.Site {
+	s := rehearsal.Site{}
+	for _, c := range set.Classes {
+		s.Classes = append(s.Classes, c.Worth)
+	}
+	for _, t := range set.Tenants {
+		s.Shares = append(s.Shares, t.Share)
+	}
+	for _, z := range set.Zones {
+		s.Zones = append(s.Zones, string(z))
+	}
+	if len(s.Zones) == 0 {
+		s.Zones = []string{""}
+	}
+	return s
+}
+
+// Settings are those of the configuration that the file names, with its changes.
+func (r *Rehearsal) Settings(v rehearsal.Variant) (map[string]json.RawMessage, *settings.Settings, error) {
+	path := r.File.Config
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(r.Dir, path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: config: %v", rehearsal.ErrInvalid, err)
+	}
+	merged := json.RawMessage(text)
+	for _, change := range []json.RawMessage{r.File.Change, v.Change} {
+		if merged, err = rehearsal.Merge(merged, change); err != nil {
+			return nil, nil, fmt.Errorf("%w: %s: %v", rehearsal.ErrInvalid, path, err)
+		}
+	}
+	config := map[string]json.RawMessage{}
+	if err := json.Unmarshal(merged, &config); err != nil {
+		return nil, nil, fmt.Errorf("%w: %s: %v", rehearsal.ErrInvalid, path, err)
+	}
+	set, err := settings.Decode(config["settings"])
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %s: %v", rehearsal.ErrInvalid, path, err)
+	}
+	if len(set.Classes) == 0 {
+		return nil, nil, fmt.Errorf("%w: %s: settings name no classes", rehearsal.ErrInvalid, path)
+	}
+	return config, set, r.File.CheckZones(site(set).Zones)
+}
+
+// All plays every variant as often as the file says, in turn, all on the same draw.
+func (r *Rehearsal) All(ctx context.Context) (all []*Result, err error) {
+	for k := range r.File.Repetitions {
+		for _, v := range r.File.Variants {
+			if ctx.Err() != nil {
+				return all, nil
+			}
+			r.Say("%s, repetition %d of %d, seed %d: %d relays, %d members\n", v.Name, k+1, r.File.Repetitions, r.File.Seed,
+				r.File.Relays.Count, r.File.Members.Count)
+			x, err := r.Play(ctx, v, k+1, r.File.Seed)
+			if err != nil {
+				return all, err
+			}
+			all = append(all, x)
+		}
+	}
+	return all, nil
+}
+
+// Play plays one variant once. A context that ends cuts it short; what was measured until then is returned.
+func (r *Rehearsal) Play(ctx context.Context, v rehearsal.Variant, repetition int, seed uint64) (*Result, error) {
+	config, set, err := r.Settings(v)
+	if err != nil {
+		return nil, err
+	}
+	x := &run{Rehearsal: r, set: set, config: config, program: r.Program, plan: rehearsal.Draw(r.File, site(set), seed),
+		dir:     filepath.Join(r.Work, fmt.Sprintf("%s-%d", strings.Map(plain, v.Name), repetition)),
+		members: map[string]*member{}, ways: map[[2]string]*way{}, fresh: map[string]*rehearsal.Peak{}, answers: map[string]int{},
+		setUp: hdrhistogram.New(1, 600e6, 3), late: hdrhistogram.New(1, 600e6, 3),
+		lists: &rehearsal.Peak{Over: 100 * time.Millisecond}, probes: &rehearsal.Peak{Over: time.Second}}
+	if v.Program != "" {
+		if x.program = v.Program; !filepath.IsAbs(x.program) {
+			x.program = filepath.Join(r.Dir, x.program)
+		}
+	}
+	x.service = rehearsal.NewService(x.plan.From, x.plan.To)
+	g := set.Guarantees
+	x.judge = rehearsal.NewJudge(rehearsal.Rules{Attempts: set.Limits.MaxAttempts, Slack: settings.Span(g.Slack), Grace: settings.Span(g.Grace),
+		ColdFrom: g.ColdFrom, ColdFor: settings.Span(g.Cold), Overload: g.Overload, FallFor: settings.Span(g.Fall)})
+	if err := os.RemoveAll(x.dir); err != nil { // of an earlier rehearsal
+		return nil, err
+	}
+	x.began = time.Now()
+	defer x.end()
+	if err := x.build(); err != nil {
+		return nil, err
+	}
+	if err := x.ready(ctx); err != nil {
+		return nil, err
+	}
+	x.mu.Lock()
+	x.began = time.Now() // the time line begins when all are ready
+	x.mu.Unlock()
+	x.play(ctx)
+	return x.result(v, repetition), nil
+}
+
+// build puts the stand-ins up and starts the relays.
+func (r *run) build() error {
+	broken := r.plan.Broken()
+	for pair := range broken {
+		w := &way{}
+		if pair[0][0] == 'n' && pair[1][0] == 'n' {
+			udp, err := standin.NewLink(r.plan.Seed + uint64(len(r.ways)))
+			if err != nil {
+				return err
+			}
+			w.udp = udp
+		}
+		r.ways[pair] = w
+	}
+	zones := site(r.set)
+	for i := range r.File.Relays.Count {
+		n := &relay{run: r, name: fmt.Sprintf("n%d", i), index: i, zone: i % len(zones.Zones)}
+		n.dir = filepath.Join(r.dir, n.name)
+		for _, at := range []*string{&n.listen, &n.operator, &n.peers} {
+			addr, err := free()
+			if err != nil {
+				return err
+			}
+			*at = addr
+		}
+		r.relays = append(r.relays, n)
+	}
+	var list []standin.Entry
+	for i := range r.File.Members.Count {
+		m, err := r.newMember(i, 0)
+		if err != nil {
+			return err
+		}
+		list = append(list, m.entry)
+	}
+	r.disc = standin.NewDiscovery(list...)
+	r.disc.SetLag(rehearsal.Millis(r.File.Discovery.Lag))
+	r.disc.Called = func(string) { r.with(func(at time.Duration) { r.lists.Add(at, 1) }) }
+	r.disc.Told = r.told
+	r.front = &front{run: r, reach: map[string]string{}, heard: map[string]time.Time{}, in: map[string]bool{}}
+	for _, n := range r.relays {
+		at, err := r.disc.Open(n.name, func(e standin.Entry) string { return r.door(n.name, e) })
+		if err != nil {
+			return err
+		}
+		if n.discovery, err = r.via(n.name, "discovery", at, nil); err != nil {
+			return err
+		}
+		if r.front.reach[n.name], err = r.via("front", n.name, n.listen, nil); err != nil {
+			return err
+		}
+	}
+	for _, n := range r.relays {
+		if err := n.configure(); err != nil {
+			return err
+		}
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// via is where from reaches to: by a forwarder if the file breaks that pair.
+func (r *run) via(from, to, addr string, gone func(string)) (string, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.ways[[2]string{from, to}]
+	if w == nil {
+		return addr, nil
+	}
+	p, err := standin.NewPipe(addr)
+	if err != nil {
+		return "", err
+	}
+	p.Gone = gone
+	p.Set(w.there, w.back)
+	w.pipes = append(w.pipes, p)
+	return p.Addr(), nil
+}
+
+// door is a relay's own address of a member.
+func (r *run) door(relay string, e standin.Entry) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[e.ID]; m != nil {
+		return m.doors[relay]
+	}
+	return e.Addr
+}
+
+// newMember opens the member that stands for s0 and on; lives counts those before it.
+func (r *run) newMember(i, lives int) (*member, error) {
+	f, g := r.File.Members, r.set.Guarantees
+	zones := site(r.set)
+	m := &member{Member: standin.NewMember(fmt.Sprintf("s%d", i)), index: i, zone: zones.Zone(i), doors: map[string]string{}, lives: lives}
+	if lives > 0 {
+		m.ID = fmt.Sprintf("s%d.%d", i, lives)
+	}
+	m.name = m.ID
+	m.Bearing = standin.Bearing{Cores: r.plan.Cores[i], Most: f.Most, Open: rehearsal.Millis(f.Open), Group: rehearsal.Millis(f.Group),
+		ColdFrom: g.ColdFrom, ColdFor: settings.Span(g.Cold), Every: rehearsal.Millis(f.Report), Rough: f.Rough, Names: r.set.Report.Names}
+	open := map[string]string{} // attempts by the sending address: only one end of each is told
+	var mu sync.Mutex
+	m.Begun = func(a standin.Attempt) {
+		mu.Lock()
+		open[a.From] = a.ID
+		mu.Unlock()
+		r.begun(m, a)
+	}
+	over := func(a standin.Attempt, itself bool) {
+		mu.Lock()
+		was := open[a.From] == a.ID
+		delete(open, a.From)
+		mu.Unlock()
+		if was {
+			r.with(func(at time.Duration) { r.judge.Over(at, a.ID, m.name, a.Load, itself) })
+		}
+	}
+	m.Made = func(a standin.Attempt, up string) { r.with(func(time.Duration) { r.judge.Made(a.ID, up) }) }
+	m.Ended = over
+	m.Probed = func() { r.with(func(at time.Duration) { r.probes.Add(at, 1) }) }
+	for _, n := range r.relays {
+		addr, err := m.Open(n.name)
+		if err != nil {
+			return nil, err
+		}
+		// Behind a cut the member does not learn that the relay has given up: the forwarder does.
+		gone := func(from string) {
+			mu.Lock()
+			id, ok := open[from]
+			mu.Unlock()
+			if ok {
+				over(standin.Attempt{ID: id, From: from}, false)
+			}
+		}
+		if m.doors[n.name], err = r.via(n.name, fmt.Sprintf("s%d", i), addr, gone); err != nil {
+			return nil, err
+		}
+	}
+	kind := "m1"
+	if len(r.set.HostTypes) > 0 {
+		kind = r.set.HostTypes[i%len(r.set.HostTypes)]
+	}
+	m.entry = standin.Entry{ID: m.ID, Addr: m.Addr(), Zone: m.zone, Kind: kind, Lifecycle: "SERVING", Weight: 1}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.members[m.ID] = m
+	if i < len(r.byIndex) {
+		r.byIndex[i] = m
+	} else {
+		r.byIndex = append(r.byIndex, m)
+	}
+	r.fresh[m.ID] = &rehearsal.Peak{Over: time.Second}
+	r.judge.Member(m.name, r.plan.Cores[i], 0)
+	return m, nil
+}
+
+// begun is an attempt at a member.
+func (r *run) begun(m *member, a standin.Attempt) {
+	falls := false
+	r.with(func(at time.Duration) {
+		falls = r.judge.Begun(at, a.ID, a.Via, m.name, a.Work, a.Load)
+		if work := a.Work.Seconds(); work > 0 {
+			age := time.Duration(1 << 62)
+			if m.entry.Started > 0 {
+				age = time.Since(time.UnixMilli(m.entry.Started))
+			}
+			r.fresh[m.ID].Add(at, work/(m.Bearing.Cores*m.Bearing.Share(age)))
+		}
+	})
+	if falls {
+		r.Say("%s falls over: it was sent more than it can bear so soon after its start", m.name)
+		m.Kill()
+	}
+}
+
+// told is what discovery has written to a relay.
+func (r *run) told(relay string, entries []standin.Entry) {
+	r.with(func(at time.Duration) {
+		for _, e := range entries {
+			r.judge.Told(at, relay, e.ID, e.Lifecycle, r.since(e.Started))
+		}
+	})
+}
+
+// since is a start in the rehearsal's time; 0: long ago.
+func (r *run) since(started int64) time.Duration {
+	if started == 0 {
+		return 0
+	}
+	return max(time.UnixMilli(started).Sub(r.began), 1)
+}
+
+// ready waits until the front has let every relay in.
+func (r *run) ready(ctx context.Context) error {
+	go r.front.run_(ctx)
+	for end := time.Now().Add(30 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		in := 0
+		for _, n := range r.relays {
+			if r.front.has(n.name) {
+				in++
+			}
+			if how := n.ended(); how != "" {
+				return fmt.Errorf("%s ended as it started: %s; its log is %s", n.name, how, filepath.Join(n.dir, "log"))
+			}
+		}
+		if in == len(r.relays) {
+			return nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("%d of %d relays were ready after 30 s; the logs are below %s", in, len(r.relays), r.dir)
+		}
+	}
+}
+
+// play runs clients and the time line to the end.
+func (r *run) play(ctx context.Context) {
+	ctx, stop := context.WithDeadline(ctx, r.began.Add(r.plan.To))
+	defer stop()
+	var all sync.WaitGroup
+	all.Add(3)
+	go func() { defer all.Done(); r.steps(ctx) }()
+	go func() { defer all.Done(); r.progress(ctx) }()
+	go func() { // what keeps the rehearsal itself from being on time
+		defer all.Done()
+		for ctx.Err() == nil {
+			at := time.Now()
+			time.Sleep(5 * time.Millisecond)
+			late := time.Since(at) - 5*time.Millisecond
+			r.with(func(time.Duration) { r.late.RecordValue(max(late.Microseconds(), 1)) })
+		}
+	}()
+	for _, s := range r.plan.Sessions {
+		if !sleep(ctx, s.At-r.now()) {
+			break
+		}
+		late := r.now() - s.At
+		r.with(func(time.Duration) { r.late.RecordValue(max(late.Microseconds(), 1)) })
+		all.Add(1)
+		go func() { defer all.Done(); r.session(ctx, s) }()
+	}
+	<-ctx.Done()
+	all.Wait()
+	r.with(func(at time.Duration) {
+		r.closing = true
+		r.service.Cut(at)
+	})
+}
+
+// progress says each second how it stands.
+func (r *run) progress(ctx context.Context) {
+	for sleep(ctx, time.Second) {
+		r.with(func(at time.Duration) {
+			asked, _ := r.service.At()
+			if i := int(at/time.Second) - 1; i >= 0 && i < len(asked) {
+				r.Say("\r%7.1f s: %4.0f connections asked for, %4d open, %d relays in front   ", at.Seconds(), asked[i], r.open, r.front.count())
+			}
+		})
+	}
+	r.Say("\n")
+}
+
+// end ends all processes and stand-ins.
+func (r *run) end() {
+	r.mu.Lock()
+	r.closing = true
+	r.mu.Unlock()
+	for _, n := range r.relays {
+		n.finish()
+	}
+	if r.disc != nil {
+		r.disc.Close()
+	}
+	for _, m := range r.members {
+		m.Kill()
+	}
+	for _, w := range r.ways {
+		for _, p := range w.pipes {
+			p.Close()
+		}
+		if w.udp != nil {
+			w.udp.Close()
+		}
+	}
+}
+
+// plain keeps of a name what a directory's may hold.
+func plain(c rune) rune {
+	if unicode.IsLetter(c) || unicode.IsDigit(c) {
+		return c
+	}
+	return '-'
+}
+
+// sleep returns false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// The ports that relays are given: below those that the system hands out, or an outgoing connection may hold one of a relay that is down.
+const firstPort, lastPort = 12000, 32000
+
+// free is an address of the loopback that nobody listens at now, by TCP and UDP.
+func free() (string, error) {
+	for range 200 {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp4", addr)
+		l.Close()
+		if err == nil {
+			u.Close()
+			return addr, nil
+		}
+	}
+	return "", fmt.Errorf("no address is free")
+}
+
+func between(rng *rand.Rand, b [2]float64) time.Duration {
+	return rehearsal.Millis(b[0] + (b[1]-b[0])*rng.Float64())
+}
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,216 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Entry is a pool member in discovery's list.
+type Entry struct {
+	ID        string  `json:"instanceId"`
+	Addr      string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	Started   int64   `json:"startedAtMs"`
+}
+
+// List is what discovery answers.
+type List struct {
+	Generation int     `json:"generation"`
+	Reset      bool    `json:"reset"`
+	Instances  []Entry `json:"instances"`
+}
+
+// Deleted is the lifecycle of a member that is gone, among changes only.
+const Deleted = "DELETED"
+
+// Discovery is the stand-in for discovery. Its fields are set before it is opened.
+type Discovery struct {
+	// Told is called, if set, with each list that a reader has been written.
+	Told func(reader string, entries []Entry)
+	// Called is called, if set, at the start of each call.
+	Called func(reader string)
+
+	mu      sync.Mutex
+	at      int // the newest generation
+	members map[string]Entry
+	changed map[string]int // when each member changed last
+	news    chan struct{}
+	down    bool
+	late    time.Duration
+	lag     time.Duration
+	calls   int
+	servers []*http.Server
+}
+
+// NewDiscovery lists these members.
+func NewDiscovery(entries ...Entry) *Discovery {
+	d := &Discovery{at: 1, members: map[string]Entry{}, changed: map[string]int{}, news: make(chan struct{})}
+	for _, e := range entries {
+		d.members[e.ID], d.changed[e.ID] = e, 1
+	}
+	return d
+}
+
+// Open has it served at one more address, to a reader of that name. Where is the reader's own address of a member, if
+// not nil.
+func (d *Discovery) Open(reader string, where func(Entry) string) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(reader, where, w, r) })}
+	d.mu.Lock()
+	d.servers = append(d.servers, server)
+	d.mu.Unlock()
+	go server.Serve(l)
+	return l.Addr().String(), nil
+}
+
+// Close ends it at all its addresses.
+func (d *Discovery) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
+
+func (d *Discovery) list(since int, where func(Entry) string) List {
+	out := List{Generation: d.at, Reset: since < 0, Instances: []Entry{}}
+	for id, e := range d.members {
+		if d.changed[id] <= since || since < 0 && e.Lifecycle == Deleted {
+			continue
+		}
+		if where != nil {
+			e.Addr = where(e)
+		}
+		out.Instances = append(out.Instances, e)
+	}
+	return out
+}
+
+// Known is the whole list, as a relay's configuration holds it.
+func (d *Discovery) Known(where func(Entry) string) List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list(-1, where)
+}
+
+// Put lists a member anew, after the lag.
+func (d *Discovery) Put(e Entry) {
+	d.mu.Lock()
+	lag := d.lag
+	d.mu.Unlock()
+	if lag > 0 {
+		time.AfterFunc(lag, func() { d.put(e) })
+		return
+	}
+	d.put(e)
+}
+
+func (d *Discovery) put(e Entry) {
+	d.change(func() {
+		d.at++
+		d.members[e.ID], d.changed[e.ID] = e, d.at
+	})
+}
+
+// Set changes a member's lifecycle, after the lag.
+func (d *Discovery) Set(id, lifecycle string) {
+	d.mu.Lock()
+	e := d.members[id]
+	d.mu.Unlock()
+	e.Lifecycle = lifecycle
+	d.Put(e)
+}
+
+// SetDown has all calls and watches fail, or again none.
+func (d *Discovery) SetDown(down bool) { d.change(func() { d.down = down }) }
+
+// SetLate has each answer wait.
+func (d *Discovery) SetLate(late time.Duration) { d.change(func() { d.late = late }) }
+
+// SetLag is how long after a change it is listed.
+func (d *Discovery) SetLag(lag time.Duration) { d.change(func() { d.lag = lag }) }
+
+// Restart has it forget its generations: they begin again, below what its readers hold.
+func (d *Discovery) Restart() {
+	d.change(func() {
+		d.at = 1
+		for id, e := range d.members {
+			if d.changed[id] = 1; e.Lifecycle == Deleted {
+				delete(d.members, id)
+			}
+		}
+	})
+}
+
+// Calls is how many have come.
+func (d *Discovery) Calls() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
+func (d *Discovery) change(f func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f()
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+func (d *Discovery) serve(reader string, where func(Entry) string, w http.ResponseWriter, r *http.Request) {
+	if d.Called != nil {
+		d.Called(reader)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls++
+	since := -1
+	if s := r.URL.Query().Get("since"); s != "" {
+		since, _ = strconv.Atoi(s)
+	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get("timeout_ms"))
+	timer := time.After(time.Duration(wait) * time.Millisecond)
+	for since == d.at && !d.down {
+		news := d.news
+		d.mu.Unlock()
+		late := false
+		select {
+		case <-news:
+		case <-timer:
+			late = true
+		case <-r.Context().Done():
+			late = true
+		}
+		d.mu.Lock()
+		if late {
+			break
+		}
+	}
+	if since > d.at { // from before a restart: nothing it holds can be told apart
+		since = -1
+	}
+	if late := d.late; late > 0 {
+		d.mu.Unlock()
+		time.Sleep(late)
+		d.mu.Lock()
+	}
+	if d.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	list := d.list(since, where)
+	if json.NewEncoder(w).Encode(list) == nil && d.Told != nil {
+		d.Told(reader, list.Instances)
+	}
+}
--- /dev/null
+++ b/internal/standin/pipe_test.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+)
+
+// TestPipe: what passes, passes unchanged; in a cut, one way or both, nothing does and no connection comes up, until it is healed;
+// what was given up behind a cut is not delivered later.
+func TestPipe(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	got := make(chan string, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					line, err := in.ReadString('\n')
+					if err != nil {
+						return
+					}
+					got <- line
+					fmt.Fprint(c, line)
+				}
+			}()
+		}
+	}()
+	p, err := NewPipe(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	gone := make(chan string, 100)
+	p.Gone = func(from string) { gone <- from }
+	open := func() (net.Conn, *bufio.Reader) {
+		t.Helper()
+		c, err := net.Dial("tcp", p.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c, bufio.NewReader(c)
+	}
+	says := func(c net.Conn, in *bufio.Reader, word string) {
+		t.Helper()
+		fmt.Fprintln(c, word)
+		if line, err := in.ReadString('\n'); err != nil || line != word+"\n" || <-got != line {
+			t.Fatalf("%q came back as %q, %v", word, line, err)
+		}
+	}
+	a, ain := open()
+	says(a, ain, "one")
+	b, bin := open()
+	says(b, bin, "two")
+	p.Set(Rough{Cut: true}, Rough{Cut: true})
+	if c, err := net.DialTimeout("tcp", p.Addr(), 300*time.Millisecond); err == nil {
+		t.Errorf("a connection came up behind a cut: %v", c.LocalAddr())
+	}
+	fmt.Fprintln(a, "waits")
+	fmt.Fprintln(b, "given up")
+	time.Sleep(100 * time.Millisecond) // read by the pipe by now, or later: both must do
+	b.Close()
+	<-gone
+	if len(got) > 0 {
+		t.Errorf("%q passed a cut", <-got)
+	}
+	p.Set(Rough{}, Rough{})
+	if line := <-got; line != "waits\n" {
+		t.Errorf("after the cut came %q", line)
+	}
+	if line, _ := ain.ReadString('\n'); line != "waits\n" {
+		t.Errorf("back came %q", line)
+	}
+	c, in := open()
+	says(c, in, "three")
+	p.Set(Rough{}, Rough{Cut: true}) // one way: it arrives, and nothing comes back
+	fmt.Fprintln(c, "four")
+	if line := <-got; line != "four\n" {
+		t.Errorf("there came %q", line)
+	}
+	c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if line, err := in.ReadString('\n'); err == nil {
+		t.Errorf("%q came back by a cut way", line)
+	}
+	p.Reset()
+	p.Set(Rough{}, Rough{})
+	c, in = open()
+	says(c, in, "five")
+}
