Peers tell what they saw of members and zones; rehearsals time how soon an end is noticed

Need: the hard case of two processes under one name had no process test, relays said nothing of members, and what a rehearsal knew of peers was bytes alone.

GET /-/peers shows them. TestPeersSeen, TestPeersOneName (the later process counts, the earlier one is refused by that reason, nobody is held for dead) with processes.

--- a/cmd/dahliarudder-rehearse/main.go
+++ b/cmd/dahliarudder-rehearse/main.go
@@ -30,7 +30,7 @@
 
 func command() *cobra.Command {
 	var seed uint64
-	var repetitions int
+	var repetitions, seeds, relays, members int
 	var program, out, keep string
 	var check bool
 	c := &cobra.Command{
@@ -57,6 +57,12 @@
 			if repetitions > 0 {
 				f.Repetitions = repetitions
 			}
+			if seeds > 0 {
+				f.Seeds = seeds
+			}
+			if err := f.Resize(relays, members); err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
 			work := keep
 			if work == "" {
 				if work, err = os.MkdirTemp("", "rehearsal-"); err != nil {
@@ -107,7 +113,10 @@
 	}
 	c.SetOut(os.Stdout)
 	c.Flags().Uint64Var(&seed, "seed", 0, "of all that is drawn (default: the file's)")
-	c.Flags().IntVar(&repetitions, "repetitions", 0, "of each variant (default: the file's)")
+	c.Flags().IntVar(&repetitions, "repetitions", 0, "of each draw (default: the file's)")
+	c.Flags().IntVar(&seeds, "seeds", 0, "how many draws, from the seed on (default: the file's)")
+	c.Flags().IntVar(&relays, "relays", 0, "how many (default: the file's)")
+	c.Flags().IntVar(&members, "members", 0, "how many (default: the file's)")
 	c.Flags().StringVar(&program, "program", beside("dahliarudder"), "the relay")
 	c.Flags().StringVar(&out, "out", "", "name of the JSON file and the page, without its ending (default: the file's name and -result, here)")
 	c.Flags().StringVar(&keep, "keep", "", "directory for the relays' files and logs (default: a new one, removed if all went well)")
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -217,6 +217,10 @@
 	return nil
 }
 
+// outcomes are the results that say something of a member: a client that leaves says nothing.
+var outcomes = map[policy.Result]peers.Outcome{policy.OK: peers.Good, policy.Full: peers.Good, policy.Error: peers.Bad, policy.Reset: peers.Bad,
+	policy.ConnectFailed: peers.Bad, policy.Timeout: peers.Silent}
+
 // meet begins to know the other relays.
 func (r *relay) meet(p config.Peers) {
 	set := r.names.Settings
@@ -224,7 +228,17 @@
 	if set.Zone >= 0 && set.Zone < len(set.Zones) {
 		zone = string(set.Zones[set.Zone])
 	}
-	r.peers = peering.New(peering.Options{Loop: r.loop, Log: r.log, Name: r.cfg.Name, Zone: zone, Listen: p.Listen, Address: p.Address,
+	book := &peers.Book{}
+	r.core.Saw = func(m *core.Member, result policy.Result) {
+		if how, ok := outcomes[result]; ok {
+			in := ""
+			if m.Zone < len(set.Zones) {
+				in = string(set.Zones[m.Zone])
+			}
+			book.Note(r.clock(), m.Name, in, how)
+		}
+	}
+	r.peers = peering.New(peering.Options{Seen: func() peers.Digest { return book.Digest(r.clock()) }, Loop: r.loop, Log: r.log, Name: r.cfg.Name, Zone: zone, Listen: p.Listen, Address: p.Address,
 		Known: p.Known, Reach: p.Reach, Keys: p.Keys(), Configured: max(set.Balancers, 1), Seed: r.cfg.SeedNumber(), Wall: time.Now,
 		Share: r.core.Relays,
 		Own: func() (peers.Phase, uint64, uint64, uint64) {
--- a/integration/peers_test.go
+++ b/integration/peers_test.go
@@ -15,12 +15,14 @@
 	"testing"
 	"time"
 
+	"dahliarudder/internal/peers"
 	"dahliarudder/internal/standin"
 )
 
 // circle is several relays that know of each other, each reaching each other by a link of its own.
 type circle struct {
 	t      testing.TB
+	d      *discovery
 	relays []*relay
 	conf   []string
 	links  [][]*standin.Link // from, to
@@ -42,6 +44,7 @@
 func newCircle(t testing.TB, n int, linked bool) *circle {
 	c := &circle{t: t}
 	d := newDiscovery(t)
+	c.d = d
 	for range n {
 		c.addrs = append(c.addrs, freePort(t))
 	}
@@ -94,6 +97,7 @@
 	Peers []struct {
 		Name, State, Phase string
 		Incarnation        uint64
+		Seen               peers.Digest
 	}
 	Refused map[string]int
 	Clashes int
@@ -241,6 +245,50 @@
 	c.allAlive()
 }
 
+// TestPeersOneName: two processes under one name. The others go on with the later one, refuse the earlier one by that reason, and hold nobody
+// for dead; once the name is one process's again, started anew, all is as before.
+func TestPeersOneName(t *testing.T) {
+	c := newCircle(t, 3, false)
+	c.allAlive()
+	text, err := os.ReadFile(c.conf[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	write(t, path, strings.Replace(string(text), c.addrs[2], freePort(t), 1))
+	write(t, filepath.Join(filepath.Dir(path), "key"), circleKey+"\n")
+	second := start(t, path, 2)
+	until(t, "the clash to be counted", func() bool {
+		time.Sleep(30 * time.Millisecond)
+		return c.account(0).Refused["two relays of one name"] > 0
+	})
+	c.sees(0, 2, "alive")
+	c.sees(0, 1, "alive")
+	c.sees(1, 0, "alive")
+	second.cmd.Process.Kill()
+	c.relays[2].cmd.Process.Kill()
+	c.start(2)
+	c.allAlive()
+}
+
+// TestPeersSeen: what one relay sees of its members reaches the others.
+func TestPeersSeen(t *testing.T) {
+	c := newCircle(t, 2, false)
+	b := newBackend(t, "s-5be2a000", standin.NewTries())
+	b.Set(standin.ModeErr)
+	c.d.Put(b.member())
+	until(t, "n1 to hear what n0 saw", func() bool {
+		c.relays[0].open(int(time.Now().UnixNano()&0xffffff), "").line()
+		for _, p := range c.account(1).Peers {
+			if len(p.Seen.Members) == 1 && p.Seen.Members[0].Name == b.id && p.Seen.Members[0].Bad > 0 && p.Seen.Zones[0].Name == "a" {
+				return true
+			}
+		}
+		time.Sleep(30 * time.Millisecond)
+		return false
+	})
+}
+
 // TestPeersOff: without the setting there is no account and no descriptor more; a key that others may read stops the start.
 func TestPeersOff(t *testing.T) {
 	s := newSite(t, 1, map[string]any{"operator": "127.0.0.1:0"})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,6 +85,8 @@
 	Probe    func(to *Member)       // ends in Probed
 	Watch    func()                 // ask discovery; ends in Pool
 	Ledger   Ledger                 // nil for none
+	// Saw is told how each attempt and probe went; nil if nobody wants to know.
+	Saw func(m *Member, result policy.Result)
 	// FeedMemory is how many bytes the messages on all feeds may hold; 0 for no bound.
 	FeedMemory int
 }
@@ -280,6 +282,9 @@
 	}
 	r.open = true
 	c.record(r, Served)
+	if c.Saw != nil {
+		c.Saw(&r.member.Member, policy.OK)
+	}
 	if r.standing {
 		c.tell(policy.Standing{Request: r.policy(), Server: r.member.ID})
 	} else {
@@ -346,6 +351,9 @@
 
 // Probed is the answer to a probe.
 func (c *Core) Probed(server policy.ServerID, result policy.Result, report policy.Report) {
+	if m := c.members[server]; m != nil && c.Saw != nil {
+		c.Saw(&m.Member, result)
+	}
 	c.tell(policy.Probed{Server: server, Result: result, Report: report})
 }
 
@@ -717,6 +725,9 @@
 	m, try := r.member, r.tries-1
 	r.member = nil
 	m.flows--
+	if c.Saw != nil && result != policy.OK { // an open flow was seen when it came up
+		c.Saw(&m.Member, result)
+	}
 	if c.Ledger != nil {
 		c.Ledger.Attempt(&r.Request, r.id, try, m.Name, r.sent, c.Clock(), result)
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -39,6 +39,8 @@
 	Wall       func() time.Time
 	// Own says what this relay does: its phase, the generation of its list, its open flows, and how many requests it has had.
 	Own func() (phase peers.Phase, generation, flows, requests uint64)
+	// Seen is what it saw itself of members and zones.
+	Seen func() peers.Digest
 	// Share is told by how many the budgets are divided that all relays share, when that changes.
 	Share func(float64)
 }
@@ -100,6 +102,7 @@
 	now := s.Loop.Now()
 	s.m.Say(now, phase, generation, flows, requests-s.requests) // as sayEvery is a second
 	s.requests = requests
+	s.m.Show(s.Seen())
 	s.open.Forget(now)
 	live, down := s.m.Counts()
 	if share := s.div.At(now, live, down); share != s.share {
@@ -203,6 +206,9 @@
 	In          int    `json:"bytes_in"`
 	Out         int    `json:"bytes_out"`
 	Accuser     string `json:"accuser,omitempty"`
+	// Seen is what it saw itself of zones and of the members that fail most; SeenAgo is when it said so, -1: never.
+	Seen    peers.Digest `json:"seen"`
+	SeenAgo int64        `json:"seen_ms"`
 }
 
 // Text is the whole account, as JSON.
@@ -225,6 +231,7 @@
 		Peers      []Account      `json:"peers"`
 	}{Self: account(s.m.Self()), Live: live, Down: down, Configured: s.Configured, Share: s.share, Refused: map[string]int{},
 		Clashes: s.m.Clashes, Beyond: s.m.Refusals, Peers: []Account{}}
+	all.Self.Seen = s.m.Shown()
 	for reason, n := range s.open.Refused {
 		all.Refused[reason] = n
 	}
@@ -233,7 +240,10 @@
 	}
 	for _, p := range s.m.Peers() {
 		a := account(p.Update)
-		a.Since, a.Heard = (now - p.Since).Milliseconds(), -1
+		a.Since, a.Heard, a.Seen, a.SeenAgo = (now - p.Since).Milliseconds(), -1, p.Seen, -1
+		if p.SeenAt > 0 {
+			a.SeenAgo = (now - p.SeenAt).Milliseconds()
+		}
 		if p.Heard > 0 {
 			a.Heard = (now - p.Heard).Milliseconds()
 		}
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -75,6 +75,7 @@
 	Target  string // of Ask: the name; of a passed Ack: whom it is from
 	At      string // of Ask: the address
 	Updates []Update
+	Seen    Digest // what the sender saw itself; with pings and answers
 }
 
 func (u *Update) append(b []byte) []byte {
@@ -112,6 +113,9 @@
 		}
 	}
 	var one []byte
+	if one = m.Seen.append(one); len(one) > 0 {
+		b = protowire.AppendBytes(protowire.AppendTag(b, 6, protowire.BytesType), one)
+	}
 	for i := range m.Updates {
 		one = m.Updates[i].append(one[:0])
 		if len(b)+len(one)+4 > most {
@@ -171,6 +175,11 @@
 				inner = ErrMalformed
 			}
 			m.Updates = append(m.Updates, u)
+		case 6:
+			seen, err := decodeDigest(s)
+			if m.Seen = seen; err != nil {
+				inner = ErrMalformed
+			}
 		}
 		return true
 	})
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -52,6 +52,8 @@
 	Update
 	Since     time.Duration // in this state
 	Heard     time.Duration // by its own datagram; 0 for never
+	Seen      Digest        // what it last said that it saw
+	SeenAt    time.Duration // when it said so
 	until     time.Duration // when a suspect counts as dead
 	accusers  []string
 	sent      int // how often this was passed on
@@ -61,6 +63,7 @@
 // Machine is one relay's view. All calls come from one goroutine.
 type Machine struct {
 	self      Update
+	seen      Digest
 	sent      int
 	seeds     []string
 	rng       *rand.Rand
@@ -120,6 +123,13 @@
 	}
 }
 
+// Show changes what it tells of members and zones. It rides on pings and answers, to one relay or two in each period: what is bounded
+// there stays bounded in bytes a second.
+func (m *Machine) Show(d Digest) { m.seen = d }
+
+// Shown is what it tells.
+func (m *Machine) Shown() Digest { return m.seen }
+
 // Peers is all that is held of others, by name.
 func (m *Machine) Peers() []*Peer {
 	var list []*Peer
@@ -171,6 +181,9 @@
 		return nil // beyond the bound, or it said nothing of itself
 	}
 	p.Heard = now
+	if msg.Kind == Ping || msg.Kind == Ack {
+		p.Seen, p.SeenAt = msg.Seen, now
+	}
 	var out []Out
 	if down && p.State == Alive {
 		out = m.tell(out, from, p.Addr, Sync) // it may know nothing, or what the other side of a cut knew
@@ -474,6 +487,9 @@
 // load puts what this relay says of itself on a message, what is given, and the news that was passed on least.
 func (m *Machine) load(msg Message, first []Update) Message {
 	msg.Updates = append([]Update{m.self}, first...)
+	if msg.Kind == Ping || msg.Kind == Ack {
+		msg.Seen = m.seen
+	}
 	m.sent++
 	fresh := slices.Collect(maps.Values(m.fresh))
 	slices.SortFunc(fresh, func(x, y *Peer) int { return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(x.Name, y.Name)) })
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -216,10 +216,20 @@
 	return uint64(few)
 }
 
+// eachSeed plays them on all processors.
+func eachSeed(t *testing.T, few int, play func(t *testing.T, seed uint64)) {
+	for seed := range seeds(few) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed)
+		})
+	}
+}
+
 // TestViewsAgree plays random loss, delay, repetition, one-way cuts, partitions, kills, stops, farewells and returns with lost
 // state. After the faults all views agree within a bound, and no state has grown.
 func TestViewsAgree(t *testing.T) {
-	for seed := range seeds(40) {
+	eachSeed(t, 40, func(t *testing.T, seed uint64) {
 		n := []int{3, 5, 12, 30}[seed%4]
 		w := newWorld(seed, n)
 		w.settle(t, 20*time.Second)
@@ -272,7 +282,7 @@
 		if w.largest > DatagramMost {
 			t.Errorf("seed %d: a datagram of %d bytes", seed, w.largest)
 		}
-	}
+	})
 }
 
 // TestSameAgain: a seed plays the same again, message for message.
@@ -377,7 +387,7 @@
 // TestBudget: whatever is cut, killed or stopped, all relays together never take more than a third over the budget that they
 // divide, and where most of them are gone for certain the rest take more than their old parts.
 func TestBudget(t *testing.T) {
-	for seed := range seeds(16) {
+	eachSeed(t, 16, func(t *testing.T, seed uint64) {
 		n := 12
 		w := newWorld(seed, n)
 		w.more(15 * time.Second)
@@ -420,7 +430,7 @@
 			}
 			watch(time.Duration(w.rng.IntN(20)) * time.Second)
 		}
-	}
+	})
 	w := newWorld(99, 12)
 	w.more(15 * time.Second)
 	for i := range 8 {
--- a/internal/rehearsal/file.go
+++ b/internal/rehearsal/file.go
@@ -59,7 +59,8 @@
 	} `json:"clients"`
 	Faults      []Fault   `json:"faults"`
 	Variants    []Variant `json:"variants"`
-	Repetitions int       `json:"repetitions"`
+	Repetitions int       `json:"repetitions"` // of each draw
+	Seeds       int       `json:"seeds"`       // how many draws: of this seed and those after it
 
 	at map[string]int
 }
@@ -180,7 +181,7 @@
 	if f.Clients.Groups == 0 {
 		f.Clients.Groups = 1 << 20
 	}
-	f.Repetitions = max(f.Repetitions, 1)
+	f.Repetitions, f.Seeds = max(f.Repetitions, 1), max(f.Seeds, 1)
 	if len(f.Variants) == 0 {
 		f.Variants = []Variant{{Name: "this program"}}
 	}
@@ -201,6 +202,7 @@
 		{"clients.stay_ms", f.Clients.Stay, 100, 1e8}, {"clients.load", f.Clients.Load[0], 0, f.Clients.Load[1]},
 		{"clients.again_ms", f.Clients.Again[0], 0, f.Clients.Again[1]}, {"clients.line_ms", f.Clients.Line, 20, 1e5},
 		{"clients.groups", float64(f.Clients.Groups), 1, 1e9}, {"clients.well_ms", f.Clients.Well, 1, 1e5}, {"repetitions", float64(f.Repetitions), 1, 100},
+		{"seeds", float64(f.Seeds), 1, 1000},
 	} {
 		if !(c.v >= c.low && c.v <= c.top) {
 			return f.fault(c.key, "%v is not from %v to %v", c.v, c.low, c.top)
@@ -297,6 +299,17 @@
 	return append(append(f.Names("n"), f.Names("s")...), "discovery")
 }
 
+// Resize has other numbers of relays and members than the file says; 0 leaves one as it is.
+func (f *File) Resize(relays, members int) error {
+	if relays > 0 {
+		f.Relays.Count = relays
+	}
+	if members > 0 {
+		f.Members.Count = members
+	}
+	return f.check()
+}
+
 // CheckZones wants the zones of the faults among these.
 func (f *File) CheckZones(zones []string) error {
 	for i, x := range f.Faults {
--- a/internal/rehearsal/measure.go
+++ b/internal/rehearsal/measure.go
@@ -167,18 +167,22 @@
 	Real              bool    // the difference is larger
 }
 
-// Compare holds the repetitions of a variant against those of the first, after Welch: neither needs the spread of the other. With
-// fewer than three repetitions of each nothing is called real.
+// Compare holds the plays of a variant against those of the first. They were played in turn on the same draws, so each is held
+// against the one of its own draw: what differs from draw to draw is no noise. With fewer than three nothing is called real.
 func Compare(first, other []float64) Compared {
 	c := Compared{Least: math.Inf(1), Most: math.Inf(-1)}
 	for _, v := range other {
 		c.Least, c.Most = min(c.Least, v), max(c.Most, v)
 	}
-	base, spread := moments(first)
-	mean, own := moments(other)
-	c.Mean, c.Diff = mean, mean-base
-	c.Noise = 2 * math.Sqrt(spread/float64(max(len(first), 1))+own/float64(max(len(other), 1)))
-	c.Real = len(first) >= 3 && len(other) >= 3 && math.Abs(c.Diff) > c.Noise
+	var apart []float64
+	for i := range min(len(first), len(other)) {
+		apart = append(apart, other[i]-first[i])
+	}
+	c.Mean, _ = moments(other)
+	var spread float64
+	c.Diff, spread = moments(apart)
+	c.Noise = 2 * math.Sqrt(spread/float64(max(len(apart), 1)))
+	c.Real = len(apart) >= 3 && math.Abs(c.Diff) > c.Noise
 	return c
 }
 
--- a/internal/rehearsal/rehearsal_test.go
+++ b/internal/rehearsal/rehearsal_test.go
@@ -122,6 +122,7 @@
 	}{
 		{[]float64{1, 1.1, 0.9}, []float64{2, 2.1, 1.9}, true},
 		{[]float64{1, 2, 3}, []float64{2, 3, 2.5}, false},
+		{[]float64{1, 5, 9}, []float64{1.3, 5.2, 9.3}, true}, // draws that differ by more than the variants
 		{[]float64{1, 1}, []float64{2, 2}, false},
 	} {
 		if got := Compare(c.a, c.b); got.Real != c.real {
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -104,26 +104,39 @@
 	}
 }
 
+// down notes that a relay says nothing from now on.
+func (r *run) down(n *relay) {
+	r.with(func(at time.Duration) {
+		r.judge.Trouble(at, n.name)
+		r.views.gone(at, n.name)
+	})
+}
+
 func (r *run) breakRelay(s rehearsal.Step) {
 	i, _ := strconv.Atoi(s.Who[1:])
 	n := r.relays[i]
 	switch s.Do {
 	case "kill":
-		r.with(func(at time.Duration) { r.judge.Trouble(at, n.name) })
+		n.remember()
+		r.down(n)
 		n.signal(syscall.SIGKILL, true)
 	case "stop":
-		r.with(func(at time.Duration) { r.judge.Trouble(at, n.name) })
+		r.down(n)
 		n.signal(syscall.SIGSTOP, false)
 	case "continue":
 		n.signal(syscall.SIGCONT, false)
-		r.with(func(at time.Duration) { r.judge.Calm(at+awakens, n.name) })
+		r.with(func(at time.Duration) {
+			r.judge.Calm(at+awakens, n.name)
+			r.views.back(at, n.name)
+		})
 	case "term":
+		n.remember()
 		n.signal(syscall.SIGTERM, true)
 		go func() {
 			time.Sleep(frontLearns)
 			r.front.out(n.name)
 			<-n.done
-			r.with(func(at time.Duration) { r.judge.Trouble(at, n.name) })
+			r.down(n)
 		}()
 	case "start":
 		go func() { // an end that takes its time comes first
@@ -134,6 +147,7 @@
 			r.with(func(at time.Duration) {
 				r.judge.Calm(at, n.name)
 				r.judge.Restarted(n.name)
+				r.views.back(at, n.name)
 			})
 			r.mu.Lock()
 			closing := r.closing
--- a/internal/rehearse/relay.go
+++ b/internal/rehearse/relay.go
@@ -124,9 +124,6 @@
 			if err != nil {
 				n.how = err.Error()
 			}
-			if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
-				n.memory = max(n.memory, float64(u.Maxrss)/1024)
-			}
 			n.cpu += (cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()).Seconds()
 			if !n.wanted && !n.closing {
 				n.judge.Crashed(at, n.name, n.how)
@@ -144,6 +141,14 @@
 	return n.how
 }
 
+// remember keeps what the process has used, before it is ended. What the system tells of an ended one includes what its parent held.
+func (n *relay) remember() {
+	_, memory, bytes := n.look()
+	n.mu.Lock()
+	n.memory, n.bytes = max(n.memory, memory), n.bytes+bytes
+	n.mu.Unlock()
+}
+
 // signal sends one to the process if it runs. Wanted: its end is meant.
 func (n *relay) signal(s syscall.Signal, wanted bool) bool {
 	n.mu.Lock()
@@ -161,7 +166,7 @@
 // look reads what the process has used so far and what it has sent to others.
 func (n *relay) look() (cpu, memory float64, bytes int) {
 	n.mu.Lock()
-	cpu, memory = n.cpu, n.memory
+	cpu, memory, bytes = n.cpu, n.memory, 0
 	cmd, runs := n.cmd, n.how == ""
 	_, peers := n.config["peers"]
 	n.mu.Unlock()
@@ -184,19 +189,8 @@
 		}
 	}
 	if peers {
-		client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-		if answer, err := client.Get("http://" + n.operator + "/-/peers"); err == nil {
-			text, _ := io.ReadAll(io.LimitReader(answer.Body, 1<<22))
-			answer.Body.Close()
-			var said struct {
-				Peers []struct {
-					Out int `json:"bytes_out"`
-				}
-			}
-			json.Unmarshal(text, &said)
-			for _, p := range said.Peers {
-				bytes += p.Out
-			}
+		for _, p := range n.account() {
+			bytes += p.Out
 		}
 	}
 	return cpu, memory, bytes
@@ -204,6 +198,26 @@
 
 func lastParen(text []byte) int { return bytes.LastIndexByte(text, ')') + 1 }
 
+// seen is what a relay says of another.
+type seen struct {
+	Name, State string
+	Out         int `json:"bytes_out"`
+}
+
+// account asks the relay what it knows of the others.
+func (n *relay) account() []seen {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Get("http://" + n.operator + "/-/peers")
+	if err != nil {
+		return nil
+	}
+	defer answer.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(answer.Body, 1<<22))
+	var said struct{ Peers []seen }
+	json.Unmarshal(text, &said)
+	return said.Peers
+}
+
 // finish ends the process, in peace first.
 func (n *relay) finish() {
 	if n.done == nil {
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -18,10 +18,10 @@
 
 // Result is what one play showed. Times are in the unit that the name ends in.
 type Result struct {
-	Variant    string  `json:"variant"`
-	Repetition int     `json:"repetition"`
-	Seed       uint64  `json:"seed"`
-	Seconds    float64 `json:"seconds"`
+	Variant string  `json:"variant"`
+	Play    int     `json:"play"`
+	Seed    uint64  `json:"seed"`
+	Seconds float64 `json:"seconds"`
 	// Invalid says why the play says nothing of the relays; empty if it does.
 	Invalid string             `json:"invalid,omitempty"`
 	Broken  []rehearsal.Break  `json:"broken"`
@@ -39,6 +39,7 @@
 	Probes  float64            `json:"probes_a_s"`
 	Relays  []Relay            `json:"relays"`
 	Late    map[string]float64 `json:"rehearsal_late_ms"`
+	Peers   *Peers             `json:"peers,omitempty"`
 	Asked   []float64          `json:"asked"` // connections, each second
 	Served  []float64          `json:"served"`
 	Steps   []Mark             `json:"faults"`
@@ -53,6 +54,15 @@
 	Peers  int     `json:"bytes_to_relays"`
 }
 
+// Peers is how relays saw each other, where they do.
+type Peers struct {
+	Noticed   int     `json:"noticed"` // ends of relays, by each that lived
+	P50       float64 `json:"noticed_p50_s"`
+	P99       float64 `json:"noticed_p99_s"`
+	Suspected int     `json:"live_suspected"`
+	Dead      int     `json:"live_held_for_dead"`
+}
+
 // Mark is a fault on the time axis.
 type Mark struct {
 	At   float64 `json:"at_s"`
@@ -60,10 +70,10 @@
 }
 
 func (r *run) result(v rehearsal.Variant, repetition int) *Result {
-	x := &Result{Variant: v.Name, Repetition: repetition, Seed: r.plan.Seed, SetUp: map[string]float64{}, Late: map[string]float64{}, Broken: []rehearsal.Break{}}
+	x := &Result{Variant: v.Name, Play: repetition, Seed: r.plan.Seed, SetUp: map[string]float64{}, Late: map[string]float64{}, Broken: []rehearsal.Break{}}
 	for _, n := range r.relays {
 		cpu, memory, bytes := n.look()
-		x.Relays = append(x.Relays, Relay{n.name, n.starts, cpu, memory, bytes})
+		x.Relays = append(x.Relays, Relay{n.name, n.starts, cpu, memory, n.bytes + bytes})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -93,6 +103,10 @@
 	}
 	x.Lists, x.Probes = r.lists.Most, r.probes.All/end.Seconds()
 	x.Asked, x.Served = r.service.At()
+	if _, on := r.config["peers"]; on {
+		v := r.views
+		x.Peers = &Peers{len(v.noticed), rehearsal.Quantile(v.noticed, 0.5), rehearsal.Quantile(v.noticed, 0.99), v.false_, v.dead}
+	}
 	for _, s := range r.plan.Steps {
 		x.Steps = append(x.Steps, Mark{s.At.Seconds(), strings.TrimSpace(s.Do + " " + s.Who + " " + s.To)})
 	}
@@ -117,6 +131,10 @@
 	{"processor time of a relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return n.CPU }) / r.Seconds * 100 }, "% of a core"},
 	{"memory of a relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return n.Memory }) }, "MB"},
 	{"bytes from relay to relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return float64(n.Peers) }) / r.Seconds }, "/s each"},
+	{"an end noticed by a relay, p50", func(r *Result) float64 { return r.peers().P50 }, "s"},
+	{"an end noticed by a relay, p99", func(r *Result) float64 { return r.peers().P99 }, "s"},
+	{"live relays suspected", func(r *Result) float64 { return float64(r.peers().Suspected) }, ""},
+	{"live relays held for dead", func(r *Result) float64 { return float64(r.peers().Dead) }, ""},
 	{"rules broken", func(r *Result) float64 { return float64(len(r.Broken)) }, ""},
 }
 
@@ -131,6 +149,13 @@
 	return r.Seconds - r.Steps[len(r.Steps)-1].At
 }
 
+func (r *Result) peers() Peers {
+	if r.Peers == nil {
+		return Peers{}
+	}
+	return *r.Peers
+}
+
 func (r *Result) mean(of func(Relay) float64) float64 {
 	sum := 0.0
 	for _, n := range r.Relays {
@@ -199,18 +224,22 @@
 		fmt.Fprintln(w)
 		for _, r := range by[n] {
 			if r.Invalid != "" {
-				fmt.Fprintf(w, "%s, repetition %d is INVALID: %s\n", n, r.Repetition, r.Invalid)
+				fmt.Fprintf(w, "%s, play %d is INVALID: %s\n", n, r.Play, r.Invalid)
 			}
 			for i, b := range r.Broken {
 				if i == 8 {
 					fmt.Fprintf(w, "  and %d more\n", len(r.Broken)-i)
 					break
 				}
-				fmt.Fprintf(w, "%s, repetition %d: RULE BROKEN at %.2f s, %s: %s: %s\n", n, r.Repetition, b.At.Seconds(), b.Relay, b.Rule, b.What)
+				fmt.Fprintf(w, "%s, play %d: RULE BROKEN at %.2f s, %s: %s: %s\n", n, r.Play, b.At.Seconds(), b.Relay, b.Rule, b.What)
 			}
 		}
 	}
-	fmt.Fprintf(w, "\nseed %d; the rehearsal itself was late by %.1f ms at p99\n", all[0].Seed, all[0].Late["p99"])
+	late := 0.0
+	for _, r := range all {
+		late = max(late, r.Late["p99"])
+	}
+	fmt.Fprintf(w, "\nseed %d and on; the rehearsal itself was late by %.1f ms at p99 at worst\n", all[0].Seed, late)
 }
 
 // figure writes a number with three digits that count.
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -50,6 +50,7 @@
 	ways    map[[2]string]*way
 	front   *front
 	disc    *standin.Discovery
+	views   *views
 	setUp   *hdrhistogram.Histogram // microseconds
 	late    *hdrhistogram.Histogram // of the rehearsal itself, microseconds
 	lists   *rehearsal.Peak
@@ -135,16 +136,17 @@
 	return config, set, r.File.CheckZones(site(set).Zones)
 }
 
-// All plays every variant as often as the file says, in turn, all on the same draw.
+// All plays every variant on every draw as often as the file says, in turn.
 func (r *Rehearsal) All(ctx context.Context) (all []*Result, err error) {
-	for k := range r.File.Repetitions {
+	for k := range r.File.Repetitions * r.File.Seeds {
+		seed := r.File.Seed + uint64(k%r.File.Seeds)
 		for _, v := range r.File.Variants {
 			if ctx.Err() != nil {
 				return all, nil
 			}
-			r.Say("%s, repetition %d of %d, seed %d: %d relays, %d members\n", v.Name, k+1, r.File.Repetitions, r.File.Seed,
+			r.Say("%s, play %d of %d, seed %d: %d relays, %d members\n", v.Name, k+1, r.File.Repetitions*r.File.Seeds, seed,
 				r.File.Relays.Count, r.File.Members.Count)
-			x, err := r.Play(ctx, v, k+1, r.File.Seed)
+			x, err := r.Play(ctx, v, k+1, seed)
 			if err != nil {
 				return all, err
 			}
@@ -170,6 +172,7 @@
 			x.program = filepath.Join(r.Dir, x.program)
 		}
 	}
+	x.views = &views{run: x, down: map[string]time.Duration{}, up: map[string]time.Duration{}, have: map[[2]string]string{}, told: map[[2]string]bool{}}
 	x.service = rehearsal.NewService(x.plan.From, x.plan.To)
 	g := set.Guarantees
 	x.judge = rehearsal.NewJudge(rehearsal.Rules{Attempts: set.Limits.MaxAttempts, Slack: settings.Span(g.Slack), Grace: settings.Span(g.Grace),
@@ -416,6 +419,10 @@
 	all.Add(3)
 	go func() { defer all.Done(); r.steps(ctx) }()
 	go func() { defer all.Done(); r.progress(ctx) }()
+	if _, on := r.config["peers"]; on {
+		all.Add(1)
+		go func() { defer all.Done(); r.views.watch(ctx) }()
+	}
 	go func() { // what keeps the rehearsal itself from being on time
 		defer all.Done()
 		for ctx.Err() == nil {
