A relay that stood still reads what has come first; what it learned survives its end

Probe in loop.go: EpollWait returns -1, EINTR after SIGCONT, so fire() ran what was overdue before any event (Turn); among it the watch's own clock, with the answer in its socket. Ruled out: a discovery that had not answered (4 to 6 s before), timers before events in a usual round (events come first).

loop.go looks for events again after EINTR and tells of gaps (over a tenth of ask-within-ms); serve.go then asks discovery at once, and core.Doubt holds whatever is new to a member until that is told, for drain-grace-ms at most. TestAsleep (processes): 8 of 12 requests went to draining members before, none now; TestDoubt.

TestState with processes: goes on with discovery down, and starts with a torn, foreign or impossible one.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -26,6 +26,8 @@
 	"dahliarudder/internal/peering"
 	"dahliarudder/internal/peers"
 	"dahliarudder/internal/pool"
+	"dahliarudder/internal/settings"
+	"dahliarudder/internal/snapshot"
 	"dahliarudder/internal/store"
 	"dahliarudder/policy"
 )
@@ -46,6 +48,8 @@
 	flushWithin = 3 * time.Second
 	// wordsMost is how many calls of operators may wait for the disk.
 	wordsMost = 64
+	// gapPart of the time within which a relay must ask for the list is how long it may stand still and believe what it holds.
+	gapPart = 10
 	// stopLinger lets the last answers leave.
 	stopLinger = 200 * time.Millisecond
 )
@@ -76,6 +80,7 @@
 		loop.Close()
 		return errors.Join(err, r.closeStore())
 	}
+	loop.Gap(r.core.Limits().AskWithin/gapPart, r.woke)
 	if cfg.CountsMS > 0 {
 		r.count(time.Duration(cfg.CountsMS*float64(time.Millisecond)), core.Counts{})
 	}
@@ -118,6 +123,15 @@
 	})
 }
 
+// woke is told that this process stood still: what it knows of members is as old as that, and nothing new is sent by it until discovery has
+// said what has changed, or for as long as a change may take to be heeded anyway.
+func (r *relay) woke(gap time.Duration) {
+	r.log.WithField("gap", gap).Warn("this process stood still; members are asked for anew")
+	r.core.Doubt()
+	r.watch.Refresh(r.core.Sure)
+	r.loop.After(settings.Span(r.names.Settings.Guarantees.Grace), r.core.Sure)
+}
+
 // relay is what serve puts together.
 type relay struct {
 	cfg       *config.Config
@@ -131,6 +145,7 @@
 	nats      *nats.Front      // nil if it is off
 	store     *store.Store     // nil if it is off
 	peers     *peering.Service // nil if it is off
+	came      *recovery        // nil if no state is kept
 	listeners []*netloop.Listener
 	sockets   int                          // descriptors that the loop may hold
 	memory    int                          // bytes that its buffers may
@@ -188,7 +203,13 @@
 		r.watch.Hold(known)
 		r.core.Pool(policy.ListCached, r.names.Members(known))
 	}
+	succeeds := r.state != nil
 	r.remember()
+	if cfg.State != nil && !succeeds { // an older process knows more
+		r.resumeFrom(*cfg.State)
+	} else if cfg.State != nil {
+		r.came = &recovery{From: "an older process", Away: []snapshot.Part{}, dir: cfg.State.Dir, out: make(chan []byte, 1)}
+	}
 	r.fronts = map[string]*netloop.Listener{}
 	if r.nats != nil {
 		err = r.listen("nats", cfg.Fronts.NATS.Listen, r.nats.Accept)
@@ -209,6 +230,9 @@
 	if cfg.Peers != nil {
 		r.meet(*cfg.Peers)
 	}
+	if r.came != nil {
+		r.keep(time.Duration(cfg.State.EveryMS * float64(time.Millisecond)))
+	}
 	if r.twin != nil {
 		r.exchange()
 	} else if r.open = true; cfg.Operator != "" {
@@ -238,8 +262,12 @@
 			book.Note(r.clock(), m.Name, in, how)
 		}
 	}
+	known := p.Known
+	if r.came != nil { // those that it knew: all that are configured may be down
+		known = append(slices.Clone(known), r.came.peers...)
+	}
 	r.peers = peering.New(peering.Options{Seen: func() peers.Digest { return book.Digest(r.clock()) }, Loop: r.loop, Log: r.log, Name: r.cfg.Name, Zone: zone, Listen: p.Listen, Address: p.Address,
-		Known: p.Known, Reach: p.Reach, Keys: p.Keys(), Configured: max(set.Balancers, 1), Seed: r.cfg.SeedNumber(), Wall: time.Now,
+		Known: known, Reach: p.Reach, Keys: p.Keys(), Configured: max(set.Balancers, 1), Seed: r.cfg.SeedNumber(), Wall: time.Now,
 		Share: r.core.Relays,
 		Own: func() (peers.Phase, uint64, uint64, uint64) {
 			phase := peers.Serving
--- /dev/null
+++ b/cmd/dahliarudder/state.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"dahliarudder/internal/config"
+	"dahliarudder/internal/snapshot"
+	"dahliarudder/policy"
+)
+
+// recovery is what this relay came back with.
+type recovery struct {
+	From   string          `json:"from"` // "snapshot", "an older process", or "nothing"
+	Age    int64           `json:"age_ms"`
+	Away   []snapshot.Part `json:"thrown_away"`
+	Wrote  int64           `json:"written_ms_ago"` // the last snapshot; -1: none yet
+	Failed string          `json:"write_failed,omitempty"`
+	peers  []string
+	at     time.Duration // of the last write
+	dir    string
+	out    chan []byte // what is to be written; one waits at most
+}
+
+// resume goes on from the snapshot, if there is one to be believed. The list that is held already stands.
+func (r *relay) resumeFrom(c config.State) {
+	r.came = &recovery{From: "nothing", Away: []snapshot.Part{}, dir: c.Dir, out: make(chan []byte, 1)}
+	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
+		r.log.WithError(err).Error("state: nothing can be kept")
+	}
+	s, err := snapshot.Read(c.Dir)
+	if err != nil || s == nil {
+		r.thrown("snapshot", err)
+		return
+	}
+	held, known := r.watch.List()
+	if !known || s.Watched != r.cfg.Discovery { // a generation means nothing but where it was given
+		held.Generation = 0
+	}
+	age, away, err := s.Believe(time.Now(), r.cfg.Name, held.Generation, snapshot.Ages(r.core.Limits().AskWithin))
+	if err != nil {
+		r.thrown("snapshot", err)
+		return
+	}
+	r.came.From, r.came.Age, r.came.peers = "snapshot", age.Milliseconds(), s.Peers
+	r.came.Away = append(r.came.Away, away...)
+	for _, p := range away {
+		r.log.WithField("what", p.What).WithField("why", p.Why).Info("state: not believed")
+	}
+	if s.List != nil {
+		if s.Watched == r.cfg.Discovery {
+			r.watch.Hold(s.List)
+		}
+		r.core.Pool(policy.ListCached, r.names.Members(s.List))
+	}
+	r.core.Recall(s.Learned)
+	r.log.WithField("age", age).Info("state: goes on from its snapshot")
+}
+
+func (r *relay) thrown(what string, err error) {
+	if err != nil {
+		r.came.Away = append(r.came.Away, snapshot.Part{What: what, Why: err.Error()})
+		r.log.WithError(err).Error("state: the snapshot is not used")
+	}
+}
+
+// keep writes a snapshot now and then, off the loop: a slow disk holds nobody up, and what it has not taken is not queued.
+func (r *relay) keep(every time.Duration) {
+	c := r.came
+	go func() {
+		for b := range c.out {
+			err := snapshot.Write(c.dir, b)
+			r.loop.Post(func() {
+				if c.at = r.clock(); err != nil {
+					if c.Failed == "" {
+						r.log.WithError(err).Error("state: a snapshot could not be written")
+					}
+					c.Failed = err.Error()
+				} else {
+					c.Failed = ""
+				}
+			})
+		}
+	}()
+	var again func()
+	again = func() {
+		if r.core.Usable() { // one who knows nothing does not write that over what it knew
+			if b, err := r.snapshot().Encode(); err != nil { // here: what it holds is the module's own
+				c.Failed = err.Error()
+			} else {
+				select {
+				case c.out <- b:
+				default:
+				}
+			}
+		}
+		r.loop.After(every, again)
+	}
+	r.loop.After(every, again)
+}
+
+func (r *relay) snapshot() *snapshot.Snapshot {
+	list, _ := r.watch.List()
+	s := &snapshot.Snapshot{Name: r.cfg.Name, Written: time.Now().UnixMilli(), List: list, Watched: r.cfg.Discovery, Learned: r.core.Learned()}
+	if r.peers != nil {
+		s.Peers = r.peers.Addresses()
+	}
+	return s
+}
+
+// Recovery is what this relay came back with, as JSON; empty where no state is kept.
+func (r *relay) Recovery() string {
+	if r.came == nil {
+		return ""
+	}
+	c := *r.came
+	if c.Wrote = -1; c.at > 0 {
+		c.Wrote = (r.clock() - c.at).Milliseconds()
+	}
+	text, _ := json.MarshalIndent(c, "", " ")
+	return string(text)
+}
--- /dev/null
+++ b/integration/asleep_test.go
@@ -0,0 +1,111 @@
+package integration
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestAsleep: a relay that stood still for longer than its calls wait, while most of its members began to drain. What has come in
+// meanwhile is read before anything is held for overdue, and nothing is sent by what it knew before: not to a member that
+// discovery has called draining, neither by those who have waited for it nor by those who come at once.
+func TestAsleep(t *testing.T) {
+	s := newSite(t, 6, nil)
+	s.hold(6)
+	s.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(4500 * time.Millisecond) // the call that was out has its answer
+	for _, b := range s.backends[1:] {
+		s.d.Set(b.id, "DRAINING")
+	}
+	before := make([]int, len(s.backends))
+	for i, b := range s.backends {
+		before[i] = len(b.firstLines())
+	}
+	time.Sleep(2500 * time.Millisecond) // longer than a call to discovery waits
+	var all []*client
+	for n := range 12 {
+		c := s.dial()
+		c.say(fmt.Sprintf("OPEN %016x %016x c=pay-status,t=water,d=9000", 100+n, 300+n))
+		all = append(all, c)
+	}
+	s.cmd.Process.Signal(syscall.SIGCONT)
+	for _, c := range all {
+		if line := c.line(); !strings.HasPrefix(line, "UP "+s.backends[0].id+"/") && !strings.HasPrefix(line, "BUSY") {
+			t.Errorf("answered %q", line)
+		}
+	}
+	for i, b := range s.backends[1:] {
+		if lines := b.firstLines(); len(lines) > before[i+1] {
+			t.Errorf("%d new requests at %s, which drains", len(lines)-before[i+1], b.id)
+		}
+	}
+	if strings.Contains(s.log.String(), "discovery call failed") {
+		t.Error("an answer that had come was held for missing")
+	}
+	checkTries(t, s.tries)
+}
+
+// TestState: a relay that is killed goes on from its snapshot: what it says it came back with, where the list is from while discovery is
+// down and its configuration knows none; and a snapshot that is torn, another's or in a directory that cannot be had never stops a start.
+func TestState(t *testing.T) {
+	s := newSite(t, 3, map[string]any{"operator": "127.0.0.1:0", "state": map[string]any{"dir": "state", "every_ms": 1000}, "known": nil})
+	until(t, "the list", func() bool { return s.call("GET", "/-/ready") == 200 })
+	s.hold(3)
+	at := filepath.Join(filepath.Dir(s.path), "state", "snapshot")
+	until(t, "a snapshot", func() bool { _, err := os.Stat(at); return err == nil })
+	s.d.SetDown(true)
+	s.cmd.Process.Kill()
+	<-s.done
+	said := func(r *relay) string {
+		t.Helper()
+		answer, err := http.Get("http://" + r.addr["operator"] + "/-/recovery")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer answer.Body.Close()
+		text, _ := io.ReadAll(answer.Body)
+		return string(text)
+	}
+	next := start(t, s.path, 2)
+	if text := said(next); !strings.Contains(text, `"from": "snapshot"`) {
+		t.Errorf("came back %s", text)
+	}
+	next.open(50, "").want("UP ")
+	next.cmd.Process.Kill()
+	<-next.done
+	text, err := os.ReadFile(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.d.SetDown(false)
+	for what, do := range map[string]func(){
+		"torn": func() { write(t, at, string(text[:len(text)/2])) },
+		"of another relay": func() {
+			write(t, at, string(text))
+			config, _ := os.ReadFile(s.path)
+			write(t, s.path, strings.Replace(string(config), `"name":"n0"`, `"name":"n9"`, 1))
+		},
+		"not a directory": func() {
+			os.RemoveAll(filepath.Dir(at))
+			write(t, filepath.Dir(at), "")
+		},
+	} {
+		do()
+		r := start(t, s.path, 2)
+		if text := said(r); !strings.Contains(text, `"from": "nothing"`) || !strings.Contains(text, `"why"`) {
+			t.Errorf("%s: came back %s", what, text)
+		}
+		until(t, "the list", func() bool { return r.call("GET", "/-/ready") == 200 })
+		r.open(60, "").want("UP ")
+		r.cmd.Process.Kill()
+		<-r.done
+		os.RemoveAll(filepath.Dir(at))
+		os.MkdirAll(filepath.Dir(at), 0o700)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,6 +43,7 @@
 	Fronts   *Fronts         `json:"fronts"` // nil: the line front alone
 	Store    *store.Config   `json:"store"`  // nil: nothing is recorded
 	Peers    *Peers          `json:"peers"`  // nil: this relay knows of no other
+	State    *State          `json:"state"`  // nil: nothing is kept for the next start
 	// CountsMS is how often, in milliseconds, the relay logs what it has counted since the
 	// last time; 0: never.
 	CountsMS float64 `json:"counts_ms"`
@@ -54,6 +55,31 @@
 	written  string         // discovery as the file has it
 }
 
+// State is where and how often a relay keeps what its next start can use.
+type State struct {
+	Dir     string  `json:"dir"`      // relative to the configuration
+	EveryMS float64 `json:"every_ms"` // 5,000 if absent
+}
+
+// The bounds of state.every_ms.
+const leastStateMS, usualStateMS, mostStateMS = 1000, 5000, 600_000
+
+func (s *State) check(dir string) error {
+	if s.Dir == "" {
+		return errors.New("state.dir: names no directory")
+	}
+	if !filepath.IsAbs(s.Dir) {
+		s.Dir = filepath.Join(dir, s.Dir)
+	}
+	if s.EveryMS == 0 {
+		s.EveryMS = usualStateMS
+	}
+	if !(s.EveryMS >= leastStateMS && s.EveryMS <= mostStateMS) {
+		return fmt.Errorf("state.every_ms: %v is not from %d to %d", s.EveryMS, leastStateMS, mostStateMS)
+	}
+	return nil
+}
+
 // Peers is how this relay and the others of its installation know of each other.
 type Peers struct {
 	Listen  string            `json:"listen"`   // UDP, and TCP that says no more than that a process is there
@@ -157,6 +183,7 @@
 		{"limits", c.Limits, fresh.Limits}, {"known", c.known, fresh.known}, {"settings", c.decoded, fresh.decoded},
 		{"fronts", c.Fronts.lasting(), fresh.Fronts.lasting()}, {"store", c.Store, fresh.Store},
 		{"counts_ms", c.CountsMS, fresh.CountsMS}, {"peers", c.Peers, fresh.Peers},
+		{"state", c.State, fresh.State},
 	} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
@@ -248,6 +275,11 @@
 			return fmt.Errorf("%w: %v", ErrInvalid, err)
 		}
 	}
+	if c.State != nil {
+		if err := c.State.check(c.dir); err != nil {
+			return fmt.Errorf("%w: %v", ErrInvalid, err)
+		}
+	}
 	if c.Store != nil {
 		if err := c.Store.Check(); err != nil {
 			return fmt.Errorf("%w: store: %v", ErrInvalid, err)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -164,7 +164,10 @@
 	bans      map[string]bool // by name, also of members that are not listed
 	stopping  bool
 	draining  bool
-	moveAt    time.Duration // during a stop or a drain nobody is moved before
+	doubting  bool
+	strict    bool             // nothing goes to a member that has left, within the grace neither
+	later     []policy.Verdict // what waits for the end of the doubt
+	moveAt    time.Duration    // during a stop or a drain nobody is moved before
 	Counts    Counts
 }
 
@@ -621,6 +624,23 @@
 	}
 }
 
+// ---- Doubt ----
+
+// Doubt has whatever is new to a member wait: this process stood still, and discovery may have said meanwhile that the member
+// drains or is gone. Sure ends it: what has waited goes where it may still go, and what may not is decided anew.
+func (c *Core) Doubt() { c.doubting = true }
+
+// Sure is called when the news is told, and also when there is none to be had.
+func (c *Core) Sure() {
+	if !c.doubting {
+		return
+	}
+	later := c.later
+	c.doubting, c.later, c.strict = false, nil, true
+	c.apply(later)
+	c.strict = false
+}
+
 // ---- What the module's verdicts do ----
 
 func (c *Core) tell(n policy.News) { c.apply(c.facade.Report(c.Clock(), n)) }
@@ -643,6 +663,10 @@
 
 func (c *Core) do(v policy.Verdict) {
 	r := c.requests[v.ID]
+	if c.doubting && (v.Do == policy.DoSend || v.Do == policy.DoProbe) {
+		c.later = append(c.later, v)
+		return
+	}
 	switch v.Do {
 	case policy.DoProbe:
 		switch m := c.members[v.Server]; {
@@ -688,7 +712,9 @@
 }
 
 // reachable says whether anything new may go to a member, a probe as well.
-func (c *Core) reachable(now time.Duration, m *member) bool { return !(m.left && now-m.told > c.grace) }
+func (c *Core) reachable(now time.Duration, m *member) bool {
+	return !m.left || !c.strict && now-m.told <= c.grace
+}
 
 // Reachable says the same to fronts that start something anew by themselves.
 func (c *Core) Reachable(id policy.ServerID) bool {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -37,10 +37,11 @@
 	answers []string
 	moved   int
 	wait    time.Duration
+	to      string
 }
 
 func (s *side) Send(id ID, to *Member, try int, wait time.Duration) {
-	s.id, s.wait = id, wait
+	s.id, s.wait, s.to = id, wait, to.Name
 	s.r.out[id] = s
 	s.out++
 	s.tries++
@@ -302,6 +303,49 @@
 	}
 }
 
+// TestDoubt: while this process does not know what it has missed nothing is sent; then what has waited goes only where it may
+// still go, within the grace too, and who waited too long has an answer of the relay's own.
+func TestDoubt(t *testing.T) {
+	r := newRig(t, 4)
+	r.Doubt()
+	var all []*side
+	for range 20 {
+		all = append(all, r.open())
+	}
+	late := r.open()
+	for _, s := range all {
+		if s.tries > 0 || len(s.answers) > 0 {
+			t.Fatalf("%d tries, answers %v", s.tries, s.answers)
+		}
+	}
+	r.Left(late.id)
+	r.Pool(policy.ListDelta, list(4, policy.Draining)[1:])
+	r.Sure()
+	r.Sure()
+	sent := 0
+	for i, s := range all {
+		if sent += s.tries; s.tries > 0 && s.to != "m0" {
+			t.Errorf("request %d: at %q", i, s.to)
+		}
+	}
+	if sent < 3 {
+		t.Errorf("%d of what has waited was sent", sent)
+	}
+	if late.tries > 0 {
+		t.Error("sent for a client that has left")
+	}
+	r.Doubt()
+	s := r.open()
+	r.pass(3 * time.Second)
+	if s.tries > 0 || len(s.answers) != 1 {
+		t.Errorf("%d tries, answers %v", s.tries, s.answers)
+	}
+	r.Sure()
+	if s.tries > 0 || len(s.answers) != 1 {
+		t.Errorf("after its answer: %d tries, answers %v", s.tries, s.answers)
+	}
+}
+
 // TestBanUnlisted: a ban that an earlier process has kept holds for a member that
 // discovery names only later.
 func TestBanUnlisted(t *testing.T) {
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -70,11 +70,13 @@
 	round      time.Duration // when this one began
 	spell      time.Duration // how long the last one took
 	busy       float64
-	chunk      []byte   // what one read may bring
-	plain      []byte   // where TLS records are decrypted; nil until there are any
-	shaking    int      // TLS handshakes under way
-	dirty      []*Conn  // that have something queued
-	free       [][]byte // buffers that nothing is in
+	gapMost    time.Duration
+	gapped     func(time.Duration) // nil: nobody wants to know
+	chunk      []byte              // what one read may bring
+	plain      []byte              // where TLS records are decrypted; nil until there are any
+	shaking    int                 // TLS handshakes under way
+	dirty      []*Conn             // that have something queued
+	free       [][]byte            // buffers that nothing is in
 	freeBytes  int
 	scrap      []byte // where writing goes that nobody sends
 
@@ -165,6 +167,12 @@
 	unix.Write(l.wake, one[:]) // a full counter wakes the loop as well
 }
 
+// Gap has gapped called, before anything else of its round, when this process has stood still for longer than most: it was stopped,
+// its machine slept, or one round took as long.
+func (l *Loop) Gap(most time.Duration, gapped func(time.Duration)) {
+	l.gapMost, l.gapped = most, gapped
+}
+
 // Stop ends Run after the current round.
 func (l *Loop) Stop() { l.stopped = true }
 
@@ -183,11 +191,19 @@
 // serves them and runs what is due.
 func (l *Loop) Turn(patience int) error {
 	n, err := unix.EpollWait(l.poll, l.events[:], patience)
+	if err == unix.EINTR {
+		// So ends the wait of a process that was stopped and goes on: what has come meanwhile goes before what is overdue.
+		n, err = unix.EpollWait(l.poll, l.events[:], 0)
+	}
 	if err != nil && err != unix.EINTR {
 		return fmt.Errorf("epoll: %w", err)
 	}
 	slept := l.now() - l.round - l.spell
+	late := max(slept-time.Duration(patience)*time.Millisecond, l.spell)
 	l.round += l.spell + slept
+	if l.gapped != nil && patience >= 0 && late > l.gapMost {
+		l.gapped(late)
+	}
 	defer func() {
 		l.spell = l.now() - l.round
 		l.account(slept)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -36,6 +36,8 @@
 	Resume()
 	// Peers is what is known of the other relays, as JSON; empty if this one knows of none.
 	Peers() string
+	// Recovery is what this relay came back with; empty where no state is kept.
+	Recovery() string
 }
 
 // Front serves the second address.
@@ -101,6 +103,7 @@
 	drain    = "/-/drain"
 	resume   = "/-/resume"
 	peers    = "/-/peers"
+	recovery = "/-/recovery"
 	backends = "/-/backends/"
 )
 
@@ -124,6 +127,14 @@
 				c.answer(http.StatusNotFound, "peers are not set up")
 			}
 		}
+	case recovery:
+		want, do = http.MethodGet, func() {
+			if text := c.f.Relay.Recovery(); text != "" {
+				c.answer(http.StatusOK, text)
+			} else {
+				c.answer(http.StatusNotFound, "no state is kept")
+			}
+		}
 	case drain:
 		do = func() { c.f.Relay.Drain(); c.answer(http.StatusOK, "draining") }
 	case resume:
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -24,6 +24,7 @@
 func (r *relay) Drain()               { r.said = append(r.said, "drain") }
 func (r *relay) Resume()              { r.said = append(r.said, "resume") }
 func (r *relay) Peers() string        { return r.peers }
+func (r *relay) Recovery() string     { return "" }
 func (r *relay) Ban(id string, out bool, done func(error)) {
 	r.said, r.done = append(r.said, fmt.Sprint(id, " ", out)), done
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -180,6 +180,20 @@
 	s.door.Close()
 }
 
+// Addresses are those of the relays that live, as this one reaches them.
+func (s *Service) Addresses() (all []string) {
+	for _, p := range s.m.Peers() {
+		if p.State <= peers.Suspect {
+			at, elsewhere := s.Reach[p.Name]
+			if !elsewhere {
+				at = p.Addr
+			}
+			all = append(all, at)
+		}
+	}
+	return all
+}
+
 // Shares says how many relays live, and by how many budgets are divided.
 func (s *Service) Shares() (live int, share float64) {
 	live, _ = s.m.Counts()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -270,6 +270,9 @@
 				w.start(i)
 			}
 		}
+		if !w.nodes[0].up && !w.nodes[n-1].up { // two that come back knowing nobody never meet while all known addresses are down
+			w.start(0)
+		}
 		took := w.settle(t, 90*time.Second)
 		if took > 60*time.Second {
 			t.Errorf("seed %d, %d relays: agreed only after %v", seed, n, took)
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -40,6 +40,7 @@
 	parser     http1.Parser
 	within     *netloop.Timer
 	stopped    bool
+	fresh      func() // the call that is out is to be answered at once, and then this is called
 }
 
 // Hold says which list is held from the start.
@@ -74,6 +75,16 @@
 	}
 }
 
+// Refresh asks at once for what has changed, in the place of the call that is out, whose answer may be as old as it is; done is
+// called when it is told. While no watch goes on it does nothing.
+func (w *Watch) Refresh(done func()) {
+	if w.watching && !w.stopped {
+		w.hangUp()
+		w.fresh = done
+		w.call()
+	}
+}
+
 // Move has the watch go on at another address. The first call there asks for the
 // whole list: a generation means nothing but where it was given.
 func (w *Watch) Move(addr string) {
@@ -113,7 +124,10 @@
 func (w *Watch) ask() time.Duration {
 	path := "/api/targets"
 	wait := time.Duration(0)
-	if w.known {
+	switch {
+	case w.known && w.fresh != nil:
+		path = fmt.Sprintf("/api/targets?since=%d&timeout_ms=0", w.generation)
+	case w.known:
 		path = fmt.Sprintf("/api/targets?since=%d&timeout_ms=%d", w.generation, watchWait.Milliseconds())
 		wait = watchWait
 	}
@@ -164,9 +178,14 @@
 	if w.parser.Closes {
 		w.hangUp()
 	}
+	done := w.fresh
+	w.fresh = nil
 	w.hold(list)
 	w.call() // first: the gap between two calls of a watch is bounded
 	w.Told(kind, w.Names.Members(list))
+	if done != nil {
+		done()
+	}
 }
 
 // failed ends the watch.
@@ -175,7 +194,7 @@
 	if w.stopped {
 		return
 	}
-	w.watching = false
+	w.watching, w.fresh = false, nil
 	w.Log.WithError(err).Warn("discovery call failed")
 	w.Told(policy.ListFailed, nil)
 }
--- a/internal/rehearse/relay.go
+++ b/internal/rehearse/relay.go
@@ -61,6 +61,14 @@
 	if n.starts == 0 { // later starts hold what the first one held: a list that may be old
 		c["known"] = list
 	}
+	delete(c, "store")  // what is rehearsed is not put on record
+	delete(c, "fronts") // clients speak the line protocol
+	if _, on := c["state"]; on {
+		st := map[string]any{}
+		json.Unmarshal(n.config["state"], &st)
+		st["dir"] = filepath.Join(n.dir, "state") // never the operator's own
+		c["state"] = st
+	}
 	if _, on := c["peers"]; on {
 		p := map[string]any{}
 		json.Unmarshal(n.config["peers"], &p)
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -103,7 +103,7 @@
 	}
 	x.Lists, x.Probes = r.lists.Most, r.probes.All/end.Seconds()
 	x.Asked, x.Served = r.service.At()
-	if _, on := r.config["peers"]; on {
+	if _, on := r.config["peers"]; on && r.File.Relays.Views > 0 {
 		v := r.views
 		x.Peers = &Peers{len(v.noticed), rehearsal.Quantile(v.noticed, 0.5), rehearsal.Quantile(v.noticed, 0.99), v.false_, v.dead}
 	}
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -138,6 +138,7 @@
 
 // All plays every variant on every draw as often as the file says, in turn.
 func (r *Rehearsal) All(ctx context.Context) (all []*Result, err error) {
+	standin.Host = fmt.Sprintf("127.%d.%d.1", 64+rand.IntN(128), rand.IntN(256)) // other rehearsals on this machine have others
 	for k := range r.File.Repetitions * r.File.Seeds {
 		seed := r.File.Seed + uint64(k%r.File.Seeds)
 		for _, v := range r.File.Variants {
@@ -419,7 +420,7 @@
 	all.Add(3)
 	go func() { defer all.Done(); r.steps(ctx) }()
 	go func() { defer all.Done(); r.progress(ctx) }()
-	if _, on := r.config["peers"]; on {
+	if _, on := r.config["peers"]; on && r.File.Relays.Views > 0 {
 		all.Add(1)
 		go func() { defer all.Done(); r.views.watch(ctx) }()
 	}
@@ -515,7 +516,7 @@
 // free is an address of the loopback that nobody listens at now, by TCP and UDP.
 func free() (string, error) {
 	for range 200 {
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		addr := fmt.Sprintf("%s:%d", standin.Host, firstPort+rand.IntN(lastPort-firstPort))
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
--- a/internal/rehearse/views.go
+++ b/internal/rehearse/views.go
@@ -4,10 +4,9 @@
 	"context"
 	"sync"
 	"time"
-)
 
-// viewEvery is how often each relay is asked what it knows of the others: the grain of what is told of noticing.
-const viewEvery = 100 * time.Millisecond
+	"dahliarudder/internal/rehearsal"
+)
 
 // views counts how soon relays notice that another is down, and how often they suspect one that is not.
 type views struct {
@@ -31,7 +30,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			for sleep(ctx, viewEvery) {
+			for sleep(ctx, rehearsal.Millis(v.File.Relays.Views)) {
 				if n.ended() == "" && !v.isDown(n.name) {
 					said := n.account()
 					v.with(func(at time.Duration) { v.take(at, n.name, said) })
--- /dev/null
+++ b/internal/snapshot/file.go
@@ -0,0 +1,50 @@
+package snapshot
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+const file = "snapshot"
+
+// Write puts an encoded snapshot in the place of the one in a directory: whole, or not at all.
+func Write(dir string, b []byte) error {
+	fresh := filepath.Join(dir, file+".new")
+	f, err := os.OpenFile(fresh, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err == nil {
+		err = os.Rename(fresh, filepath.Join(dir, file))
+	}
+	return err
+}
+
+// Read reads what is there. Nothing there is no error, and no snapshot.
+func Read(dir string) (*Snapshot, error) {
+	// Not to be held up by what is no file.
+	f, err := os.OpenFile(filepath.Join(dir, file), os.O_RDONLY|unix.O_NONBLOCK, 0)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	} else if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	b, err := io.ReadAll(io.LimitReader(f, Most+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > Most {
+		return nil, fmt.Errorf("%w: over %d bytes", ErrTorn, Most)
+	}
+	return Decode(b)
+}
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,148 @@
+// Package snapshot is what a relay keeps of itself for its next start, and what of that is still believed then. It does no I/O but in
+// file.go: the time is passed in. docs/design/recovery.md says why each age is what it is.
+package snapshot
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"time"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/pool"
+)
+
+// Why a snapshot is not used. None of them stops a start.
+var (
+	ErrTorn    = errors.New("torn")
+	ErrVersion = errors.New("of another version")
+	ErrName    = errors.New("of another relay")
+	ErrFuture  = errors.New("from the future")
+	ErrOld     = errors.New("too old")
+)
+
+const (
+	magic   = "DAHLIASN"
+	version = 1
+	header  = len(magic) + 2 + 4 + 4 // and then the version, the length and the sum
+	// Most bounds what is written and what is read.
+	Most = 8 << 20
+	// peersMost bounds the addresses of other relays that are kept.
+	peersMost = 64
+)
+
+// Snapshot is what is kept.
+type Snapshot struct {
+	Name    string       `json:"name"`
+	Written int64        `json:"written_ms"` // Unix time
+	List    *pool.List   `json:"list"`
+	Watched string       `json:"watched"` // where that list's generation means something
+	Learned core.Learned `json:"learned"`
+	Peers   []string     `json:"peers"` // addresses
+}
+
+// Encode is its form on the disk.
+func (s *Snapshot) Encode() ([]byte, error) {
+	s.Peers = s.Peers[:min(len(s.Peers), peersMost)]
+	body, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > Most-header {
+		return nil, fmt.Errorf("a snapshot of %d bytes, %d are allowed", len(body), Most-header)
+	}
+	b := binary.BigEndian.AppendUint16([]byte(magic), version)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
+	b = binary.BigEndian.AppendUint32(b, crc32.Checksum(body, crc32.MakeTable(crc32.Castagnoli)))
+	return append(b, body...), nil
+}
+
+// Decode reads it, whole or not at all.
+func Decode(b []byte) (*Snapshot, error) {
+	if len(b) < header || string(b[:len(magic)]) != magic {
+		return nil, ErrTorn
+	}
+	rest := b[len(magic):]
+	if v := binary.BigEndian.Uint16(rest); v != version {
+		return nil, fmt.Errorf("%w: %d", ErrVersion, v)
+	}
+	body := b[header:]
+	if uint32(len(body)) != binary.BigEndian.Uint32(rest[2:]) ||
+		crc32.Checksum(body, crc32.MakeTable(crc32.Castagnoli)) != binary.BigEndian.Uint32(rest[6:]) {
+		return nil, ErrTorn
+	}
+	s := &Snapshot{}
+	if err := json.Unmarshal(body, s); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrTorn, err)
+	}
+	return s, nil
+}
+
+// Limits are the ages past which a part is not believed.
+type Limits struct {
+	// State is for what passes: a member's load, its failures, how full zones are, whether setting up works. A list that is as old
+	// counts as told anew, so it is as long as the settings allow a relay not to ask.
+	State time.Duration
+	// Kind is for what changes with machines and programs only: what a member of a kind bears, what a connection weighs.
+	Kind time.Duration
+	// Ahead is how far ahead of this clock the one may have been that wrote it.
+	Ahead time.Duration
+}
+
+// Ages derives them from how long the settings allow a relay not to ask for the list.
+func Ages(askWithin time.Duration) Limits {
+	return Limits{State: askWithin, Kind: 24 * time.Hour, Ahead: time.Minute}
+}
+
+// Part is what was thrown away, and why.
+type Part struct {
+	What string `json:"what"`
+	Why  string `json:"why"`
+}
+
+// Believe takes out of a snapshot what cannot be believed now, and moves its ages on. The generation is that of the list that the relay
+// holds otherwise; a list that is no newer is not taken. An error says that nothing is left.
+func (s *Snapshot) Believe(now time.Time, name string, generation uint64, l Limits) (age time.Duration, out []Part, err error) {
+	age = now.Sub(time.UnixMilli(s.Written))
+	switch {
+	case s.Name != name:
+		return age, nil, fmt.Errorf("%w: %q", ErrName, s.Name)
+	case age < -l.Ahead:
+		return age, nil, fmt.Errorf("%w: written %v ahead of this clock", ErrFuture, -age)
+	case age > l.Kind:
+		return age, nil, fmt.Errorf("%w: %v", ErrOld, age)
+	}
+	age = max(age, 0)
+	away := func(what, format string, args ...any) { out = append(out, Part{what, fmt.Sprintf(format, args...)}) }
+	if s.List != nil && s.List.Generation <= generation {
+		away("list", "generation %d, held is %d", s.List.Generation, generation)
+		s.List = nil
+	}
+	p := &s.Learned.Policy
+	p.Ago += age
+	if age > l.State {
+		away("fill of zones, daring, failures and loads of members", "%v old, believed for %v", age.Round(time.Second), l.State)
+		for i := range p.Fill {
+			p.Fill[i] = 0.65 // as at a start that knows nothing; the module's own first guess
+		}
+		p.Daring = 1
+	}
+	p.Servers = maps.Clone(p.Servers)
+	for id, m := range p.Servers {
+		if m.Pause = max(m.Pause-age, 0); age > l.State {
+			m.Fails, m.Bad, m.Pause, m.Load = 0, false, 0, -1
+		}
+		m.Age += age
+		if m.Up > 0 {
+			m.Up += age
+		}
+		p.Servers[id] = m
+	}
+	for name, ago := range s.Learned.Back {
+		s.Learned.Back[name] = ago + age
+	}
+	return age, out, nil
+}
--- /dev/null
+++ b/internal/snapshot/snapshot_test.go
@@ -0,0 +1,130 @@
+package snapshot
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/pool"
+	"dahliarudder/policy"
+)
+
+var wall = time.UnixMilli(1_800_000_000_000)
+
+func sample() *Snapshot {
+	return &Snapshot{Name: "n1", Written: wall.UnixMilli(), Watched: "127.0.0.1:1", Peers: []string{"127.0.0.1:2"},
+		List: &pool.List{Generation: 7, Full: true, Instances: []pool.Entry{{ID: "s-1", Lifecycle: "SERVING", Weight: 1}}},
+		Learned: core.Learned{Policy: policy.Learned{MeanLoad: 0.03, Fill: []float64{0.4}, Daring: 0.2, Servers: map[policy.ServerID]policy.LearnedServer{
+			5: {Capacity: 40, Reports: 9, Load: 0.5, Age: time.Second, Fails: 3, Bad: true, Pause: 3 * time.Second, Up: 4 * time.Second}}},
+			Back: map[string]time.Duration{"s-1": time.Second}}}
+}
+
+// TestWhole: what is written is read again, and nothing of what is cut at any byte, changed in any, of another version or too long.
+func TestWhole(t *testing.T) {
+	b, err := sample().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err := Decode(b); err != nil || !reflect.DeepEqual(s, sample()) {
+		t.Fatalf("%v, %+v", err, s)
+	}
+	for i := range b {
+		if _, err := Decode(b[:i]); !errors.Is(err, ErrTorn) {
+			t.Fatalf("cut at %d: %v", i, err)
+		}
+		wrong := append([]byte(nil), b...)
+		wrong[i] ^= 0x10
+		if _, err := Decode(wrong); err == nil {
+			t.Fatalf("byte %d is wrong, and it is read", i)
+		}
+	}
+	newer := append([]byte(nil), b...)
+	newer[len(magic)+1]++
+	if _, err := Decode(newer); !errors.Is(err, ErrVersion) {
+		t.Errorf("of another version: %v", err)
+	}
+}
+
+// TestBelieve: what is believed, by its age and whose it is.
+func TestBelieve(t *testing.T) {
+	l := Ages(10 * time.Second)
+	for _, c := range []struct {
+		what string
+		name string
+		ago  time.Duration
+		held uint64
+		err  error
+		away int
+	}{
+		{"fresh", "n1", 2 * time.Second, 6, nil, 0},
+		{"a list that is no newer", "n1", 2 * time.Second, 7, nil, 1},
+		{"an hour old", "n1", time.Hour, 6, nil, 1},
+		{"two days old", "n1", 48 * time.Hour, 6, ErrOld, 0},
+		{"another relay's", "n2", 0, 6, ErrName, 0},
+		{"from the future", "n1", -time.Hour, 6, ErrFuture, 0},
+		{"by a clock some seconds ahead", "n1", -5 * time.Second, 6, nil, 0},
+	} {
+		s := sample()
+		age, away, err := s.Believe(wall.Add(c.ago), c.name, c.held, l)
+		if !errors.Is(err, c.err) || len(away) != c.away {
+			t.Errorf("%s: %v, thrown away %v", c.what, err, away)
+			continue
+		}
+		if err != nil {
+			continue
+		}
+		m := s.Learned.Policy.Servers[5]
+		old := c.ago > l.State
+		if (s.List == nil) != (c.held >= 7) || age < 0 || m.Bad == old || (m.Load < 0) != old || (s.Learned.Policy.Daring == 1) != old ||
+			m.Capacity != 40 || m.Up != 4*time.Second+age || m.Pause != max(3*time.Second-age, 0) || s.Learned.Policy.Ago != age {
+			t.Errorf("%s: age %v, %+v, daring %v", c.what, age, m, s.Learned.Policy.Daring)
+		}
+	}
+}
+
+// TestFile: a directory that is not there, cannot be written, or holds something else is an error and no more; a write that fails leaves
+// what was there.
+func TestFile(t *testing.T) {
+	dir := t.TempDir()
+	if s, err := Read(dir); s != nil || err != nil {
+		t.Errorf("nothing there: %v, %v", s, err)
+	}
+	b, _ := sample().Encode()
+	if err := Write(dir, b); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Mkdir(filepath.Join(dir, file+".new"), 0o700); err != nil { // the next write fails
+		t.Fatal(err)
+	}
+	if err := Write(dir, b[:10]); err == nil {
+		t.Error("a write to no file is no error")
+	}
+	if s, err := Read(dir); err != nil || !reflect.DeepEqual(s, sample()) {
+		t.Errorf("after a write that failed: %v", err)
+	}
+	if err := Write(filepath.Join(dir, "none"), b); err == nil {
+		t.Error("no directory is no error")
+	}
+	other := t.TempDir()
+	if err := os.Mkdir(filepath.Join(other, file), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Read(other); err == nil {
+		t.Error("a directory is read as a snapshot")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	b, _ := sample().Encode()
+	f.Add(b)
+	f.Add(b[:20])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if s, err := Decode(b); err == nil {
+			s.Believe(wall, "n1", 0, Ages(10*time.Second))
+		}
+	})
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -62,7 +62,7 @@
 // Open has it served at one more address, to a reader of that name. Where is the reader's own address of a member, if
 // not nil.
 func (d *Discovery) Open(reader string, where func(Entry) string) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", Host+":0")
 	if err != nil {
 		return "", err
 	}
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -25,11 +25,11 @@
 
 // NewLink opens one on the loopback. It passes to where To says.
 func NewLink(seed uint64) (*Link, error) {
-	in, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	in, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(Host)})
 	if err != nil {
 		return nil, err
 	}
-	out, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	out, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(Host)})
 	if err != nil {
 		in.Close()
 		return nil, err
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -96,7 +96,7 @@
 
 // Open has it served at one more address.
 func (m *Member) Open(via string) (string, error) {
-	d := &door{via: via, addr: "127.0.0.1:0"}
+	d := &door{via: via, addr: Host + ":0"}
 	if err := m.listen(d); err != nil {
 		return "", err
 	}
--- a/internal/standin/pipe.go
+++ b/internal/standin/pipe.go
@@ -40,7 +40,7 @@
 
 // NewPipe opens one on the loopback that passes to an address. Its field is set before the first connection.
 func NewPipe(to string) (*Pipe, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", Host+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/policy/learned.go
+++ b/policy/learned.go
@@ -17,6 +17,7 @@
 	Kinds     map[int][2]float64
 	Daring    float64
 	Servers   map[ServerID]LearnedServer
+	Ago       time.Duration // when all this was learned
 }
 
 // LearnedServer is what is worth keeping of one server.
@@ -72,7 +73,7 @@
 	}
 	for _, s := range b.servers {
 		kept, known := l.Servers[s.ID]
-		if !known {
+		if !known || s.Started > now-l.Ago { // it is another process by now
 			continue
 		}
 		s.capacity, s.reports = kept.Capacity, kept.Reports
