A relay that the others stay ahead of asks discovery anew

Peers say which generation they hold, and nothing used it.

peers.Stale (no I/O): two others, or the only other one, ahead for a second; the next call after 2, 4, 8 s and so on to 32 s, so a liar costs little. No member moves by a peer's word. A play that was cut short says 0 s in place of a negative time.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -268,7 +268,10 @@
 	}
 	r.peers = peering.New(peering.Options{Seen: func() peers.Digest { return book.Digest(r.clock()) }, Loop: r.loop, Log: r.log, Name: r.cfg.Name, Zone: zone, Listen: p.Listen, Address: p.Address,
 		Known: known, Reach: p.Reach, Keys: p.Keys(), Configured: max(set.Balancers, 1), Seed: r.cfg.SeedNumber(), Wall: time.Now,
-		Share: r.core.Relays,
+		Share: r.core.Relays, Ahead: func() {
+			r.log.Warn("other relays hold a newer list; members are asked for anew")
+			r.watch.Refresh(func() {})
+		},
 		Own: func() (peers.Phase, uint64, uint64, uint64) {
 			phase := peers.Serving
 			switch {
--- a/integration/peers_test.go
+++ b/integration/peers_test.go
@@ -90,7 +90,7 @@
 
 // account is what a relay says of its peers.
 type account struct {
-	Self  struct{ Incarnation uint64 }
+	Self  struct{ Incarnation, Generation uint64 }
 	Live  int
 	Down  int
 	Share float64 `json:"budgets_divided_by"`
@@ -289,6 +289,32 @@
 	})
 }
 
+// TestPeersStale: the way on which discovery tells one relay of changes is dead and nobody says so. It hears from the others that they hold a
+// newer list, asks anew, and sends nothing more to the member that drains, seconds before its own call would have been given up.
+func TestPeersStale(t *testing.T) {
+	c := newCircle(t, 3, false)
+	a, b := newBackend(t, "s-5be2a000", standin.NewTries()), newBackend(t, "s-5be2a001", standin.NewTries())
+	c.d.Put(a.member())
+	c.d.Put(b.member())
+	pipe, err := standin.NewPipe(c.d.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pipe.Close)
+	c.relays[0].reload(c.d.addr, pipe.Addr())
+	c.allAlive()
+	generation := func(i int) uint64 { return c.account(i).Self.Generation }
+	until(t, "the list", func() bool { return generation(0) == 3 && generation(1) == 3 && generation(2) == 3 })
+	time.Sleep(200 * time.Millisecond) // the next call is out
+	pipe.Stall()
+	c.d.Set(b.id, "DRAINING")
+	until(t, "n0 to hold what the others hold", func() bool { time.Sleep(50 * time.Millisecond); return generation(0) == 4 })
+	c.relays[0].logged("other relays hold a newer list")
+	if strings.Contains(c.relays[0].log.String(), "no answer in time") {
+		t.Error("its own call was given up first")
+	}
+}
+
 // TestPeersOff: without the setting there is no account and no descriptor more; a key that others may read stops the start.
 func TestPeersOff(t *testing.T) {
 	s := newSite(t, 1, map[string]any{"operator": "127.0.0.1:0"})
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -41,6 +41,8 @@
 	Own func() (phase peers.Phase, generation, flows, requests uint64)
 	// Seen is what it saw itself of members and zones.
 	Seen func() peers.Digest
+	// Ahead is called when others have held a newer list than this relay for a while.
+	Ahead func()
 	// Share is told by how many the budgets are divided that all relays share, when that changes.
 	Share func(float64)
 }
@@ -55,6 +57,7 @@
 	door      *netloop.Listener
 	tick      *netloop.Timer
 	div       peers.Divisor
+	stale     peers.Stale
 	share     float64
 	malformed int
 	requests  uint64         // when they were last told
@@ -103,6 +106,9 @@
 	s.m.Say(now, phase, generation, flows, requests-s.requests) // as sayEvery is a second
 	s.requests = requests
 	s.m.Show(s.Seen())
+	if s.stale.Ask(now, generation, s.m.Peers()) {
+		s.Ahead()
+	}
 	s.open.Forget(now)
 	live, down := s.m.Counts()
 	if share := s.div.At(now, live, down); share != s.share {
--- a/internal/rehearsal/file.go
+++ b/internal/rehearsal/file.go
@@ -106,7 +106,7 @@
 	"drain": {"s", "return"}, "replace": {"s", ""},
 	"down": {"discovery", "up"}, "up": {"discovery", ""}, "late": {"discovery", "on_time"}, "on_time": {"discovery", ""},
 	"old": {"discovery", ""},
-	"cut": {"link", "heal"}, "cut_one_way": {"link", "heal"}, "rough": {"link", "heal"}, "heal": {"link", ""}, "reset": {"link", ""},
+	"cut": {"link", "heal"}, "cut_one_way": {"link", "heal"}, "rough": {"link", "heal"}, "heal": {"link", ""}, "reset": {"link", ""}, "stall": {"link", ""},
 }
 
 // leaveMost is how long after it has sent its clients away a member that drains is certainly gone, in milliseconds.
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -66,15 +66,18 @@
 		return
 	}
 	for _, p := range w.pipes {
-		if s.Do == "reset" {
+		switch s.Do {
+		case "reset":
 			p.Reset()
-		} else {
+		case "stall":
+			p.Stall()
+		default:
 			p.Set(w.there, w.back)
 		}
 	}
 	// A relay answers for what is behind it, not for the way to its clients.
 	switch {
-	case s.Do == "reset":
+	case s.Do == "reset" || s.Do == "stall":
 		relay := s.To
 		if s.Who != "front" {
 			relay = s.Who // flows end with their member's side, as they should
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -146,7 +146,7 @@
 	if len(r.Steps) == 0 {
 		return 0
 	}
-	return r.Seconds - r.Steps[len(r.Steps)-1].At
+	return max(r.Seconds-r.Steps[len(r.Steps)-1].At, 0)
 }
 
 func (r *Result) peers() Peers {
--- a/internal/standin/pipe.go
+++ b/internal/standin/pipe.go
@@ -26,13 +26,14 @@
 	// it from: behind a cut, the other side does not learn of it.
 	Gone func(from string)
 
-	l    net.Listener
-	mu   sync.Mutex
-	to   string
-	way  [2]Rough // there and back
-	on   chan struct{}
-	all  map[net.Conn]bool
-	fill []net.Conn // what keeps the listener's queue full while it is cut
+	l     net.Listener
+	mu    sync.Mutex
+	to    string
+	way   [2]Rough // there and back
+	on    chan struct{}
+	all   map[net.Conn]bool
+	stuck map[net.Conn]bool // of them, those that were stalled
+	fill  []net.Conn        // what keeps the listener's queue full while it is cut
 }
 
 // pieces are how many reads may wait in a cut way, 16 KB each.
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Pipe{l: l, to: to, on: make(chan struct{}), all: map[net.Conn]bool{}}
+	p := &Pipe{l: l, to: to, on: make(chan struct{}), all: map[net.Conn]bool{}, stuck: map[net.Conn]bool{}}
 	go func() {
 		for {
 			p.open(0)
@@ -123,6 +124,15 @@
 	}
 }
 
+// Stall has nothing more pass on the connections that are open now, ever, as where something on the way has forgotten them. New ones pass.
+func (p *Pipe) Stall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.all {
+		p.stuck[c] = true
+	}
+}
+
 // Close ends it.
 func (p *Pipe) Close() {
 	p.l.Close()
@@ -140,6 +150,7 @@
 	c.Close()
 	p.mu.Lock()
 	delete(p.all, c)
+	delete(p.stuck, c)
 	p.mu.Unlock()
 }
 
@@ -156,6 +167,12 @@
 	}
 }
 
+func (p *Pipe) stalled(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stuck[c]
+}
+
 func (p *Pipe) cut(way int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -223,6 +240,9 @@
 			wait += time.Duration(float64(len(b)) / float64(r.Rate) * float64(time.Second))
 		}
 		time.Sleep(wait)
+		if p.stalled(to) {
+			continue
+		}
 		if _, err := to.Write(b); err != nil {
 			from.Close()
 		}
