--- a/internal/rehearse/false_test.go
+++ b/internal/rehearse/false_test.go
@@ -253,3 +253,16 @@
 		}
 	}
 }
+
+// TestFree: an address is given once, though nobody listens at it yet.
+func TestFree(t *testing.T) {
+	r := &run{given: map[string]bool{}}
+	for range 900 { // enough for the same number to be drawn again
+		if _, err := r.free(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(r.given) != 900 {
+		t.Errorf("%d addresses for 900", len(r.given))
+	}
+}
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -39,6 +39,7 @@
 	config  map[string]json.RawMessage // of a relay, before what is each one's own
 	program string
 	dir     string
+	given   map[string]bool // addresses
 	began   time.Time
 
 	mu      sync.Mutex // guards all below, and the judge
@@ -164,8 +165,8 @@
 		return nil, err
 	}
 	x := &run{Rehearsal: r, set: set, config: config, program: r.Program, plan: rehearsal.Draw(r.File, site(set), seed),
-		dir:     filepath.Join(r.Work, fmt.Sprintf("%s-%d", strings.Map(plain, v.Name), repetition)),
-		members: map[string]*member{}, ways: map[[2]string]*way{}, fresh: map[string]*rehearsal.Peak{}, answers: map[string]int{},
+		dir:   filepath.Join(r.Work, fmt.Sprintf("%s-%d", strings.Map(plain, v.Name), repetition)),
+		given: map[string]bool{}, members: map[string]*member{}, ways: map[[2]string]*way{}, fresh: map[string]*rehearsal.Peak{}, answers: map[string]int{},
 		setUp: hdrhistogram.New(1, 600e6, 3), late: hdrhistogram.New(1, 600e6, 3),
 		lists: &rehearsal.Peak{Over: 100 * time.Millisecond}, probes: &rehearsal.Peak{Over: time.Second}}
 	if v.Program != "" {
@@ -215,7 +216,7 @@
 		n := &relay{run: r, name: fmt.Sprintf("n%d", i), index: i, zone: i % len(zones.Zones)}
 		n.dir = filepath.Join(r.dir, n.name)
 		for _, at := range []*string{&n.listen, &n.operator, &n.peers} {
-			addr, err := free()
+			addr, err := r.free()
 			if err != nil {
 				return err
 			}
@@ -513,10 +514,13 @@
 // The ports that relays are given: below those that the system hands out, or an outgoing connection may hold one of a relay that is down.
 const firstPort, lastPort = 12000, 32000
 
-// free is an address of the loopback that nobody listens at now, by TCP and UDP.
-func free() (string, error) {
+// free is an address of the loopback that nobody listens at now, by TCP and UDP, and that it has not given before.
+func (r *run) free() (string, error) {
 	for range 200 {
 		addr := fmt.Sprintf("%s:%d", standin.Host, firstPort+rand.IntN(lastPort-firstPort))
+		if r.given[addr] {
+			continue
+		}
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -525,6 +529,7 @@
 		l.Close()
 		if err == nil {
 			u.Close()
+			r.given[addr] = true
 			return addr, nil
 		}
 	}
