--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -59,10 +59,11 @@
 	}
 	if w.udp != nil {
 		w.udp.Cut(w.there.Cut)
-		w.udp.Rough(s.Rough.Loss, s.Rough.Repeat, w.there.Delay, w.there.Jitter)
 		if s.Do == "heal" {
-			w.udp.Rough(0, 0, 0, 0)
+			s.Rough = rehearsal.Rough{}
 		}
+		w.udp.Rough(s.Rough.Loss, s.Rough.Repeat, w.there.Delay, w.there.Jitter)
+		w.udp.Rate(w.there.Rate)
 		return
 	}
 	for _, p := range w.pipes {
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -18,6 +18,8 @@
 	cut           bool
 	loss, repeat  float64
 	delay, jitter time.Duration
+	rate          int       // bytes a second; 0: without bound
+	idle          time.Time // when what has passed is through, at that rate
 	to            *net.UDPAddr
 	last          []byte
 	passed        int
@@ -65,6 +67,13 @@
 	l.mu.Unlock()
 }
 
+// Rate bounds what passes in a second; what comes faster waits, for a second at most, and is lost beyond that.
+func (l *Link) Rate(bytes int) {
+	l.mu.Lock()
+	l.rate, l.idle = bytes, time.Time{}
+	l.mu.Unlock()
+}
+
 // Last is the last datagram that came, and how many have passed.
 func (l *Link) Last() ([]byte, int) {
 	l.mu.Lock()
@@ -99,6 +108,17 @@
 			l.mu.Unlock()
 			continue
 		}
+		queue := time.Duration(0)
+		if now := time.Now(); l.rate > 0 {
+			if l.idle.Before(now) {
+				l.idle = now
+			}
+			if queue = l.idle.Sub(now); queue > time.Second {
+				l.mu.Unlock()
+				continue
+			}
+			l.idle = l.idle.Add(time.Duration(float64(n) / float64(l.rate) * float64(time.Second)))
+		}
 		l.passed++
 		copies := 1
 		if l.rng.Float64() < l.repeat {
@@ -106,7 +126,7 @@
 		}
 		to := l.to
 		for range copies {
-			if wait := l.delay + time.Duration(l.rng.Float64()*float64(l.jitter)); wait > 0 {
+			if wait := queue + l.delay + time.Duration(l.rng.Float64()*float64(l.jitter)); wait > 0 {
 				time.AfterFunc(wait, func() { l.out.WriteToUDP(b, to) })
 			} else {
 				l.out.WriteToUDP(b, to)
--- a/internal/standin/pipe_test.go
+++ b/internal/standin/pipe_test.go
@@ -98,3 +98,38 @@
 	c, in = open()
 	says(c, in, "five")
 }
+
+// TestLinkRate: datagrams that come faster than a link's rate wait in turn.
+func TestLinkRate(t *testing.T) {
+	to, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer to.Close()
+	l, err := NewLink(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.To(to.LocalAddr().String())
+	l.Rate(1000)
+	from, err := net.Dial("udp4", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer from.Close()
+	began := time.Now()
+	for range 30 {
+		from.Write(make([]byte, 100))
+	}
+	to.SetReadDeadline(began.Add(20 * time.Second))
+	buf := make([]byte, 200)
+	for range 8 {
+		if _, err := to.Read(buf); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took < 600*time.Millisecond {
+		t.Errorf("800 bytes at 1000 a second took %v", took)
+	}
+}
