--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -194,7 +194,11 @@
 	x.began = time.Now() // the time line begins when all are ready
 	x.mu.Unlock()
 	x.play(ctx)
-	return x.result(v, repetition), nil
+	out := x.result(v, repetition)
+	if ctx.Err() != nil {
+		out.Invalid = "it was cut short"
+	}
+	return out, nil
 }
 
 // build puts the stand-ins up and starts the relays.
