--- a/internal/rehearse/page.go
+++ b/internal/rehearse/page.go
@@ -104,7 +104,7 @@
 			if err != nil {
 				return "", err
 			}
-			l.Color, l.Width = color.RGBA{0xb0, 0x30, 0x30, 0x90}, vg.Points(0.6)
+			l.Color, l.Width = color.NRGBA{0xb0, 0x30, 0x30, 0x90}, vg.Points(0.6)
 			p.Add(l)
 		}
 	}
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -115,27 +116,28 @@
 
 // figures are those that variants are held against each other by.
 var figures = []struct {
-	name string
-	of   func(*Result) float64
-	unit string
+	name  string
+	of    func(*Result) float64
+	unit  string
+	views bool // measured only where relays are asked what they know of the others
 }{
-	{"well served", func(r *Result) float64 { return 100 * r.Service }, "%"},
-	{"worst 10 s", func(r *Result) float64 { return 100 * r.Worst }, "%"},
-	{"full service again after", func(r *Result) float64 { return back(r) }, "s"},
-	{"set-up p50", func(r *Result) float64 { return r.SetUp["p50"] }, "ms"},
-	{"set-up p99", func(r *Result) float64 { return r.SetUp["p99"] }, "ms"},
-	{"tries a client", func(r *Result) float64 { return r.Tries }, ""},
-	{"new connections of a member, peak", func(r *Result) float64 { return r.Fresh }, "x"},
-	{"list calls in 100 ms, peak", func(r *Result) float64 { return r.Lists }, ""},
-	{"probes", func(r *Result) float64 { return r.Probes }, "/s"},
-	{"processor time of a relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return n.CPU }) / r.Seconds * 100 }, "% of a core"},
-	{"memory of a relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return n.Memory }) }, "MB"},
-	{"bytes from relay to relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return float64(n.Peers) }) / r.Seconds }, "/s each"},
-	{"an end noticed by a relay, p50", func(r *Result) float64 { return r.peers().P50 }, "s"},
-	{"an end noticed by a relay, p99", func(r *Result) float64 { return r.peers().P99 }, "s"},
-	{"live relays suspected", func(r *Result) float64 { return float64(r.peers().Suspected) }, ""},
-	{"live relays held for dead", func(r *Result) float64 { return float64(r.peers().Dead) }, ""},
-	{"rules broken", func(r *Result) float64 { return float64(len(r.Broken)) }, ""},
+	{"well served", func(r *Result) float64 { return 100 * r.Service }, "%", false},
+	{"worst 10 s", func(r *Result) float64 { return 100 * r.Worst }, "%", false},
+	{"full service again after", func(r *Result) float64 { return back(r) }, "s", false},
+	{"set-up p50", func(r *Result) float64 { return r.SetUp["p50"] }, "ms", false},
+	{"set-up p99", func(r *Result) float64 { return r.SetUp["p99"] }, "ms", false},
+	{"tries a client", func(r *Result) float64 { return r.Tries }, "", false},
+	{"new connections of a member, peak", func(r *Result) float64 { return r.Fresh }, "x", false},
+	{"list calls in 100 ms, peak", func(r *Result) float64 { return r.Lists }, "", false},
+	{"probes", func(r *Result) float64 { return r.Probes }, "/s", false},
+	{"processor time of a relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return n.CPU }) / r.Seconds * 100 }, "% of a core", false},
+	{"memory of a relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return n.Memory }) }, "MB", false},
+	{"bytes from relay to relay", func(r *Result) float64 { return r.mean(func(n Relay) float64 { return float64(n.Peers) }) / r.Seconds }, "/s each", false},
+	{"an end noticed by a relay, p50", func(r *Result) float64 { return r.peers().P50 }, "s", true},
+	{"an end noticed by a relay, p99", func(r *Result) float64 { return r.peers().P99 }, "s", true},
+	{"live relays suspected", func(r *Result) float64 { return float64(r.peers().Suspected) }, "", true},
+	{"live relays held for dead", func(r *Result) float64 { return float64(r.peers().Dead) }, "", true},
+	{"rules broken", func(r *Result) float64 { return float64(len(r.Broken)) }, "", false},
 }
 
 // back is the time to full service; a play that never got there counts as all that was left of it.
@@ -189,7 +191,11 @@
 		}
 	}
 	fmt.Fprintln(t)
+	seen := slices.ContainsFunc(all, func(r *Result) bool { return r.Peers != nil })
 	for _, f := range figures {
+		if f.views && !seen {
+			continue // not measured
+		}
 		fmt.Fprint(t, f.name)
 		values := func(n string) (out []float64) {
 			for _, r := range by[n] {
