--- a/policy/facade_test.go
+++ b/policy/facade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"testing"
 	"time"
 )
@@ -144,6 +145,23 @@
 	if !bad.bad || bad.fails != failsServer {
 		t.Errorf("a condemned server is taken for %+v", bad.health)
 	}
+	// From hours ago, on a clock that is younger than that: what was there before is known, and what has started since is not.
+	kept := old.Learned(t0)
+	kept.Ago = now + time.Hour
+	long := begin(now)
+	long.Recall(now, kept)
+	if got := long.b.byID[servers[0].ID]; got.capacity != s.capacity {
+		t.Errorf("of long ago %+v is left", got)
+	}
+	kept.Ago = 10 * time.Second
+	fresh := slices.Clone(servers)
+	fresh[0].Started = now - time.Second
+	long.Report(now, Pool{Kind: ListFull, Servers: fresh})
+	long.b.byID[servers[0].ID].capacity = 0
+	long.Recall(now, kept)
+	if got := long.b.byID[servers[0].ID]; got.capacity != 0 {
+		t.Errorf("of an ended process %+v is believed", got)
+	}
 	set.Zones++
 	other := begin(now)
 	other.Recall(now, old.Learned(t0))
--- a/policy/learned.go
+++ b/policy/learned.go
@@ -73,7 +73,7 @@
 	}
 	for _, s := range b.servers {
 		kept, known := l.Servers[s.ID]
-		if !known || s.Started > now-l.Ago { // it is another process by now
+		if !known || s.Started != 0 && s.Started > now-l.Ago { // it is another process by now
 			continue
 		}
 		s.capacity, s.reports = kept.Capacity, kept.Reports
