--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -73,7 +73,7 @@
 		case "stall":
 			p.Stall()
 		default:
-			p.Set(w.there, w.back)
+			go p.Set(w.there, w.back) // a cut takes a moment, and the time line goes on
 		}
 	}
 	// A relay answers for what is behind it, not for the way to its clients.
--- a/internal/standin/pipe.go
+++ b/internal/standin/pipe.go
@@ -27,6 +27,7 @@
 	Gone func(from string)
 
 	l     net.Listener
+	taken atomic.Int64 // connections
 	mu    sync.Mutex
 	to    string
 	way   [2]Rough // there and back
@@ -54,6 +55,7 @@
 			if err != nil {
 				return
 			}
+			p.taken.Add(1)
 			go p.pass(c)
 		}
 	}()
@@ -93,12 +95,19 @@
 		return
 	}
 	p.fill = []net.Conn{}
-	for range 8 { // the accepting side may take some
-		c, err := net.DialTimeout("tcp", p.Addr(), 20*time.Millisecond)
+	taken := p.taken.Load()
+	for misses := 0; misses < 2 && len(p.fill) < 16; { // one that fails may be this machine's own slowness
+		c, err := net.DialTimeout("tcp", p.Addr(), 100*time.Millisecond)
 		if err != nil {
-			break
+			misses++
+			continue
 		}
+		misses = 0
 		p.fill = append(p.fill, c)
+		// The accepting side takes one more, and frees its place, before it finds that the way is cut.
+		for end := time.Now().Add(200 * time.Millisecond); len(p.fill) == 1 && p.taken.Load() == taken && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
 	}
 }
 
