--- a/cmd/dahliarudder/state.go
+++ b/cmd/dahliarudder/state.go
@@ -23,7 +23,7 @@
 	out    chan []byte // what is to be written; one waits at most
 }
 
-// resume goes on from the snapshot, if there is one to be believed. The list that is held already stands.
+// resumeFrom goes on from the snapshot, if there is one to be believed. The list that is held already stands.
 func (r *relay) resumeFrom(c config.State) {
 	r.came = &recovery{From: "nothing", Away: []snapshot.Part{}, dir: c.Dir, out: make(chan []byte, 1)}
 	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
--- /dev/null
+++ b/internal/netloop/gap_test.go
@@ -0,0 +1,28 @@
+package netloop
+
+import (
+	"testing"
+	"time"
+)
+
+// TestGap: a process that stood still is told of, before anything else; a start that took its time, and a usual wait, are not.
+func TestGap(t *testing.T) {
+	now := time.Hour
+	l, err := New(func() time.Duration { return now }, 8)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	told := []time.Duration{}
+	now += 5 * time.Second // a slow start
+	l.Gap(time.Second, func(gap time.Duration) { told = append(told, gap) })
+	for _, pass := range []time.Duration{0, 900 * time.Millisecond, 10 * time.Second, 100 * time.Millisecond} {
+		now += pass
+		if err := l.Turn(0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(told) != 1 || told[0] != 10*time.Second {
+		t.Errorf("told of %v, want one of 10 s", told)
+	}
+}
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -170,7 +170,7 @@
 // Gap has gapped called, before anything else of its round, when this process has stood still for longer than most: it was stopped,
 // its machine slept, or one round took as long.
 func (l *Loop) Gap(most time.Duration, gapped func(time.Duration)) {
-	l.gapMost, l.gapped = most, gapped
+	l.gapMost, l.gapped, l.round = most, gapped, l.now() // a start that took its time is none
 }
 
 // Stop ends Run after the current round.
--- a/internal/rehearsal/judge.go
+++ b/internal/rehearsal/judge.go
@@ -96,9 +96,8 @@
 }
 
 type telling struct {
-	drains    time.Duration // 0: not told
-	lifecycle string
-	started   time.Duration
+	drains  time.Duration // 0: not told
+	started time.Duration
 }
 
 type span struct{ from, to time.Duration }
@@ -302,7 +301,7 @@
 		}
 		due := r.asked + r.within + j.Rules.Slack + lateAtMember + j.Late
 		switch {
-		case r.answer == "" && due < at && !j.excused(r.relay, r.asked, due):
+		case r.answer == "" && !r.gaveUp && due < at && !j.excused(r.relay, r.asked, due):
 			j.broken(due, NoAnswer, r.relay, "%s within %v", id, r.within)
 		case r.answer != "" && r.answered > due && !j.excused(r.relay, r.asked, r.answered):
 			j.broken(r.answered, NoAnswer, r.relay, "%s: %q %v after it was asked, the client waits %v", id, r.answer, r.answered-r.asked, r.within)
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -146,7 +146,9 @@
 		go func() { // an end that takes its time comes first
 			<-n.done
 			if s.Lose {
-				n.lose()
+				if err := n.lose(); err != nil {
+					r.Say("%s keeps its state: %v\n", n.name, err)
+				}
 			}
 			r.with(func(at time.Duration) {
 				r.judge.Calm(at, n.name)
