--- /dev/null
+++ b/internal/core/leave.go
@@ -0,0 +1,143 @@
+package core
+
+import (
+	"time"
+
+	"dahliarudder/policy"
+)
+
+// This file is how a relay is left: a drain, a planned stop, and flows that pass on to another process.
+
+// StopNotice is how long after the start of a planned stop clients may still be
+// sent here. Nobody is moved before: who is would come back to this relay.
+const StopNotice = 450 * time.Millisecond
+
+const (
+	// The moves are spread between these times. Flows are served meanwhile, and where
+	// relays are restarted one after another, the one before may be back only then.
+	stopMovesFrom = 1200 * time.Millisecond
+	stopMoves     = 2700 * time.Millisecond
+	passWithin    = time.Second            // an upgrade has this long to pass flows on
+	stopAfter     = 500 * time.Millisecond // when a client rejected meanwhile may come again
+)
+
+// A drain moves open flows between these times after its start, all of them well
+// before the 4 s after which none may be held.
+const (
+	drainMovesFrom = StopNotice
+	drainMoves     = 3 * time.Second
+)
+
+// Drain empties the relay: what still arrives is served, and open flows are moved
+// one by one.
+func (c *Core) Drain() {
+	if c.Welcomes() {
+		c.draining = true
+		c.moveAll(drainMovesFrom, drainMoves)
+	}
+}
+
+// Resume ends a drain; who was not moved yet stays.
+func (c *Core) Resume() {
+	if c.draining && !c.stopping {
+		for _, r := range c.requests {
+			r.leave = 0
+		}
+	}
+	c.draining = false
+}
+
+// GiveUp begins a planned stop of which another process takes the place: fronts pass
+// open flows on to it, and those that are left after a while are moved.
+func (c *Core) GiveUp() {
+	if !c.stopping {
+		c.stopping = true
+		c.moveAll(passWithin, stopMoves)
+	}
+}
+
+// Passed is an open flow on its way to another process. Times are ages.
+type Passed struct {
+	Request Request       `json:"request"`
+	Member  string        `json:"member"`
+	Age     time.Duration `json:"age"`
+}
+
+// Pass gives an open flow up to another process.
+func (c *Core) Pass(id ID) (Passed, bool) {
+	r := c.requests[id]
+	if r == nil || !r.open || r.member == nil {
+		return Passed{}, false
+	}
+	p := Passed{r.Request, r.member.Name, c.Clock() - r.sent}
+	c.ended(r, policy.Cancelled, policy.NoReport)
+	return p, true
+}
+
+// Take takes up the flow that another process has passed on; it is up already. False
+// if its member is not known here.
+func (c *Core) Take(p Passed, v VirtualServer) (ID, *Member, bool) {
+	now, m := c.Clock(), c.byName[p.Member]
+	if m == nil {
+		return 0, nil, false
+	}
+	c.last++
+	r := &request{Request: p.Request, id: c.last, v: v, deadline: now, tries: 1, member: m, sent: now - p.Age,
+		standing: true, open: true}
+	c.requests[r.id] = r
+	m.flows++
+	c.Counts.Requests++
+	c.Counts.Attempts++
+	c.record(r, Served)
+	c.tell(policy.Standing{Request: r.policy(), Server: m.ID})
+	switch {
+	case m.left:
+		c.leaveAt(r, now)
+	case !c.Welcomes():
+		c.leaveAt(r, c.moveAt)
+	}
+	c.arm()
+	return r.id, &m.Member, true
+}
+
+// Stop begins a planned stop: what arrives is rejected, what is on its way is
+// answered, and every open flow is moved. It is over when Held is 0.
+func (c *Core) Stop() {
+	if c.stopping {
+		return
+	}
+	c.stopping = true
+	c.moveAll(stopMovesFrom, stopMoves)
+}
+
+// moveAll spreads the moves of all open flows between two times from now.
+func (c *Core) moveAll(from, to time.Duration) {
+	var open []*request
+	for _, r := range c.requests {
+		if r.open {
+			open = append(open, r)
+		}
+	}
+	c.moveAt = c.Clock() + from
+	for i, r := range open {
+		c.leaveAt(r, c.moveAt+(to-from)*time.Duration(i)/time.Duration(len(open)))
+	}
+	c.arm()
+}
+
+func (c *Core) leaveAt(r *request, at time.Duration) {
+	r.leave = at
+	c.alarm(at, r.id, moveFlow)
+}
+
+// Finish ends a stop whose time is up: who still waits is rejected, and every
+// open flow is moved at once.
+func (c *Core) Finish() {
+	for _, r := range c.requests {
+		if r.open {
+			c.move(r)
+		} else {
+			c.giveUp(r, Rejected, stopAfter)
+		}
+	}
+}
