Core: members that the fleet takes out are left by all relays at a pace that is agreed

Change: Agree takes the fleet's word beside this relay's own bans; the module asks for each move once, so what is put off is the core's to do, also when the drain is revoked, agreed again, or overtaken by discovery. Result: TestAgree, which fails without pace and settle. Costs nothing until something is put off.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,12 +104,13 @@
 	answered bool
 	open     bool
 	leave    time.Duration // when a stop or a drain moves its flow; 0 if none does
+	owed     bool          // the module has asked for its move, and it was put off
 }
 
 type member struct {
 	Member                // as the module sees it
 	listed  policy.Server // as discovery has it
-	banned  bool          // the operators have taken it out
+	banned  bool          // the operators or the fleet have taken it out
 	started time.Duration // when discovery said that it started, as it was taken out
 	back    time.Duration // when they put it back
 	left    bool          // it drains, is gone or is banned
@@ -121,6 +122,8 @@
 	paced   time.Duration // the start that it was made for
 	joined  time.Duration // when it was first named, if that was while we watched
 	line    []*Feed       // that wait for it
+	good    uint64        // attempts and probes that ended well
+	bad     uint64        // and that did not
 }
 
 // Core is the state of one relay. All calls come from one goroutine.
@@ -138,10 +141,12 @@
 	alarms    alarms
 	armed     time.Duration
 	feeds     map[ID]*Feed
-	feedBytes int             // of their messages
-	bans      map[string]bool // by name, also of members that are not listed
+	feedBytes int                // of their messages
+	bans      map[string]bool    // by name, also of members that are not listed
+	agreed    map[string]Leaving // the same, by the fleet's word
 	stopping  bool
 	draining  bool
+	paced     bool // some move was ever put off
 	doubting  bool
 	strict    bool             // nothing goes to a member that has left, within the grace neither
 	later     []policy.Verdict // what waits for the end of the doubt
@@ -263,9 +268,7 @@
 	}
 	r.open = true
 	c.record(r, Served)
-	if c.Saw != nil {
-		c.Saw(&r.member.Member, policy.OK)
-	}
+	c.saw(r.member, policy.OK)
 	if r.standing {
 		c.tell(policy.Standing{Request: r.policy(), Server: r.member.ID})
 	} else {
@@ -332,8 +335,8 @@
 
 // Probed is the answer to a probe.
 func (c *Core) Probed(server policy.ServerID, result policy.Result, report policy.Report) {
-	if m := c.members[server]; m != nil && c.Saw != nil {
-		c.Saw(&m.Member, result)
+	if m := c.members[server]; m != nil {
+		c.saw(m, result)
 	}
 	c.tell(policy.Probed{Server: server, Result: result, Report: report})
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -560,3 +560,64 @@
 		}
 	})
 }
+
+// TestAgree: a member that the fleet takes out gets nothing new at once, and its flows leave spread over the time that is agreed. Revoked,
+// who was not moved stays; agreed again, they are moved, though the module asks once; when discovery says that it drains, none
+// waits; and an operator's own ban outlives the fleet's word.
+func TestAgree(t *testing.T) {
+	const members = 12
+	r := newRig(t, members)
+	var all []*side // of flows that stand
+	for _, s := range r.up(40) {
+		if s.out == 1 {
+			all = append(all, s)
+		}
+	}
+	total := len(all)
+	moved := func() (n int) {
+		for _, s := range all {
+			n += s.moved
+		}
+		return n
+	}
+	drain := map[string]Leaving{}
+	for _, m := range list(members, policy.Ready) {
+		drain[m.Name] = Leaving{Over: 10 * time.Second}
+	}
+	r.Agree(drain)
+	r.pass(5 * time.Second)
+	if n := moved(); total < 20 || n < total/3 || n > total-total/3 {
+		t.Fatalf("%d of %d moved after half of the time", n, total)
+	}
+	if s := r.open(); s.out > 0 {
+		t.Error("sent to a member that is agreed out")
+	}
+	r.Agree(nil)
+	before := moved()
+	r.pass(20 * time.Second)
+	if moved() != before {
+		t.Fatalf("%d moved after the drain was revoked", moved()-before)
+	}
+	if s := r.open(); s.out == 0 {
+		t.Error("a member that was warm before the revoked drain gets nothing")
+	}
+	r.Agree(drain)
+	r.pass(7 * time.Second) // the earliest are gone since the first
+	if n := moved(); n == before || n == total {
+		t.Errorf("%d of all moved seven seconds after the second drain", n)
+	}
+	gone := list(members, policy.Draining)
+	r.Pool(policy.ListDelta, gone)
+	if n := moved(); n != total {
+		t.Errorf("%d of %d moved when discovery says that it drains", n, total)
+	}
+	r.Pool(policy.ListDelta, list(1, policy.Ready))
+	r.Ban("m0")
+	r.Agree(nil)
+	if s := r.open(); s.out > 0 {
+		t.Error("an operator's ban ended with the fleet's")
+	}
+	if got := r.Banned(); len(got) != 1 {
+		t.Errorf("banned here: %v", got)
+	}
+}
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -83,7 +83,9 @@
 			c.abandon(r)
 		}
 	case policy.DoMove:
-		c.move(r)
+		if !c.pace(r) {
+			c.move(r)
+		}
 	}
 }
 
@@ -135,8 +137,8 @@
 	m, try := r.member, r.tries-1
 	r.member = nil
 	m.flows--
-	if c.Saw != nil && result != policy.OK { // an open flow was seen when it came up
-		c.Saw(&m.Member, result)
+	if result != policy.OK { // an open flow was seen when it came up
+		c.saw(m, result)
 	}
 	if c.Ledger != nil {
 		c.Ledger.Attempt(&r.Request, r.id, try, m.Name, r.sent, c.Clock(), result)
@@ -151,6 +153,19 @@
 	c.tell(policy.End{ID: r.id, Try: try, Server: m.ID, Result: result, Closed: r.answered, Report: report})
 }
 
+// saw counts how an attempt or a probe went. A client that leaves says nothing of the member.
+func (c *Core) saw(m *member, result policy.Result) {
+	switch result {
+	case policy.OK, policy.Full:
+		m.good++
+	case policy.Error, policy.Reset, policy.ConnectFailed, policy.Timeout:
+		m.bad++
+	}
+	if c.Saw != nil {
+		c.Saw(&m.Member, result)
+	}
+}
+
 // giveUp answers a request without the module's word, and tells it so.
 func (c *Core) giveUp(r *request, a Answer, after time.Duration) {
 	c.tell(policy.Left{ID: r.id})
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -18,7 +20,7 @@
 		named[e.ID] = true
 		m := c.members[e.ID]
 		if m == nil {
-			m = &member{noted: -noteEvery, banned: c.bans[e.Name], started: e.Started}
+			m = &member{noted: -noteEvery, banned: c.ruled(e.Name), started: e.Started}
 			c.members[e.ID] = m
 			if kind == policy.ListDelta {
 				m.joined = now
@@ -56,34 +58,73 @@
 		m.told = now
 	}
 	m.left = left
+	if c.paced {
+		c.settle(m)
+	}
 }
 
-// ---- What operators tell ----
+// ---- What operators and the fleet tell ----
 
 // Known says whether a member of that name is or was in the pool, or is banned.
-func (c *Core) Known(name string) bool { return c.byName[name] != nil || c.bans[name] }
+func (c *Core) Known(name string) bool { return c.byName[name] != nil || c.ruled(name) }
+
+// Leaving is how a member that the fleet has agreed to take out is left.
+type Leaving struct {
+	Over time.Duration // its flows are moved spread over so long; 0: at once
+	Ban  bool          // an operator's word, after which the member may be another one; else it is drained, and warm if that is revoked
+}
+
+// ruled says whether an operator of this relay or the fleet has taken a member out.
+func (c *Core) ruled(name string) bool {
+	_, agreed := c.agreed[name]
+	return agreed || c.bans[name]
+}
 
 // Ban has nothing new sent to a member, whatever the pool says of it, and its flows
 // moved.
 func (c *Core) Ban(name string) {
 	c.bans[name] = true
-	if m := c.byName[name]; m != nil && !m.banned {
-		m.banned, m.started = true, m.listed.Started
-		c.word(m)
-	}
+	c.rule(name, false)
 }
 
 // Allow ends a ban. Whatever the member was restarted for meanwhile, it is taken
 // for cold, and nothing that was learned of it before counts.
 func (c *Core) Allow(name string) {
 	delete(c.bans, name)
-	if m := c.byName[name]; m != nil && m.banned {
-		m.banned, m.back = false, c.Clock()
-		c.word(m)
+	c.rule(name, false)
+}
+
+// Agree puts what the fleet has agreed on in the place of all that it agreed on before. Bans of this relay's own operators stay.
+func (c *Core) Agree(out map[string]Leaving) {
+	before := c.agreed
+	c.agreed = maps.Clone(out)
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		if _, still := out[name]; !still {
+			c.rule(name, !before[name].Ban)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(out)) {
+		c.rule(name, false)
 	}
 }
 
-// word tells the module of a member about which the operators have spoken.
+// rule has a member be in or out as is ruled now. One that is back is taken for just started, but for a drain that was revoked
+// (warm): discovery would know of a new start.
+func (c *Core) rule(name string, warm bool) {
+	m, out := c.byName[name], c.ruled(name)
+	switch {
+	case m == nil || m.banned == out:
+		return
+	case out:
+		m.started = m.listed.Started
+	case !warm:
+		m.back = c.Clock()
+	}
+	m.banned = out
+	c.word(m)
+}
+
+// word tells the module of a member about which somebody has spoken.
 func (c *Core) word(m *member) {
 	c.see(c.Clock(), m)
 	c.tell(policy.Pool{Kind: policy.ListDelta, Servers: []policy.Server{m.Server}})
@@ -101,6 +142,68 @@
 	}
 }
 
+// Banned are the members that this relay's own operators have taken out, in order.
+func (c *Core) Banned() []string { return slices.Sorted(maps.Keys(c.bans)) }
+
+// pace puts the move of a flow off that the module asks for, where its member leaves by agreement and the flows of all relays are
+// spread over a time. The module asks once, so what is put off is the core's to do.
+func (c *Core) pace(r *request) bool {
+	if r.member == nil || r.member.listed.State != policy.Ready { // it leaves by itself, and sends its clients away soon
+		return false
+	}
+	over := c.agreed[r.member.Name].Over
+	if !r.member.banned || over <= 0 {
+		return false
+	}
+	r.owed, c.paced = true, true
+	// A part of the span that is the request's own, and spreads those of one relay evenly.
+	part := math.Mod(float64(r.id)*math.Phi, 1)
+	c.leaveAt(r, max(c.Clock(), r.member.told+time.Duration(part*float64(over))))
+	return true
+}
+
+// settle looks at flows of a member whose move was put off, when what is said of it changes: it leaves after all, sooner, or stays.
+func (c *Core) settle(m *member) {
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		r := c.requests[id]
+		switch {
+		case r == nil || r.member != m || !r.owed || !r.open:
+		case !m.left && c.Welcomes():
+			r.leave = 0
+		case m.left && !c.pace(r):
+			c.move(r)
+		}
+	}
+}
+
+// MemberView is a pool member as this relay holds it, for those who look.
+type MemberView struct {
+	Name      string
+	Zone      int
+	State     policy.State // as discovery has it
+	Started   time.Duration
+	Out       bool // by an operator or by agreement
+	Flows     int
+	Capacity  float64 // in flows, as far as it is known; 0: not known
+	Good, Bad uint64  // attempts and probes that ended so, since this process started
+}
+
+// Members is what is held of all members that discovery names, by name.
+func (c *Core) Members() (all []MemberView) {
+	learned := c.facade.Learned(c.Clock()).Servers
+	for _, name := range slices.Sorted(maps.Keys(c.byName)) {
+		m := c.byName[name]
+		v := MemberView{Name: name, Zone: m.Zone, State: m.listed.State, Started: m.listed.Started, Out: m.banned, Flows: m.flows, Good: m.good, Bad: m.bad}
+		if l, ok := learned[m.ID]; ok && l.Reports > 0 {
+			v.Capacity = l.Capacity
+		}
+		if m.listed.State != policy.Gone || m.flows > 0 {
+			all = append(all, v)
+		}
+	}
+	return all
+}
+
 // Learned is what another core can go on from. Times are ages.
 type Learned struct {
 	Policy policy.Learned           `json:"policy"`
