A goroutine that posts to a closed loop writes to nobody's descriptor

Seen while looking for the cause of a failing TestSecure, by reading; not the cause of it.

Cause: Post writes eight bytes to the loop's eventfd by its number, from any goroutine, and Close gives that number back without a word to Post.

Change: Close says under Post's lock that nothing is posted any more, and Post writes under it.

TestPostAfterClose fails without the change (8 bytes come to another's socket) and passes with it.

--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -82,6 +82,7 @@
 
 	mu     sync.Mutex
 	posted []func()
+	closed bool // nothing is posted any more
 }
 
 // New makes a loop that reads its time from now. It lets at most limit
@@ -158,11 +159,14 @@
 
 func (l *Loop) crammed() bool { return l.most > 0 && l.held > l.most }
 
-// Post has f run on the loop. It may be called from any goroutine.
+// Post has f run on the loop. It may be called from any goroutine. After Close it does nothing.
 func (l *Loop) Post(f func()) {
 	l.mu.Lock()
+	defer l.mu.Unlock() // until it is written: a descriptor that Close has given back may be another's at once
+	if l.closed {
+		return
+	}
 	l.posted = append(l.posted, f)
-	l.mu.Unlock()
 	one := [8]byte{1}
 	unix.Write(l.wake, one[:]) // a full counter wakes the loop as well
 }
@@ -238,6 +242,9 @@
 	if l.sources == nil {
 		return
 	}
+	l.mu.Lock()
+	l.closed, l.posted = true, nil
+	l.mu.Unlock()
 	for fd := range l.sources {
 		unix.Close(fd)
 	}
--- /dev/null
+++ b/internal/netloop/post_test.go
@@ -0,0 +1,34 @@
+package netloop_test
+
+import (
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// TestPostAfterClose: a goroutine that ends late, as a handshake's does, writes nothing to who has the
+// loop's descriptors by then, and nothing that it posts runs.
+func TestPostAfterClose(t *testing.T) {
+	b := looptest.New(t, 16)
+	b.Post(func() { t.Error("it ran") })
+	b.Close()
+	var pairs [][2]int
+	for range 8 { // one of these has the number that woke the loop
+		p, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pairs = append(pairs, p)
+	}
+	b.Post(func() { t.Error("it ran") })
+	for _, p := range pairs {
+		for _, fd := range p {
+			if n, err := unix.Read(fd, make([]byte, 16)); err != unix.EAGAIN {
+				t.Errorf("%d bytes came to another's descriptor (%v)", n, err)
+			}
+			defer unix.Close(fd)
+		}
+	}
+}
