--- /dev/null
+++ b/internal/rollout/api.go
@@ -0,0 +1,376 @@
+// Package rollout decides what may leave a fleet, when and in which order: releases, drains, permits of others, bans, halt
+// and the way back. State is agreed: it changes by commands alone, the same on every relay. Plan is the leader's: pure, it says what to
+// propose next. No I/O, no clock, no randomness. docs/design/rollout.md says why so.
+package rollout
+
+import "encoding/json"
+
+// ExitOrdered is the status with which a relay ends that was told to leave: its host starts it again.
+const ExitOrdered = 75
+
+// Bounds of what is kept, whatever is asked for.
+const (
+	ReleasesMost = 16   // ended ones go first, the oldest of them
+	UnitsMost    = 2048 // over all releases
+	PermitsMost  = 256
+	BansMost     = 1024
+	NameMost     = 128 // bytes of a name, a program, a configuration
+	WhyMost      = 512
+	GivesMost    = 64 // things in one step
+)
+
+// Kinds of things.
+const (
+	KindRelay  = "relay"
+	KindMember = "member"
+	KindBan    = "ban" // a member that a release bans
+	KindAllow  = "allow"
+)
+
+// Kinds of commands. Those of operators and askers first, then the pilot's.
+const (
+	Open   = "open"   // a release or a drain: Name, Release
+	Ask    = "ask"    // a permit: Kind is of the thing; Name, Why, Who, For
+	Begin  = "begin"  // Number: the asker is about to take the thing down
+	Give   = "give"   // Number: the asker is done, or will not
+	Halt   = "halt"   // Name, Why
+	Resume = "resume" // Name
+	Back   = "back"   // Name
+	Ban    = "ban"    // Names, Why
+	Allow  = "allow"  // Names
+	Lay    = "lay"    // Name, Units: a release's things, in order, as they were before
+	Step   = "step"   // Gives, Base, Sight: what goes out now, permits among them
+	Seen   = "seen"   // Saw: units and permits that were seen further by others
+	Void   = "void"   // Numbers: permits not begun in time, askers gone
+)
+
+// Command is the body of a command, one struct for all kinds.
+type Command struct {
+	Kind    string   `json:"kind"`
+	Thing   string   `json:"thing,omitempty"` // ask: relay or member
+	Name    string   `json:"name,omitempty"`
+	Names   []string `json:"names,omitempty"`
+	Why     string   `json:"why,omitempty"`
+	Who     string   `json:"who,omitempty"` // ask: whose permit; repeated asking by the same gets the same. open, halt: the operator
+	For     int64    `json:"for,omitempty"` // ask: how long it will be out, ms
+	Number  uint64   `json:"number,omitempty"`
+	Numbers []uint64 `json:"numbers,omitempty"`
+	Release *Wish    `json:"release,omitempty"`
+	Cause   string   `json:"cause,omitempty"` // halt by itself: one of the causes; resume by itself: the cause that is gone
+	Base    uint64   `json:"base,omitempty"`  // the version that it was reckoned from
+	Sight   *Sight   `json:"sight,omitempty"`
+	Units   []Unit   `json:"units,omitempty"`
+	Gives   []Gift   `json:"gives,omitempty"`
+	Saw     []Saw    `json:"saw,omitempty"`
+	Before  []Count  `json:"before,omitempty"` // lay: the fleet's service before the release
+}
+
+// Encode is the command as the record's body.
+func (c Command) Encode() []byte {
+	b, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // only a float that is no number
+	}
+	return b
+}
+
+// Wish is what an operator wants to release.
+type Wish struct {
+	Kind    string   `json:"kind"`            // relay, member, or ban (a change of bans: Ban and Allow)
+	Drain   bool     `json:"drain,omitempty"` // no return is wanted of members: they stay out until back
+	All     bool     `json:"all,omitempty"`
+	Zones   []string `json:"zones,omitempty"` // all things of these zones
+	Names   []string `json:"names,omitempty"`
+	Program string   `json:"program,omitempty"` // what it is to say that it runs when it is back
+	Config  string   `json:"config,omitempty"`
+	Ban     []string `json:"ban,omitempty"`
+	Allow   []string `json:"allow,omitempty"`
+	Wait    bool     `json:"wait,omitempty"` // wait for a release that touches the same things; else refuse
+	Lone    bool     `json:"lone,omitempty"` // the first thing goes alone, and has to be back
+	Zonal   bool     `json:"zonal,omitempty"`
+}
+
+// Phases of a unit.
+const (
+	Waiting = ""       // not touched, or as it was
+	Out     = "out"    // told to leave
+	Empty   = "empty"  // a member that no relay holds a flow at: its owner may replace it
+	Coming  = "coming" // replaced, not yet in full service
+	Revoked = "revoked"
+	Done    = "done"
+	Missing = "missing" // was not there any more
+)
+
+// Unit is one thing of a release.
+type Unit struct {
+	Name     string  `json:"name"`
+	Zone     string  `json:"zone,omitempty"`
+	Kind     string  `json:"kind"`
+	Size     float64 `json:"size,omitempty"`    // its capacity when laid out
+	Program  string  `json:"program,omitempty"` // before
+	Config   string  `json:"config,omitempty"`  // before
+	Banned   bool    `json:"banned,omitempty"`  // before
+	Now      string  `json:"now,omitempty"`     // the successor's name, where it has another
+	Phase    string  `json:"phase,omitempty"`
+	Got      bool    `json:"got,omitempty"`      // it has the new thing
+	Undo     bool    `json:"undo,omitempty"`     // it is out to get back what it had
+	Stranded bool    `json:"stranded,omitempty"` // it did not come in time while the release went back; still out until seen
+	Number   uint64  `json:"number,omitempty"`   // of the order
+	Order    uint64  `json:"order,omitempty"`    // the version that changed its orders last
+	At       int64   `json:"at,omitempty"`       // when it was told
+	Start    int64   `json:"start,omitempty"`    // start number or time that was seen when it was told, or empty
+	MoveOver int64   `json:"move_over,omitempty"`
+}
+
+// Gift is one thing that a step gives out: a unit, or a permit.
+type Gift struct {
+	Release  string  `json:"release,omitempty"`
+	Unit     string  `json:"unit,omitempty"` // its first name
+	Permit   uint64  `json:"permit,omitempty"`
+	Zone     string  `json:"zone,omitempty"`
+	Bears    float64 `json:"bears,omitempty"` // what goes with it
+	Start    int64   `json:"start,omitempty"`
+	MoveOver int64   `json:"move_over,omitempty"`
+}
+
+// Saw is one thing that others saw further.
+type Saw struct {
+	Release string `json:"release,omitempty"`
+	Unit    string `json:"unit,omitempty"`
+	Permit  uint64 `json:"permit,omitempty"`
+	Order   uint64 `json:"order"`           // of the unit, so that an old sight changes nothing; 0 for a permit
+	Phase   string `json:"phase"`           // empty, coming, done (with the new thing), waiting (as before), missing
+	Now     string `json:"now,omitempty"`   // successor
+	Start   int64  `json:"start,omitempty"` // seen at empty
+	Strand  bool   `json:"strand,omitempty"`
+}
+
+// Orders are what one relay is to do now.
+type Orders struct {
+	Leave *Leave             `json:"leave,omitempty"`
+	Out   map[string]OutInfo `json:"out,omitempty"` // members that get nothing new
+}
+
+// Leave is the order to drain, move the clients and end with ExitOrdered.
+type Leave struct {
+	Number  uint64 `json:"number"`
+	Release string `json:"release"`
+	Start   uint64 `json:"start"`             // it is for the process with this start number or an earlier one; a later one ignores it
+	Program string `json:"program,omitempty"` // what is to be started after it
+	Config  string `json:"config,omitempty"`
+}
+
+// OutInfo says why a member is out.
+type OutInfo struct {
+	Why      string `json:"why"` // ban or drain
+	Number   uint64 `json:"number"`
+	Since    int64  `json:"since"`
+	MoveOver int64  `json:"move_over,omitempty"` // its flows are moved over so many ms; 0 leaves them with a ban
+}
+
+// View is what the leader knows. A relay's fields and its Held are of one word. Names are unique.
+type View struct {
+	At      int64    `json:"at"`
+	Relays  []Relay  `json:"relays"`
+	Members []Member `json:"members"`
+	Load    float64  `json:"load"`    // connections of members in use, or asked for
+	Service []Count  `json:"service"` // windows in which all relays counted, oldest first
+	Worse   string   `json:"worse,omitempty"`
+	WorseOf string   `json:"worse_of,omitempty"` // the release; "" for all
+	Drift   string   `json:"drift,omitempty"`
+	DriftMS int64    `json:"drift_ms,omitempty"` // for how long
+}
+
+// Count is the service of one window, over all relays.
+type Count struct {
+	At     int64   `json:"at"` // its end
+	Asked  float64 `json:"asked"`
+	Served float64 `json:"served"`
+}
+
+// Relay is one as the leader sees it.
+type Relay struct {
+	Name     string  `json:"name"`
+	Zone     string  `json:"zone"`
+	HeardMS  int64   `json:"heard_ms"` // ago; -1 never
+	Gone     bool    `json:"gone"`     // no process, for certain
+	Start    uint64  `json:"start"`    // rises with every process
+	Phase    string  `json:"phase"`    // its own word
+	Program  string  `json:"program"`
+	Config   string  `json:"config"`
+	Applied  uint64  `json:"applied"` // the Version that it has applied
+	Full     bool    `json:"full"`    // others see it serve
+	Flows    int     `json:"flows"`
+	Capacity float64 `json:"capacity"` // flows; 0 unknown
+}
+
+// Member is one as the fleet sees it.
+type Member struct {
+	Name     string          `json:"name"`
+	Zone     string          `json:"zone"`
+	Listed   string          `json:"listed"`
+	Program  string          `json:"program"`
+	Started  int64           `json:"started"` // wall clock
+	Capacity float64         `json:"capacity"`
+	Bears    float64         `json:"bears"` // now; below Capacity while it is cold
+	Takes    float64         `json:"takes"` // new flows a second; 0 unknown
+	Failing  bool            `json:"failing"`
+	Held     map[string]Held `json:"held"` // by relay; no entry: its last word named none
+}
+
+// Held is what a relay said that it holds at a member.
+type Held struct {
+	Flows int   `json:"flows"`
+	At    int64 `json:"at"`
+}
+
+// Budgets are settings.
+type Budgets struct {
+	Relays   Budget  `json:"relays"`
+	Members  Budget  `json:"members"`
+	Headroom float64 `json:"headroom"` // what is left must carry 1+Headroom times the load
+	Silent   int64   `json:"silent"`   // ms without a word after which a relay counts as lost
+	Hold     int64   `json:"hold"`     // ms without a word after which a relay holds no flow any more at a member that is out
+	Fresh    int64   `json:"fresh"`    // ms that a view may be old when its step is agreed
+	Drain    int64   `json:"drain"`    // ms that a relay or member may take to be empty
+	Start    int64   `json:"start"`    // ms that it may take to serve
+	Warm     int64   `json:"warm"`     // ms that a cold member takes until it bears all
+	Window   int64   `json:"window"`   // ms in which a permit is to be begun
+	Clock    float64 `json:"clock"`    // how much faster or slower a clock may run: 0.01
+	Drift    int64   `json:"drift"`    // ms of View.Drift after which a release halts
+	Slack    float64 `json:"slack"`    // how much of the service a release may cost: 0.05; beyond it and noise it halts
+}
+
+// Budget is how many may be out at once.
+type Budget struct {
+	Whole Part `json:"whole"` // not set: 1
+	Zone  Part `json:"zone"`  // of each zone's things; not set: no bound but Whole
+}
+
+// Part is a number, or a part of all. The zero value is not set.
+type Part struct {
+	Count int     `json:"count,omitempty"`
+	Share float64 `json:"share,omitempty"`
+}
+
+// Sight is what of a view a step rests on.
+type Sight struct {
+	At      int64   `json:"at"`
+	Budgets Budgets `json:"budgets"`
+	Relays  Side    `json:"relays"`
+	Members Side    `json:"members"`
+}
+
+// Side is the relays' or the members' part of it.
+type Side struct {
+	Zones map[string]int `json:"zones,omitempty"` // how many there are, those out included
+	Lost  []Place        `json:"lost,omitempty"`  // unplanned: silent, dead, failing, cold, banned
+	Left  float64        `json:"left,omitempty"`  // what is borne by all that is sound and not out; cold ones by what they bear now
+	Load  float64        `json:"load,omitempty"`
+	Known bool           `json:"known,omitempty"` // capacities are
+}
+
+// Place is a thing and its zone.
+type Place struct {
+	Name string `json:"name"`
+	Zone string `json:"zone,omitempty"`
+}
+
+// States of a release.
+const (
+	Queued  = "queued" // behind another, or not yet laid out
+	Running = "running"
+	Halted  = "halted"
+	Backing = "backing"
+	Ended   = "done"
+	Undone  = "back"
+)
+
+// Causes of a halt.
+const (
+	ByOperator = "operator"
+	Verdict    = "verdict"
+	Overdrawn  = "overdrawn"
+	Overdue    = "overdue"
+	Service    = "service"
+	Drifted    = "drift"
+	Stalled    = "stalled"
+)
+
+// Account is a release as operators are shown it.
+type Account struct {
+	Name    string   `json:"name"`
+	State   string   `json:"state"`
+	Backing bool     `json:"backing,omitempty"` // its direction, also while halted
+	Wish    Wish     `json:"wish"`
+	By      string   `json:"by"`
+	Opened  int64    `json:"opened"`
+	Ended   int64    `json:"ended,omitempty"`
+	Behind  string   `json:"behind,omitempty"`
+	Halt    *Stop    `json:"halt,omitempty"`
+	Units   []Unit   `json:"units,omitempty"`
+	Counts  Counts   `json:"counts"`
+	Except  []string `json:"except,omitempty"` // what could not be done or undone
+}
+
+// Counts of units.
+type Counts struct {
+	Waiting int `json:"waiting"`
+	Out     int `json:"out"`
+	Done    int `json:"done"`
+}
+
+// Stop is why a release halted.
+type Stop struct {
+	Cause string `json:"cause"`
+	Why   string `json:"why,omitempty"`
+	By    string `json:"by"`
+	At    int64  `json:"at"`
+	Stays bool   `json:"stays"` // only an operator resumes it
+}
+
+// Permits' states.
+const (
+	Wait    = "wait"
+	Granted = "granted"
+	Begun   = "begun"
+)
+
+// Answer is what Apply says. Error alone means that nothing changed.
+type Answer struct {
+	Error  string `json:"error,omitempty"`
+	Name   string `json:"name,omitempty"`
+	State  string `json:"state,omitempty"`  // of the release or permit
+	Number uint64 `json:"number,omitempty"` // of the permit
+	Left   int64  `json:"left,omitempty"`   // granted: ms in which it has to be begun, from when the ask was sent
+	Why    string `json:"why,omitempty"`
+	Again  int64  `json:"again,omitempty"` // wait: ask again in ms
+}
+
+// Pass is a permit as operators are shown it.
+type Pass struct {
+	Number uint64 `json:"number"`
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	Zone   string `json:"zone,omitempty"`
+	Who    string `json:"who"`
+	Why    string `json:"why,omitempty"`
+	For    int64  `json:"for"`
+	State  string `json:"state"`
+	Reason string `json:"reason,omitempty"` // why it waits
+	Asked  int64  `json:"asked"`            // last
+	At     int64  `json:"at,omitempty"`     // granted, or begun
+	Window int64  `json:"window,omitempty"` // to begin in, ms
+	Until  int64  `json:"until,omitempty"`  // the record's: granted: void after it; begun: may be over after it without having left
+	Start  int64  `json:"start,omitempty"`
+	Given  bool   `json:"given,omitempty"`
+}
+
+// Banned is one ban.
+type Banned struct {
+	Name   string `json:"name"`
+	Why    string `json:"why,omitempty"`
+	By     string `json:"by"`
+	Since  int64  `json:"since"`
+	Number uint64 `json:"number"`
+}
