Canary: the exported types and calls of the module

The glue is written against them while the bodies follow. Counts come as whole strata with both arms, a Judge works for one canary and begins anew with each rung, a relay's side is Holder.

--- /dev/null
+++ b/internal/canary/stubs.go
@@ -0,0 +1,87 @@
+package canary
+
+// State is what the fleet has agreed on.
+type State struct{}
+
+func New() *State                                                  { return &State{} }
+func Decode([]byte) (*State, error)                                { return New(), nil }
+func (s *State) Apply(at int64, by string, body []byte) []byte     { return nil }
+func (s *State) Encode() []byte                                    { return nil }
+func (s *State) Version() uint64                                   { return 0 }
+func (s *State) Weights() []Weight                                 { return nil }
+func (s *State) Canaries() []Canary                                { return nil }
+func (s *State) Canary(release string) (Canary, bool)              { return Canary{}, false }
+func (s *State) Plan(now int64, v Verdict, applied bool) []Command { return nil }
+
+// Check says why a spec cannot work; nil if it can.
+func Check(Spec) error { return nil }
+
+// InArm says whether a group's new flows go to the arm. The same at every relay; a higher weight adds groups and swaps none.
+func InArm(salt, group uint64, perMille int) bool { return false }
+
+// Holder is one relay's side.
+type Holder struct{}
+
+// NewHolder: cut is for how long (ms) the record may be out of reach before nothing is raised any more.
+func NewHolder(cut int64) *Holder                                  { return &Holder{} }
+func (h *Holder) Agreed(now int64, index uint64, weights []Weight) {}
+func (h *Holder) Reached(now int64, index uint64)                  {}
+func (h *Holder) Heard(n Notice) bool                              { return false }
+func (h *Holder) Pause(release string) (Notice, bool)              { return Notice{}, false }
+func (h *Holder) Notices() []Notice                                { return nil }
+func (h *Holder) Weights(now int64) []Weight                       { return nil }
+
+// Stratum is what is compared with its like alone.
+type Stratum struct {
+	Class uint8
+	Zone  uint8 // of the member, by its place among the sorted names of zones
+	Cold  bool
+	Load  uint8 // Band
+}
+
+// Band is a member's load (flows offered, as a part of what its cores bear) in halves of what is left.
+func Band(load float64) uint8 { return 0 }
+
+// Tally is what one arm of one stratum was counted at.
+type Tally struct {
+	Attempts, Failed, Reset, TimedOut uint64
+	Ended, Early                      uint64
+	SetUp, Message                    Times
+}
+
+// Times is a histogram with two buckets an octave from 1/8 ms up.
+type Times [Buckets]uint64
+
+const Buckets = 40
+
+func (t *Times) Add(ms float64) {}
+
+// Counts is a relay's word: all since its start, whole strata at a time.
+type Counts struct {
+	Salt   uint64 // of the canary
+	Start  uint64 // of the relay's process; rises with each start
+	Seq    uint64 // of this word
+	Strata []Pair
+}
+
+// Pair is a stratum with both arms.
+type Pair struct {
+	Stratum
+	Base, Arm Tally
+}
+
+// Counter counts at one relay for one canary.
+type Counter struct{}
+
+func NewCounter(salt, start uint64) *Counter          { return &Counter{} }
+func (c *Counter) At(s Stratum, arm bool) *Tally      { return &Tally{} }
+func (c *Counter) Append(dst []byte, most int) []byte { return dst }
+func DecodeCounts([]byte) (Counts, error)             { return Counts{}, nil }
+
+// Judge weighs what relays counted.
+type Judge struct{}
+
+func NewJudge(Settings) *Judge                                { return &Judge{} }
+func (j *Judge) Begin(epoch uint64, rung int)                 {}
+func (j *Judge) Hear(now int64, relay, zone string, c Counts) {}
+func (j *Judge) Verdict(now int64) Verdict                    { return Verdict{} }
