Canary: the agreed state, a relay's side of it, whose flow goes to the arm

Raising needs the log and the number that it was reckoned at; a pause of an epoch holds until a resume above it. A relay uses nothing until it has reached the record since its start, no news that raises while it is cut off, and the least that it heard of. 200 seeds of five relays with lags, cuts and restarts use no old weight; the planted one that trusts its disk is found.

--- /dev/null
+++ b/internal/canary/holder.go
@@ -0,0 +1,202 @@
+package canary
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Holder is one relay's side: the weights that it uses now. The record alone raises them; anybody's notice lowers them.
+// Its time is the relay's own clock in milliseconds, one that never steps back.
+type Holder struct {
+	cut      int64
+	index    uint64 // of the record, up to which it is applied here
+	agreed   []Weight
+	sure     []Weight // as they were when the record was last reached
+	reached  bool     // since this process began
+	at       int64    // when it was last
+	waits    bool     // it was reached at waitsAt, and is not applied here up to that index yet
+	waitsAt  int64
+	waitsFor uint64
+	top      uint64 // the highest epoch that the record has shown here
+	heard    map[string]heard
+	Refused  uint64 // notices beyond the bounds
+	Old      uint64 // states of the record older than the one held
+	trusts   bool   // a planted defect of the tests: what stood on disk is used before the record is reached
+}
+
+type heard struct {
+	pause uint64 // the highest epoch that somebody paused; 0 for none
+	low   Notice // what was agreed at a higher number than is known here
+}
+
+// NewHolder begins with no weights. Cut is for how long the record may be out of reach before news of it raises nothing any more.
+func NewHolder(cut int64) *Holder { return &Holder{cut: cut, heard: map[string]heard{}} }
+
+// Agreed takes the weights as applied from the record up to an index, from disk too. It is to be called for every index, or before
+// Reached at least: a relay that does not show its index counts as behind.
+func (h *Holder) Agreed(now int64, index uint64, weights []Weight) {
+	if index < h.index {
+		h.Old++
+		return
+	}
+	h.index, h.agreed = index, slices.Clone(weights)
+	for _, w := range weights {
+		h.top = max(h.top, w.Epoch)
+	}
+	for name, k := range h.heard {
+		if w := h.find(h.agreed, name); w != nil {
+			if k.pause != 0 && k.pause < w.Epoch {
+				k.pause = 0 // resumed since
+			}
+			if k.low.Number != 0 && (k.low.Epoch < w.Epoch || k.low.Number <= w.Number) {
+				k.low = Notice{}
+			}
+		} else {
+			if k.pause <= h.top {
+				k.pause = 0 // closed since
+			}
+			if k.low.Epoch <= h.top {
+				k.low = Notice{}
+			}
+		}
+		if k == (heard{}) {
+			delete(h.heard, name)
+		} else {
+			h.heard[name] = k
+		}
+	}
+	if h.waits && h.index >= h.waitsFor {
+		h.touch(h.waitsAt)
+	}
+}
+
+// Reached says that at this time a majority stood behind the record up to an index.
+func (h *Holder) Reached(now int64, index uint64) {
+	if index <= h.index {
+		h.touch(now)
+	} else if !h.waits {
+		h.waits, h.waitsAt, h.waitsFor = true, now, index
+	}
+}
+
+func (h *Holder) touch(at int64) {
+	h.waits = false
+	h.reached, h.at, h.sure = true, max(h.at, at), h.agreed
+}
+
+// Heard takes a notice from anybody, and says whether it was new.
+func (h *Holder) Heard(n Notice) bool {
+	if n.Release == "" || len(n.Release) > 128 || n.PerMille < 0 || n.Epoch == 0 || n.Epoch > h.top && n.Epoch-h.top > epochsAhead {
+		h.Refused++
+		return false
+	}
+	w := h.find(h.agreed, n.Release)
+	if w == nil && n.Epoch <= h.top || w != nil && n.Epoch < w.Epoch {
+		return false // closed or resumed since
+	}
+	k, known := h.heard[n.Release]
+	if !known && len(h.heard) >= NoticesMost && !h.room(n, w != nil) {
+		h.Refused++
+		return false
+	}
+	switch {
+	case n.Pause && n.Epoch > k.pause:
+		k.pause = n.Epoch
+	case !n.Pause && (w == nil || n.Epoch > w.Epoch || n.Number > w.Number) &&
+		(n.Epoch > k.low.Epoch || n.Epoch == k.low.Epoch && n.Number > k.low.Number):
+		k.low = n
+	default:
+		return false
+	}
+	h.heard[n.Release] = k
+	return true
+}
+
+// room drops the oldest that is held of a release unknown here, for a newer one or one that is known.
+func (h *Holder) room(n Notice, known bool) bool {
+	oldest, epoch := "", uint64(0)
+	for _, name := range slices.Sorted(maps.Keys(h.heard)) {
+		if h.find(h.agreed, name) != nil {
+			continue
+		}
+		if k := h.heard[name]; oldest == "" || max(k.pause, k.low.Epoch) < epoch {
+			oldest, epoch = name, max(k.pause, k.low.Epoch)
+		}
+	}
+	if oldest == "" || !known && n.Epoch <= epoch {
+		return false
+	}
+	delete(h.heard, oldest)
+	return true
+}
+
+// Pause holds a release at zero here and now, and gives the notice that tells others. It needs no record; false if the release is unknown here.
+func (h *Holder) Pause(release string) (Notice, bool) {
+	w := h.find(h.agreed, release)
+	if w == nil {
+		return Notice{}, false
+	}
+	n := Notice{Release: release, Pause: true, Epoch: max(w.Epoch, h.heard[release].pause)}
+	h.Heard(n)
+	return n, true
+}
+
+// Notices is what to tell others: the weights agreed here, and what was heard that the record does not know yet.
+func (h *Holder) Notices() []Notice {
+	var list []Notice
+	for _, w := range h.agreed {
+		list = append(list, Notice{Release: w.Release, Epoch: w.Epoch, Number: w.Number, PerMille: w.PerMille})
+	}
+	for _, name := range slices.Sorted(maps.Keys(h.heard)) {
+		k := h.heard[name]
+		if k.pause != 0 {
+			list = append(list, Notice{Release: name, Pause: true, Epoch: k.pause})
+		}
+		if k.low.Number != 0 {
+			list = append(list, k.low)
+		}
+	}
+	return list
+}
+
+// Weights is what this relay is to use now, by name of the release.
+func (h *Holder) Weights(now int64) []Weight {
+	list := slices.Clone(h.agreed)
+	for i := range list {
+		list[i].PerMille = h.weight(now, list[i])
+	}
+	slices.SortFunc(list, func(x, y Weight) int { return cmp.Compare(x.Release, y.Release) })
+	return list
+}
+
+func (h *Holder) weight(now int64, w Weight) int {
+	use := w.PerMille
+	if !h.reached && !h.trusts {
+		return 0 // what stood on disk may be an old weight, and a higher one than now's
+	}
+	if h.reached && now-h.at > h.cut {
+		sure := h.find(h.sure, w.Release)
+		if sure == nil {
+			return 0
+		}
+		use = min(use, sure.PerMille)
+	}
+	k := h.heard[w.Release]
+	if k.pause >= w.Epoch {
+		return 0
+	}
+	if k.low.Number != 0 {
+		use = min(use, k.low.PerMille)
+	}
+	return use
+}
+
+func (h *Holder) find(list []Weight, release string) *Weight {
+	for i := range list {
+		if list[i].Release == release {
+			return &list[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/canary/holder_test.go
@@ -0,0 +1,184 @@
+package canary
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+const cutMS = 3000
+
+// A log of random commands, and relays that follow it with lags, cuts, restarts and notices. Kept at each step: no relay uses more than
+// the highest weight that was agreed within the time that it could have learned of (the cut), none above zero in an epoch that it has
+// heard paused, and one that has come back nothing above what is agreed since it was back.
+func playHolders(seed uint64, trusts bool) error {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	type entry struct {
+		at int64
+		c  Canary
+	}
+	type relay struct {
+		*Holder
+		born    int64
+		applied int
+		cut     bool
+		paused  uint64 // the highest epoch heard
+	}
+	sp := spec("r")
+	s := New()
+	s.Apply(0, "op", Command{Do: "open", Release: "r", Spec: &sp}.Body())
+	snap := func() []Weight { return s.Weights() }
+	c, _ := s.Canary("r")
+	log := []entry{{0, c}}
+	weights := [][]Weight{snap()}
+	relays := make([]*relay, 5)
+	begin := func(now int64, applied int) *relay {
+		r := &relay{Holder: NewHolder(cutMS), born: now, applied: applied}
+		r.trusts = trusts
+		r.Agreed(now, uint64(applied), weights[applied-1]) // from disk
+		return r
+	}
+	for i := range relays {
+		relays[i] = begin(0, 1)
+	}
+	for now := int64(100); now < 60_000; now += 100 {
+		if rng.IntN(15) == 0 {
+			c, _ := s.Canary("r")
+			cmd := Command{Do: []string{"rung", "rung", "rung", "pause", "resume", "resume"}[rng.IntN(6)], Release: "r", Number: c.Number}
+			if cmd.Do == "pause" {
+				cmd.Kind = Diverge // and a weight that is kept or lowered
+			}
+			s.Apply(now, "op", cmd.Body())
+			if after, _ := s.Canary("r"); after.Number != c.Number {
+				log, weights = append(log, entry{now, after}), append(weights, snap())
+			}
+			if c.Status == Back {
+				s.Apply(now, "op", Command{Do: "close", Release: "r"}.Body())
+				s.Apply(now, "op", Command{Do: "open", Release: "r", Spec: &sp}.Body())
+				c, _ := s.Canary("r")
+				log, weights = append(log, entry{now, c}), append(weights, snap())
+			}
+		}
+		for i, r := range relays {
+			switch rng.IntN(60) {
+			case 0:
+				r.cut = !r.cut
+			case 1:
+				relays[i] = begin(now, 1+rng.IntN(r.applied)) // its disk may hold less than it had applied
+				relays[i].cut = r.cut
+				r = relays[i]
+			case 2:
+				if n, ok := r.Pause("r"); ok {
+					r.paused = max(r.paused, n.Epoch)
+				}
+			}
+			if !r.cut && rng.IntN(3) == 0 {
+				r.Reached(now, uint64(len(log)))
+				for r.applied < len(log) && rng.IntN(4) > 0 {
+					r.applied++
+					r.Agreed(now, uint64(r.applied), weights[r.applied-1])
+				}
+			}
+			if rng.IntN(4) == 0 { // notices pass between any two
+				for _, n := range relays[rng.IntN(len(relays))].Notices() {
+					r.Heard(n)
+					if n.Pause {
+						r.paused = max(r.paused, n.Epoch)
+					}
+				}
+			}
+			use := r.Weights(now)[0]
+			most := 0 // of what was agreed at any time that this relay may still go by
+			for k := len(log) - 1; k >= 0; k-- {
+				most = max(most, log[k].c.PerMille)
+				// Agreed at or before the time from which it must know better: nothing older counts.
+				if known := max(r.born, lastReach(r.Holder)); log[k].at <= known {
+					break
+				}
+			}
+			switch {
+			case use.PerMille > most:
+				return fmt.Errorf("seed %d at %d: relay %d, born %d, uses %d and %d at most was agreed since it knew", seed, now, i, r.born, use.PerMille, most)
+			case use.PerMille > 0 && r.paused >= use.Epoch:
+				return fmt.Errorf("seed %d at %d: relay %d uses %d in epoch %d, and heard a pause of %d", seed, now, i, use.PerMille, use.Epoch, r.paused)
+			}
+		}
+	}
+	return nil
+}
+
+func lastReach(h *Holder) int64 { return h.at }
+
+func TestHolders(t *testing.T) {
+	for seed := range uint64(200) {
+		if err := playHolders(seed, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Planted: a relay that takes up the weight of its disk before it has reached the record.
+func TestPlantedOldWeight(t *testing.T) {
+	found := 0
+	for seed := range uint64(50) {
+		if playHolders(seed, true) != nil {
+			found++
+		}
+	}
+	if found == 0 {
+		t.Error("an old weight after a restart was not found")
+	}
+	t.Logf("found by %d of 50 seeds", found)
+}
+
+func TestHolderCut(t *testing.T) {
+	h := NewHolder(cutMS)
+	w := Weight{Release: "r", PerMille: 50, Epoch: 1, Number: 2, Rung: 1}
+	is := func(now int64, want int, why string) {
+		t.Helper()
+		if got := h.Weights(now)[0].PerMille; got != want {
+			t.Errorf("%s: %d, not %d", why, got, want)
+		}
+	}
+	h.Agreed(0, 5, []Weight{w})
+	is(0, 0, "from disk")
+	h.Reached(10, 7)
+	is(10, 0, "reached, and behind")
+	h.Agreed(20, 7, []Weight{w})
+	is(20, 50, "reached")
+	w.PerMille, w.Number, w.Rung = 250, 3, 2
+	h.Agreed(4000, 8, []Weight{w})
+	is(4000, 50, "raised while cut off")
+	h.Reached(4001, 8)
+	is(4001, 250, "raised")
+	h.Agreed(4002, 7, []Weight{{Release: "r", PerMille: 1000, Epoch: 1, Number: 9}})
+	is(4002, 250, "an older index")
+	if !h.Heard(Notice{Release: "r", Epoch: 1, Number: 4, PerMille: 10}) || h.Heard(Notice{Release: "r", Epoch: 1, Number: 4, PerMille: 10}) {
+		t.Error("a notice is new once")
+	}
+	is(4002, 10, "lowered as heard from another")
+	h.Heard(Notice{Release: "r", Epoch: 1, Number: 3, PerMille: 1})
+	is(4002, 10, "older news")
+	h.Heard(Notice{Release: "r", Pause: true, Epoch: 1})
+	is(4002, 0, "paused by another")
+	w.Epoch, w.Number, w.PerMille = 2, 5, 50
+	h.Agreed(5000, 9, []Weight{w})
+	is(5000, 50, "resumed")
+	if len(h.heard) != 0 || h.Heard(Notice{Release: "r", Pause: true, Epoch: 1}) {
+		t.Error("a pause of before the resume")
+	}
+	if n, ok := h.Pause("r"); !ok || n.Epoch != 2 || len(h.Notices()) != 2 {
+		t.Errorf("%v %v", n, ok)
+	}
+	is(5000, 0, "paused here")
+	if h.Heard(Notice{Release: "r", Pause: true, Epoch: 1 << 40}) || h.Refused != 1 {
+		t.Error("an epoch out of reach was taken")
+	}
+	for i := range 3 * NoticesMost { // of releases that are not known here
+		h.Heard(Notice{Release: fmt.Sprint("x", i), Pause: true, Epoch: uint64(3 + i%7)})
+	}
+	is(5000, 0, "the pause of a known release is kept")
+	if len(h.heard) > NoticesMost {
+		t.Errorf("%d held", len(h.heard))
+	}
+}
--- /dev/null
+++ b/internal/canary/state.go
@@ -0,0 +1,263 @@
+package canary
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// State is what the fleet has agreed on. It is changed by Apply alone, from the log, with the same result everywhere: it reads no
+// clock, and its canaries are a list in the order of their names.
+type State struct {
+	held   held
+	jumble func([]Canary) // a planted defect of the tests: an order that is not the same everywhere
+}
+
+type held struct {
+	Version  uint64   `json:"version"` // commands that changed something
+	At       int64    `json:"at"`
+	Epochs   uint64   `json:"epochs"` // the last one given out
+	Canaries []Canary `json:"canaries,omitempty"`
+}
+
+// epochsAhead bounds by how much a claimed epoch may be above the last agreed one: a false one must not use them up.
+const epochsAhead = 1 << 32
+
+// New is a state with nothing agreed.
+func New() *State { return &State{} }
+
+// Encode is the state as a snapshot holds it.
+func (s *State) Encode() []byte {
+	h := s.held
+	if s.jumble != nil {
+		h.Canaries = slices.Clone(h.Canaries)
+		s.jumble(h.Canaries)
+	}
+	b, err := json.Marshal(h)
+	if err != nil {
+		panic(err) // Check keeps out what JSON cannot say
+	}
+	return b
+}
+
+// Decode is the state of a snapshot.
+func Decode(b []byte) (*State, error) {
+	s := New()
+	if err := json.Unmarshal(b, &s.held); err != nil {
+		return nil, fmt.Errorf("canary: snapshot: %w", err)
+	}
+	if len(s.held.Canaries) > CanariesMost {
+		return nil, fmt.Errorf("canary: snapshot: %d canaries, at most %d", len(s.held.Canaries), CanariesMost)
+	}
+	for i, c := range s.held.Canaries {
+		if err := Check(c.Spec); err != nil {
+			return nil, fmt.Errorf("canary: snapshot: %s: %w", c.Release, err)
+		}
+		switch {
+		case i > 0 && s.held.Canaries[i-1].Release >= c.Release:
+			return nil, errors.New("canary: snapshot: not in order")
+		case c.Rung < 0 || c.Rung >= len(c.Ladder) || c.PerMille < 0 || c.PerMille > c.Ladder[c.Rung] || c.Epoch > s.held.Epochs:
+			return nil, fmt.Errorf("canary: snapshot: %s: it cannot stand where it does", c.Release)
+		case !slices.Contains([]Status{Going, Paused, Back, Done}, c.Status):
+			return nil, fmt.Errorf("canary: snapshot: %s: unknown status %q", c.Release, c.Status)
+		}
+	}
+	return s, nil
+}
+
+// Version rises with each command that changed something.
+func (s *State) Version() uint64 { return s.held.Version }
+
+// Canaries is all that is held, by name.
+func (s *State) Canaries() []Canary { return slices.Clone(s.held.Canaries) }
+
+// Canary is one of them.
+func (s *State) Canary(release string) (Canary, bool) {
+	if c := s.find(release); c != nil {
+		return *c, true
+	}
+	return Canary{}, false
+}
+
+func (s *State) find(release string) *Canary {
+	for i := range s.held.Canaries {
+		if s.held.Canaries[i].Release == release {
+			return &s.held.Canaries[i]
+		}
+	}
+	return nil
+}
+
+// Weights is what every relay is to do, by name of the release. One that went back is among them at zero until it is closed.
+func (s *State) Weights() []Weight {
+	var list []Weight
+	for _, c := range s.held.Canaries {
+		list = append(list, Weight{Release: c.Release, Arm: c.Arm, Salt: c.Salt, PerMille: c.PerMille, Rung: c.Rung, Epoch: c.Epoch, Number: c.Number})
+	}
+	return list
+}
+
+// Apply takes one command of the log. What cannot be is answered with an error and changes nothing.
+func (s *State) Apply(at int64, by string, body []byte) []byte {
+	at = max(s.held.At, at) // time in the record never runs back
+	var cmd Command
+	err := json.Unmarshal(body, &cmd)
+	if err == nil {
+		err = s.apply(at, by, cmd)
+	}
+	var answer struct {
+		Error  string  `json:"error,omitempty"`
+		Canary *Canary `json:"canary,omitempty"`
+	}
+	if err != nil {
+		answer.Error = err.Error()
+	} else {
+		s.held.At = at
+		answer.Canary = s.find(cmd.Release)
+	}
+	b, err := json.Marshal(answer)
+	if err != nil {
+		panic(err) // as Encode
+	}
+	return b
+}
+
+func (s *State) apply(at int64, by string, cmd Command) error {
+	if cmd.Do == "open" {
+		return s.open(at, by, cmd)
+	}
+	c := s.find(cmd.Release)
+	if c == nil {
+		return fmt.Errorf("no canary of release %q", cmd.Release)
+	}
+	if cmd.Number != 0 && cmd.Number != c.Number {
+		return fmt.Errorf("overtaken: it was reckoned at %d and the canary is at %d", cmd.Number, c.Number)
+	}
+	switch cmd.Do {
+	case "rung":
+		switch {
+		case cmd.Number == 0:
+			return errors.New("a step up names the number that it was reckoned at")
+		case c.Status != Going:
+			return fmt.Errorf("no step up: it is %s", c.Status)
+		case c.Rung == len(c.Ladder)-1:
+			c.Status = Done
+		default:
+			c.Rung++
+			c.PerMille, c.RungAt = c.Ladder[c.Rung], at
+		}
+		c.Kind, c.Named = "", nil
+	case "pause":
+		if err := s.pause(c, cmd); err != nil {
+			return err
+		}
+	case "resume":
+		if c.Status != Paused {
+			return fmt.Errorf("nothing to resume: it is %s", c.Status)
+		}
+		if cmd.Epoch > s.held.Epochs && cmd.Epoch-s.held.Epochs > epochsAhead {
+			return fmt.Errorf("no epoch comes near %d", cmd.Epoch)
+		}
+		s.held.Epochs = max(s.held.Epochs, cmd.Epoch) + 1
+		c.Status, c.Epoch = Going, s.held.Epochs
+		c.Rung = max(c.Rung-1, 0)
+		c.PerMille, c.RungAt = c.Ladder[c.Rung], at
+		c.Kind, c.Named = "", nil
+	case "back":
+		if c.Status == Back {
+			return nil
+		}
+		c.Status, c.PerMille = Back, 0
+	case "close":
+		if c.Status != Back && c.Status != Done {
+			return fmt.Errorf("not over: it is %s", c.Status)
+		}
+		name := c.Release
+		s.held.Canaries = slices.DeleteFunc(s.held.Canaries, func(c Canary) bool { return c.Release == name })
+		s.held.Version++
+		return nil
+	default:
+		return fmt.Errorf("unknown command %q", cmd.Do)
+	}
+	c.By, c.Why = by, cmd.Why
+	c.Number++
+	s.held.Version++
+	return nil
+}
+
+func (s *State) open(at int64, by string, cmd Command) error {
+	if cmd.Spec == nil {
+		return errors.New("nothing to open")
+	}
+	spec := *cmd.Spec
+	if spec.Release != cmd.Release {
+		return errors.New("two names of a release")
+	}
+	if err := Check(spec); err != nil {
+		return err
+	}
+	if len(s.held.Canaries) >= CanariesMost {
+		return fmt.Errorf("%d canaries are held, close one that is over", CanariesMost)
+	}
+	at0, found := slices.BinarySearchFunc(s.held.Canaries, spec.Release, func(c Canary, name string) int { return strings.Compare(c.Release, name) })
+	if found {
+		return fmt.Errorf("release %q has one", spec.Release)
+	}
+	for _, c := range s.held.Canaries {
+		if overlap(c.Arm, spec.Arm) {
+			return fmt.Errorf("its arm may hold members of release %q", c.Release)
+		}
+		if c.Salt == spec.Salt {
+			return fmt.Errorf("the salt of release %q", c.Release)
+		}
+	}
+	s.held.Epochs++
+	c := Canary{Spec: spec, Status: Going, PerMille: spec.Ladder[0], Epoch: s.held.Epochs, Number: 1, RungAt: at, By: by, Why: cmd.Why}
+	s.held.Canaries = slices.Insert(s.held.Canaries, at0, c)
+	s.held.Version++
+	return nil
+}
+
+// overlap says whether a member may belong to both: then whose share it gets would depend on the order.
+func overlap(x, y Arm) bool {
+	if len(x.Members) == 0 || len(y.Members) == 0 {
+		return true // all that started since may be any
+	}
+	return slices.ContainsFunc(x.Members, func(m string) bool { return slices.Contains(y.Members, m) })
+}
+
+// pause takes the weight down: to nothing, or as the spec says where outcomes diverge. It never raises it.
+func (s *State) pause(c *Canary, cmd Command) error {
+	if cmd.Epoch != 0 && cmd.Epoch < c.Epoch {
+		return fmt.Errorf("it was resumed since, in epoch %d", c.Epoch)
+	}
+	weight := 0
+	if cmd.Kind == Diverge {
+		switch {
+		case c.Diverge == "keep":
+			weight = c.Ladder[c.Rung]
+		case c.Diverge == "lower" && c.Rung > 0:
+			weight = c.Ladder[c.Rung-1]
+		}
+	}
+	switch c.Status {
+	case Going, Done:
+		c.Status = Paused
+		if slices.Contains(c.Paused, c.Rung) { // the second time here
+			c.Status, weight = Back, 0
+		} else {
+			c.Paused = append(slices.Clone(c.Paused), c.Rung)
+		}
+	case Back:
+		return errors.New("it has gone back")
+	case Paused:
+		if weight >= c.PerMille && cmd.Kind != Worse {
+			return errors.New("it is paused")
+		}
+	}
+	c.PerMille = min(c.PerMille, weight)
+	c.Kind, c.Named = cmd.Kind, slices.Clone(cmd.Named)
+	return nil
+}
--- a/internal/canary/stubs.go
+++ b/internal/canary/stubs.go
@@ -1,36 +1,5 @@
 package canary
 
-// State is what the fleet has agreed on.
-type State struct{}
-
-func New() *State                                                  { return &State{} }
-func Decode([]byte) (*State, error)                                { return New(), nil }
-func (s *State) Apply(at int64, by string, body []byte) []byte     { return nil }
-func (s *State) Encode() []byte                                    { return nil }
-func (s *State) Version() uint64                                   { return 0 }
-func (s *State) Weights() []Weight                                 { return nil }
-func (s *State) Canaries() []Canary                                { return nil }
-func (s *State) Canary(release string) (Canary, bool)              { return Canary{}, false }
-func (s *State) Plan(now int64, v Verdict, applied bool) []Command { return nil }
-
-// Check says why a spec cannot work; nil if it can.
-func Check(Spec) error { return nil }
-
-// InArm says whether a group's new flows go to the arm. The same at every relay; a higher weight adds groups and swaps none.
-func InArm(salt, group uint64, perMille int) bool { return false }
-
-// Holder is one relay's side.
-type Holder struct{}
-
-// NewHolder: cut is for how long (ms) the record may be out of reach before nothing is raised any more.
-func NewHolder(cut int64) *Holder                                  { return &Holder{} }
-func (h *Holder) Agreed(now int64, index uint64, weights []Weight) {}
-func (h *Holder) Reached(now int64, index uint64)                  {}
-func (h *Holder) Heard(n Notice) bool                              { return false }
-func (h *Holder) Pause(release string) (Notice, bool)              { return Notice{}, false }
-func (h *Holder) Notices() []Notice                                { return nil }
-func (h *Holder) Weights(now int64) []Weight                       { return nil }
-
 // Stratum is what is compared with its like alone.
 type Stratum struct {
 	Class uint8
