--- /dev/null
+++ b/internal/accord/seal.go
@@ -0,0 +1,189 @@
+package accord
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"sync"
+
+	"dahliarudder/internal/peers"
+)
+
+// A request between relays: version, the key's mark, the receiver's epoch, the sender's start and number, kind, both names, the content, and a tag
+// over all of it. An answer's tag covers the request's tag, so that it answers that request and no other.
+//
+// The envelope of peers is made for datagrams in order: its window of 64 would refuse requests that run side by side over several connections,
+// and it leans on clocks. Here the receiver draws an epoch when it starts and tells it in every answer: a request that names another is refused
+// unread, so that nothing recorded before a restart counts after it; within an epoch each number counts once. No clock is read.
+const (
+	sealVersion = 2
+	markSize    = 4
+	tagSize     = 32
+	sealFixed   = 1 + markSize + 8 + 8 + 8 + 1
+	numbersKept = 4096 // how far behind the newest number a request may come; at most requestsMost run at a time
+	sendersMost = 1024
+	nameMost    = 255
+)
+
+var (
+	errSize    = errors.New("size")
+	errVersion = errors.New("version")
+	errKey     = errors.New("key")
+	errTag     = errors.New("tag")
+	errOther   = errors.New("for another relay")
+	errEpoch   = errors.New("epoch")
+	errOld     = errors.New("old")
+	errRepeat  = errors.New("repeated")
+)
+
+func keyMark(key []byte) []byte {
+	sum := sha256.Sum256(append([]byte("accord mark "), key...))
+	return sum[:markSize]
+}
+
+func tagOf(key []byte, parts ...[]byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte("accord\x00"))
+	for _, p := range parts {
+		h.Write(p)
+	}
+	return h.Sum(nil)
+}
+
+// request is what an envelope held.
+type request struct {
+	from  string
+	kind  byte
+	body  []byte
+	key   []byte
+	tag   []byte
+	epoch uint64
+	start uint64
+	seq   uint64
+}
+
+// sealRequest makes an envelope. It returns the tag, which the answer has to cover.
+func sealRequest(key []byte, epoch, start, seq uint64, kind byte, from, to string, body []byte) (b, tag []byte) {
+	b = make([]byte, 0, sealFixed+2+len(from)+len(to)+len(body)+tagSize)
+	b = append(append(b, sealVersion), keyMark(key)...)
+	for _, v := range []uint64{epoch, start, seq} {
+		b = binary.BigEndian.AppendUint64(b, v)
+	}
+	b = append(b, kind, byte(len(from)))
+	b = append(append(b, from...), byte(len(to)))
+	b = append(append(b, to...), body...)
+	tag = tagOf(key, b)
+	return append(b, tag...), tag
+}
+
+// openRequest checks all but freshness.
+func openRequest(keys peers.Keys, self string, b []byte) (r request, err error) {
+	if len(b) < sealFixed+2+tagSize {
+		return r, errSize
+	}
+	if b[0] != sealVersion {
+		return r, errVersion
+	}
+	for _, k := range keys {
+		if string(keyMark(k)) == string(b[1:1+markSize]) {
+			r.key = k
+		}
+	}
+	if r.key == nil {
+		return r, errKey
+	}
+	body := b[:len(b)-tagSize]
+	r.tag = b[len(b)-tagSize:]
+	if !hmac.Equal(tagOf(r.key, body), r.tag) {
+		return r, errTag
+	}
+	at := body[1+markSize:]
+	r.epoch, r.start, r.seq = binary.BigEndian.Uint64(at), binary.BigEndian.Uint64(at[8:]), binary.BigEndian.Uint64(at[16:])
+	r.kind = at[24]
+	at = at[25:]
+	for i := range 2 {
+		if len(at) < 1 || len(at) < 1+int(at[0]) {
+			return r, errSize
+		}
+		name := string(at[1 : 1+int(at[0])])
+		at = at[1+int(at[0]):]
+		if i == 0 {
+			r.from = name
+		} else if name != self {
+			return r, errOther
+		}
+	}
+	if r.from == "" {
+		return r, errSize
+	}
+	r.body = at
+	return r, nil
+}
+
+// fresh is what a receiver keeps against repeated requests. It is bounded.
+type fresh struct {
+	mu      sync.Mutex
+	epoch   uint64
+	senders map[string]*numbers
+}
+
+type numbers struct {
+	start, newest uint64
+	seen          [numbersKept / 64]uint64
+}
+
+// check says whether a request counts, and the start that the sender has to be above if it is errOld.
+func (f *fresh) check(r request) (start uint64, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.epoch != f.epoch {
+		return 0, errEpoch
+	}
+	n := f.senders[r.from]
+	if n == nil || r.start > n.start {
+		if n == nil && len(f.senders) >= sendersMost {
+			return 0, errSize
+		}
+		if f.senders == nil {
+			f.senders = map[string]*numbers{}
+		}
+		n = &numbers{start: r.start}
+		f.senders[r.from] = n
+	}
+	bit := func(seq uint64) (*uint64, uint64) { return &n.seen[seq%numbersKept/64], 1 << (seq % 64) }
+	switch {
+	case r.start < n.start:
+		return n.start, errOld
+	case r.seq > n.newest:
+		for s := max(n.newest, r.seq-min(r.seq, numbersKept)) + 1; s < r.seq; s++ {
+			word, mask := bit(s)
+			*word &^= mask
+		}
+		n.newest = r.seq
+	case n.newest-r.seq >= numbersKept:
+		return 0, errRepeat
+	default:
+		if word, mask := bit(r.seq); *word&mask != 0 {
+			return 0, errRepeat
+		}
+	}
+	word, mask := bit(r.seq)
+	*word |= mask
+	return 0, nil
+}
+
+// sealAnswer seals part number part of an answer to the request with that tag; openAnswer takes it apart.
+func sealAnswer(key, requestTag []byte, part uint64, body []byte) []byte {
+	return append(tagOf(key, []byte("answer"), requestTag, binary.BigEndian.AppendUint64(nil, part), body), body...)
+}
+
+func openAnswer(key, requestTag []byte, part uint64, b []byte) ([]byte, error) {
+	if len(b) < tagSize {
+		return nil, errSize
+	}
+	if !hmac.Equal(tagOf(key, []byte("answer"), requestTag, binary.BigEndian.AppendUint64(nil, part), b[tagSize:]), b[:tagSize]) {
+		return nil, errTag
+	}
+	return b[tagSize:], nil
+}
