--- /dev/null
+++ b/internal/rollout/account.go
@@ -0,0 +1,225 @@
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// The account: what is out by plan (units and permits) and what is lost beside it, against the budgets. Plan and Apply
+// count by the same code: Plan from the view, Apply from the state and the sight that stands in the command.
+
+// planned is what is out by plan.
+func (d *data) planned(kind string) []Place {
+	var list []Place
+	for i := range d.Releases {
+		for j := range d.Releases[i].Units {
+			if u := &d.Releases[i].Units[j]; u.Kind == kind && u.isOut() {
+				list = append(list, Place{u.Name, u.Zone})
+			}
+		}
+	}
+	for _, p := range d.Permits {
+		if p.Kind == kind && (p.State == Granted || p.State == Begun) {
+			list = append(list, Place{p.Name, p.Zone})
+		}
+	}
+	return list
+}
+
+// covered are the names that a planned one stands for: its own, and its successor's.
+func (d *data) covered(kind string) map[string]bool {
+	names := map[string]bool{}
+	for _, p := range d.planned(kind) {
+		names[p.Name] = true
+	}
+	for i := range d.Releases {
+		for j := range d.Releases[i].Units {
+			if u := &d.Releases[i].Units[j]; u.Kind == kind && u.isOut() {
+				names[u.name()] = true
+			}
+		}
+	}
+	return names
+}
+
+// sound says that others see the relay serve, and that nothing it says itself speaks against it.
+func (r *Relay) sound(b Budgets) bool {
+	return r.Full && !r.Gone && r.live(b) && (r.Phase == "serving" || r.Phase == "")
+}
+
+func (r *Relay) live(b Budgets) bool { return !r.Gone && r.HeardMS >= 0 && r.HeardMS <= b.Silent }
+
+func (m *Member) sound() bool { return !m.Failing && m.Bears >= m.Capacity }
+
+func (m *Member) flows() int {
+	n := 0
+	for _, h := range m.Held {
+		n += h.Flows
+	}
+	return n
+}
+
+// relays is the relays' side of a view.
+func (d *data) relays(v *View, b Budgets) Side {
+	s := Side{Zones: map[string]int{}, Known: len(v.Relays) > 0}
+	covered := d.covered(KindRelay)
+	for i := range v.Relays {
+		r := &v.Relays[i]
+		s.Load += float64(r.Flows)
+		s.Known = s.Known && r.Capacity > 0
+		switch {
+		case covered[r.Name]:
+			continue
+		case r.sound(b):
+			s.Left += r.Capacity
+		default:
+			s.Lost = append(s.Lost, Place{r.Name, r.Zone})
+		}
+		s.Zones[r.Zone]++
+	}
+	return s.with(d.planned(KindRelay))
+}
+
+// members is the members' side. Those that come back bear what they bear.
+func (d *data) members(v *View) Side {
+	s := Side{Zones: map[string]int{}, Load: v.Load, Known: len(v.Members) > 0}
+	covered, coming := d.covered(KindMember), map[string]bool{}
+	for i := range d.Releases {
+		for j := range d.Releases[i].Units {
+			if u := &d.Releases[i].Units[j]; u.Phase == Coming {
+				coming[u.name()] = true
+			}
+		}
+	}
+	for i := range v.Members {
+		m := &v.Members[i]
+		s.Known = s.Known && m.Capacity > 0
+		_, banned := d.banned(m.Name)
+		if !m.Failing && !banned && (!covered[m.Name] || coming[m.Name]) {
+			s.Left += m.Bears
+		}
+		if covered[m.Name] {
+			continue
+		}
+		if banned || !m.sound() {
+			s.Lost = append(s.Lost, Place{m.Name, m.Zone})
+		}
+		s.Zones[m.Zone]++
+	}
+	return s.with(d.planned(KindMember))
+}
+
+// with counts those out by plan among what there is: each once.
+func (s Side) with(planned []Place) Side {
+	seen := map[string]bool{}
+	for _, p := range planned {
+		if !seen[p.Name] {
+			seen[p.Name] = true
+			s.Zones[p.Zone]++
+		}
+	}
+	return s
+}
+
+// room is what may still go out on one side.
+type room struct {
+	budget   Budget
+	headroom float64
+	side     Side
+	zones    map[string]int // out, by zone
+	out      map[string]bool
+	planned  map[string]bool
+	total    int
+}
+
+func (d *data) room(kind string, s Side, b Budgets) *room {
+	r := &room{budget: b.Members, headroom: b.Headroom, side: s, zones: map[string]int{}, out: map[string]bool{}, planned: map[string]bool{}}
+	if kind == KindRelay {
+		r.budget = b.Relays
+	}
+	for _, n := range s.Zones {
+		r.total += n
+	}
+	for _, p := range d.planned(kind) {
+		r.planned[p.Name] = true
+		r.add(p)
+	}
+	for _, p := range s.Lost {
+		if planted != "no failures" {
+			r.add(p)
+		}
+	}
+	return r
+}
+
+// planted is a defect that a test switches on to see that it is found; "" else.
+var planted string
+
+func (r *room) add(p Place) {
+	if !r.out[p.Name] {
+		r.out[p.Name] = true
+		r.zones[p.Zone]++
+	}
+}
+
+// over says what is overdrawn.
+func (r *room) over() string {
+	if most := r.budget.whole(r.total); len(r.out) > most {
+		return fmt.Sprintf("%d are out, of %d that may be", len(r.out), most)
+	}
+	for _, z := range slices.Sorted(maps.Keys(r.zones)) {
+		if most := r.budget.zone(r.side.Zones[z]); r.zones[z] > most {
+			return fmt.Sprintf("%d are out in zone %q, of %d that may be", r.zones[z], z, most)
+		}
+	}
+	return ""
+}
+
+// short says that what is left does not even carry the load, headroom left aside.
+func (r *room) short() string {
+	if r.side.Known && r.side.Left < r.side.Load {
+		return fmt.Sprintf("what is left bears %.0f, the load is %.0f", r.side.Left, r.side.Load)
+	}
+	return ""
+}
+
+// take counts a thing as out, or says why it may not be. What is lost already costs nothing more, and goes out only while nothing is overdrawn.
+func (r *room) take(name, zone string, bears float64) string {
+	if r.planned[name] {
+		return name + " is out already"
+	}
+	if why := r.over(); why != "" {
+		return why
+	}
+	if !r.out[name] {
+		if most := r.budget.whole(r.total); len(r.out)+1 > most {
+			return fmt.Sprintf("%d of %d that may be are out", len(r.out), most)
+		}
+		if most := r.budget.zone(r.side.Zones[zone]); r.zones[zone]+1 > most {
+			return fmt.Sprintf("%d of %d that may be are out in zone %q", r.zones[zone], most, zone)
+		}
+	}
+	if r.side.Known && bears > 0 && r.side.Left-bears < r.side.Load*(1+r.headroom) {
+		return fmt.Sprintf("what is left would bear %.0f, the load with headroom is %.0f", r.side.Left-bears, r.side.Load*(1+r.headroom))
+	}
+	r.add(Place{name, zone})
+	r.planned[name] = true
+	r.side.Left -= bears
+	return ""
+}
+
+// bound is how long a unit may be out: by what the last ones took, at first by the budgets.
+func (d *data) bound(kind string, b Budgets) int64 {
+	first, took := b.Drain+b.Start+b.Warm, d.Members
+	if kind == KindRelay {
+		first, took = b.Drain+b.Start, d.Relays
+	}
+	if len(took) < 3 {
+		return first
+	}
+	return min(first, max(3*slices.Max(took), b.Silent))
+}
+
+func compare(x, y Place) int { return cmp.Or(cmp.Compare(x.Zone, y.Zone), cmp.Compare(x.Name, y.Name)) }
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -93,7 +93,7 @@
 // Phases of a unit.
 const (
 	Waiting = ""       // not touched, or as it was
-	Out     = "out"    // told to leave
+	Told    = "out"    // told to leave
 	Empty   = "empty"  // a member that no relay holds a flow at: its owner may replace it
 	Coming  = "coming" // replaced, not yet in full service
 	Revoked = "revoked"
@@ -147,8 +147,8 @@
 
 // Orders are what one relay is to do now.
 type Orders struct {
-	Leave *Leave             `json:"leave,omitempty"`
-	Out   map[string]OutInfo `json:"out,omitempty"` // members that get nothing new
+	Leave *Leave         `json:"leave,omitempty"`
+	Out   map[string]Out `json:"out,omitempty"` // members that get nothing new
 }
 
 // Leave is the order to drain, move the clients and end with ExitOrdered.
@@ -160,8 +160,8 @@
 	Config  string `json:"config,omitempty"`
 }
 
-// OutInfo says why a member is out.
-type OutInfo struct {
+// Out says why a member is out.
+type Out struct {
 	Why      string `json:"why"` // ban or drain
 	Number   uint64 `json:"number"`
 	Since    int64  `json:"since"`
@@ -349,21 +349,21 @@
 
 // Pass is a permit as operators are shown it.
 type Pass struct {
-	Number uint64 `json:"number"`
-	Kind   string `json:"kind"`
-	Name   string `json:"name"`
-	Zone   string `json:"zone,omitempty"`
-	Who    string `json:"who"`
-	Why    string `json:"why,omitempty"`
-	For    int64  `json:"for"`
-	State  string `json:"state"`
-	Reason string `json:"reason,omitempty"` // why it waits
-	Asked  int64  `json:"asked"`            // last
-	At     int64  `json:"at,omitempty"`     // granted, or begun
-	Window int64  `json:"window,omitempty"` // to begin in, ms
-	Until  int64  `json:"until,omitempty"`  // the record's: granted: void after it; begun: may be over after it without having left
-	Start  int64  `json:"start,omitempty"`
-	Given  bool   `json:"given,omitempty"`
+	Number uint64  `json:"number"`
+	Kind   string  `json:"kind"`
+	Name   string  `json:"name"`
+	Zone   string  `json:"zone,omitempty"`
+	Who    string  `json:"who"`
+	Why    string  `json:"why,omitempty"`
+	For    int64   `json:"for"`
+	State  string  `json:"state"`
+	Asked  int64   `json:"asked"`            // last
+	At     int64   `json:"at,omitempty"`     // granted, or begun
+	Window int64   `json:"window,omitempty"` // to begin in, ms
+	Until  int64   `json:"until,omitempty"`  // the record's: granted: void after it; begun: may be over after it without having left
+	Start  int64   `json:"start,omitempty"`
+	Given  bool    `json:"given,omitempty"`
+	Clock  float64 `json:"clock,omitempty"`
 }
 
 // Banned is one ban.
--- /dev/null
+++ b/internal/rollout/apply.go
@@ -0,0 +1,641 @@
+package rollout
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	forMost    = 7 * 24 * 3600 * 1000 // ms that a permit may be asked for
+	againAfter = 1000                 // ms: ask again; the pilot looks several times a second
+	staleAfter = 30 * againAfter      // ms after which one who waits and does not ask again is forgotten
+	countsMost = 4096                 // windows before a release
+	countMost  = 1e15
+)
+
+// Apply changes the state by one command, and answers with an Answer as JSON. It is deterministic; an error changes nothing. The record's
+// time never runs back.
+func (s *State) Apply(at int64, by string, body []byte) []byte {
+	var c Command
+	a := Answer{}
+	if err := json.Unmarshal(body, &c); err != nil {
+		a = refuse("no command: %v", err)
+	} else {
+		a = s.d.apply(max(at, s.d.At), cut(by, NameMost), &c)
+	}
+	b, err := json.Marshal(a)
+	if err != nil {
+		panic(err) // an Answer is of strings and numbers
+	}
+	return b
+}
+
+func refuse(format string, args ...any) Answer { return Answer{Error: fmt.Sprintf(format, args...)} }
+
+func cut(text string, most int) string {
+	if len(text) > most {
+		return text[:most]
+	}
+	return text
+}
+
+// apply checks all before it changes anything.
+func (d *data) apply(at int64, by string, c *Command) Answer {
+	c.Why, c.Who = cut(c.Why, WhyMost), cmp.Or(cut(c.Who, NameMost), by)
+	if len(c.Name) > NameMost {
+		return refuse("a name of over %d bytes", NameMost)
+	}
+	var a Answer
+	switch c.Kind {
+	case Open:
+		a = d.open(at, c)
+	case Ask:
+		a = d.ask(at, c)
+	case Begin, Give:
+		a = d.begin(at, c)
+	case Halt, Resume, Back:
+		a = d.steer(at, by, c)
+	case Ban, Allow:
+		a = d.ban(at, c)
+	case Lay:
+		a = d.lay(at, c)
+	case Step:
+		a = d.step(at, c)
+	case Seen:
+		a = d.seen(at, c)
+	case Void:
+		a = d.void(at, c)
+	default:
+		a = refuse("no such command: %q", cut(c.Kind, NameMost))
+	}
+	if a.Error == "" {
+		d.At = at
+		d.settle(at)
+	}
+	return a
+}
+
+// open takes a release up. It is laid out by the pilot, who knows what there is.
+func (d *data) open(at int64, c *Command) Answer {
+	w := c.Release
+	if w == nil || c.Name == "" {
+		return refuse("a release has a name, and says what it releases")
+	}
+	if why := w.wrong(); why != "" {
+		return refuse("%s", why)
+	}
+	if d.release(c.Name) != nil {
+		return refuse("there is a release %q", c.Name)
+	}
+	behind := ""
+	for i := range d.Releases {
+		if r := &d.Releases[i]; !r.ended() && r.Wish.overlaps(w) {
+			behind = r.Name
+			break
+		}
+	}
+	if behind != "" && !w.Wait {
+		return refuse("release %q touches the same things", behind)
+	}
+	drop := -1
+	if len(d.Releases) >= ReleasesMost {
+		drop = slices.IndexFunc(d.Releases, func(r release) bool {
+			return r.ended() && !slices.ContainsFunc(r.Units, func(u Unit) bool { return u.isOut() })
+		})
+		if drop < 0 {
+			return refuse("%d releases are open or still hold something out", ReleasesMost)
+		}
+		d.Releases = slices.Delete(d.Releases, drop, drop+1)
+	}
+	d.Releases = append(d.Releases, release{Account: Account{Name: c.Name, State: Queued, Wish: *w, By: c.Who, Opened: at, Behind: behind}, Moved: at})
+	d.Version++
+	return Answer{Name: c.Name, State: Queued, Why: behind}
+}
+
+// wrong says what cannot be released.
+func (w *Wish) wrong() string {
+	named := len(w.Names)
+	if w.Kind == KindBan {
+		if named+len(w.Zones) > 0 || w.All || w.Drain {
+			return "a change of bans names them in ban and allow alone"
+		}
+		named = len(w.Ban) + len(w.Allow)
+	} else if len(w.Ban)+len(w.Allow) > 0 {
+		return "ban and allow are of a change of bans"
+	}
+	switch {
+	case w.Kind != KindRelay && w.Kind != KindMember && w.Kind != KindBan:
+		return "a release is of relays, members or bans"
+	case named == 0 && len(w.Zones) == 0 && !w.All:
+		return "it names nothing"
+	case named+len(w.Zones) > UnitsMost:
+		return fmt.Sprintf("over %d things", UnitsMost)
+	case len(w.Program) > NameMost || len(w.Config) > NameMost:
+		return fmt.Sprintf("a version of over %d bytes", NameMost)
+	}
+	all := slices.Concat(w.Names, w.Ban, w.Allow)
+	slices.Sort(all)
+	for i, n := range all {
+		if n == "" || len(n) > NameMost || i > 0 && all[i-1] == n {
+			return fmt.Sprintf("%q is no name, or stands twice", cut(n, NameMost))
+		}
+	}
+	for _, z := range w.Zones {
+		if len(z) > NameMost {
+			return fmt.Sprintf("a zone of over %d bytes", NameMost)
+		}
+	}
+	return ""
+}
+
+// ask notes who wants a permit; the pilot grants. The same by the same asker for the same thing is the same permit.
+func (d *data) ask(at int64, c *Command) Answer {
+	if c.Thing != KindRelay && c.Thing != KindMember || c.Name == "" || c.For <= 0 || c.For > forMost {
+		return refuse("a permit is for a relay or a member, by name, for up to %d ms", forMost)
+	}
+	for i := range d.Permits {
+		p := &d.Permits[i]
+		if p.Kind != c.Thing || p.Name != c.Name {
+			continue
+		}
+		if p.Who != c.Who {
+			return Answer{State: Wait, Again: againAfter, Why: fmt.Sprintf("%s holds permit %d for it", p.Who, p.Number)}
+		}
+		a := Answer{State: p.State, Number: p.Number}
+		switch {
+		case p.State == Wait:
+			p.Asked, a.Again, a.Why = at, againAfter, d.waits(p)
+		case p.State == Granted && at < p.At+p.Window:
+			a.Left = p.At + p.Window - at
+		case p.State == Granted: // about to be void
+			a.State, a.Again, a.Why = Wait, againAfter, "it was not begun in time"
+		}
+		return a
+	}
+	if len(d.Permits) >= PermitsMost {
+		return refuse("%d permits are asked for or in force", PermitsMost)
+	}
+	d.Number++
+	d.Permits = append(d.Permits, Pass{Number: d.Number, Kind: c.Thing, Name: c.Name, Who: c.Who, Why: c.Why, For: c.For, State: Wait, Asked: at})
+	return Answer{State: Wait, Number: d.Number, Again: againAfter, Why: d.waits(&d.Permits[len(d.Permits)-1])}
+}
+
+// waits says why a permit waits, as far as the record knows: who is out by plan, and who waits before it.
+func (d *data) waits(p *Pass) string {
+	var names []string
+	for _, x := range d.planned(p.Kind) {
+		if len(names) < 8 {
+			names = append(names, x.Name)
+		}
+	}
+	before := 0
+	for i := range d.Permits {
+		if x := &d.Permits[i]; x.State == Wait && x.Kind == p.Kind && x.Number < p.Number {
+			before++
+		}
+	}
+	return fmt.Sprintf("out by plan: %d %v; waiting before it: %d", len(d.planned(p.Kind)), names, before)
+}
+
+// begin and give: by number, so that an old one does nothing.
+func (d *data) begin(at int64, c *Command) Answer {
+	p := d.permit(c.Number)
+	if p == nil {
+		return refuse("there is no permit %d, or no more", c.Number)
+	}
+	switch {
+	case c.Kind == Give && p.State == Begun:
+		p.Given = true
+	case c.Kind == Give:
+		d.Permits = slices.DeleteFunc(d.Permits, func(p Pass) bool { return p.Number == c.Number })
+		d.Version++
+		return Answer{Number: c.Number, State: "given"}
+	case p.State == Wait:
+		return refuse("permit %d is not granted", c.Number)
+	case p.State == Granted && at > p.Until:
+		return refuse("permit %d was not begun in time", c.Number)
+	case p.State == Granted:
+		p.State, p.At, p.Until = Begun, at, at+stretch(max(p.For, p.Window), p.Clock)
+	}
+	d.Version++
+	return Answer{Number: p.Number, State: p.State}
+}
+
+// stretch is a time as the slowest clock would count it.
+func stretch(ms int64, part float64) int64 { return ms + int64(math.Ceil(float64(ms)*part)) }
+
+// steer halts a release, resumes it or sends it back.
+func (d *data) steer(at int64, by string, c *Command) Answer {
+	r := d.release(c.Name)
+	itself := c.Cause != "" && c.Cause != ByOperator
+	switch {
+	case r == nil:
+		return refuse("there is no release %q", c.Name)
+	case itself && c.Base != d.Version:
+		return refuse("it was reckoned from version %d, this is %d", c.Base, d.Version)
+	case c.Kind != Back && r.ended():
+		return refuse("release %q has ended", c.Name)
+	}
+	switch c.Kind {
+	case Halt:
+		if r.Halt != nil && (r.Halt.Stays || itself && c.Cause != Verdict) {
+			return refuse("release %q is halted: %s %s", c.Name, r.Halt.Cause, r.Halt.Why)
+		}
+		again := slices.Contains(r.Causes, c.Cause)
+		if itself && !again && len(r.Causes) < 8 {
+			r.Causes = append(r.Causes, cut(c.Cause, NameMost))
+		}
+		r.Halt = &Stop{Cause: cut(cmp.Or(c.Cause, ByOperator), NameMost), Why: c.Why, By: c.Who, At: at}
+		r.Halt.Stays = !itself || c.Cause == Verdict || again && (c.Cause == Service || c.Cause == Overdue)
+		r.State = Halted
+		d.Version++
+		r.revoke(d.Version)
+	case Resume:
+		if r.Halt == nil {
+			return refuse("release %q is not halted", c.Name)
+		}
+		if itself && (r.Halt.Stays || r.Halt.Cause != c.Cause) {
+			return refuse("release %q is resumed by an operator alone", c.Name)
+		}
+		r.Halt, r.Resumed, r.Moved = nil, at, at
+		r.State = r.going()
+		d.Version++
+	case Back:
+		r.Halt, r.Resumed, r.Moved, r.Backing, r.Ended = nil, at, at, true, 0
+		r.State = r.going()
+		d.Version++
+		r.revoke(d.Version)
+		for i := range r.Units {
+			r.Units[i].takeBack(r, d.Version)
+		}
+	}
+	d.settle(at)
+	return Answer{Name: r.Name, State: r.State}
+}
+
+// going is the state of a release that is not halted.
+func (r *release) going() string {
+	switch {
+	case r.Backing:
+		return Backing
+	case !r.Laid:
+		return Queued
+	}
+	return Running
+}
+
+// takeBack ends the drain of a member that was to stay out.
+func (u *Unit) takeBack(r *release, version uint64) bool {
+	if !r.Wish.Drain || u.Kind != KindMember || u.Phase == Waiting || u.Phase == Revoked || u.Phase == Missing {
+		return false
+	}
+	if u.Phase == Done { // it is not even there
+		u.Phase, u.Got = Waiting, false
+		return true
+	}
+	u.Phase, u.Order = Revoked, version
+	return true
+}
+
+// revoke takes back what can be: a relay that has not begun to end, a member that is not empty. They count as out until they are seen.
+func (r *release) revoke(version uint64) {
+	for i := range r.Units {
+		if u := &r.Units[i]; u.Phase == Told && (u.Kind == KindRelay || u.Kind == KindMember) {
+			if planted == "half forgotten" && r.Backing {
+				u.Phase, u.Undo = Waiting, false
+				continue
+			}
+			u.Phase, u.Order = Revoked, version
+		}
+	}
+}
+
+// ban and allow by operators need no budget: they are not held back, and what is banned counts as lost.
+func (d *data) ban(at int64, c *Command) Answer {
+	if len(c.Names) == 0 || len(c.Names) > BansMost {
+		return refuse("no names, or over %d", BansMost)
+	}
+	for _, n := range c.Names {
+		if n == "" || len(n) > NameMost {
+			return refuse("%q is no name", cut(n, NameMost))
+		}
+	}
+	if c.Kind == Ban && len(d.Bans)+len(c.Names) > BansMost {
+		return refuse("over %d bans", BansMost)
+	}
+	changed := false
+	for _, n := range c.Names {
+		changed = d.setBan(at, n, c.Why, c.Who, c.Kind == Ban) || changed
+		for i := range d.Releases {
+			r := &d.Releases[i]
+			for j := range r.Units {
+				u := &r.Units[j]
+				if c.Kind == Allow && u.name() == n && u.takeBack(r, d.Version+1) {
+					r.Backing, r.Resumed, r.Moved, r.Ended, r.Halt, changed = true, at, at, 0, nil, true
+					r.State = r.going()
+				}
+			}
+		}
+	}
+	if changed {
+		d.Version++
+	}
+	return Answer{}
+}
+
+func (d *data) setBan(at int64, name, why, by string, on bool) bool {
+	i, is := d.banned(name)
+	switch {
+	case is == on:
+		return false
+	case !on:
+		d.Bans = slices.Delete(d.Bans, i, i+1)
+	default:
+		d.Number++
+		d.Bans = slices.Insert(d.Bans, i, Banned{Name: name, Why: why, By: by, Since: at, Number: d.Number})
+	}
+	return true
+}
+
+// lay fixes a release's things, their order, and how they were before.
+func (d *data) lay(at int64, c *Command) Answer {
+	r := d.release(c.Name)
+	if r == nil || r.Laid || r.State != Queued || r.Behind != "" {
+		return refuse("release %q is not to be laid out", c.Name)
+	}
+	total := len(c.Units)
+	for i := range d.Releases {
+		total += len(d.Releases[i].Units)
+	}
+	if total > UnitsMost || len(c.Before) > countsMost {
+		return refuse("over %d things in all, or %d windows", UnitsMost, countsMost)
+	}
+	names := map[string]bool{}
+	for _, u := range c.Units {
+		fits := u.Kind == r.Wish.Kind || r.Wish.Kind == KindBan && u.Kind == KindAllow
+		if u.Name == "" || max(len(u.Name), len(u.Zone), len(u.Program), len(u.Config)) > NameMost || names[u.Name] || !fits {
+			return refuse("unit %q is no thing of this release, or stands twice", cut(u.Name, NameMost))
+		}
+		names[u.Name] = true
+	}
+	for _, w := range c.Before {
+		if !(w.Asked >= 0 && w.Served >= 0 && w.Served <= w.Asked && w.Asked <= countMost) {
+			return refuse("a window that served more than was asked")
+		}
+	}
+	for _, u := range c.Units {
+		_, banned := d.banned(u.Name)
+		phase := Waiting
+		if u.Phase == Missing {
+			phase = Missing
+		}
+		r.Units = append(r.Units, Unit{Name: u.Name, Zone: u.Zone, Kind: u.Kind, Size: u.Size, Program: u.Program, Config: u.Config,
+			Banned: banned, Phase: phase})
+	}
+	r.Asked, r.Served, r.Spread = before(c.Before)
+	r.Laid, r.Since, r.Moved, r.State = true, at, at, Running
+	d.Version++
+	return Answer{Name: r.Name, State: r.State}
+}
+
+// step gives things out: all of it, or nothing.
+func (d *data) step(at int64, c *Command) Answer {
+	if c.Sight == nil || len(c.Gives) == 0 || len(c.Gives) > GivesMost {
+		return refuse("a step names one to %d things, and what it was reckoned from", GivesMost)
+	}
+	v, b := c.Sight, c.Sight.Budgets
+	if c.Base != d.Version && planted != "no fencing" {
+		return refuse("it was reckoned from version %d, this is %d", c.Base, d.Version)
+	}
+	if at-v.At > b.Fresh {
+		return refuse("what it was reckoned from is %d ms old", at-v.At)
+	}
+	if v.Relays.Zones == nil || v.Members.Zones == nil || b.Window <= 0 || b.Window > forMost || !(b.Clock >= 0 && b.Clock < 1) {
+		return refuse("a sight without zones, window or clock")
+	}
+	rooms := map[string]*room{KindRelay: d.room(KindRelay, v.Relays, b), KindMember: d.room(KindMember, v.Members, b)}
+	for _, g := range c.Gives {
+		if len(g.Zone) > NameMost {
+			return refuse("a zone of over %d bytes", NameMost)
+		}
+		kind, name, zone := "", "", g.Zone
+		if g.Permit != 0 {
+			p := d.permit(g.Permit)
+			if p == nil || p.State != Wait {
+				return refuse("permit %d does not wait", g.Permit)
+			}
+			kind, name = p.Kind, p.Name
+		} else {
+			r := d.release(g.Release)
+			if r == nil || r.unit(g.Unit) == nil {
+				return refuse("no unit %q of release %q", cut(g.Unit, NameMost), cut(g.Release, NameMost))
+			}
+			u := r.unit(g.Unit)
+			if !r.may(u) {
+				return refuse("unit %q of release %q may not go out now", u.Name, r.Name)
+			}
+			if u.bans() != 0 {
+				kind = KindBan
+			}
+			kind, name, zone = cmp.Or(kind, u.Kind), u.Name, u.Zone
+			if u.bans() < 0 {
+				continue // gives back
+			}
+		}
+		if why := rooms[side(kind)].take(name, zone, g.Bears); why != "" {
+			return refuse("%s", why)
+		}
+		if kind == KindBan && len(d.Bans)+len(c.Gives) > BansMost {
+			return refuse("over %d bans", BansMost)
+		}
+	}
+	d.Version++
+	for _, g := range c.Gives {
+		if p := d.permit(g.Permit); p != nil {
+			p.State, p.At, p.Window, p.Until, p.Clock, p.Zone, p.Start = Granted, at, b.Window,
+				at+stretch(b.Window, b.Clock), b.Clock, g.Zone, g.Start
+			continue
+		}
+		r := d.release(g.Release)
+		u := r.unit(g.Unit)
+		d.Number++
+		u.Undo = u.Got
+		u.Phase, u.Number, u.Order, u.At, u.Start, u.MoveOver = Told, d.Number, d.Version, at, g.Start, g.MoveOver
+		if ban := u.bans(); ban != 0 {
+			d.setBan(at, u.Name, "release "+r.Name, r.By, ban > 0)
+		}
+		r.Moved = at
+	}
+	return Answer{}
+}
+
+// may says whether a unit may be given out: the new thing, or back what it had.
+func (r *release) may(u *Unit) bool {
+	switch r.State {
+	case Running:
+		return u.Phase == Waiting && !u.Got
+	case Backing:
+		return u.Phase == Done && r.undoable(u)
+	}
+	return false
+}
+
+// bans says what giving the unit out does to the bans: 1 sets, -1 lifts. Its undoing is the reverse.
+func (u *Unit) bans() int {
+	switch {
+	case u.Kind == KindBan && !u.Got, u.Kind == KindAllow && u.Got:
+		return 1
+	case u.Kind == KindAllow, u.Kind == KindBan:
+		return -1
+	}
+	return 0
+}
+
+// seen takes over what others saw. What does not fit the state any more is left aside.
+func (d *data) seen(at int64, c *Command) Answer {
+	if len(c.Saw) > UnitsMost+PermitsMost {
+		return refuse("over %d sights", UnitsMost+PermitsMost)
+	}
+	changed := false
+	for _, s := range c.Saw {
+		if len(s.Now) > NameMost {
+			continue
+		}
+		if p := d.permit(s.Permit); s.Permit != 0 {
+			if p != nil && p.State == Begun {
+				d.Permits = slices.DeleteFunc(d.Permits, func(p Pass) bool { return p.Number == s.Permit })
+				changed = true
+			}
+			continue
+		}
+		r := d.release(s.Release)
+		if r == nil {
+			continue
+		}
+		u := r.unit(s.Unit)
+		if u == nil || u.Order != s.Order || !d.move(at, r, u, s) {
+			continue
+		}
+		r.Moved, changed = at, true
+	}
+	if !changed {
+		return refuse("nothing of this is so any more")
+	}
+	d.Version++
+	return Answer{}
+}
+
+// move is one transition of a unit. Order is the version that this command makes.
+func (d *data) move(at int64, r *release, u *Unit, s Saw) bool {
+	next := d.Version + 1
+	switch {
+	case s.Strand:
+		if !r.Backing || u.Stranded || !u.isOut() && !(u.Phase == Done && r.undoable(u)) {
+			return false
+		}
+		u.Stranded = true
+		if u.Phase == Told {
+			u.Phase, u.Order = Revoked, next
+		}
+	case s.Phase == Missing && (u.Phase == Waiting || u.Stranded && r.ended()):
+		u.Phase = Missing
+	case s.Phase == Empty && u.Kind == KindMember && (u.Phase == Told || u.Phase == Done && r.Wish.Drain):
+		u.Phase, u.Start = Empty, s.Start
+	case s.Phase == Coming && u.Kind == KindMember && (u.Phase == Empty || u.Phase == Revoked || u.Phase == Coming && u.name() != cmp.Or(s.Now, u.Name)) && !r.Wish.Drain:
+		u.Phase, u.Order, u.Now = Coming, next, s.Now
+		if u.Now == u.Name {
+			u.Now = ""
+		}
+	case s.Phase == Done && u.isOut():
+		if u.Phase != Revoked && !u.Stranded && !r.Wish.Drain {
+			d.note(u.Kind, at-u.At)
+		}
+		u.Phase, u.Got = Done, !r.Wish.Drain
+		if u.Undo {
+			u.Phase, u.Got = Waiting, false
+		}
+		u.Undo, u.Stranded, u.Order = false, false, next
+	case s.Phase == Waiting && (u.Phase == Revoked || u.Phase == Coming && !u.Undo):
+		u.Phase = Waiting
+		if u.Got {
+			u.Phase = Done
+		}
+		u.Undo, u.Stranded, u.Order = false, false, next
+	case s.Phase == Waiting && u.Phase == Done && u.Stranded: // it is there again, to be undone after all
+		u.Stranded = false
+	default:
+		return false
+	}
+	return true
+}
+
+func (d *data) note(kind string, took int64) {
+	list := &d.Members
+	switch kind {
+	case KindRelay:
+		list = &d.Relays
+	case KindBan, KindAllow:
+		return
+	}
+	*list = append(*list, max(took, 0))
+	if len(*list) > tookMost {
+		*list = slices.Delete(*list, 0, len(*list)-tookMost)
+	}
+}
+
+// void forgets permits whose time is over, and askers who are gone.
+func (d *data) void(at int64, c *Command) Answer {
+	n := len(d.Permits)
+	d.Permits = slices.DeleteFunc(d.Permits, func(p Pass) bool { return slices.Contains(c.Numbers, p.Number) && p.void(at) })
+	if len(d.Permits) == n {
+		return refuse("none of these is void")
+	}
+	d.Version++
+	return Answer{}
+}
+
+func (p *Pass) void(at int64) bool {
+	return p.State == Granted && at > p.Until || p.State == Wait && at-p.Asked > staleAfter
+}
+
+// settle ends what is through, and lets go on what waited for it.
+func (d *data) settle(at int64) {
+	for i := range d.Releases {
+		r := &d.Releases[i]
+		if r.State == Undone && slices.ContainsFunc(r.Units, func(u Unit) bool { return u.Phase == Done && !u.Stranded && r.undoable(&u) }) {
+			r.State, r.Ended, r.Resumed, r.Moved = Backing, 0, at, at // one that was stranded came back with the new thing
+		}
+		end := ""
+		switch r.State {
+		case Running:
+			end = Ended
+			for j := range r.Units {
+				if u := &r.Units[j]; u.Phase != Done && u.Phase != Missing && !(r.Wish.Drain && u.Phase == Empty) {
+					end = ""
+				}
+			}
+		case Backing:
+			end = Undone
+			for j := range r.Units {
+				if u := &r.Units[j]; !u.Stranded && (u.isOut() || u.Phase == Done && r.undoable(u)) {
+					end = ""
+				}
+			}
+		}
+		if end != "" {
+			r.State, r.Ended = end, at
+		}
+		if r.Behind != "" {
+			r.Behind = ""
+			for j := range i {
+				if o := &d.Releases[j]; !o.ended() && o.Wish.overlaps(&r.Wish) {
+					r.Behind = o.Name
+					break
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/plan.go
@@ -0,0 +1,678 @@
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// planner is one look of the leader.
+type planner struct {
+	d       *data
+	now     int64
+	v       View
+	b       Budgets
+	relays  map[string]*Relay
+	members map[string]*Member
+	gone    map[string]bool // units that this look sees further, by release and name
+	used    map[string]bool // newcomers that stand for something by now
+	rooms   map[string]*room
+	refused map[string]string // by release: why nothing of it may go out
+}
+
+// Plan says what to propose next: a few commands, the same for the same state and view. Halts come first, then what others saw; what gives something
+// out comes alone, since it rests on the version that all else changes. A relay that was never heard is to have the age of the view as HeardMS,
+// else nothing of it is ever past its time.
+func (s *State) Plan(now int64, v View, b Budgets) []Command {
+	p := s.d.planner(now, v, b)
+	saw := p.seen()
+	_, stalled := p.step()
+	p.reset()
+	var list []Command
+	if c := p.halt(stalled); c != nil {
+		list = append(list, *c)
+	}
+	if len(saw) > 0 {
+		list = append(list, Command{Kind: Seen, Saw: saw})
+	}
+	if numbers := p.void(); len(numbers) > 0 {
+		list = append(list, Command{Kind: Void, Numbers: numbers})
+	}
+	if len(list) > 0 {
+		return list
+	}
+	if c := p.resume(); c != nil {
+		return []Command{*c}
+	}
+	if c := p.lay(); c != nil {
+		return []Command{*c}
+	}
+	if c, _ := p.step(); c != nil {
+		return []Command{*c}
+	}
+	return nil
+}
+
+func (d *data) planner(now int64, v View, b Budgets) *planner {
+	p := &planner{d: d, now: now, v: v, b: b, relays: map[string]*Relay{}, members: map[string]*Member{}, gone: map[string]bool{}, used: map[string]bool{}}
+	p.v.Relays, p.v.Members = slices.Clone(v.Relays), slices.Clone(v.Members)
+	slices.SortFunc(p.v.Relays, func(x, y Relay) int { return cmp.Compare(x.Name, y.Name) })
+	slices.SortFunc(p.v.Members, func(x, y Member) int { return cmp.Compare(x.Name, y.Name) })
+	for i := range p.v.Relays {
+		p.relays[p.v.Relays[i].Name] = &p.v.Relays[i]
+	}
+	for i := range p.v.Members {
+		p.members[p.v.Members[i].Name] = &p.v.Members[i]
+	}
+	for i := range d.Releases {
+		for j := range d.Releases[i].Units {
+			u := &d.Releases[i].Units[j]
+			p.used[u.Name], p.used[u.name()] = true, true
+		}
+	}
+	p.reset()
+	return p
+}
+
+func (p *planner) reset() {
+	p.rooms = map[string]*room{KindRelay: p.d.room(KindRelay, p.d.relays(&p.v, p.b), p.b), KindMember: p.d.room(KindMember, p.d.members(&p.v), p.b)}
+	p.refused = map[string]string{}
+}
+
+// ---- What others saw ----
+
+func (p *planner) seen() []Saw {
+	var list []Saw
+	for i := range p.d.Releases {
+		r := &p.d.Releases[i]
+		for j := range r.Units {
+			u := &r.Units[j]
+			s, ok := p.look(r, u)
+			if !ok && r.State == Backing && p.late(r, u) && !u.Stranded {
+				s, ok = Saw{Strand: true}, true
+			}
+			if ok {
+				s.Release, s.Unit, s.Order = r.Name, u.Name, u.Order
+				list = append(list, s)
+				p.gone[r.Name+"\n"+u.Name] = true
+			}
+		}
+	}
+	for i := range p.d.Permits {
+		if x := &p.d.Permits[i]; x.State == Begun && p.returned(x) {
+			list = append(list, Saw{Permit: x.Number})
+		}
+	}
+	return list
+}
+
+// look says how a unit is seen further.
+func (p *planner) look(r *release, u *Unit) (Saw, bool) {
+	none := Saw{}
+	if u.Kind == KindBan || u.Kind == KindAllow {
+		return Saw{Phase: Done}, u.Phase == Told && p.heeded(u.Order)
+	}
+	if u.Phase == Waiting && r.State == Running && p.there(u) == nil && p.alone(r, u) {
+		return Saw{Phase: Missing}, true
+	}
+	if u.Phase == Done && u.Stranded {
+		return Saw{Phase: Waiting}, p.there(u) != nil
+	}
+	if u.Stranded && r.ended() && p.there(u) == nil {
+		return Saw{Phase: Missing}, true // nobody knows of it any more
+	}
+	if u.Phase == Done && r.Wish.Drain && u.Kind == KindMember {
+		return Saw{Phase: Empty, Start: u.Start}, p.there(u) != nil
+	}
+	if !u.isOut() {
+		return none, false
+	}
+	if u.Kind == KindRelay {
+		x := p.relays[u.Name]
+		if x == nil || !x.sound(p.b) && planted != "own word" || planted == "own word" && x.Phase != "serving" {
+			return none, false
+		}
+		program, config := r.wants(u, u.Undo)
+		fits := (program == "" || program == x.Program) && (config == "" || config == x.Config)
+		later := x.Start > uint64(u.Start)
+		switch {
+		case u.Phase == Told:
+			return Saw{Phase: Done}, later && fits
+		case x.Applied < u.Order:
+			return none, false // it may yet heed the order that was taken back
+		case fits && (later || program+config != ""):
+			return Saw{Phase: Done}, true
+		}
+		return Saw{Phase: Waiting}, true
+	}
+	m := p.members[u.name()]
+	program, _ := r.wants(u, u.Undo)
+	switch u.Phase {
+	case Told:
+		if !p.empty(u, m) {
+			return none, false
+		}
+		s := Saw{Phase: Empty, Start: u.Start}
+		if m != nil {
+			s.Start = m.Started
+		}
+		return s, true
+	case Empty, Coming:
+		if r.Wish.Drain {
+			return Saw{Phase: Done}, m == nil // gone for good: no member any more, so not out
+		}
+		if m == nil {
+			name := p.newcomer(u)
+			return Saw{Phase: Coming, Now: name}, name != ""
+		}
+		if u.Phase == Empty {
+			return Saw{Phase: Coming, Now: m.Name}, m.Started > u.Start
+		}
+		if program != "" && m.Program != "" && program != m.Program {
+			// Not what was wanted. It is in service all the same, once nobody waits for it.
+			return Saw{Phase: Waiting}, p.full(m) && !u.Undo && r.State != Running
+		}
+		return Saw{Phase: Done}, p.full(m)
+	}
+	switch {
+	case m == nil:
+		name := p.newcomer(u)
+		return Saw{Phase: Coming, Now: name}, name != "" && !r.Wish.Drain
+	case !p.full(m) || !p.heeded(u.Order):
+		return none, false
+	case program != "" && program == m.Program:
+		return Saw{Phase: Done}, true
+	}
+	return Saw{Phase: Waiting}, true
+}
+
+// there is the thing of a unit, if it is in the view.
+func (p *planner) there(u *Unit) any {
+	if u.Kind == KindRelay {
+		if x := p.relays[u.Name]; x != nil {
+			return x
+		}
+		return nil
+	}
+	if m := p.members[u.name()]; m != nil {
+		return m
+	}
+	return nil
+}
+
+// alone says that all else of a release is through, so that one that is not there holds it up.
+func (p *planner) alone(r *release, u *Unit) bool {
+	for i := range r.Units {
+		if x := &r.Units[i]; x.isOut() || x.Phase == Waiting && p.there(x) != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// heeded says that every relay that lives has applied a version.
+func (p *planner) heeded(version uint64) bool {
+	for i := range p.v.Relays {
+		if x := &p.v.Relays[i]; x.live(p.b) && x.Applied < version {
+			return false
+		}
+	}
+	return len(p.v.Relays) > 0
+}
+
+// empty says that no relay holds a flow at a member: each that lives has said so after it heeded the order, each silent one is
+// past the time in which it still could.
+func (p *planner) empty(u *Unit, m *Member) bool {
+	if !p.heeded(u.Order) {
+		return false
+	}
+	for i := range p.v.Relays {
+		x := &p.v.Relays[i]
+		switch {
+		case x.Gone:
+		case !x.live(p.b):
+			if x.HeardMS <= p.b.Hold {
+				return false
+			}
+		case m != nil && m.Held[x.Name].Flows > 0:
+			return false
+		}
+	}
+	return true
+}
+
+// full says that a member takes its whole share.
+func (p *planner) full(m *Member) bool {
+	_, banned := p.d.banned(m.Name)
+	return m.sound() && !banned
+}
+
+// newcomer is a member that has come in the place of one that is gone: of its zone rather than another, the earliest.
+func (p *planner) newcomer(u *Unit) string {
+	var best *Member
+	for i := range p.v.Members {
+		m := &p.v.Members[i]
+		if p.used[m.Name] || m.Started <= u.At {
+			continue
+		}
+		if best == nil || (m.Zone == u.Zone) != (best.Zone == u.Zone) && m.Zone == u.Zone ||
+			(m.Zone == u.Zone) == (best.Zone == u.Zone) && m.Started < best.Started {
+			best = m
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	p.used[best.Name] = true
+	return best.Name
+}
+
+// returned says that the thing of a begun permit is in full service as others see it, and has left in between; or that the asker
+// may not take it down any more.
+func (p *planner) returned(x *Pass) bool {
+	over := x.Given || p.now > x.Until
+	if x.Kind == KindRelay {
+		r := p.relays[x.Name]
+		return r == nil && x.Given || r != nil && (r.sound(p.b) || planted == "own word" && r.Phase == "serving") && (over || r.Start > uint64(x.Start))
+	}
+	if m := p.members[x.Name]; m != nil {
+		return p.full(m) && (over || m.Started > x.Start)
+	}
+	name := p.newcomer(&Unit{Zone: x.Zone, At: x.At})
+	return x.Given || name != "" && p.full(p.members[name])
+}
+
+func (p *planner) void() []uint64 {
+	var list []uint64
+	for i := range p.d.Permits {
+		if p.d.Permits[i].void(p.now) {
+			list = append(list, p.d.Permits[i].Number)
+		}
+	}
+	return list
+}
+
+// late says that a unit is out for longer than its kind takes.
+func (p *planner) late(r *release, u *Unit) bool {
+	if !u.isOut() {
+		return r.State == Backing && u.Phase == Done && r.undoable(u) && p.there(u) == nil && p.now-r.Moved > p.d.bound(u.Kind, p.b)
+	}
+	if r.Wish.Drain && u.Phase == Empty {
+		return false
+	}
+	return p.now-max(u.At, r.Resumed) > p.d.bound(u.Kind, p.b)
+}
+
+// ---- Halts ----
+
+// halt is the first release that is to halt, with the cause.
+func (p *planner) halt(stalled map[string]string) *Command {
+	for i := range p.d.Releases {
+		r := &p.d.Releases[i]
+		verdict := p.v.Worse != "" && (p.v.WorseOf == "" || p.v.WorseOf == r.Name)
+		if r.State != Running && !(r.State == Halted && verdict && !r.Halt.Stays && !r.Backing) {
+			continue
+		}
+		cause, why := p.cause(r, verdict, stalled)
+		if cause != "" {
+			return &Command{Kind: Halt, Name: r.Name, Cause: cause, Why: cut(why, WhyMost), Base: p.d.Version}
+		}
+	}
+	return nil
+}
+
+func (p *planner) cause(r *release, verdict bool, stalled map[string]string) (cause, why string) {
+	if verdict {
+		return Verdict, p.v.Worse
+	}
+	if p.v.Drift != "" && p.v.DriftMS > p.b.Drift {
+		return Drifted, p.v.Drift
+	}
+	room := p.rooms[side(r.Wish.Kind)]
+	if over := room.over(); over != "" {
+		return Overdrawn, over
+	}
+	if short := room.short(); short != "" {
+		return Overdrawn, short
+	}
+	for j := range r.Units {
+		if u := &r.Units[j]; u.isOut() && p.late(r, u) && !p.gone[r.Name+"\n"+u.Name] {
+			return Overdue, fmt.Sprintf("%s %s is %s for %d ms", u.Kind, u.name(), u.Phase, p.now-u.At)
+		}
+	}
+	if worse(r.Asked, r.Served, r.Spread, p.b.Slack, p.v.Service, max(r.Since, r.Resumed)) {
+		return Service, fmt.Sprintf("it was %.4f before", r.Served/r.Asked)
+	}
+	if stalled[r.Name] != "" && p.now-max(r.Moved, r.Resumed) > p.d.bound(r.Wish.Kind, p.b) {
+		return Stalled, stalled[r.Name]
+	}
+	return "", ""
+}
+
+// resume lets a release go on whose halt's cause is gone, if it may by itself. The cause has to be gone for as long as a silence takes to be one.
+func (p *planner) resume() *Command {
+	for i := range p.d.Releases {
+		r := &p.d.Releases[i]
+		if r.State != Halted || r.Halt.Stays || p.now-r.Halt.At < p.b.Silent {
+			continue
+		}
+		out := slices.ContainsFunc(r.Units, func(u Unit) bool { return u.isOut() && !(r.Wish.Drain && u.Phase == Empty) })
+		room, gone := p.rooms[side(r.Wish.Kind)], false
+		switch r.Halt.Cause {
+		case Overdrawn:
+			gone = room.over() == "" && room.short() == ""
+		case Overdue:
+			gone = !out
+		case Service:
+			gone = !out && !worse(r.Asked, r.Served, r.Spread, p.b.Slack, p.v.Service, r.Halt.At)
+		case Drifted:
+			gone = p.v.Drift == ""
+		case Stalled:
+			gone = p.could(r)
+		}
+		if gone {
+			return &Command{Kind: Resume, Name: r.Name, Cause: r.Halt.Cause, Base: p.d.Version}
+		}
+	}
+	return nil
+}
+
+// could says whether a halted release could give something out.
+func (p *planner) could(r *release) bool {
+	x := *r
+	x.State = x.going()
+	room := p.d.room(side(r.Wish.Kind), p.rooms[side(r.Wish.Kind)].side, p.b)
+	for _, u := range p.candidates(&x) {
+		if u.bans() < 0 || p.there(u) != nil && room.take(u.Name, u.Zone, p.bears(u)) == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// ---- Laying out ----
+
+// lay lays the first release out that waits for it: from the smallest risk up, zone by zone where the budget lets no more than one zone's
+// things out anyway, else spread over the zones.
+func (p *planner) lay() *Command {
+	i := slices.IndexFunc(p.d.Releases, func(r release) bool { return r.State == Queued && !r.Laid && r.Behind == "" })
+	if i < 0 || len(p.v.Relays) == 0 {
+		return nil
+	}
+	r := &p.d.Releases[i]
+	w := &r.Wish
+	var units []Unit
+	risk := map[string]float64{}
+	named := map[string]bool{}
+	for _, n := range w.Names {
+		named[n] = true
+	}
+	switch w.Kind {
+	case KindBan:
+		for _, n := range slices.Sorted(slices.Values(w.Allow)) {
+			units = append(units, p.place(Unit{Name: n, Kind: KindAllow}))
+		}
+		for _, n := range slices.Sorted(slices.Values(w.Ban)) {
+			units = append(units, p.place(Unit{Name: n, Kind: KindBan}))
+		}
+		return &Command{Kind: Lay, Name: r.Name, Units: units, Before: p.before()}
+	case KindRelay:
+		for _, x := range p.v.Relays {
+			if w.All || named[x.Name] || slices.Contains(w.Zones, x.Zone) {
+				units = append(units, Unit{Name: x.Name, Zone: x.Zone, Kind: w.Kind, Size: x.Capacity, Program: x.Program, Config: x.Config})
+				risk[x.Name] = float64(x.Flows)
+				delete(named, x.Name)
+			}
+		}
+	default:
+		for _, m := range p.v.Members {
+			if w.All || named[m.Name] || slices.Contains(w.Zones, m.Zone) {
+				units = append(units, Unit{Name: m.Name, Zone: m.Zone, Kind: w.Kind, Size: m.Capacity, Program: m.Program})
+				risk[m.Name] = m.Bears
+				delete(named, m.Name)
+			}
+		}
+	}
+	if planted != "a map's order" {
+		slices.SortFunc(units, func(x, y Unit) int {
+			return cmp.Or(cmp.Compare(risk[x.Name], risk[y.Name]), cmp.Compare(x.Name, y.Name))
+		})
+	}
+	units = spread(units, p.zonal(w), risk)
+	for _, n := range w.Names {
+		if named[n] {
+			units = append(units, Unit{Name: n, Kind: w.Kind, Phase: Missing})
+		}
+	}
+	return &Command{Kind: Lay, Name: r.Name, Units: units, Before: p.before()}
+}
+
+func (p *planner) before() []Count {
+	var list []Count
+	for _, c := range p.v.Service[max(0, len(p.v.Service)-countsMost):] {
+		if c.Asked >= 0 && c.Served >= 0 && c.Asked <= countMost {
+			list = append(list, Count{c.At, c.Asked, min(c.Served, c.Asked)})
+		}
+	}
+	return list
+}
+
+func (p *planner) place(u Unit) Unit {
+	if m := p.members[u.Name]; m != nil {
+		u.Zone, u.Size = m.Zone, m.Capacity
+	}
+	return u
+}
+
+// zonal says that one zone's things come before the next: all that may be out at once fits into one zone.
+func (p *planner) zonal(w *Wish) bool {
+	room := p.rooms[side(w.Kind)]
+	if w.Zonal || !room.budget.Zone.set() {
+		return w.Zonal
+	}
+	for _, n := range room.side.Zones {
+		if room.budget.zone(n) < room.budget.whole(room.total) {
+			return false
+		}
+	}
+	return len(room.side.Zones) > 1
+}
+
+// spread orders units: those of the zone with the smallest risk first, or one of each zone in turn.
+func spread(units []Unit, zonal bool, risk map[string]float64) []Unit {
+	zones, total, names := map[string][]Unit{}, map[string]float64{}, []string{}
+	for _, u := range units {
+		if zones[u.Zone] == nil {
+			names = append(names, u.Zone)
+		}
+		zones[u.Zone] = append(zones[u.Zone], u)
+		total[u.Zone] += risk[u.Name]
+	}
+	if planted == "a map's order" {
+		names = nil
+		for z := range zones {
+			names = append(names, z)
+		}
+	} else {
+		slices.SortFunc(names, func(x, y string) int { return cmp.Or(cmp.Compare(total[x], total[y]), cmp.Compare(x, y)) })
+	}
+	var list []Unit
+	for i := 0; len(list) < len(units); i++ {
+		for _, z := range names {
+			if zonal && i < len(names) && z == names[i] {
+				list = append(list, zones[z]...)
+			} else if !zonal && i < len(zones[z]) {
+				list = append(list, zones[z][i])
+			}
+		}
+	}
+	return list
+}
+
+// ---- Giving out ----
+
+// step is what goes out now: permits first, whose askers wait outside, then releases as they were opened. It also says of which
+// release nothing is out and nothing may go.
+func (p *planner) step() (*Command, map[string]string) {
+	c := Command{Kind: Step, Base: p.d.Version, Sight: &Sight{At: p.v.At, Budgets: p.b,
+		Relays: p.rooms[KindRelay].side, Members: p.rooms[KindMember].side}}
+	stalled := map[string]string{}
+	if len(p.v.Relays) == 0 || p.now-p.v.At > p.b.Fresh {
+		return nil, stalled
+	}
+	for i := range p.d.Permits {
+		x := &p.d.Permits[i]
+		u := Unit{Name: x.Name, Kind: x.Kind}
+		if x.State != Wait || p.now-x.Asked > staleAfter || p.there(&u) == nil || len(c.Gives) >= GivesMost {
+			continue
+		}
+		g := p.gift(&u)
+		if p.take(&u, g.Zone, g.Bears) == "" {
+			g.Permit = x.Number
+			c.Gives = append(c.Gives, g)
+		}
+	}
+	moving := p.moving()
+	for i := range p.d.Releases {
+		r := &p.d.Releases[i]
+		if r.State != Backing && (r.State != Running || p.v.Drift != "") {
+			continue
+		}
+		n, why := len(c.Gives), p.v.Drift
+		for _, u := range p.candidates(r) {
+			if len(c.Gives) >= GivesMost {
+				break
+			}
+			g := p.gift(u)
+			g.Release, g.Unit, g.Zone = r.Name, u.Name, ""
+			if u.bans() >= 0 {
+				if p.there(u) == nil && u.bans() == 0 {
+					why = u.name() + " is not there"
+					continue
+				}
+				if no := p.take(u, u.Zone, g.Bears); no != "" {
+					why = no
+					continue
+				}
+			}
+			if u.Kind == KindMember {
+				moving += p.members[u.name()].flows()
+				g.MoveOver = p.pace(moving)
+			}
+			c.Gives = append(c.Gives, g)
+			if r.Wish.Lone && !p.proved(r) {
+				break
+			}
+		}
+		out := slices.ContainsFunc(r.Units, func(u Unit) bool { return u.isOut() })
+		if len(c.Gives) == n && !out && why != "" {
+			stalled[r.Name] = why
+		}
+	}
+	if len(c.Gives) == 0 {
+		return nil, stalled
+	}
+	return &c, stalled
+}
+
+func (p *planner) take(u *Unit, zone string, bears float64) string {
+	return p.rooms[side(u.Kind)].take(u.Name, zone, bears)
+}
+
+// gift is what goes with a thing, as it is seen now.
+func (p *planner) gift(u *Unit) Gift {
+	g := Gift{Bears: p.bears(u)}
+	if u.Kind == KindRelay {
+		if x := p.relays[u.Name]; x != nil {
+			g.Zone, g.Start = x.Zone, int64(x.Start)
+		}
+	} else if m := p.members[u.name()]; m != nil {
+		g.Zone, g.Start = m.Zone, m.Started
+	}
+	return g
+}
+
+// bears is what is lost to the rest when a thing goes out: nothing, if it is lost already.
+func (p *planner) bears(u *Unit) float64 {
+	if u.Kind == KindRelay {
+		if x := p.relays[u.Name]; x != nil && x.sound(p.b) {
+			return x.Capacity
+		}
+		return 0
+	}
+	m := p.members[u.name()]
+	if m == nil || m.Failing {
+		return 0
+	}
+	if _, banned := p.d.banned(m.Name); banned {
+		return 0
+	}
+	return m.Bears
+}
+
+// candidates are the units of a release that may go out, in order: those that are sound first. The way back is in reverse.
+func (p *planner) candidates(r *release) []*Unit {
+	var list, lost []*Unit
+	zone, found := "", false // of a zonal release: the first zone that is not through
+	if r.Wish.Lone && r.State == Running && !p.proved(r) && slices.ContainsFunc(r.Units, func(u Unit) bool { return u.isOut() }) {
+		return nil
+	}
+	for i := range r.Units {
+		u := &r.Units[i]
+		if !found && r.Wish.Zonal && r.State == Running && (u.Phase == Waiting || u.isOut()) {
+			zone, found = u.Zone, true
+		}
+		if !r.may(u) || u.Stranded || found && u.Zone != zone {
+			continue
+		}
+		if p.rooms[side(u.Kind)].out[u.Name] && u.bans() >= 0 {
+			lost = append(lost, u)
+		} else {
+			list = append(list, u)
+		}
+	}
+	if r.State == Backing {
+		newest := func(x, y *Unit) int { return cmp.Compare(y.Number, x.Number) }
+		slices.SortStableFunc(list, newest)
+		slices.SortStableFunc(lost, newest)
+	}
+	return append(list, lost...)
+}
+
+// proved says that the first unit of a release is back.
+func (p *planner) proved(r *release) bool {
+	return slices.ContainsFunc(r.Units, func(u Unit) bool { return u.Phase == Done })
+}
+
+// moving are the flows of members that are told to leave.
+func (p *planner) moving() int {
+	n := 0
+	for i := range p.d.Releases {
+		for j := range p.d.Releases[i].Units {
+			u := &p.d.Releases[i].Units[j]
+			if m := p.members[u.name()]; u.Kind == KindMember && u.Phase == Told && m != nil {
+				n += m.flows()
+			}
+		}
+	}
+	return n
+}
+
+// pace is over how many ms so many flows are moved: by the new flows a second that the rest takes, where it is known; else by what a
+// cold member takes until it bears all.
+func (p *planner) pace(flows int) int64 {
+	rate, known := 0.0, true
+	covered := p.d.covered(KindMember)
+	for i := range p.v.Members {
+		if m := &p.v.Members[i]; !covered[m.Name] && !p.rooms[KindMember].planned[m.Name] && p.bears(&Unit{Name: m.Name, Kind: KindMember}) > 0 {
+			rate, known = rate+m.Takes, known && m.Takes > 0
+		}
+	}
+	if !known || rate <= 0 {
+		rate = p.rooms[KindMember].side.Left / (float64(max(p.b.Warm, 1)) / 1000)
+	}
+	if flows == 0 || rate <= 0 {
+		return 0
+	}
+	return min(int64(float64(flows)/rate*1000)+1, p.b.Drain)
+}
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -1,25 +1,41 @@
 package rollout
 
-// State is what the fleet has agreed on. The zero value is not for use: New, or Decode.
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// State is what the fleet has agreed on. Made by New or Decode.
 type State struct{ d data }
 
 type data struct {
-	Version uint64    `json:"version"` // rises with every change of what is out or ordered
-	At      int64     `json:"at"`
-	Number  uint64    `json:"number"` // the last given to an order, ban or permit
-	Release []release `json:"releases,omitempty"`
-	Permits []Pass    `json:"permits,omitempty"`
-	Bans    []Banned  `json:"bans,omitempty"` // by name
-	Took    took      `json:"took"`
+	Version  uint64    `json:"version"` // rises with every change of what is out or ordered
+	At       int64     `json:"at"`
+	Number   uint64    `json:"number"` // the last given to an order, a ban or a permit
+	Releases []release `json:"releases,omitempty"`
+	Permits  []Pass    `json:"permits,omitempty"`
+	Bans     []Banned  `json:"bans,omitempty"`   // by name
+	Relays   []int64   `json:"relays,omitempty"` // ms that the last units took until they were back
+	Members  []int64   `json:"members,omitempty"`
 }
 
-type took struct {
-	Relays  []int64 `json:"relays,omitempty"` // ms that the last units were out
-	Members []int64 `json:"members,omitempty"`
-}
+const tookMost = 32
 
 type release struct {
 	Account
+	Laid    bool     `json:"laid,omitempty"`
+	Since   int64    `json:"since,omitempty"`   // when it was laid out: the service after it is held against that of before
+	Resumed int64    `json:"resumed,omitempty"` // what is overdue counts from here
+	Moved   int64    `json:"moved,omitempty"`   // the last time that something went on
+	Asked   float64  `json:"asked,omitempty"`   // before it
+	Served  float64  `json:"served,omitempty"`
+	Spread  float64  `json:"spread,omitempty"` // by how much windows differed beyond chance
+	Causes  []string `json:"causes,omitempty"` // of its halts by itself so far
 }
 
 // New is a state in which nothing was agreed.
@@ -28,35 +44,267 @@
 // Version rises with every change of what is out or ordered.
 func (s *State) Version() uint64 { return s.d.Version }
 
-// Apply changes the state by one command, and answers with an Answer as JSON. It is deterministic; an error changes nothing.
-func (s *State) Apply(at int64, by string, body []byte) []byte { return []byte(`{"error":"to come"}`) }
-
 // Encode is the whole state.
-func (s *State) Encode() []byte { return nil }
+func (s *State) Encode() []byte {
+	b, err := json.Marshal(s.d)
+	if err != nil {
+		panic(err) // only a float that is no number, and Apply lets none in
+	}
+	return b
+}
 
-// Decode is the reverse.
-func Decode(b []byte) (*State, error) { return New(), nil }
+// Decode is the reverse. What is beyond the bounds is refused.
+func Decode(b []byte) (*State, error) {
+	s := New()
+	if err := json.Unmarshal(b, &s.d); err != nil {
+		return nil, fmt.Errorf("rollout: %w", err)
+	}
+	units := 0
+	for _, r := range s.d.Releases {
+		units += len(r.Units)
+	}
+	if len(s.d.Releases) > ReleasesMost || units > UnitsMost || len(s.d.Permits) > PermitsMost || len(s.d.Bans) > BansMost {
+		return nil, fmt.Errorf("rollout: a state beyond its bounds")
+	}
+	return s, nil
+}
 
 // Orders are what a relay is to do now.
-func (s *State) Orders(relay string) Orders { return Orders{} }
-
-// Plan says what to propose next: a few commands, the same for the same state and view.
-func (s *State) Plan(now int64, v View, b Budgets) []Command { return nil }
+func (s *State) Orders(relay string) Orders {
+	var o Orders
+	out := func(name string, x Out) {
+		if o.Out == nil {
+			o.Out = map[string]Out{}
+		}
+		o.Out[name] = x
+	}
+	for _, r := range s.d.Releases {
+		for _, u := range r.Units {
+			switch {
+			case u.Kind == KindRelay && u.Name == relay && u.Phase == Told:
+				o.Leave = &Leave{Number: u.Number, Release: r.Name, Start: uint64(u.Start), Program: r.Wish.Program, Config: r.Wish.Config}
+				if u.Undo {
+					o.Leave.Program, o.Leave.Config = u.Program, u.Config
+				}
+			case u.Kind == KindMember && (u.Phase == Told || u.Phase == Empty || u.Phase == Done && r.Wish.Drain):
+				out(u.name(), Out{Why: "drain", Number: u.Number, Since: u.At, MoveOver: u.MoveOver})
+			}
+		}
+	}
+	for _, b := range s.d.Bans {
+		out(b.Name, Out{Why: "ban", Number: b.Number, Since: b.Since})
+	}
+	return o
+}
 
 // Releases are all that are kept, in the order in which they were opened.
-func (s *State) Releases() []Account { return nil }
+func (s *State) Releases() []Account {
+	var list []Account
+	for i := range s.d.Releases {
+		list = append(list, s.d.Releases[i].account())
+	}
+	return list
+}
 
 // Release is one of them.
-func (s *State) Release(name string) (Account, bool) { return Account{}, false }
+func (s *State) Release(name string) (Account, bool) {
+	if r := s.d.release(name); r != nil {
+		return r.account(), true
+	}
+	return Account{}, false
+}
 
-// Permits are those that wait or are in force.
-func (s *State) Permits() []Pass { return nil }
+// Permits are those that wait or are in force, the oldest first.
+func (s *State) Permits() []Pass { return slices.Clone(s.d.Permits) }
 
 // Bans are all that stand, by name.
-func (s *State) Bans() []Banned { return nil }
+func (s *State) Bans() []Banned { return slices.Clone(s.d.Bans) }
+
+func (r *release) account() Account {
+	a := r.Account
+	a.Units = slices.Clone(a.Units)
+	a.Counts = Counts{}
+	for i := range a.Units {
+		u := &a.Units[i]
+		switch {
+		case u.Phase == Done:
+			a.Counts.Done++
+		case u.isOut():
+			a.Counts.Out++
+		default:
+			a.Counts.Waiting++
+		}
+		switch {
+		case u.Stranded:
+			a.Except = append(a.Except, u.Name+": not seen back in time")
+		case u.Phase == Missing:
+			a.Except = append(a.Except, u.Name+": was not there")
+		case r.Backing && u.Phase == Done && !r.undoable(u):
+			a.Except = append(a.Except, u.Name+": was restarted, which has no way back")
+		}
+	}
+	return a
+}
+
+func (d *data) release(name string) *release {
+	for i := range d.Releases {
+		if d.Releases[i].Name == name {
+			return &d.Releases[i]
+		}
+	}
+	return nil
+}
+
+func (r *release) unit(name string) *Unit {
+	for i := range r.Units {
+		if r.Units[i].Name == name {
+			return &r.Units[i]
+		}
+	}
+	return nil
+}
+
+func (d *data) permit(number uint64) *Pass {
+	for i := range d.Permits {
+		if d.Permits[i].Number == number {
+			return &d.Permits[i]
+		}
+	}
+	return nil
+}
+
+func (d *data) banned(name string) (int, bool) {
+	return slices.BinarySearchFunc(d.Bans, name, func(b Banned, name string) int { return cmp.Compare(b.Name, name) })
+}
+
+func (r *release) ended() bool { return r.State == Ended || r.State == Undone }
+
+// name is what the thing is called now.
+func (u *Unit) name() string { return cmp.Or(u.Now, u.Name) }
+
+// isOut says whether it counts as out by plan.
+func (u *Unit) isOut() bool {
+	return u.Phase == Told || u.Phase == Empty || u.Phase == Coming || u.Phase == Revoked
+}
+
+// undoable says whether there is a way back for a unit that has the new thing. A relay's restart alone has none.
+func (r *release) undoable(u *Unit) bool {
+	if !u.Got || r.Wish.Drain {
+		return false
+	}
+	switch u.Kind {
+	case KindRelay:
+		return r.Wish.Program != "" && r.Wish.Program != u.Program || r.Wish.Config != "" && r.Wish.Config != u.Config
+	case KindBan:
+		return !u.Banned
+	case KindAllow:
+		return u.Banned
+	}
+	return true
+}
+
+// wants are program and configuration that a unit is to come back with; "" for any.
+func (r *release) wants(u *Unit, undo bool) (program, config string) {
+	switch {
+	case !undo:
+		return r.Wish.Program, r.Wish.Config
+	case r.Wish.Program != "" && r.Wish.Config != "":
+		return u.Program, u.Config
+	case r.Wish.Program != "":
+		return u.Program, ""
+	case r.Wish.Config != "":
+		return "", u.Config
+	}
+	return "", ""
+}
+
+// side is whose budget a kind of thing draws on.
+func side(kind string) string {
+	if kind == KindRelay {
+		return KindRelay
+	}
+	return KindMember
+}
+
+// overlaps says whether two wishes touch the same things. Whoever names all, or zones, may touch any.
+func (w *Wish) overlaps(x *Wish) bool {
+	if side(w.Kind) != side(x.Kind) {
+		return false
+	}
+	if w.All || x.All || len(w.Zones) > 0 || len(x.Zones) > 0 {
+		return true
+	}
+	mine := slices.Concat(w.Names, w.Ban, w.Allow)
+	return slices.ContainsFunc(slices.Concat(x.Names, x.Ban, x.Allow), func(n string) bool { return slices.Contains(mine, n) })
+}
+
+// ---- Settings ----
 
 // ParsePart reads "25%" or "2".
-func ParsePart(text string) (Part, error) { return Part{}, nil }
+func ParsePart(text string) (Part, error) {
+	if number, ok := strings.CutSuffix(text, "%"); ok {
+		p, err := strconv.ParseFloat(number, 64)
+		if err != nil || !(p > 0 && p <= 100) {
+			return Part{}, fmt.Errorf("%q is no part between 0%% and 100%%", text)
+		}
+		return Part{Share: p / 100}, nil
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		return Part{}, fmt.Errorf("%q is no number from 1 up, and no part as \"25%%\"", text)
+	}
+	return Part{Count: n}, nil
+}
+
+func (p Part) set() bool { return p.Count > 0 || p.Share > 0 }
+
+// of is how many of so many things. A part is rounded down: a quarter of three is none.
+func (p Part) of(n int) int {
+	if p.Count > 0 {
+		return min(p.Count, n)
+	}
+	return int(math.Floor(p.Share*float64(n) + 1e-9))
+}
+
+func (b Budget) whole(n int) int {
+	if !b.Whole.set() {
+		return min(1, n)
+	}
+	return b.Whole.of(n)
+}
+
+func (b Budget) zone(n int) int {
+	if !b.Zone.set() {
+		return n
+	}
+	return b.Zone.of(n)
+}
 
 // Never says what of the budgets can never let anything out, for a fleet with so many things in each zone; "" if nothing.
-func (b Budgets) Never(relays, members map[string]int) string { return "" }
+func (b Budgets) Never(relays, members map[string]int) string {
+	var all []string
+	for _, x := range []struct {
+		what   string
+		budget Budget
+		zones  map[string]int
+	}{{"relays", b.Relays, relays}, {"members", b.Members, members}} {
+		total := 0
+		for _, n := range x.zones {
+			total += n
+		}
+		if total > 0 && x.budget.whole(total) < 1 {
+			all = append(all, fmt.Sprintf("%s: the budget of the whole lets none of %d out", x.what, total))
+		}
+		var none []string
+		for zone, n := range x.zones {
+			if n > 0 && x.budget.zone(n) < 1 {
+				none = append(none, zone)
+			}
+		}
+		slices.Sort(none)
+		if len(none) > 0 {
+			all = append(all, fmt.Sprintf("%s: the budget of a zone lets none out in %s", x.what, strings.Join(none, ", ")))
+		}
+	}
+	return strings.Join(all, "; ")
+}
