--- a/internal/drift/api.go
+++ b/internal/drift/api.go
@@ -10,11 +10,11 @@
 	ItemsMost   = 64 // of one relay
 	GroupsMost  = 16
 	DoingsMost  = 16
-	NameMost    = 40 // bytes of an item's name, and of a kind of doing
+	NameMost    = 36 // bytes of an item's name, and of a kind of doing
 	GroupMost   = 16 // bytes of a group's name
 	RelayMost   = 64
-	FromMost    = 40
-	WhyMost     = 120 // bytes of a reason, and of a piece of evidence
+	FromMost    = 24
+	WhyMost     = 100 // bytes of a reason, and of a piece of evidence
 	EvidenceFor = 4   // pieces of evidence kept for a pair: the first, and the newest
 	HistoryMost = 256 // changes kept for operators
 )
--- a/internal/drift/word.go
+++ b/internal/drift/word.go
@@ -1,19 +1,296 @@
 package drift
 
-// Encode is a word as bytes.
-func (w Word) Encode() []byte { return nil }
+import (
+	"cmp"
+	"errors"
+	"hash/fnv"
+	"strings"
+	"unicode/utf8"
 
-// DecodeWord reads them, whoever wrote them.
-func DecodeWord(b []byte) (Word, error) { return Word{}, nil }
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+var errWord = errors.New("drift: not a word of a relay")
+
+// GroupOf is the group of an item: its name up to the first dot.
+func GroupOf(item string) string {
+	group, _, _ := strings.Cut(item, ".")
+	return group
+}
+
+// byGroup orders items so that those of a group stand together, which names alone do not: "config-x" sorts before "config.a".
+func byGroup(x, y string) int { return cmp.Or(cmp.Compare(GroupOf(x), GroupOf(y)), cmp.Compare(x, y)) }
+
+// DigestOf is the digest of a group's items, sorted by name. An item of which the relay runs nothing and refused nothing does not count. Since, From
+// and Step do not either: the leader, which has intent alone, must come to the same.
+func DigestOf(items []Applied) uint64 {
+	h := fnv.New64a()
+	var b []byte
+	for _, it := range items {
+		if it.none() {
+			continue
+		}
+		b = protowire.AppendString(b[:0], it.Name)
+		b = protowire.AppendFixed64(b, it.Version)
+		b = protowire.AppendFixed64(b, it.Digest)
+		b = protowire.AppendFixed64(b, it.RefusedVersion)
+		b = append(b, byte(protowire.EncodeBool(it.Local)))
+		h.Write(b)
+	}
+	return h.Sum64()
+}
+
+func (a Applied) none() bool {
+	return a.Version == 0 && a.Digest == 0 && a.RefusedVersion == 0 && !a.Local
+}
+
+// cut makes text fit for a word: bounded, whole runes, nothing that would break a line of a log.
+func cut(s string, most int) string {
+	s = strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f || r == utf8.RuneError {
+			return '?'
+		}
+		return r
+	}, s)
+	for len(s) > most {
+		_, n := utf8.DecodeLastRuneInString(s)
+		s = s[:len(s)-n]
+	}
+	return s
+}
+
+// ---- Encoding: protobuf's wire format. What is unknown is passed over ----
+
+func appendString(b []byte, n protowire.Number, s string) []byte {
+	if s == "" {
+		return b
+	}
+	return protowire.AppendString(protowire.AppendTag(b, n, protowire.BytesType), s)
+}
+
+func appendUint(b []byte, n protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), v)
+}
+
+func appendFixed(b []byte, n protowire.Number, v uint64) []byte {
+	return protowire.AppendFixed64(protowire.AppendTag(b, n, protowire.Fixed64Type), v)
+}
+
+func appendBytes(b []byte, n protowire.Number, v []byte) []byte {
+	return protowire.AppendBytes(protowire.AppendTag(b, n, protowire.BytesType), v)
+}
+
+func (g Group) append(b []byte) []byte { return appendFixed(appendString(b, 1, g.Name), 2, g.Digest) }
+
+func (d Doing) append(b []byte) []byte {
+	b = appendString(appendString(b, 1, d.Item), 2, d.Kind)
+	return appendUint(appendUint(b, 3, d.Count), 4, d.Astray)
+}
+
+// append writes since as how long before the word, which is shorter.
+func (a Applied) append(b []byte, at int64) []byte {
+	b = appendUint(appendString(b, 1, a.Name), 2, a.Version)
+	b = appendFixed(b, 3, a.Digest)
+	b = appendUint(b, 4, protowire.EncodeZigZag(at-a.Since))
+	b = appendString(appendString(b, 5, a.From), 6, a.Refused)
+	b = appendUint(appendUint(b, 7, a.RefusedVersion), 8, a.Step)
+	return appendUint(b, 9, protowire.EncodeBool(a.Local))
+}
+
+// Encode is a word as bytes. A Book's word is no longer than WordMost.
+func (w Word) Encode() []byte {
+	b := appendString(nil, 1, w.Relay)
+	b = appendUint(appendUint(b, 2, w.Start), 3, w.Seq)
+	b = appendUint(b, 4, protowire.EncodeZigZag(w.At))
+	for _, g := range w.Groups {
+		b = appendBytes(b, 5, g.append(nil))
+	}
+	for _, a := range w.Items {
+		b = appendBytes(b, 6, a.append(nil, w.At))
+	}
+	for _, d := range w.Does {
+		b = appendBytes(b, 7, d.append(nil))
+	}
+	return b
+}
 
 // Encode is a reply as bytes.
-func (r Reply) Encode() []byte { return nil }
+func (r Reply) Encode() []byte {
+	b := appendString(nil, 1, r.Relay)
+	b = appendUint(appendUint(b, 2, r.Start), 3, r.Seq)
+	for _, g := range r.Want {
+		b = appendString(b, 4, g)
+	}
+	for _, t := range r.Tell {
+		b = appendString(b, 5, t)
+	}
+	return b
+}
 
-// DecodeReply reads them.
-func DecodeReply(b []byte) (Reply, error) { return Reply{}, nil }
+// each hands out the fields of a message: numbers as n, all else as v. False from take is an error.
+func each(b []byte, take func(field protowire.Number, n uint64, v []byte) bool) error {
+	for len(b) > 0 {
+		field, kind, size := protowire.ConsumeTag(b)
+		if size < 0 {
+			return errWord
+		}
+		b = b[size:]
+		var n uint64
+		var v []byte
+		switch kind {
+		case protowire.VarintType:
+			n, size = protowire.ConsumeVarint(b)
+		case protowire.Fixed64Type:
+			n, size = protowire.ConsumeFixed64(b)
+		case protowire.BytesType:
+			v, size = protowire.ConsumeBytes(b)
+		default:
+			size = protowire.ConsumeFieldValue(field, kind, b)
+		}
+		if size < 0 || !take(field, n, v) {
+			return errWord
+		}
+		b = b[size:]
+	}
+	return nil
+}
 
-// GroupOf is the group of an item: its name up to the first dot.
-func GroupOf(item string) string { return item }
+// text takes a string that is bounded and clean, so that it can go to logs as it is.
+func text(to *string, v []byte, most int) bool {
+	if len(v) > most {
+		return false
+	}
+	*to = string(v)
+	return cut(*to, most) == *to
+}
+
+// DecodeWord reads a word, whoever wrote it: what it returns is within the bounds.
+func DecodeWord(b []byte) (Word, error) {
+	var w Word
+	if len(b) > WordMost {
+		return w, errWord
+	}
+	err := each(b, func(field protowire.Number, n uint64, v []byte) bool {
+		switch field {
+		case 1:
+			return text(&w.Relay, v, RelayMost)
+		case 2:
+			w.Start = n
+		case 3:
+			w.Seq = n
+		case 4:
+			w.At = protowire.DecodeZigZag(n)
+		case 5:
+			g, ok := decodeGroup(v)
+			w.Groups = append(w.Groups, g)
+			return ok && len(w.Groups) <= GroupsMost
+		case 6:
+			a, ok := decodeApplied(v)
+			w.Items = append(w.Items, a)
+			return ok && len(w.Items) <= ItemsMost
+		case 7:
+			d, ok := decodeDoing(v)
+			w.Does = append(w.Does, d)
+			return ok && len(w.Does) <= DoingsMost
+		}
+		return true
+	})
+	if err != nil || w.Relay == "" {
+		return Word{}, errWord
+	}
+	for i := range w.Items {
+		w.Items[i].Since = w.At - w.Items[i].Since // was written as how long before
+	}
+	return w, nil
+}
+
+func decodeGroup(b []byte) (g Group, ok bool) {
+	err := each(b, func(field protowire.Number, n uint64, v []byte) bool {
+		switch field {
+		case 1:
+			return text(&g.Name, v, GroupMost)
+		case 2:
+			g.Digest = n
+		}
+		return true
+	})
+	return g, err == nil && g.Name != ""
+}
+
+func decodeApplied(b []byte) (a Applied, ok bool) {
+	err := each(b, func(field protowire.Number, n uint64, v []byte) bool {
+		switch field {
+		case 1:
+			return text(&a.Name, v, NameMost)
+		case 2:
+			a.Version = n
+		case 3:
+			a.Digest = n
+		case 4:
+			a.Since = protowire.DecodeZigZag(n)
+		case 5:
+			return text(&a.From, v, FromMost)
+		case 6:
+			return text(&a.Refused, v, WhyMost)
+		case 7:
+			a.RefusedVersion = n
+		case 8:
+			a.Step = n
+		case 9:
+			a.Local = n != 0
+		}
+		return true
+	})
+	return a, err == nil && a.Name != "" && len(GroupOf(a.Name)) <= GroupMost
+}
+
+func decodeDoing(b []byte) (d Doing, ok bool) {
+	err := each(b, func(field protowire.Number, n uint64, v []byte) bool {
+		switch field {
+		case 1:
+			return text(&d.Item, v, NameMost)
+		case 2:
+			return text(&d.Kind, v, NameMost)
+		case 3:
+			d.Count = n
+		case 4:
+			d.Astray = n
+		}
+		return true
+	})
+	return d, err == nil && d.Item != "" && d.Kind != ""
+}
 
-// DigestOf is the digest of a group's items.
-func DigestOf(items []Applied) uint64 { return 0 }
+// DecodeReply reads a reply, whoever wrote it.
+func DecodeReply(b []byte) (Reply, error) {
+	var r Reply
+	if len(b) > ReplyMost {
+		return r, errWord
+	}
+	err := each(b, func(field protowire.Number, n uint64, v []byte) bool {
+		var s string
+		switch field {
+		case 1:
+			return text(&r.Relay, v, RelayMost)
+		case 2:
+			r.Start = n
+		case 3:
+			r.Seq = n
+		case 4:
+			r.Want = append(r.Want, "")
+			return len(r.Want) <= GroupsMost && text(&r.Want[len(r.Want)-1], v, GroupMost)
+		case 5:
+			ok := text(&s, v, NameMost)
+			r.Tell = append(r.Tell, s)
+			return ok && len(r.Tell) <= tellMost
+		}
+		return true
+	})
+	if err != nil || r.Relay == "" {
+		return Reply{}, errWord
+	}
+	return r, nil
+}
