--- /dev/null
+++ b/cmd/dahliarudder/fleet.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliarudder/internal/accord"
+	"dahliarudder/internal/config"
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/fleet"
+	"dahliarudder/internal/peers"
+	"dahliarudder/internal/rollout"
+	"dahliarudder/internal/settings"
+	"dahliarudder/policy"
+)
+
+// orderedExit is the end of a relay that the fleet told to leave: whatever started it is to start it again.
+type orderedExit int
+
+func (e orderedExit) Error() string { return fmt.Sprintf("told to leave: exit status %d", int(e)) }
+
+// leaving is how far this relay is with an order to leave.
+type leaving struct {
+	number uint64
+	since  time.Duration
+}
+
+// leaveWithin is when a relay that was told to leave ends although some flow is left: its drain takes three seconds, and a stop moves the rest.
+const leaveWithin = 4 * time.Second
+
+// join begins to agree with the other relays.
+func (r *relay) join(c fleet.Config) error {
+	set := r.names.Settings
+	program := cmp.Or(c.Program, version+"-"+fileDigest(os.Executable))
+	zone := ""
+	if set.Zone >= 0 && set.Zone < len(set.Zones) {
+		zone = string(set.Zones[set.Zone])
+	}
+	var err error
+	r.fleet, err = fleet.Start(fleet.Options{Config: c, Name: r.cfg.Name, Zone: zone, Start: uint64(time.Now().UnixMilli()), Program: program,
+		Settings: commonDigest(r.cfg), Keys: r.cfg.Peers.Keys(), ColdFrom: set.Guarantees.ColdFrom, ColdFor: settings.Span(set.Guarantees.Cold),
+		Wall: time.Now, Log: r.log, Post: r.loop.Post, Look: r.look, Follow: r.heed})
+	return err
+}
+
+// fileDigest is the beginning of the digest of a file, "unknown" if it cannot be read.
+func fileDigest(path func() (string, error)) string {
+	name, err := path()
+	if err != nil {
+		return "unknown"
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return "unknown"
+	}
+	defer f.Close()
+	h := sha256.New()
+	if _, err := io.Copy(h, f); err != nil {
+		return "unknown"
+	}
+	return hex.EncodeToString(h.Sum(nil)[:4])
+}
+
+// commonDigest is of what all relays of an installation have the same of their configurations.
+func commonDigest(c *config.Config) string {
+	var all map[string]json.RawMessage
+	json.Unmarshal(c.Settings, &all) // it was read before
+	for _, own := range []string{"zone", "me"} {
+		delete(all, own)
+	}
+	text, _ := json.Marshal(struct {
+		Settings map[string]json.RawMessage
+		Limits   any
+	}{all, c.Limits})
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:4])
+}
+
+var listed = map[policy.State]string{policy.Ready: "ready", policy.Draining: "draining", policy.Gone: "gone"}
+
+// look is what this relay does now.
+func (r *relay) look() fleet.Look {
+	set, n := r.names.Settings, r.core.Counts
+	list, _ := r.watch.List()
+	l := fleet.Look{Phase: "serving", Flows: r.core.Held(), Asked: uint64(n.Requests - n.Left), Served: uint64(n.Served), Astray: uint64(n.Astray),
+		Local: r.core.Banned(), Agreed: r.agreed, Follows: r.follows, List: list.Generation}
+	switch {
+	case r.ordered:
+		l.Phase = "leaving"
+	case !r.open || !r.core.Usable():
+		l.Phase = "starting"
+	case !r.core.Welcomes():
+		l.Phase = "draining"
+	}
+	for _, m := range r.core.Members() {
+		p := fleet.Pooled{Name: m.Name, Listed: listed[m.State], Out: m.Out, Flows: m.Flows, Capacity: m.Capacity, Good: m.Good, Bad: m.Bad}
+		if m.Zone < len(set.Zones) {
+			p.Zone = string(set.Zones[m.Zone])
+		}
+		if m.Started != 0 {
+			p.Started = r.names.Epoch.Add(m.Started).UnixMilli()
+		}
+		l.Members = append(l.Members, p)
+	}
+	for _, p := range r.peers.Known() {
+		l.Peers = append(l.Peers, fleet.Peer{Name: p.Name, Zone: p.Zone, Alive: p.State <= peers.Suspect, Gone: p.State >= peers.Gone,
+			Serving: p.Phase == peers.Serving, Incarnation: p.Incarnation})
+	}
+	return l
+}
+
+// heed does what was agreed, as of a version of the record.
+func (r *relay) heed(o rollout.Orders, version uint64) {
+	out := map[string]core.Leaving{}
+	for name, i := range o.Out {
+		out[name] = core.Leaving{Over: time.Duration(i.MoveOver) * time.Millisecond, Ban: i.Why == rollout.Ban}
+	}
+	names := slices.Sorted(maps.Keys(out))
+	if !slices.Equal(names, r.agreed) {
+		r.log.WithFields(logrus.Fields{"out": names, "version": version}).Info("fleet: members that are out")
+	}
+	r.core.Agree(out)
+	r.agreed, r.follows = names, version
+	switch {
+	case o.Leave != nil && r.leaving == nil:
+		r.log.WithFields(logrus.Fields{"release": o.Leave.Release, "number": o.Leave.Number}).Info("fleet: told to leave")
+		r.leaving = &leaving{o.Leave.Number, r.loop.Now()}
+		r.order(true)
+		r.depart()
+	case o.Leave == nil && r.leaving != nil && !r.ordered:
+		r.log.Info("fleet: may stay")
+		r.leaving = nil
+		r.order(false)
+	}
+}
+
+// depart ends this relay once its clients are moved.
+func (r *relay) depart() {
+	l := r.leaving
+	r.loop.After(100*time.Millisecond, func() {
+		switch {
+		case r.leaving != l: // it may stay, or was told anew
+		case r.core.Held() > 0 && r.loop.Now()-l.since < leaveWithin, r.loop.Now()-l.since < core.StopNotice:
+			r.depart()
+		default:
+			r.ordered = true
+			r.stop()
+		}
+	})
+}
+
+// banAll has a member taken out, or put back, at all relays. Without a majority it holds at this relay alone, and is shown as drift
+// when the majority is back.
+func (r *relay) banAll(member string, out bool, done func(error)) {
+	r.fleet.Ban(member, out, func(err error) {
+		switch {
+		case err == nil && out: // agreed: a word of this relay's own would outlive it
+			done(nil)
+		case err == nil:
+			r.follow(member, false, done)
+		case errors.Is(err, accord.ErrNoMajority), errors.Is(err, accord.ErrFull):
+			r.log.WithError(err).WithField("member", member).Warn("fleet: the call holds at this relay alone")
+			r.follow(member, out, done)
+		default:
+			done(err)
+		}
+	})
+}
--- a/cmd/dahliarudder/main.go
+++ b/cmd/dahliarudder/main.go
@@ -17,7 +17,12 @@
 func main() {
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
-	if err := command(log).Execute(); err != nil {
+	err := command(log).Execute()
+	var ordered orderedExit
+	switch {
+	case errors.As(err, &ordered):
+		os.Exit(int(ordered))
+	case err != nil:
 		log.Error(err)
 		os.Exit(1)
 	}
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -18,6 +18,7 @@
 	"dahliarudder/internal/bans"
 	"dahliarudder/internal/config"
 	"dahliarudder/internal/core"
+	"dahliarudder/internal/fleet"
 	"dahliarudder/internal/front/line"
 	"dahliarudder/internal/front/nats"
 	"dahliarudder/internal/handover"
@@ -26,6 +27,7 @@
 	"dahliarudder/internal/peering"
 	"dahliarudder/internal/peers"
 	"dahliarudder/internal/pool"
+	"dahliarudder/internal/rollout"
 	"dahliarudder/internal/settings"
 	"dahliarudder/internal/snapshot"
 	"dahliarudder/internal/store"
@@ -101,6 +103,10 @@
 		}
 	}()
 	err = loop.Run()
+	r.fleet.Close()
+	if err == nil && r.ordered {
+		err = orderedExit(rollout.ExitOrdered)
+	}
 	log.WithField("counts", fmt.Sprintf("%+v", r.core.Counts)).Info("stopped")
 	return errors.Join(err, r.closeStore())
 }
@@ -146,6 +152,11 @@
 	store     *store.Store     // nil if it is off
 	peers     *peering.Service // nil if it is off
 	came      *recovery        // nil if no state is kept
+	fleet     *fleet.Service   // nil if nothing is agreed with others
+	follows   uint64           // the version of the fleet's record that this relay goes by
+	agreed    []string         // the members that are out by it
+	leaving   *leaving         // it was told to leave; nil if not
+	ordered   bool             // it ends because it was told to
 	listeners []*netloop.Listener
 	sockets   int                          // descriptors that the loop may hold
 	memory    int                          // bytes that its buffers may
@@ -230,6 +241,11 @@
 	if cfg.Peers != nil {
 		r.meet(*cfg.Peers)
 	}
+	if cfg.Fleet != nil {
+		if err := r.join(*cfg.Fleet); err != nil {
+			return err
+		}
+	}
 	if r.came != nil {
 		r.keep(time.Duration(cfg.State.EveryMS * float64(time.Millisecond)))
 	}
@@ -347,6 +363,10 @@
 // Ban keeps an operator's word off the loop, so that a slow disk does not hold it
 // up, and then follows it.
 func (r *relay) Ban(member string, out bool, done func(error)) {
+	if r.fleet != nil {
+		r.banAll(member, out, done)
+		return
+	}
 	r.follow(member, out, done)
 }
 
--- /dev/null
+++ b/integration/fleet_test.go
@@ -0,0 +1,199 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/rollout"
+	"dahliarudder/internal/standin"
+)
+
+// fleet is several relays that agree on one record. The ways between their records are pipes that can be cut; what tells who lives goes
+// straight.
+type fleetRig struct {
+	t       *testing.T
+	d       *discovery
+	members []*backend
+	relays  []*relay
+	conf    []string
+	listen  []string // of the record
+	pipes   [][]*standin.Pipe
+}
+
+const fleetKey = circleKey
+
+// newFleet starts n relays of which the first voters vote, before so many members that bear everything.
+func newFleet(t *testing.T, n, voters, members int, out map[string]any) *fleetRig {
+	f := &fleetRig{t: t}
+	var list []member
+	for i := range members {
+		b := newBackend(t, fmt.Sprintf("s%d", i), nil)
+		f.members = append(f.members, b)
+		list = append(list, b.member())
+	}
+	f.d = newDiscovery(t, list...)
+	var gossip []string
+	for range n {
+		f.listen, gossip = append(f.listen, freePort(t)), append(gossip, freePort(t))
+	}
+	votes := map[string]string{}
+	for i := range voters {
+		votes[fmt.Sprintf("n%d", i)] = f.listen[i]
+	}
+	for i := range n {
+		reach := map[string]string{}
+		row := make([]*standin.Pipe, n)
+		for j := range voters {
+			if i == j {
+				continue
+			}
+			p, err := standin.NewPipe(f.listen[j])
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(p.Close)
+			row[j], reach[fmt.Sprintf("n%d", j)] = p, p.Addr()
+		}
+		f.pipes = append(f.pipes, row)
+		path := configure(t, f.d, map[string]any{"name": fmt.Sprintf("n%d", i), "operator": "127.0.0.1:0", "seed": fmt.Sprintf("%x", 99+i),
+			"settings": json.RawMessage(strings.Replace(settingsText, `"balancers":1`, fmt.Sprintf(`"balancers":%d`, n), 1)),
+			"peers":    map[string]any{"listen": gossip[i], "known": gossip[:min(2, n)], "key_file": "key"},
+			"fleet":    map[string]any{"listen": f.listen[i], "calls": "127.0.0.1:0", "dir": "record", "voters": votes, "reach": reach, "out": out}})
+		write(t, filepath.Join(filepath.Dir(path), "key"), fleetKey+"\n")
+		f.conf, f.relays = append(f.conf, path), append(f.relays, nil)
+	}
+	for i := range n {
+		f.start(i)
+	}
+	return f
+}
+
+func (f *fleetRig) start(i int) { f.relays[i] = start(f.t, f.conf[i], 3) }
+
+// call is one at a relay's address for calls; it returns the answer's status, 0 if there is none.
+func (f *fleetRig) call(i int, method, path string, body, into any) int {
+	f.t.Helper()
+	var text []byte
+	if body != nil {
+		text, _ = json.Marshal(body)
+	}
+	q, err := http.NewRequest(method, "http://"+f.relays[i].addr["fleet"]+path, bytes.NewReader(text))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	c := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := c.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer answer.Body.Close()
+	got, _ := io.ReadAll(answer.Body)
+	if into != nil {
+		json.Unmarshal(got, into)
+	}
+	if answer.StatusCode != 200 {
+		f.t.Logf("n%d %s %s: %d %s", i, method, path, answer.StatusCode, got)
+	}
+	return answer.StatusCode
+}
+
+// agreed repeats a call until it is answered with yes: a leader may be sought just then.
+func (f *fleetRig) agreed(i int, method, path string, body any) (a rollout.Answer) {
+	f.t.Helper()
+	until(f.t, method+" "+path, func() bool {
+		a = rollout.Answer{}
+		if f.call(i, method, path, body, &a) == 200 {
+			return true
+		}
+		time.Sleep(200 * time.Millisecond)
+		return false
+	})
+	return a
+}
+
+// release waits until one is in one of these states.
+func (f *fleetRig) release(i int, name string, states ...string) (a rollout.Account) {
+	f.t.Helper()
+	until(f.t, fmt.Sprintf("release %s to be %v", name, states), func() bool {
+		a = rollout.Account{}
+		f.call(i, "GET", "/-/releases/"+name, nil, &a)
+		for _, s := range states {
+			if a.State == s {
+				return true
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		return false
+	})
+	return a
+}
+
+// leader is the relay that leads by its own word.
+func (f *fleetRig) leader() (at int) {
+	f.t.Helper()
+	at = -1
+	until(f.t, "a leader", func() bool {
+		for i, r := range f.relays {
+			var a struct{ Engine struct{ Role string } }
+			if r != nil && f.call(i, "GET", "/-/fleet", nil, &a) == 200 && a.Engine.Role == "leader" {
+				at = i
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		return at >= 0
+	})
+	return at
+}
+
+// hosts starts a relay again whenever it ends because it was told to.
+func (f *fleetRig) host(i int) (ended bool) {
+	r := f.relays[i]
+	select {
+	case err := <-r.done:
+		r.done <- err
+		if err == nil || !strings.Contains(err.Error(), "75") {
+			f.t.Errorf("n%d ended with %v", i, err)
+		}
+		f.start(i)
+		return true
+	default:
+		return false
+	}
+}
+
+// TestFleetBan: one call at any relay takes a member out at all of them, also at one that was down then; and puts it back.
+func TestFleetBan(t *testing.T) {
+	f := newFleet(t, 4, 3, 3, nil)
+	f.leader()
+	f.relays[2].cmd.Process.Kill()
+	<-f.relays[2].done
+	until(t, "the ban", func() bool { return f.relays[3].call("PUT", "/-/backends/s0/disable") == 200 })
+	f.start(2)
+	for i := range f.relays {
+		f.relays[i].logged("fleet: members that are out")
+		for _, c := range f.relays[i].hold(6) {
+			c.Close()
+		}
+	}
+	if got := f.members[0].firstLines(); len(got) > 0 {
+		t.Errorf("%d flows at a member that is banned everywhere", len(got))
+	}
+	until(t, "the end of the ban", func() bool { return f.relays[0].call("PUT", "/-/backends/s0/enable") == 200 })
+	for i := range f.relays {
+		until(t, fmt.Sprintf("n%d to follow", i), func() bool {
+			var a struct {
+				Version, Follows uint64
+				Orders           rollout.Orders
+			}
+			f.call(i, "GET", "/-/fleet", nil, &a)
+			return a.Version == a.Follows && len(a.Orders.Out) == 0
+		})
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 	"reflect"
 	"strconv"
 
+	"dahliarudder/internal/fleet"
 	"dahliarudder/internal/front/nats"
 	"dahliarudder/internal/peers"
 	"dahliarudder/internal/pool"
@@ -44,6 +45,7 @@
 	Store    *store.Config   `json:"store"`  // nil: nothing is recorded
 	Peers    *Peers          `json:"peers"`  // nil: this relay knows of no other
 	State    *State          `json:"state"`  // nil: nothing is kept for the next start
+	Fleet    *fleet.Config   `json:"fleet"`  // nil: nothing is agreed with other relays
 	// CountsMS is how often, in milliseconds, the relay logs what it has counted since the
 	// last time; 0: never.
 	CountsMS float64 `json:"counts_ms"`
@@ -183,7 +185,7 @@
 		{"limits", c.Limits, fresh.Limits}, {"known", c.known, fresh.known}, {"settings", c.decoded, fresh.decoded},
 		{"fronts", c.Fronts.lasting(), fresh.Fronts.lasting()}, {"store", c.Store, fresh.Store},
 		{"counts_ms", c.CountsMS, fresh.CountsMS}, {"peers", c.Peers, fresh.Peers},
-		{"state", c.State, fresh.State},
+		{"state", c.State, fresh.State}, {"fleet", c.Fleet, fresh.Fleet},
 	} {
 		if !reflect.DeepEqual(k.old, k.new) {
 			keys = append(keys, k.key)
@@ -280,6 +282,15 @@
 			return fmt.Errorf("%w: %v", ErrInvalid, err)
 		}
 	}
+	if c.Fleet != nil {
+		if c.Peers == nil {
+			return fmt.Errorf("%w: fleet: peers are not set up: who lives is theirs to say, and the key that seals is theirs", ErrInvalid)
+		}
+		warm := settings.Span(c.decoded.Guarantees.Cold)
+		if err := c.Fleet.Check(c.dir, max(c.decoded.Balancers, 1), warm); err != nil {
+			return fmt.Errorf("%w: fleet.%v", ErrInvalid, err)
+		}
+	}
 	if c.Store != nil {
 		if err := c.Store.Check(); err != nil {
 			return fmt.Errorf("%w: store: %v", ErrInvalid, err)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -157,6 +157,7 @@
 // Counts is what has happened so far.
 type Counts struct {
 	Requests, Served, Rejected, Failed, Left, Attempts, Moves, Barred int
+	Astray                                                            int // attempts begun at members that were out for longer than the grace
 	Messages                                                          Messages
 }
 
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -129,6 +129,9 @@
 	m.flows++
 	r.tries++
 	c.Counts.Attempts++
+	if m.banned && now-m.told > c.grace {
+		c.Counts.Astray++ // the gate lets none pass: this counts what it did, not what it meant
+	}
 	r.v.Send(r.id, &m.Member, r.tries-1, wait)
 }
 
--- /dev/null
+++ b/internal/fleet/calls.go
@@ -0,0 +1,252 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dahliarudder/internal/accord"
+	"dahliarudder/internal/rollout"
+)
+
+// Bounds of a call.
+const (
+	callMost     = 256 << 10
+	callersMost  = 32
+	headerWithin = 5 * time.Second
+)
+
+// open begins to take calls.
+func (s *Service) open() error {
+	l, err := net.Listen("tcp4", s.Calls)
+	if err != nil {
+		return fmt.Errorf("fleet.calls: %w", err)
+	}
+	room := make(chan struct{}, callersMost)
+	mux := s.routes()
+	s.door = &http.Server{ReadHeaderTimeout: headerWithin, ReadTimeout: headerWithin, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case room <- struct{}{}:
+			defer func() { <-room }()
+			mux.ServeHTTP(w, r)
+		default:
+			say(w, http.StatusServiceUnavailable, rollout.Answer{Error: "too many calls"})
+		}
+	})}
+	s.Log.WithField("listen", l.Addr().String()).WithField("front", "fleet").Info("serving")
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		if err := s.door.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.Log.WithError(err).Error("fleet: no more calls are taken")
+		}
+	}()
+	return nil
+}
+
+func (s *Service) routes() *http.ServeMux {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /-/fleet", func(w http.ResponseWriter, _ *http.Request) { say(w, http.StatusOK, s.account()) })
+	m.HandleFunc("GET /-/drift", func(w http.ResponseWriter, r *http.Request) { s.tellDrift(w) })
+	m.HandleFunc("GET /-/releases", func(w http.ResponseWriter, r *http.Request) {
+		if !s.current(w, r) {
+			return
+		}
+		var all struct {
+			Releases []rollout.Account `json:"releases"`
+			Permits  []rollout.Pass    `json:"permits"`
+			Bans     []rollout.Banned  `json:"bans"`
+		}
+		s.record.read(func(st *rollout.State, _ held) {
+			all.Releases, all.Permits, all.Bans = st.Releases(), st.Permits(), st.Bans()
+		})
+		for i := range all.Releases {
+			all.Releases[i].Units = nil // by name
+		}
+		say(w, http.StatusOK, all)
+	})
+	m.HandleFunc("GET /-/releases/{name}", func(w http.ResponseWriter, r *http.Request) {
+		if !s.current(w, r) {
+			return
+		}
+		var a rollout.Account
+		var ok bool
+		s.record.read(func(st *rollout.State, _ held) { a, ok = st.Release(r.PathValue("name")) })
+		if !ok {
+			say(w, http.StatusNotFound, rollout.Answer{Error: "no such release"})
+			return
+		}
+		say(w, http.StatusOK, a)
+	})
+	m.HandleFunc("POST /-/releases", func(w http.ResponseWriter, r *http.Request) {
+		var c struct {
+			Name string `json:"name"`
+			Who  string `json:"who"`
+			rollout.Wish
+		}
+		if take(w, r, &c) {
+			s.agree(w, r, rollout.Command{Kind: rollout.Open, Name: c.Name, Who: c.Who, Release: &c.Wish})
+		}
+	})
+	m.HandleFunc("PUT /-/releases/{name}/{verb}", func(w http.ResponseWriter, r *http.Request) {
+		c := rollout.Command{Kind: r.PathValue("verb"), Name: r.PathValue("name"), Who: r.RemoteAddr, Why: r.URL.Query().Get("why")}
+		switch c.Kind {
+		case rollout.Halt, rollout.Resume, rollout.Back:
+			s.agree(w, r, c)
+		default:
+			say(w, http.StatusNotFound, rollout.Answer{Error: "a release can be told to halt, resume, or go back"})
+		}
+	})
+	m.HandleFunc("POST /-/permits", func(w http.ResponseWriter, r *http.Request) {
+		var c struct {
+			Kind string `json:"kind"`
+			Name string `json:"name"`
+			Who  string `json:"who"`
+			Why  string `json:"why"`
+			For  int64  `json:"for_ms"`
+		}
+		if take(w, r, &c) {
+			s.agree(w, r, rollout.Command{Kind: rollout.Ask, Thing: c.Kind, Name: c.Name, Who: c.Who, Why: c.Why, For: c.For})
+		}
+	})
+	m.HandleFunc("PUT /-/permits/{number}/{verb}", func(w http.ResponseWriter, r *http.Request) {
+		n, err := strconv.ParseUint(r.PathValue("number"), 10, 64)
+		c := rollout.Command{Number: n}
+		switch r.PathValue("verb") {
+		case "begin":
+			c.Kind = rollout.Begin
+		case "done":
+			c.Kind = rollout.Give
+		}
+		if err != nil || c.Kind == "" {
+			say(w, http.StatusNotFound, rollout.Answer{Error: "a permit's number, and begin or done"})
+			return
+		}
+		s.agree(w, r, c)
+	})
+	m.HandleFunc("PUT /-/voters/{old}/{new}", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), callWithin)
+		defer cancel()
+		if err := s.node.Replace(ctx, r.PathValue("old"), r.PathValue("new"), r.URL.Query().Get("address")); err != nil {
+			say(w, status(err), rollout.Answer{Error: err.Error()})
+			return
+		}
+		say(w, http.StatusOK, rollout.Answer{State: "replaced"})
+	})
+	return m
+}
+
+// current has the record here be as new as the call, or says why it is not: an answer of an old record would be taken for the state of now.
+func (s *Service) current(w http.ResponseWriter, r *http.Request) bool {
+	if r.URL.Query().Has("stale") {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), callWithin)
+	defer cancel()
+	if _, err := s.node.Barrier(ctx); err != nil {
+		say(w, status(err), rollout.Answer{Error: err.Error() + "; ?stale shows what this relay has"})
+		return false
+	}
+	return true
+}
+
+func (s *Service) agree(w http.ResponseWriter, r *http.Request, c rollout.Command) {
+	a, err := s.propose(r.Context(), c)
+	switch {
+	case err != nil:
+		say(w, status(err), rollout.Answer{Error: err.Error()})
+	case a.Error != "":
+		say(w, http.StatusConflict, a)
+	default:
+		say(w, http.StatusOK, a)
+	}
+}
+
+// status is 503 where a call may be repeated, 504 where it is not known whether it counts: the record tells.
+func status(err error) int {
+	switch {
+	case errors.Is(err, accord.ErrNoMajority), errors.Is(err, accord.ErrFull), errors.Is(err, accord.ErrClosed):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, accord.ErrSize):
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusGatewayTimeout
+	}
+}
+
+func take(w http.ResponseWriter, r *http.Request, to any) bool {
+	d := json.NewDecoder(io.LimitReader(r.Body, callMost))
+	d.DisallowUnknownFields() // a misspelt bound must not be taken for none
+	if err := d.Decode(to); err != nil {
+		say(w, http.StatusBadRequest, rollout.Answer{Error: err.Error()})
+		return false
+	}
+	return true
+}
+
+func say(w http.ResponseWriter, code int, what any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	e.Encode(what)
+}
+
+// tellDrift answers at the leader, which alone has heard all relays; another one says who leads.
+func (s *Service) tellDrift(w http.ResponseWriter) {
+	st := s.node.Status()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ledAt == 0 {
+		w.Header().Set("Leader", st.Leader)
+		say(w, http.StatusMisdirectedRequest, rollout.Answer{Error: "ask the leader", Name: st.Leader})
+		return
+	}
+	type row struct {
+		Relay    string   `json:"relay"`
+		Item     string   `json:"item"`
+		State    string   `json:"state"`
+		Since    int64    `json:"since_ms"`
+		Intent   uint64   `json:"intent"`
+		Applied  uint64   `json:"applied"`
+		Why      string   `json:"why,omitempty"`
+		Evidence []string `json:"evidence,omitempty"`
+	}
+	all := struct {
+		Rows    []row  `json:"rows"`
+		Blocked string `json:"blocks,omitempty"`
+	}{Rows: []row{}}
+	now := s.now()
+	for _, r := range s.drift.Rows() {
+		all.Rows = append(all.Rows, row{r.Relay, r.Intent.Name, r.State.String(), now - r.Since, r.Intent.Version, r.Applied.Version, r.Why, r.Evidence})
+	}
+	say(w, http.StatusOK, all)
+}
+
+// account is what this relay says of its part.
+func (s *Service) account() any {
+	st := s.node.Status()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]any{}
+	s.record.read(func(r *rollout.State, _ held) { out["version"], out["orders"] = r.Version(), r.Orders(s.Name) })
+	relays := map[string]any{}
+	now := s.now()
+	for name, h := range s.scene.words {
+		relays[name] = map[string]any{"heard_ms": now - h.at, "phase": h.Phase, "program": h.Program, "config": h.Config, "follows": h.Follows, "flows": h.Flows, "zone": h.Zone}
+	}
+	for k, v := range map[string]any{"name": s.Name, "program": s.Program, "config": s.Settings, "engine": st, "follows": s.look.Follows,
+		"missed_looks": s.missed, "bad_words": s.bad, "said_bytes": s.said, "failed": s.fails} {
+		out[k] = v
+	}
+	if s.ledAt != 0 {
+		out["relays"] = relays
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/config.go
@@ -0,0 +1,106 @@
+// Package fleet puts the agreed record beside a relay: it carries between the record's engine (accord), what decides about releases and
+// drift (rollout, drift), the relay's core, and operators. The relay's loop never waits for it. See docs/design/fleet-record.md;
+// docs/releases.md is for operators.
+package fleet
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"dahliarudder/internal/rollout"
+)
+
+// Config is the setting `fleet`.
+type Config struct {
+	Listen string            `json:"listen"` // between relays: HTTP, sealed with the key of peers
+	Calls  string            `json:"calls"`  // for operators and owners of members: HTTP
+	Dir    string            `json:"dir"`    // what was agreed is kept there; "" keeps nothing
+	Voters map[string]string `json:"voters"` // by name, where they listen: 1, 3 or 5; all other relays follow
+	Reach  map[string]string `json:"reach"`  // by name: where this relay reaches one, if not where it listens
+	Out    struct {
+		Relays   Budget  `json:"relays"`
+		Members  Budget  `json:"members"`
+		Headroom float64 `json:"headroom"` // what is left sound carries the load of now and this part more
+	} `json:"out"`
+	Program string `json:"program"`  // what this relay says that it runs; absent: its version and the digest of its file
+	StartMS int64  `json:"start_ms"` // what is replaced may take so long until it serves; 30,000 if absent
+
+	budgets rollout.Budgets
+}
+
+// Budget is how many may be out at once, each a number ("2") or a part ("25%").
+type Budget struct {
+	Whole string `json:"whole"` // "1" if absent
+	Zone  string `json:"zone"`  // of each zone's; as whole if absent
+}
+
+// What a relay's silence and an order's time are measured by. Each stands on a time that another page fixes.
+const (
+	sayEvery    = time.Second            // a relay's word to the leader
+	silentAfter = 4 * sayEvery           // four words missed, as lost datagrams and a new leader cost two
+	holdsMost   = 7 * time.Second        // by then a flow whose relay says nothing is over at its client, by the protocol
+	leaveMost   = 20 * time.Second       // a relay's drain takes 3 s and its stop 3 s; a member's flows go as fast as others bear
+	startMS     = 30_000                 // the platform's time until a relay is ready
+	planEvery   = 200 * time.Millisecond // the leader's look at what is next
+	freshFor    = 3 * time.Second        // from a look until the step that rests on it is agreed: a new leader takes two
+	driftMost   = 10 * time.Second       // a release halts when drift has stood so long
+	windowMS    = 30_000                 // a permit is begun within
+	clockDrift  = 0.01                   // clocks of one machine to another: a hundred times what quartz does
+	serviceCost = 0.05                   // of the service before: what a release may cost beyond noise
+)
+
+// Check makes the setting usable, or says why it is not. Dir is where the configuration stands, balancers the number of relays that
+// should run, warm how long a member is cold.
+func (c *Config) Check(dir string, balancers int, warm time.Duration) (err error) {
+	for _, a := range [][2]string{{"listen", c.Listen}, {"calls", c.Calls}} {
+		if _, err := netip.ParseAddrPort(a[1]); err != nil {
+			return fmt.Errorf("%s: %v", a[0], err)
+		}
+	}
+	if n := len(c.Voters); n != 1 && n != 3 && n != 5 {
+		return fmt.Errorf("voters: %d of them: 3 or 5 outlive a loss, 1 is for trials, an even number outlives no more than one less", n)
+	}
+	for _, m := range []map[string]string{c.Voters, c.Reach} {
+		for name, at := range m {
+			if _, err := netip.ParseAddrPort(at); name == "" || err != nil {
+				return fmt.Errorf("%q: %v", name, err)
+			}
+		}
+	}
+	if c.Dir != "" && !filepath.IsAbs(c.Dir) {
+		c.Dir = filepath.Join(dir, c.Dir)
+	}
+	if c.Out.Headroom < 0 || c.Out.Headroom > 10 {
+		return fmt.Errorf("out.headroom: %v is no part of the load", c.Out.Headroom)
+	}
+	if c.StartMS < 0 {
+		return errors.New("start_ms: below zero")
+	}
+	start := cmp.Or(c.StartMS, startMS)
+	c.budgets = rollout.Budgets{Headroom: c.Out.Headroom, Silent: silentAfter.Milliseconds(), Hold: (silentAfter + holdsMost).Milliseconds(),
+		Fresh: freshFor.Milliseconds(), Drain: leaveMost.Milliseconds(), Start: start, Warm: warm.Milliseconds(), Window: windowMS,
+		Clock: clockDrift, Drift: driftMost.Milliseconds(), Slack: serviceCost}
+	for _, p := range []struct {
+		name, text string
+		to         *rollout.Part
+	}{{"relays.whole", cmp.Or(c.Out.Relays.Whole, "1"), &c.budgets.Relays.Whole}, {"relays.zone", c.Out.Relays.Zone, &c.budgets.Relays.Zone},
+		{"members.whole", cmp.Or(c.Out.Members.Whole, "1"), &c.budgets.Members.Whole}, {"members.zone", c.Out.Members.Zone, &c.budgets.Members.Zone}} {
+		if p.text == "" {
+			continue
+		}
+		if *p.to, err = rollout.ParsePart(p.text); err != nil {
+			return fmt.Errorf("out.%s: %v", p.name, err)
+		}
+	}
+	if why := c.budgets.Never(map[string]int{"": balancers}, nil); why != "" {
+		return fmt.Errorf("out: %s", why)
+	}
+	return nil
+}
+
+// Budgets are what may be out, and the times that go with it.
+func (c *Config) Budgets() rollout.Budgets { return c.budgets }
--- /dev/null
+++ b/internal/fleet/record.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"sync"
+
+	"dahliarudder/internal/canary"
+	"dahliarudder/internal/drift"
+	"dahliarudder/internal/rollout"
+)
+
+// Record is what the fleet has agreed on, at this relay: the accord.Machine. It hands commands to the parts, in their order; nothing else
+// changes it. Readers may come from any goroutine.
+type Record struct {
+	mu      sync.RWMutex
+	held    held
+	rollout *rollout.State
+	canary  *canary.State
+	news    chan struct{} // one waits at most: something has changed
+}
+
+// held is what the record adds to its parts.
+type held struct {
+	At     int64      `json:"at"` // of the last command: it never runs back
+	Bans   drift.Item `json:"bans"`
+	Drains drift.Item `json:"drains"`
+}
+
+type snapshotForm struct {
+	Held    held            `json:"held"`
+	Rollout json.RawMessage `json:"rollout"`
+	Canary  json.RawMessage `json:"canary"`
+}
+
+// The parts that a command may be for.
+const (
+	partRollout = "rollout"
+	partCanary  = "canary"
+)
+
+type command struct {
+	Part string          `json:"part"`
+	At   int64           `json:"at"` // the proposer's wall clock, ms
+	By   string          `json:"by"`
+	Body json.RawMessage `json:"body"`
+}
+
+// NewRecord is one in which nothing was agreed.
+func NewRecord() *Record {
+	return &Record{rollout: rollout.New(), canary: canary.New(), news: make(chan struct{}, 1),
+		held: held{Bans: drift.Item{Name: drift.Bans}, Drains: drift.Item{Name: drift.Drains}}}
+}
+
+// Apply is the engine's: the next command. What it answers depends on the commands alone.
+func (r *Record) Apply(_ uint64, text []byte) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var c command
+	if err := json.Unmarshal(text, &c); err != nil {
+		return refusal("malformed: " + err.Error())
+	}
+	r.held.At = max(r.held.At, c.At)
+	var answer []byte
+	switch c.Part {
+	case partRollout:
+		answer = r.rollout.Apply(r.held.At, c.By, c.Body)
+	case partCanary:
+		answer = r.canary.Apply(r.held.At, c.By, c.Body)
+	default:
+		return refusal("no such part: " + c.Part) // of a newer program: all of this version refuse it alike
+	}
+	r.items()
+	r.tell()
+	return answer
+}
+
+func refusal(why string) []byte {
+	text, _ := json.Marshal(map[string]string{"error": why})
+	return text
+}
+
+// tell wakes who follows.
+func (r *Record) tell() {
+	select {
+	case r.news <- struct{}{}:
+	default:
+	}
+}
+
+// items keeps the versions of what relays are to apply: the state's version at which each last changed.
+func (r *Record) items() {
+	bans, drains := split(r.rollout.Orders("").Out)
+	for _, i := range []struct {
+		item  *drift.Item
+		name  string
+		names []string
+	}{{&r.held.Bans, drift.Bans, bans}, {&r.held.Drains, drift.Drains, drains}} {
+		if d := digestOf(i.names); d != i.item.Digest {
+			*i.item = drift.Item{Name: i.name, Version: r.rollout.Version(), Digest: d}
+		}
+	}
+}
+
+// split parts the members that are out into those that are banned and those that drain, each in order.
+func split(out map[string]rollout.Out) (bans, drains []string) {
+	for name, o := range out {
+		if o.Why == rollout.Ban {
+			bans = append(bans, name)
+		} else {
+			drains = append(drains, name)
+		}
+	}
+	slices.Sort(bans)
+	slices.Sort(drains)
+	return bans, drains
+}
+
+// digestOf tells sets of names apart. Its 0 is for none: nothing agreed is nothing applied.
+func digestOf(names []string) uint64 {
+	if len(names) == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	for _, n := range names {
+		fmt.Fprintf(h, "%d:%s", len(n), n)
+	}
+	return cmp.Or(h.Sum64(), 1)
+}
+
+// Snapshot is the engine's.
+func (r *Record) Snapshot() []byte {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	text, _ := json.Marshal(snapshotForm{r.held, r.rollout.Encode(), r.canary.Encode()})
+	return text
+}
+
+// Restore is the engine's. What cannot be read changes nothing.
+func (r *Record) Restore(_ uint64, text []byte) error {
+	var s snapshotForm
+	if err := json.Unmarshal(text, &s); err != nil {
+		return fmt.Errorf("record: %w", err)
+	}
+	ro, err := rollout.Decode(s.Rollout)
+	if err != nil {
+		return fmt.Errorf("record: %w", err)
+	}
+	ca, err := canary.Decode(s.Canary)
+	if err != nil {
+		return fmt.Errorf("record: %w", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held, r.rollout, r.canary = s.Held, ro, ca
+	r.tell()
+	return nil
+}
+
+// read lets f look at the parts; it keeps nothing of them.
+func (r *Record) read(f func(*rollout.State, held)) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	f(r.rollout, r.held)
+}
--- /dev/null
+++ b/internal/fleet/service.go
@@ -0,0 +1,421 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliarudder/internal/accord"
+	"dahliarudder/internal/drift"
+	"dahliarudder/internal/peers"
+	"dahliarudder/internal/rollout"
+)
+
+// Options is what a Service is made of.
+type Options struct {
+	Config
+	Name, Zone string
+	Start      uint64 // of this process; above that of every one before it, as a wall clock in milliseconds is
+	Program    string // what this relay runs
+	Settings   string // the digest of its configuration, as far as all relays have the same
+	Keys       peers.Keys
+	ColdFrom   float64       // what a member bears just after its start, as a part
+	ColdFor    time.Duration // until it bears all
+	Wall       func() time.Time
+	Log        logrus.FieldLogger
+	// Post has f run on the relay's loop. The service has one look and one order under way at most.
+	Post func(f func())
+	// Look is what the relay does; on the loop.
+	Look func() Look
+	// Follow has the relay do what was agreed, as of a version of the record; on the loop.
+	Follow func(o rollout.Orders, version uint64)
+}
+
+// Service is one relay's part in the fleet. Its threads: the engine's own; words; orders; the pilot; calls.
+type Service struct {
+	Options
+	record *Record
+	node   *accord.Node
+	door   *http.Server
+	quit   chan struct{}
+	done   sync.WaitGroup
+
+	posting sync.Mutex
+
+	mu     sync.Mutex
+	look   Look // the last
+	scene  *scene
+	drift  *drift.Watch
+	book   *drift.Book
+	ledAt  int64 // when this relay began to lead; 0 while it does not
+	term   uint64
+	leads  string // whom the book has told all
+	bad    int    // words that could not be read
+	missed int    // looks that the loop did not answer in time
+	said   int    // bytes of words
+	fails  map[string]int
+}
+
+// Start begins. What the engine cannot do with its directory is no error: it says so in its status.
+func Start(o Options) (*Service, error) {
+	s := &Service{Options: o, record: NewRecord(), quit: make(chan struct{}), scene: newScene(), drift: drift.New(drift.Settings{Period: sayEvery.Milliseconds()}),
+		book: drift.NewBook(o.Name, o.Start), fails: map[string]int{}}
+	if o.Dir == "" {
+		o.Log.Warn("fleet: what is agreed is kept in memory alone; if all voters end at once, releases, drains and bans are forgotten")
+	}
+	now := s.now()
+	s.book.Note(now, drift.Item{Name: drift.Program, Version: 1, Digest: digestOf([]string{o.Program})}, "file")
+	s.book.Note(now, drift.Item{Name: drift.Config + ".settings", Version: 1, Digest: digestOf([]string{o.Settings})}, "file")
+	var err error
+	s.node, err = accord.Start(accord.Options{Name: o.Name, Voters: o.Voters, Reach: o.Reach, Listen: o.Listen, Dir: o.Dir, Keys: o.Keys,
+		Machine: s.record, Heard: s.heard, Led: s.led, Log: o.Log})
+	if err != nil {
+		return nil, err
+	}
+	if err := s.open(); err != nil {
+		s.node.Close()
+		return nil, err
+	}
+	for _, f := range []func(){s.words, s.orders, s.pilot} {
+		s.done.Add(1)
+		go func() { defer s.done.Done(); f() }()
+	}
+	return s, nil
+}
+
+// Close ends all threads and gives the addresses back.
+func (s *Service) Close() {
+	if s == nil {
+		return
+	}
+	close(s.quit)
+	s.door.Close()
+	s.done.Wait()
+	if err := s.node.Close(); err != nil {
+		s.Log.WithError(err).Error("fleet: the record was not closed")
+	}
+}
+
+func (s *Service) now() int64 { return s.Wall().UnixMilli() }
+
+// every calls f until the service ends.
+func (s *Service) every(d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.quit:
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
+
+// ---- What this relay says ----
+
+// words tells the leader about this relay. A loop that does not answer is not waited for: the leader hears of its silence.
+func (s *Service) words() {
+	looks := make(chan Look, 1)
+	asked := false
+	s.every(sayEvery, func() {
+		if !asked {
+			asked = true
+			s.Post(func() { looks <- s.Look() }) // one is under way at most, so this never waits
+		}
+		select {
+		case l := <-looks:
+			asked = false
+			s.say(l)
+		case <-time.After(sayEvery / 2):
+			s.mu.Lock()
+			s.missed++
+			s.mu.Unlock()
+		case <-s.quit:
+		}
+	})
+}
+
+func (s *Service) say(l Look) {
+	now := s.now()
+	s.mu.Lock()
+	before := s.look
+	s.look = l
+	w := word{Start: s.Start, Zone: s.Zone, Phase: l.Phase, Program: s.Program, Config: s.Settings, Follows: l.Follows, List: l.List,
+		Flows: l.Flows, Asked: l.Asked, Served: l.Served, Local: l.Local}
+	last := map[string]Pooled{}
+	for _, m := range before.Members {
+		last[m.Name] = m
+	}
+	for _, m := range l.Members {
+		if b, known := last[m.Name]; m.Flows > 0 || !known && m.Good+m.Bad > 0 || m.Good != b.Good || m.Bad != b.Bad {
+			w.Members = append(w.Members, sight{m.Name, m.Flows, m.Capacity, m.Good, m.Bad})
+		}
+	}
+	s.keepBook(now, l, before)
+	w.Drift = s.book.Word(now).Encode()
+	text, err := json.Marshal(w)
+	s.said += len(text)
+	s.mu.Unlock()
+	if err == nil {
+		err = s.node.Say(text)
+	}
+	if err != nil {
+		s.failed("say", err)
+	}
+}
+
+// keepBook notes what this relay has applied, and did. The core is asked for it, not what it was told.
+func (s *Service) keepBook(now int64, l, before Look) {
+	var h held
+	var bans, drains []string
+	s.record.read(func(r *rollout.State, was held) {
+		h = was
+		bans, drains = split(r.Orders(s.Name).Out)
+	})
+	inForce := func(names []string) (in []string) {
+		for _, n := range names {
+			if slices.Contains(l.Agreed, n) {
+				in = append(in, n)
+			}
+		}
+		return in
+	}
+	ours := slices.Clone(l.Local)
+	ours = slices.DeleteFunc(ours, func(n string) bool { return slices.Contains(bans, n) })
+	applied := inForce(bans)
+	if item := (drift.Item{Name: drift.Bans, Version: h.Bans.Version, Digest: digestOf(applied)}); len(ours) > 0 {
+		all := append(applied, ours...)
+		slices.Sort(all)
+		item.Digest = digestOf(all)
+		s.book.Local(now, item, "an operator's call")
+	} else if item.Digest == h.Bans.Digest {
+		s.book.Note(now, item, "record")
+	}
+	if d := digestOf(inForce(drains)); d == h.Drains.Digest {
+		s.book.Note(now, drift.Item{Name: drift.Drains, Version: h.Drains.Version, Digest: d}, "record")
+	}
+	if n := l.Astray - before.Astray; n > 0 {
+		s.book.Count(drift.Bans, drift.KindOut, n, n)
+	}
+	// A new leader knows nothing of what was said before it.
+	if leader := s.node.Status().Leader; leader != s.leads {
+		s.leads = leader
+		s.book.Hear(drift.Reply{Relay: s.Name, Start: s.Start, Want: []string{drift.Program, drift.Config, drift.Bans, drift.Drains}})
+	}
+}
+
+func (s *Service) failed(what string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fails[what]++; s.fails[what] == 1 {
+		s.Log.WithError(err).WithField("what", what).Debug("fleet: failed, and is tried again")
+	}
+}
+
+// ---- What this relay is told ----
+
+// orders has the loop follow the record, once for all that changed meanwhile, and again as long as it does not.
+func (s *Service) orders() {
+	again := time.NewTicker(sayEvery)
+	defer again.Stop()
+	followed := make(chan struct{}, 1)
+	followed <- struct{}{}
+	var sent uint64
+	first := true
+	for {
+		anew := false
+		select {
+		case <-s.quit:
+			return
+		case <-s.record.news:
+			anew = true
+		case <-again.C:
+			s.mu.Lock()
+			anew = s.look.Follows != sent
+			s.mu.Unlock()
+		}
+		if !anew && !first {
+			continue
+		}
+		select {
+		case <-followed: // the loop has done the last ones
+		case <-s.quit:
+			return
+		}
+		first = false
+		sent = s.post(func() { followed <- struct{}{} })
+	}
+}
+
+// post has the loop do what the record says now, and then call done there. Posts are in the order of what they read, so that an older
+// state never comes after a newer one.
+func (s *Service) post(done func()) (version uint64) {
+	s.posting.Lock()
+	defer s.posting.Unlock()
+	var o rollout.Orders
+	s.record.read(func(r *rollout.State, _ held) { o, version = r.Orders(s.Name), r.Version() })
+	s.Post(func() { s.Follow(o, version); done() })
+	return version
+}
+
+// ---- The leader ----
+
+// heard takes a word at the leader.
+func (s *Service) heard(from string, text []byte) {
+	w, err := decodeWord(text)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.bad++
+		return
+	}
+	now := s.now()
+	s.scene.hear(now, from, w)
+	if d, ok := w.decodeDrift(from); ok {
+		s.drift.Hear(now, d)
+	}
+}
+
+// led is told when this relay begins or ends to lead. Who begins has heard nothing: what an earlier time left is no sight of now.
+func (s *Service) led(leads bool, term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scene, s.drift = newScene(), drift.New(drift.Settings{Period: sayEvery.Milliseconds()})
+	s.ledAt, s.term = 0, term
+	if leads {
+		s.ledAt = s.now()
+	}
+	s.Log.WithFields(logrus.Fields{"leads": leads, "term": term}).Info("fleet: leading")
+}
+
+// pilot asks what is next, and has it agreed. Nothing is planned until all relays that are known have been heard, or have had the time.
+func (s *Service) pilot() {
+	s.every(planEvery, func() {
+		s.mu.Lock()
+		now := s.now()
+		led, look, seen := s.ledAt, s.look, s.scene
+		if led == 0 {
+			s.mu.Unlock()
+			return
+		}
+		v := seen.view(now, s.Name, look, warmth{s.ColdFrom, s.ColdFor.Milliseconds()})
+		s.watchDrift(now, &v)
+		s.mu.Unlock()
+		if now-led < silentAfter.Milliseconds() && slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool { return r.HeardMS < 0 && !r.Gone }) {
+			return
+		}
+		var plan []rollout.Command
+		s.record.read(func(r *rollout.State, h held) { plan = r.Plan(max(now, h.At), v, s.Budgets()) })
+		for _, c := range plan {
+			answer, err := s.propose(context.Background(), c)
+			if err != nil || answer.Error != "" {
+				if err == nil {
+					err = errors.New(answer.Error)
+				}
+				s.failed("plan "+c.Kind, err)
+				return // the next look begins anew
+			}
+		}
+	})
+}
+
+// watchDrift tells the module what is agreed and who lives, and puts what it finds into the view. Called with the lock held.
+func (s *Service) watchDrift(now int64, v *rollout.View) {
+	var h held
+	var releases []rollout.Account
+	s.record.read(func(r *rollout.State, was held) { h, releases = was, r.Releases() })
+	var count []string
+	for _, r := range v.Relays {
+		items := []drift.Item{h.Bans, h.Drains}
+		if p := agreedProgram(releases, r.Name); p != "" {
+			items = append(items, drift.Item{Name: drift.Program, Version: 1, Digest: digestOf([]string{p})})
+		}
+		s.drift.Intend(now, r.Name, items)
+		switch {
+		case r.Gone:
+			s.drift.Alive(now, r.Name, drift.Gone)
+		case r.HeardMS < 0 || r.HeardMS > silentAfter.Milliseconds():
+			s.drift.Alive(now, r.Name, drift.Silent)
+		case r.Phase == "leaving" || r.Phase == "starting":
+			s.drift.Alive(now, r.Name, drift.Restarting)
+		default:
+			s.drift.Alive(now, r.Name, drift.Live)
+			count = append(count, r.Name)
+		}
+	}
+	for _, c := range s.drift.Tick(now) {
+		s.Log.WithFields(logrus.Fields{"relay": c.Relay, "item": c.Item, "from": c.From.String(), "to": c.To.String(), "why": c.Why}).Warn("fleet: drift")
+	}
+	if v.Drift = s.drift.Blocks(count); v.Drift != "" {
+		for _, row := range s.drift.Rows() {
+			if row.State != drift.OnItsWay && row.State != drift.NotHeard {
+				v.DriftMS = max(v.DriftMS, now-row.Since)
+			}
+		}
+	}
+}
+
+// agreedProgram is what a relay runs by the last release that has ended; "" if none says.
+func agreedProgram(all []rollout.Account, relay string) (program string) {
+	for _, a := range all {
+		if a.State == rollout.Ended && a.Wish.Kind == rollout.KindRelay && a.Wish.Program != "" &&
+			slices.ContainsFunc(a.Units, func(u rollout.Unit) bool { return u.Name == relay && u.Got }) {
+			program = a.Wish.Program
+		}
+	}
+	return program
+}
+
+// ---- Having something agreed ----
+
+// callWithin is how long a call waits for a majority.
+const callWithin = 4 * time.Second
+
+// propose has a command of the rollout's agreed, and waits until this relay's own record has it.
+func (s *Service) propose(ctx context.Context, c rollout.Command) (rollout.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	text, err := json.Marshal(command{Part: partRollout, At: s.now(), By: s.Name, Body: c.Encode()})
+	if err != nil {
+		return rollout.Answer{}, err
+	}
+	answer, index, err := s.node.Propose(ctx, text)
+	if err != nil {
+		return rollout.Answer{}, err
+	}
+	var a rollout.Answer
+	if err := json.Unmarshal(answer, &a); err != nil {
+		return rollout.Answer{}, err
+	}
+	s.node.WaitApplied(ctx, index) // at another relay it is agreed all the same
+	return a, nil
+}
+
+// Ban has a member taken out, or put back, at all relays. Done is called once, on the loop, when this relay follows it too.
+func (s *Service) Ban(member string, out bool, done func(error)) {
+	go func() {
+		c := rollout.Command{Kind: rollout.Allow, Names: []string{member}}
+		if out {
+			c.Kind, c.Why = rollout.Ban, "an operator's call"
+		}
+		a, err := s.propose(context.Background(), c)
+		if err == nil && a.Error != "" {
+			err = errors.New(a.Error)
+		}
+		if err != nil {
+			s.Post(func() { done(err) })
+			return
+		}
+		s.post(func() { done(nil) })
+	}()
+}
+
+// Status is the engine's.
+func (s *Service) Status() accord.Status { return s.node.Status() }
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,219 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"dahliarudder/internal/rollout"
+)
+
+// Peer is another relay as peers know it.
+type Peer struct {
+	Name, Zone  string
+	Alive       bool // it answers, or is merely suspected
+	Gone        bool // no process is there, or it said so
+	Serving     bool
+	Incarnation uint64
+}
+
+// Pooled is a member as this relay's list has it.
+type Pooled struct {
+	Name, Zone, Listed string // listed: ready, draining, gone
+	Started            int64  // wall clock, ms; 0 long ago
+	Out                bool
+	Flows              int
+	Capacity           float64
+	Good, Bad          uint64
+}
+
+// Look is what a relay does, as its loop tells.
+type Look struct {
+	Phase         string
+	List          uint64
+	Flows         int
+	Asked, Served uint64
+	Astray        uint64 // flows begun at members that were out for longer than the grace
+	Members       []Pooled
+	Local         []string // members that its own operators have taken out
+	Agreed        []string // and by the fleet's word, as the core has them
+	Follows       uint64
+	Peers         []Peer
+}
+
+// heard is the last word of a relay, and what is reckoned from those before.
+type heard struct {
+	word
+	at    int64
+	tried map[string]*trial
+}
+
+// trial counts how attempts at a member went lately, by one relay.
+type trial struct {
+	flows     int
+	capacity  float64
+	good, bad uint64 // as last said
+	marks     []mark
+}
+
+type mark struct {
+	at        int64
+	good, bad uint64
+}
+
+// The spans by which the leader judges.
+const (
+	triedMS   = 10_000 // attempts that say how a member does: some ten words
+	windowsMS = 2_000  // of service: two words of each relay
+	windows   = 90
+)
+
+// scene is all that the leader has heard. It decides nothing.
+type scene struct {
+	words   map[string]*heard
+	windows []rollout.Count
+	relays  int // most that are held
+}
+
+func newScene() *scene { return &scene{words: map[string]*heard{}, relays: 1024} }
+
+// hear takes a relay's word. Words that come late, of an earlier process or out of order, are passed over.
+func (s *scene) hear(now int64, from string, w word) {
+	h := s.words[from]
+	switch {
+	case h == nil && len(s.words) >= s.relays:
+		return
+	case h == nil:
+		h = &heard{tried: map[string]*trial{}}
+		s.words[from] = h
+	case w.Start < h.Start:
+		return
+	case w.Start > h.Start:
+		h.tried = map[string]*trial{}
+	case w.Asked < h.Asked || w.Served < h.Served:
+		return
+	default:
+		s.count(now, float64(w.Asked-h.Asked), float64(w.Served-h.Served))
+	}
+	for _, t := range h.tried {
+		t.flows = 0 // a member that it does not name it holds nothing at
+	}
+	for _, m := range w.Members {
+		t := h.tried[m.Name]
+		if t == nil {
+			t = &trial{good: m.Good, bad: m.Bad}
+			h.tried[m.Name] = t
+		} else if m.Good > t.good || m.Bad > t.bad {
+			t.marks = append(t.marks, mark{now, max(m.Good, t.good) - t.good, max(m.Bad, t.bad) - t.bad})
+			t.good, t.bad = max(m.Good, t.good), max(m.Bad, t.bad)
+		}
+		t.flows, t.capacity = m.Flows, cmp.Or(m.Capacity, t.capacity)
+	}
+	maps.DeleteFunc(h.tried, func(_ string, t *trial) bool {
+		t.marks = slices.DeleteFunc(t.marks, func(m mark) bool { return now-m.at > triedMS })
+		return t.flows == 0 && len(t.marks) == 0 && len(h.tried) > sightsMost/2
+	})
+	h.word, h.at = w, now
+}
+
+// count adds to the window of now.
+func (s *scene) count(now int64, asked, served float64) {
+	end := now - now%windowsMS + windowsMS
+	if n := len(s.windows); n == 0 || s.windows[n-1].At < end {
+		s.windows = append(s.windows, rollout.Count{At: end})
+		s.windows = s.windows[max(0, len(s.windows)-windows):]
+	}
+	last := &s.windows[len(s.windows)-1]
+	last.Asked, last.Served = last.Asked+asked, last.Served+served
+}
+
+// warmth is what a member bears of its capacity, by its age.
+type warmth struct {
+	From float64 // at the start
+	For  int64   // ms until it bears all
+}
+
+func (w warmth) at(age int64) float64 {
+	if age >= w.For || w.For <= 0 {
+		return 1
+	}
+	return w.From + (1-w.From)*float64(max(age, 0))/float64(w.For)
+}
+
+// view is what the leader knows, with its own look at the pool and the peers.
+func (s *scene) view(now int64, self string, own Look, cold warmth) rollout.View {
+	v := rollout.View{At: now}
+	for _, c := range s.windows {
+		if c.At <= now { // whole ones
+			v.Service = append(v.Service, c)
+		}
+	}
+	peers := map[string]Peer{}
+	for _, p := range own.Peers {
+		peers[p.Name] = p
+	}
+	names := map[string]bool{}
+	for n := range s.words {
+		names[n] = true
+	}
+	for n := range peers {
+		names[n] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		r := rollout.Relay{Name: name, HeardMS: -1}
+		p, known := peers[name]
+		if h := s.words[name]; h != nil {
+			r.Zone, r.HeardMS, r.Start, r.Phase, r.Program, r.Config, r.Applied, r.Flows = h.Zone, now-h.at, h.Start, h.Phase, h.Program, h.Config, h.Follows, h.Flows
+			// Others see it serve: this relay's peers, of this very process. Of itself the leader knows.
+			r.Full = r.Phase == "serving" && (name == self || known && p.Alive && p.Serving && p.Incarnation >= h.Start)
+		}
+		if known {
+			r.Zone = cmp.Or(r.Zone, p.Zone)
+			r.Gone = p.Gone && p.Incarnation >= r.Start
+		}
+		v.Relays = append(v.Relays, r)
+	}
+	s.members(now, own, cold, &v)
+	return v
+}
+
+func (s *scene) members(now int64, own Look, cold warmth, v *rollout.View) {
+	pool := map[string]*rollout.Member{}
+	for _, m := range own.Members {
+		pool[m.Name] = &rollout.Member{Name: m.Name, Zone: m.Zone, Listed: m.Listed, Started: m.Started, Capacity: m.Capacity, Held: map[string]rollout.Held{}}
+	}
+	good, bad := map[string]uint64{}, map[string]uint64{}
+	for _, relay := range slices.Sorted(maps.Keys(s.words)) {
+		h := s.words[relay]
+		for name, t := range h.tried {
+			m := pool[name]
+			if m == nil { // only that relay's list has it
+				if t.flows == 0 {
+					continue
+				}
+				m = &rollout.Member{Name: name, Held: map[string]rollout.Held{}}
+				pool[name] = m
+			}
+			if t.flows > 0 {
+				m.Held[relay] = rollout.Held{Flows: t.flows, At: h.at}
+				v.Load += float64(t.flows)
+			}
+			m.Capacity = max(m.Capacity, t.capacity)
+			for _, k := range t.marks {
+				if now-k.at <= triedMS {
+					good[name], bad[name] = good[name]+k.good, bad[name]+k.bad
+				}
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(pool)) {
+		m := pool[name]
+		m.Bears = m.Capacity
+		if m.Started > 0 {
+			m.Bears = m.Capacity * cold.at(now-m.Started)
+		}
+		// More went wrong there than went well, and more than once: one failure is no verdict.
+		m.Failing = bad[name] >= 2 && bad[name] > good[name]
+		v.Members = append(v.Members, *m)
+	}
+}
--- /dev/null
+++ b/internal/fleet/word.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+
+	"dahliarudder/internal/drift"
+)
+
+// word is what a relay says of itself to the leader, once a second. It may be lost; the next one says the same. Counts are since the
+// start of its process.
+type word struct {
+	Start   uint64   `json:"start"`
+	Zone    string   `json:"zone"`
+	Phase   string   `json:"phase"`
+	Program string   `json:"program"`
+	Config  string   `json:"config"`
+	Follows uint64   `json:"follows"` // the version of the record that its loop goes by
+	List    uint64   `json:"list"`    // the generation of discovery's list
+	Flows   int      `json:"flows"`
+	Asked   uint64   `json:"asked"` // requests, but those whose client left first
+	Served  uint64   `json:"served"`
+	Members []sight  `json:"members,omitempty"` // those with flows, or tried since the last word
+	Drift   []byte   `json:"drift,omitempty"`
+	Local   []string `json:"local,omitempty"` // what its own operators have taken out
+}
+
+// sight is what a relay knows of a member. Names are short: there are many.
+type sight struct {
+	Name     string  `json:"n"`
+	Flows    int     `json:"f,omitempty"`
+	Capacity float64 `json:"c,omitempty"` // in flows; 0 unknown
+	Good     uint64  `json:"g,omitempty"` // attempts and probes
+	Bad      uint64  `json:"b,omitempty"`
+}
+
+// Bounds of a word that another relay sent.
+const (
+	sightsMost = 4096
+	namesMost  = 1024
+)
+
+var errWord = errors.New("word: not of a relay of this fleet")
+
+func decodeWord(text []byte) (word, error) {
+	var w word
+	if err := json.Unmarshal(text, &w); err != nil {
+		return word{}, err
+	}
+	if len(w.Members) > sightsMost || len(w.Local) > namesMost || w.Flows < 0 {
+		return word{}, errWord
+	}
+	for _, m := range w.Members {
+		if m.Flows < 0 || !(m.Capacity >= 0 && m.Capacity < 1e9) {
+			return word{}, errWord
+		}
+	}
+	return w, nil
+}
+
+// decodeDrift reads the part that is the drift module's; one that cannot be read says nothing.
+func (w word) decodeDrift(relay string) (drift.Word, bool) {
+	if len(w.Drift) == 0 {
+		return drift.Word{}, false
+	}
+	d, err := drift.DecodeWord(w.Drift)
+	d.Relay = relay // its own word alone
+	return d, err == nil
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -200,6 +200,9 @@
 	return all
 }
 
+// Known is what is held of the other relays.
+func (s *Service) Known() []*peers.Peer { return s.m.Peers() }
+
 // Shares says how many relays live, and by how many budgets are divided.
 func (s *Service) Shares() (live int, share float64) {
 	live, _ = s.m.Counts()
