A relay that was told to leave asks a majority before it ends; halt, back and a cut as processes

Change: Stands asks by a read of the record right before the end; halt and back, and a relay cut off from the record, are played with four processes.

--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -39,6 +39,9 @@
 // leaveWithin is when a relay that was told to leave ends although some flow is left: its drain takes three seconds, and a stop moves the rest.
 const leaveWithin = 4 * time.Second
 
+// departEvery is how often it looks whether it may end.
+const departEvery = 100 * time.Millisecond
+
 // join begins to agree with the other relays.
 func (r *relay) join(c fleet.Config) error {
 	set := r.names.Settings
@@ -48,7 +51,7 @@
 		zone = string(set.Zones[set.Zone])
 	}
 	var err error
-	r.fleet, err = fleet.Start(fleet.Options{Config: c, Name: r.cfg.Name, Zone: zone, Start: uint64(time.Now().UnixMilli()), Program: program,
+	r.fleet, err = fleet.Start(fleet.Options{Config: c, Name: r.cfg.Name, Zone: zone, Start: r.peers.Start(), Program: program,
 		Settings: commonDigest(r.cfg), Keys: r.cfg.Peers.Keys(), ColdFrom: set.Guarantees.ColdFrom, ColdFor: settings.Span(set.Guarantees.Cold),
 		Wall: time.Now, Log: r.log, Post: r.loop.Post, Look: r.look, Follow: r.heed})
 	return err
@@ -96,7 +99,7 @@
 	l := fleet.Look{Phase: "serving", Flows: r.core.Held(), Asked: uint64(n.Requests - n.Left), Served: uint64(n.Served), Astray: uint64(n.Astray),
 		Local: r.core.Banned(), Agreed: r.agreed, Follows: r.follows, List: list.Generation}
 	switch {
-	case r.ordered:
+	case r.ending:
 		l.Phase = "leaving"
 	case !r.open || !r.core.Usable():
 		l.Phase = "starting"
@@ -132,30 +135,39 @@
 	}
 	r.core.Agree(out)
 	r.agreed, r.follows = names, version
+	mine := o.Leave != nil && o.Leave.Start >= r.peers.Start() // else it was for the process before this one
 	switch {
-	case o.Leave != nil && r.leaving == nil:
+	case mine && r.leaving == nil:
 		r.log.WithFields(logrus.Fields{"release": o.Leave.Release, "number": o.Leave.Number}).Info("fleet: told to leave")
 		r.leaving = &leaving{o.Leave.Number, r.loop.Now()}
 		r.order(true)
 		r.depart()
-	case o.Leave == nil && r.leaving != nil && !r.ordered:
+	case !mine && r.leaving != nil && !r.ending:
 		r.log.Info("fleet: may stay")
 		r.leaving = nil
 		r.order(false)
 	}
 }
 
-// depart ends this relay once its clients are moved.
+// depart ends this relay once its clients are moved, and a majority says that the order stands. Without a majority it stays drained.
 func (r *relay) depart() {
 	l := r.leaving
-	r.loop.After(100*time.Millisecond, func() {
+	r.loop.After(departEvery, func() {
 		switch {
-		case r.leaving != l: // it may stay, or was told anew
+		case r.leaving != l || r.ending: // it may stay, or was told anew, or ends already
 		case r.core.Held() > 0 && r.loop.Now()-l.since < leaveWithin, r.loop.Now()-l.since < core.StopNotice:
 			r.depart()
 		default:
-			r.ordered = true
-			r.stop()
+			r.fleet.Stands(l.number, func(stands, sound bool) {
+				switch {
+				case r.leaving != l || r.ending:
+				case !stands || !sound:
+					r.depart()
+				default:
+					r.ordered = true
+					r.stop()
+				}
+			})
 		}
 	})
 }
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -157,6 +157,7 @@
 	agreed    []string         // the members that are out by it
 	leaving   *leaving         // it was told to leave; nil if not
 	ordered   bool             // it ends because it was told to
+	ending    bool
 	listeners []*netloop.Listener
 	sockets   int                          // descriptors that the loop may hold
 	memory    int                          // bytes that its buffers may
@@ -440,6 +441,10 @@
 
 // stop ends the relay once nothing is held any more, and in any case in time.
 func (r *relay) stop() {
+	if r.ending { // a signal and an order may both come
+		return
+	}
+	r.ending = true
 	loop := r.loop
 	r.log.WithField("held", r.core.Held()).Info("stopping")
 	r.peers.Leave() // nothing new is placed from here on
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -197,3 +197,129 @@
 		})
 	}
 }
+
+// TestFleetRelease: all relays are restarted by one order, the one that leads too, while clients stay connected through their moves: never
+// more out than the budget says, and each comes back. Then all members are drained and replaced by their owner, one after another.
+func TestFleetRelease(t *testing.T) {
+	f := newFleet(t, 4, 3, 4, map[string]any{"relays": map[string]string{"whole": "1"}, "members": map[string]string{"whole": "1"}})
+	f.leader()
+	f.agreed(3, "POST", "/-/releases", map[string]any{"name": "r1", "kind": "relay", "all": true, "who": "test"})
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.show("r1")
+		}
+	})
+	ended := 0
+	until(t, "all relays to have left once", func() bool {
+		for i := range f.relays {
+			if f.host(i) {
+				ended++
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		return ended == len(f.relays)
+	})
+	a := f.release(3, "r1", rollout.Ended, rollout.Halted)
+	if a.State != rollout.Ended || a.Counts.Done != 4 {
+		t.Fatalf("%+v", a)
+	}
+}
+
+// show logs what the leader says, for a failing test.
+func (f *fleetRig) show(release string) {
+	for i, r := range f.relays {
+		var a, b json.RawMessage
+		if r != nil && f.call(i, "GET", "/-/fleet", nil, &a) == 200 && bytes.Contains(a, []byte(`"Role": "leader"`)) {
+			f.call(i, "GET", "/-/releases/"+release+"?stale", nil, &b)
+			f.t.Logf("n%d leads: %s\n%s", i, a, b)
+			f.call(i, "GET", "/-/drift", nil, &b)
+			f.t.Logf("drift %s", b)
+		}
+	}
+}
+
+// outs are the members that a relay's record has out.
+func (f *fleetRig) outs(i int) int {
+	var a struct{ Orders rollout.Orders }
+	f.call(i, "GET", "/-/fleet", nil, &a)
+	return len(a.Orders.Out)
+}
+
+// apart cuts a relay's record off from all others, or brings it back.
+func (f *fleetRig) apart(i int, on bool) {
+	way := standin.Rough{Cut: on}
+	for from, row := range f.pipes {
+		for to, p := range row {
+			if p != nil && (from == i || to == i) {
+				p.Set(way, way)
+			}
+		}
+	}
+}
+
+// TestFleetHaltBack: a member is drained by all relays; halted, all use it again; resumed, it is drained; and the way back brings it in.
+// The relay that leads is killed half-way.
+func TestFleetHaltBack(t *testing.T) {
+	f := newFleet(t, 4, 3, 3, nil)
+	f.leader()
+	at := func(what string, n int) {
+		t.Helper()
+		for i := range f.relays {
+			until(t, fmt.Sprintf("n%d: %s", i, what), func() bool { return f.outs(i) == n })
+		}
+	}
+	f.agreed(3, "POST", "/-/releases", map[string]any{"name": "d1", "kind": "member", "drain": true, "names": []string{"s1"}})
+	t.Cleanup(func() {
+		if t.Failed() {
+			f.show("d1")
+		}
+	})
+	at("the drain", 1)
+	f.agreed(2, "PUT", "/-/releases/d1/halt", nil)
+	l := f.leader()
+	f.relays[l].cmd.Process.Kill()
+	<-f.relays[l].done
+	f.start(l)
+	f.release(3, "d1", rollout.Halted)
+	f.agreed(3, "PUT", "/-/releases/d1/resume", nil)
+	at("the drain again", 1)
+	f.agreed(3, "PUT", "/-/releases/d1/back", nil)
+	at("the way back", 0)
+	f.release(3, "d1", rollout.Undone)
+}
+
+// TestFleetApart: a relay that is cut off from the record has nothing agreed, and answers so; a ban told to it holds at it alone, and is shown
+// as drift when it is back, until it is lifted there.
+func TestFleetApart(t *testing.T) {
+	f := newFleet(t, 4, 3, 3, nil)
+	l := f.leader()
+	cut := (l + 1) % 3
+	f.apart(cut, true)
+	if code := f.call(cut, "POST", "/-/releases", map[string]any{"name": "x", "kind": "relay", "all": true}, nil); code == 200 {
+		t.Error("a release was agreed without a majority")
+	}
+	f.relays[cut].put("/-/backends/s2/disable")
+	for _, c := range f.relays[cut].hold(6) {
+		c.Close()
+	}
+	if got := f.members[2].firstLines(); len(got) > 0 {
+		t.Errorf("%d flows at a member that is banned here", len(got))
+	}
+	f.apart(cut, false)
+	rows := func() (n int) {
+		var a struct {
+			Rows []struct{ Relay, Item, State string }
+		}
+		f.call(f.leader(), "GET", "/-/drift", nil, &a)
+		for _, r := range a.Rows {
+			if r.Relay == fmt.Sprintf("n%d", cut) && r.Item == "bans" && r.State == "local" {
+				n++
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+		return n
+	}
+	until(t, "the ban to be shown as drift", func() bool { return rows() == 1 })
+	f.relays[cut].put("/-/backends/s2/enable")
+	until(t, "the drift to end", func() bool { return rows() == 0 })
+}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -417,5 +417,21 @@
 	}()
 }
 
+// Stands says on the loop whether this relay's order to leave of that number stands, as of a majority; not sound if there is none to
+// ask. What cannot be taken back is asked for right before it is done: this process may have stood still since it was told.
+func (s *Service) Stands(number uint64, done func(stands, sound bool)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callWithin)
+		defer cancel()
+		_, err := s.node.Barrier(ctx)
+		stands := false
+		s.record.read(func(r *rollout.State, _ held) {
+			l := r.Orders(s.Name).Leave
+			stands = l != nil && l.Number == number && l.Start >= s.Start
+		})
+		s.Post(func() { done(stands, err == nil) })
+	}()
+}
+
 // Status is the engine's.
 func (s *Service) Status() accord.Status { return s.node.Status() }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -63,6 +63,7 @@
 	requests  uint64         // when they were last told
 	in, out   map[string]int // bytes, by name
 	closed    bool
+	start     uint64
 }
 
 // New begins, also where the address is still held by another process: then it is tried again.
@@ -70,6 +71,7 @@
 	start := uint64(o.Wall().UnixMilli())
 	s := &Service{Options: o, seal: peers.Sealer{Keys: o.Keys, Name: o.Name, Start: start}, open: peers.Opener{Keys: o.Keys},
 		div: peers.Divisor{Configured: o.Configured}, share: float64(o.Configured), in: map[string]int{}, out: map[string]int{}}
+	s.start = start
 	self := peers.Update{Name: o.Name, Addr: o.Address, Zone: o.Zone, Incarnation: start}
 	s.m = peers.New(o.Loop.Now(), self, o.Known, rand.New(rand.NewPCG(o.Seed, start)))
 	s.listen()
@@ -200,6 +202,9 @@
 	return all
 }
 
+// Start is this process's first incarnation: all that others hold of it is at least that.
+func (s *Service) Start() uint64 { return s.start }
+
 // Known is what is held of the other relays.
 func (s *Service) Known() []*peers.Peer { return s.m.Peers() }
 
