accord: a seeded model of the engine, checked by porcupine, finds both planted defects

Agreement has to hold under loss, cuts, stops, kills and returns with nothing. The model plays the same core and encodings in virtual time: 3 and 5 voters with 2 followers; agreed prefix, nothing acknowledged lost, nothing refused agreed, histories linearizable, two plays of a seed alike. An answer before commit and a vote under a kept identity after an emptied directory are found.

--- a/internal/accord/apply.go
+++ b/internal/accord/apply.go
@@ -13,13 +13,13 @@
 	snapshotItems = 4096
 	snapshotBytes = 1 << 20
 	// The ring for followers holds twice that, so that the last snapshot and what follows it are always at hand.
-	ringItems = 2 * snapshotItems
 	ringBytes = 4 << 20
 )
 
 // applier holds what a relay has applied, and what it hands to followers. Calls that change it come from one goroutine, or from the model.
 type applier struct {
 	machine Machine
+	every   int    // items after which a snapshot is due: snapshotItems
 	blank   []byte // of the machine when the process began
 
 	mu      sync.Mutex
@@ -36,7 +36,7 @@
 }
 
 func newApplier(m Machine) *applier {
-	return &applier{machine: m, blank: m.Snapshot(), changed: make(chan struct{})}
+	return &applier{machine: m, every: snapshotItems, blank: m.Snapshot(), changed: make(chan struct{})}
 }
 
 func (a *applier) wake() {
@@ -80,7 +80,7 @@
 	a.bytes += it.size()
 	a.since++
 	a.sinceB += it.size()
-	for len(a.ring) > ringItems || a.bytes > ringBytes && len(a.ring) > 1 {
+	for len(a.ring) > 2*a.every || a.bytes > ringBytes && len(a.ring) > 1 {
 		a.bytes -= a.ring[0].size()
 		a.ring[0] = item{}
 		a.ring = a.ring[1:]
@@ -93,7 +93,7 @@
 func (a *applier) due() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.now.record != 0 && (a.since >= snapshotItems || a.sinceB >= snapshotBytes || a.last == nil)
+	return a.now.record != 0 && (a.since >= a.every || a.sinceB >= snapshotBytes || a.last == nil)
 }
 
 // snapshot makes one of now. It is nil if the machine's part is too large.
--- /dev/null
+++ b/internal/accord/model_test.go
@@ -0,0 +1,910 @@
+package accord
+
+import (
+	"container/heap"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/sirupsen/logrus"
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// The model plays the same core, applier and encodings as a Node, on a network and disks in virtual time: loss, delay, messages that overtake
+// each other, cuts one way, stops, kills with a write under way, returns with nothing, clocks that drift.
+
+// register answers each write with what stood before; its hash is over all that it ever applied.
+type register struct{ value, hash uint64 }
+
+func (g *register) Apply(index uint64, c []byte) []byte {
+	old := g.value
+	g.value = binary.BigEndian.Uint64(c)
+	g.hash = (g.hash ^ g.value) * 1099511628211
+	return binary.BigEndian.AppendUint64(nil, old)
+}
+
+func (g *register) Snapshot() []byte {
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, g.value), g.hash)
+}
+
+func (g *register) Restore(_ uint64, b []byte) error {
+	g.value, g.hash = binary.BigEndian.Uint64(b), binary.BigEndian.Uint64(b[8:])
+	return nil
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	node  int // its life must be the same; -1: nobody's
+	life  int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+type vnode struct {
+	i         int
+	name      string
+	voter     bool
+	life      int
+	up, still bool
+	held      []event
+	tick      time.Duration
+	id        uint64
+	c         *core
+	g         *register
+	ap        *applier
+	pend      *pending
+	disk      held
+	writing   *diskWrite
+	slow      time.Duration
+	vouched   map[int]bool
+	began     time.Duration
+	waiting   map[[16]byte]func(result)
+	waiters   map[[16]byte]*waiter
+	snap      *state
+	raw       []byte
+}
+
+type world struct {
+	now    time.Duration
+	rng    *rand.Rand
+	q      events
+	order  int
+	nodes  []*vnode
+	voters int
+	cut    map[[2]int]bool
+	loss   float64
+	delay  time.Duration
+	trace  uint64
+	agreed map[uint64]uint64 // by index: the machine's hash after it
+	log    map[[16]byte]uint64
+	acked  map[[16]byte]uint64
+	never  map[[16]byte]bool // refused for good
+	ops    []porcupine.Operation
+	nextID uint64
+	calm   bool
+	bad    string
+	early  bool // planted: answers before commit
+	sameID bool // planted: a return with nothing keeps its identity
+	quiet  logrus.FieldLogger
+	counts map[string]int
+}
+
+func (w *world) fail(format string, a ...any) {
+	if w.bad == "" {
+		w.bad = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(format, a...)
+	}
+}
+
+func (w *world) push(after time.Duration, n *vnode, do func()) {
+	w.order++
+	e := event{at: w.now + after, order: w.order, node: -1, do: do}
+	if n != nil {
+		e.node, e.life = n.i, n.life
+	}
+	heap.Push(&w.q, e)
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.q) > 0 && w.q[0].at <= until && w.bad == "" {
+		e := heap.Pop(&w.q).(event)
+		w.now = e.at
+		if e.node >= 0 {
+			n := w.nodes[e.node]
+			if n.life != e.life {
+				continue
+			}
+			if n.still {
+				n.held = append(n.held, e)
+				continue
+			}
+		}
+		w.trace = (w.trace ^ uint64(e.at) ^ uint64(e.node+7)<<40) * 1099511628211
+		e.do()
+	}
+	w.now = until
+}
+
+// send brings something to a node, or not.
+func (w *world) send(from, to *vnode, do func()) {
+	if w.cut[[2]int{from.i, to.i}] || w.rng.Float64() < w.loss {
+		return
+	}
+	d := time.Millisecond/2 + time.Duration(w.rng.Float64()*float64(w.delay))
+	w.order++
+	life := to.life
+	heap.Push(&w.q, event{at: w.now + d, order: w.order, node: to.i, life: life, do: func() {
+		if to.up {
+			do()
+		}
+	}})
+}
+
+func newModel(seed uint64, voters, followers int) *world {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	l.SetLevel(logrus.PanicLevel)
+	w := &world{rng: rand.New(rand.NewPCG(seed, 31)), voters: voters, cut: map[[2]int]bool{}, delay: 10 * time.Millisecond, agreed: map[uint64]uint64{},
+		log: map[[16]byte]uint64{}, acked: map[[16]byte]uint64{}, never: map[[16]byte]bool{}, quiet: l, counts: map[string]int{}}
+	ms := members{}
+	for i := range voters + followers {
+		n := &vnode{i: i, name: fmt.Sprintf("n%d", i), voter: i < voters, id: w.rng.Uint64()>>2 | 1}
+		n.tick = time.Duration((0.9 + 0.2*w.rng.Float64()) * float64(tickEvery))
+		w.nodes = append(w.nodes, n)
+		n.disk.identity = n.id
+		if n.voter {
+			ms[n.id] = member{n.name, n.name}
+		}
+	}
+	s, err := foundation(77, ms, (&register{}).Snapshot())
+	if err != nil {
+		panic(err)
+	}
+	for _, n := range w.nodes {
+		if n.voter {
+			n.disk.state, n.disk.hard = s.encode(), &pb.HardState{Term: new(uint64(1)), Commit: new(uint64(1))}
+		}
+		w.start(n)
+	}
+	return w
+}
+
+func (w *world) start(n *vnode) {
+	n.life++
+	n.up, n.still, n.held, n.writing, n.c = true, false, nil, nil, nil
+	n.g, n.pend = &register{}, &pending{}
+	n.ap = newApplier(n.g)
+	n.ap.every = 24
+	n.slow = time.Duration(w.rng.Float64() * 8 * float64(time.Millisecond))
+	n.waiting, n.waiters, n.snap = map[[16]byte]func(result){}, map[[16]byte]*waiter{}, nil
+	if n.disk.state != nil {
+		s, err := decodeState(n.disk.state)
+		if err != nil {
+			panic(err)
+		}
+		w.restore(n, s)
+		hard := proto.Clone(n.disk.hard).(*pb.HardState)
+		if hard.GetCommit() < s.index {
+			hard.Commit = new(s.index)
+		}
+		entries := n.disk.entries
+		for len(entries) > 0 && entries[0].GetIndex() <= s.index {
+			entries = entries[1:]
+		}
+		st, err := storageOf(s, n.disk.state, hard, append([]*pb.Entry(nil), entries...))
+		if err != nil {
+			panic(err)
+		}
+		w.engine(n, st, s, w.now > 0 && !w.sameID)
+		for id, m := range n.disk.marks {
+			n.c.hear(id, m)
+		}
+	}
+	w.push(time.Duration(w.rng.Float64()*float64(n.tick)), n, func() { w.beat(n) })
+	w.push(time.Duration(w.rng.Float64()*100)*time.Millisecond, n, func() { w.pull(n) })
+	if n.voter {
+		w.push(100*time.Millisecond, n, func() { w.look(n) })
+	}
+}
+
+func (w *world) engine(n *vnode, st *raft.MemoryStorage, s state, unsure bool) {
+	c, err := newCore(n.id, st, s, unsure, raftLog{w.quiet})
+	if err != nil {
+		w.fail("engine of %s: %v", n.name, err)
+		return
+	}
+	n.c, n.vouched, n.began = c, map[int]bool{}, w.now
+}
+
+func (w *world) restore(n *vnode, s state) {
+	if _, err := n.ap.restore(s); err != nil {
+		w.fail("restore: %v", err)
+	}
+	w.check(n)
+}
+
+// check holds what a node has applied against what any other had at that index.
+func (w *world) check(n *vnode) {
+	_, index, _ := n.ap.at()
+	if h, ok := w.agreed[index]; ok && h != n.g.hash {
+		w.fail("%s differs at %d", n.name, index)
+	}
+	w.agreed[index] = n.g.hash
+}
+
+func (w *world) apply(n *vnode, it item) {
+	answer, ok := n.ap.apply(it)
+	if !ok {
+		return
+	}
+	w.check(n)
+	if it.kind == entryCommand {
+		w.log[it.id] = it.index
+	}
+	n.pend.applied(it.index, it.id, answer)
+	if n.c != nil && n.ap.due() {
+		n.snap, n.raw = n.ap.snapshot()
+	}
+}
+
+// beat is a tick, by this node's own clock.
+func (w *world) beat(n *vnode) {
+	w.push(n.tick, n, func() { w.beat(n) })
+	if n.c != nil {
+		n.c.tick()
+		w.pump(n)
+	}
+}
+
+func (w *world) pump(n *vnode) {
+	for n.c != nil && n.writing == nil && w.bad == "" {
+		if s := n.snap; s != nil {
+			n.snap = nil
+			if s.index <= n.c.basic().Applied && s.index <= n.c.lastIndex() && s.index > n.c.snapIndex {
+				if err := n.c.compact(*s, n.raw, 6); err != nil {
+					w.fail("compact: %v", err)
+					return
+				}
+				first, _ := n.c.st.FirstIndex()
+				w.write(n, diskWrite{compact: n.raw, drop: first - 1}, func() {})
+				return
+			}
+		}
+		k := n.c.ready()
+		if k == nil {
+			break
+		}
+		for _, e := range k.entries {
+			if id, c, ok := decodeCommand(e.GetData()); ok && e.GetType() == pb.EntryNormal {
+				n.pend.placed(id, e.GetIndex())
+				if w.early && n.waiters[id] != nil {
+					n.pend.applied(e.GetIndex(), id, binary.BigEndian.AppendUint64(nil, n.g.value))
+					_ = c
+				}
+			}
+		}
+		w.mail(n, k.early)
+		if !k.write() {
+			w.finish(n, k)
+			continue
+		}
+		dw := diskWrite{hard: k.hard, entries: k.entries, marks: copyMarks(k.marks)}
+		if k.snap != nil {
+			dw.state = k.snap.GetData()
+		}
+		w.write(n, dw, func() { w.finish(n, k) })
+	}
+	w.settle(n)
+}
+
+func (w *world) write(n *vnode, dw diskWrite, then func()) {
+	n.writing = &dw
+	w.push(time.Millisecond/4+time.Duration(w.rng.Float64()*float64(n.slow)), n, func() {
+		w.store(n)
+		then()
+		w.pump(n)
+	})
+}
+
+// store is the write that was under way, done: whole, as the file's transactions are.
+func (w *world) store(n *vnode) {
+	dw := n.writing
+	n.writing = nil
+	if dw == nil {
+		return
+	}
+	h := &n.disk
+	if dw.state != nil {
+		h.state, h.entries = dw.state, nil
+	}
+	if dw.compact != nil {
+		h.state = dw.compact
+		for len(h.entries) > 0 && h.entries[0].GetIndex() <= dw.drop {
+			h.entries = h.entries[1:]
+		}
+	}
+	if dw.hard != nil {
+		h.hard = dw.hard
+	}
+	if len(dw.entries) > 0 {
+		at := dw.entries[0].GetIndex()
+		for len(h.entries) > 0 && h.entries[len(h.entries)-1].GetIndex() >= at {
+			h.entries = h.entries[: len(h.entries)-1 : len(h.entries)-1]
+		}
+		h.entries = append(h.entries, dw.entries...)
+	}
+	if dw.marks != nil {
+		h.marks = dw.marks
+	}
+}
+
+func (w *world) finish(n *vnode, k *work) {
+	snap, items, err := n.c.done()
+	if err != nil {
+		w.fail("%s: %v", n.name, err)
+		return
+	}
+	w.mail(n, k.late)
+	if snap != nil {
+		w.counts["snapshots"]++
+		w.restore(n, *snap)
+	}
+	for _, it := range items {
+		w.apply(n, it)
+	}
+	for _, rs := range k.rd.ReadStates {
+		var id [16]byte
+		copy(id[:], rs.RequestCtx)
+		n.pend.readAt(id, rs.Index)
+	}
+}
+
+func (w *world) byID(id uint64) *vnode {
+	for _, n := range w.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) mail(n *vnode, ms []*pb.Message) {
+	for _, m := range ms {
+		to := w.byID(m.GetTo())
+		if to == nil {
+			continue
+		}
+		b, err := proto.Marshal(m)
+		if err != nil {
+			panic(err)
+		}
+		var marks map[uint64]mark
+		if m.GetType() == pb.MsgHeartbeat {
+			marks = copyMarks(n.c.marks)
+			marks[n.id] = n.c.own()
+		}
+		body := encodeBatch(n.id, marks, [][]byte{b})
+		w.send(n, to, func() { w.take(to, body) })
+		if m.GetType() == pb.MsgSnap {
+			how := raft.SnapshotFinish
+			if w.rng.IntN(3) == 0 {
+				how = raft.SnapshotFailure
+			}
+			id := m.GetTo()
+			w.push(50*time.Millisecond, n, func() {
+				if n.c != nil {
+					n.c.rn.ReportSnapshot(id, how)
+				}
+			})
+		}
+	}
+}
+
+func (w *world) take(n *vnode, body []byte) {
+	if n.c == nil {
+		return
+	}
+	_, marks, ms, err := decodeBatch(body)
+	if err != nil {
+		w.fail("batch: %v", err)
+		return
+	}
+	for id, m := range marks {
+		if id != n.id {
+			n.c.hear(id, m)
+		}
+	}
+	for _, m := range ms {
+		if err := n.c.step(m); err == errOlder {
+			if !w.sameID {
+				w.fail("%s was held for older, with a whole directory", n.name)
+			}
+			w.kill(n)
+			w.start(n)
+			return
+		}
+	}
+	w.pump(n)
+}
+
+// settle tells those whose calls have ended.
+func (w *world) settle(n *vnode) {
+	var ids []uint64
+	for id := range n.waiters {
+		ids = append(ids, binary.BigEndian.Uint64(id[8:]))
+	}
+	slices.Sort(ids)
+	for _, v := range ids {
+		var id [16]byte
+		binary.BigEndian.PutUint64(id[8:], v)
+		select {
+		case r := <-n.waiters[id].done:
+			f := n.waiting[id]
+			delete(n.waiters, id)
+			delete(n.waiting, id)
+			w.push(0, n, func() { f(r) })
+		default:
+		}
+	}
+}
+
+// pull is a follower's stream, or a newcomer's: a piece at a time.
+func (w *world) pull(n *vnode) {
+	w.push(time.Duration(20+w.rng.IntN(80))*time.Millisecond, n, func() { w.pull(n) })
+	if n.c != nil {
+		return
+	}
+	v := w.nodes[w.rng.IntN(w.voters)]
+	if v == n {
+		return
+	}
+	record, index, _ := n.ap.at()
+	w.send(n, v, func() {
+		if v.c == nil {
+			return
+		}
+		whole, _, items, _ := v.ap.after(record, index, 2000)
+		b := put(nil, uint64(len(items)))
+		for _, it := range items {
+			b = putItem(b, it)
+		}
+		w.send(v, n, func() {
+			if n.c != nil {
+				return
+			}
+			if whole != nil {
+				w.counts["wholes"]++
+				s, err := decodeState(whole)
+				if err != nil {
+					w.fail("whole: %v", err)
+					return
+				}
+				w.restore(n, s)
+			}
+			r := reader{b: b}
+			for range r.count() {
+				w.apply(n, r.item())
+			}
+			if err := r.end(); err != nil {
+				w.fail("items: %v", err)
+			}
+			w.settle(n)
+		})
+	})
+}
+
+// look is what a Node's supervisor does: it joins, wishes, vouches.
+func (w *world) look(n *vnode) {
+	w.push(lookEvery, n, func() { w.look(n) })
+	record, index, _ := n.ap.at()
+	switch {
+	case n.c == nil && record != 0 && n.ap.membersNow()[n.id].Name == n.name:
+		s, raw := n.ap.snapshot()
+		hard := &pb.HardState{Term: new(s.term), Commit: new(index)}
+		st, err := storageOf(*s, raw, hard, nil)
+		if err != nil {
+			panic(err)
+		}
+		n.disk = held{identity: n.id, state: raw, hard: hard}
+		w.counts["taken in"]++
+		w.engine(n, st, *s, false)
+	case n.c == nil:
+		c := change{new: n.id, name: n.name, addr: n.name}
+		for _, v := range w.nodes[:w.voters] {
+			if v != n {
+				w.send(n, v, func() {
+					if v.c != nil && v.c.leads() {
+						v.c.wants(wish{old: c.name, name: c.name, addr: c.addr, id: c.new})
+					}
+				})
+			}
+		}
+	case n.c.unsure:
+		for _, v := range w.nodes[:w.voters] {
+			if v == n {
+				continue
+			}
+			w.send(n, v, func() {
+				if v.c == nil {
+					return
+				}
+				m, id := v.c.marks[n.id], v.i
+				w.send(v, n, func() {
+					if n.c == nil || !n.c.unsure {
+						return
+					}
+					if n.c.older(m) {
+						w.fail("%s was vouched older with a whole directory: %v of %v", n.name, m, n.c.own())
+					}
+					n.vouched[id] = true
+					if len(n.vouched) == w.voters-1 || len(n.vouched) >= w.voters/2 && w.now-n.began > vouchFor {
+						n.c.unsure = false
+					}
+				})
+			})
+		}
+	}
+}
+
+// kill ends a node. A write under way may have come through whole, or not at all.
+func (w *world) kill(n *vnode) {
+	if n.writing != nil && w.rng.IntN(2) == 0 {
+		w.store(n)
+	}
+	n.up, n.still, n.c, n.writing = false, false, nil, nil
+	n.life++
+}
+
+func (w *world) whole() bool { // all voters are of the record
+	for _, n := range w.nodes[:w.voters] {
+		if n.disk.state == nil {
+			return false
+		}
+		for _, v := range w.nodes[:w.voters] {
+			if v.up && v.c != nil && (v.c.members[n.id].Name != n.name || v.c.joint()) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (w *world) chaos() {
+	if w.calm {
+		return
+	}
+	w.push(time.Duration(100+w.rng.IntN(900))*time.Millisecond, nil, w.chaos)
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	switch w.rng.IntN(9) {
+	case 0, 1:
+		if n.up {
+			w.kill(n)
+		} else {
+			w.start(n)
+		}
+	case 2, 3:
+		for _, n := range w.nodes {
+			if !n.up {
+				w.start(n)
+			}
+		}
+	case 4:
+		w.cut[[2]int{w.rng.IntN(len(w.nodes)), w.rng.IntN(len(w.nodes))}] = true
+		for o := range w.nodes {
+			if w.rng.IntN(3) == 0 {
+				w.cut[[2]int{n.i, o}] = true
+			}
+		}
+	case 5:
+		clear(w.cut)
+		w.loss, w.delay = 0, 10*time.Millisecond
+		if w.rng.IntN(2) == 0 {
+			w.loss, w.delay = w.rng.Float64()*0.3, time.Duration(w.rng.IntN(200))*time.Millisecond
+		}
+	case 6:
+		if n.up && !n.still {
+			n.still = true
+			life := n.life
+			w.push(time.Duration(w.rng.IntN(3000))*time.Millisecond, nil, func() {
+				if n.life == life {
+					w.wakeUp(n)
+				}
+			})
+		}
+	case 7: // back with nothing: one at a time, else the record is lost by rights
+		n = w.nodes[w.rng.IntN(w.voters)]
+		if w.whole() {
+			w.counts["emptied"]++
+			w.kill(n)
+			if !w.sameID {
+				n.id = w.rng.Uint64()>>2 | 1
+				n.disk = held{identity: n.id}
+			} else {
+				s, _ := decodeState(n.disk.state)
+				s.index, s.term, s.machine = 1, 1, (&register{}).Snapshot()
+				n.disk = held{identity: n.id, state: s.encode(), hard: &pb.HardState{Term: new(uint64(1)), Commit: new(uint64(1))}}
+			}
+			w.start(n)
+		}
+	case 8:
+		if w.rng.IntN(4) == 0 { // all at once
+			for _, n := range w.nodes {
+				if n.up {
+					w.kill(n)
+				}
+				w.start(n)
+			}
+		}
+	}
+}
+
+func (w *world) wakeUp(n *vnode) {
+	n.still = false
+	for _, e := range n.held {
+		w.order++
+		heap.Push(&w.q, event{at: w.now, order: w.order, node: e.node, life: e.life, do: e.do})
+	}
+	n.held = nil
+}
+
+type opIn struct {
+	write bool
+	value uint64
+}
+
+type opOut struct {
+	known bool
+	value uint64
+}
+
+const patience = 3 * time.Second
+
+// client makes one call after another, at any node.
+func (w *world) client(id int) {
+	again := func() { w.push(time.Duration(w.rng.IntN(250))*time.Millisecond, nil, func() { w.client(id) }) }
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if !n.up || n.still {
+		w.push(50*time.Millisecond, nil, func() { w.client(id) })
+		return
+	}
+	w.nextID++
+	var pid [16]byte
+	binary.BigEndian.PutUint64(pid[8:], w.nextID)
+	in := opIn{write: w.rng.IntN(3) > 0, value: w.nextID}
+	call, ended := w.now, false
+	end := func(out opOut, record bool) {
+		if ended {
+			return
+		}
+		ended = true
+		if record {
+			ret := int64(w.now)
+			if !out.known {
+				ret = 1 << 60
+			}
+			w.ops = append(w.ops, porcupine.Operation{ClientId: id, Input: in, Call: int64(call), Output: out, Return: ret})
+		}
+		again()
+	}
+	w.push(patience, nil, func() { end(opOut{}, in.write) })
+	w.ask(n, pid, in, 0, func(r result) {
+		switch {
+		case ended:
+		case r.err == nil && in.write:
+			w.counts["acked"]++
+			w.acked[pid] = r.index
+			end(opOut{true, binary.BigEndian.Uint64(r.answer)}, true)
+		case r.err == nil: // a barrier: it waits here, and reads here
+			life := n.life
+			var wait func()
+			wait = func() {
+				if _, index, _ := n.ap.at(); index >= r.index {
+					w.counts["reads"]++
+					end(opOut{true, n.g.value}, true)
+				} else if !ended && n.life == life && n.up {
+					w.push(20*time.Millisecond, n, wait)
+				}
+			}
+			wait()
+		case r.err == errNoLeader || r.err == ErrNoMajority || r.err == ErrFull:
+			if in.write {
+				w.never[pid] = true
+			}
+			end(opOut{}, false)
+		}
+	})
+}
+
+func (w *world) ask(n *vnode, pid [16]byte, in opIn, hops int, back func(result)) {
+	if n.c != nil && n.c.leads() {
+		k := &waiter{id: pid, read: !in.write, done: make(chan result, 1)}
+		n.pend.add(k)
+		n.waiters[pid], n.waiting[pid] = k, back
+		var err error
+		if in.write {
+			err = n.c.propose(encodeCommand(pid, binary.BigEndian.AppendUint64(nil, in.value)))
+		} else {
+			err = n.c.read(pid[:])
+		}
+		if err != nil {
+			n.pend.fail(k, err)
+		}
+		w.pump(n)
+		return
+	}
+	to := w.nodes[w.rng.IntN(w.voters)]
+	if n.c != nil {
+		if to = w.byID(n.c.leader()); to == nil {
+			back(result{err: errNoLeader})
+			return
+		}
+	}
+	if hops >= 2 || to == n {
+		back(result{err: errNoLeader})
+		return
+	}
+	w.send(n, to, func() {
+		w.ask(to, pid, in, hops+1, func(r result) { w.send(to, n, func() { back(r) }) })
+	})
+}
+
+var registerModel = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(s, in, out any) (bool, any) {
+		i, o := in.(opIn), out.(opOut)
+		if o.known && o.value != s.(uint64) {
+			return false, s
+		}
+		if i.write {
+			return true, i.value
+		}
+		return true, s
+	},
+}
+
+// play runs a seed and says what was wrong.
+func play(seed uint64, plant func(*world)) (w *world) {
+	old := crand.Reader
+	crand.Reader = rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8), byte(seed >> 16), 1}) // the engine draws its election times from it
+	defer func() { crand.Reader = old }()
+	w = newModel(seed, 3+2*int(seed%2), 2)
+	if plant != nil {
+		plant(w)
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			w.fail("panic: %v", p)
+		}
+	}()
+	w.push(time.Second, nil, w.chaos)
+	for i := range 4 {
+		w.push(time.Duration(i)*100*time.Millisecond, nil, func() { w.client(i) })
+	}
+	w.run(20 * time.Second)
+	w.calm, w.loss, w.delay = true, 0, 10*time.Millisecond
+	clear(w.cut)
+	for _, n := range w.nodes {
+		switch {
+		case n.still:
+			w.wakeUp(n)
+		case !n.up:
+			w.start(n)
+		}
+	}
+	w.run(30 * time.Second)
+	had := w.counts["acked"]
+	w.run(35 * time.Second)
+	if w.counts["acked"] == had {
+		w.fail("nothing is agreed any more")
+	}
+	if !w.whole() && !w.sameID {
+		w.fail("a newcomer was not taken in")
+	}
+	for pid := range w.acked {
+		if at := w.log[pid]; at != w.acked[pid] {
+			w.fail("acknowledged at %d, in the log at %d", w.acked[pid], at)
+		}
+	}
+	for pid := range w.never {
+		if w.log[pid] != 0 {
+			w.fail("refused for good, and agreed")
+		}
+	}
+	if w.bad == "" {
+		// A write in doubt that is in no log was never made, and one that is has an effect: both are tried by the checker.
+		ops := w.ops[:0:0]
+		for _, o := range w.ops {
+			if in := o.Input.(opIn); !o.Output.(opOut).known {
+				var pid [16]byte
+				binary.BigEndian.PutUint64(pid[8:], in.value)
+				if w.log[pid] == 0 {
+					continue
+				}
+			}
+			ops = append(ops, o)
+		}
+		if r := porcupine.CheckOperationsTimeout(registerModel, ops, 20*time.Second); r != porcupine.Ok {
+			w.fail("history of %d calls is not linearizable: %v", len(ops), r)
+		}
+	}
+	h := fnv.New64a()
+	fmt.Fprint(h, w.trace, len(w.ops), len(w.agreed), w.counts)
+	w.trace = h.Sum64()
+	return w
+}
+
+func seeds(short int) (first, n uint64) {
+	n = uint64(short)
+	if v, err := strconv.ParseUint(os.Getenv("ACCORD_SEEDS"), 10, 64); err == nil {
+		n = v
+	}
+	first, _ = strconv.ParseUint(os.Getenv("ACCORD_FIRST"), 10, 64)
+	return first, n
+}
+
+func TestModel(t *testing.T) {
+	first, n := seeds(40)
+	total := map[string]int{}
+	for seed := first; seed < first+n; seed++ {
+		w := play(seed, nil)
+		if w.bad != "" {
+			t.Errorf("seed %d: %s", seed, w.bad)
+		}
+		for k, v := range w.counts {
+			total[k] += v
+		}
+		if seed%50 == 0 {
+			if again := play(seed, nil); again.trace != w.trace {
+				t.Errorf("seed %d: two plays differ", seed)
+			}
+		}
+	}
+	t.Log(total)
+}
+
+// TestPlanted has the model find what it has to find.
+func TestPlanted(t *testing.T) {
+	for name, plant := range map[string]func(*world){
+		"an answer before commit":           func(w *world) { w.early = true },
+		"a vote after an emptied directory": func(w *world) { w.sameID = true },
+	} {
+		found := 0
+		for seed := range uint64(60) {
+			if w := play(seed, plant); w.bad != "" {
+				if found++; found == 1 {
+					t.Logf("%s: seed %d: %s", name, seed, w.bad)
+				}
+				if found == 2 {
+					break
+				}
+			}
+		}
+		if found == 0 {
+			t.Errorf("%s: not found", name)
+		}
+	}
+}
