--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -56,6 +56,7 @@
 	unsure    bool // it has not yet heard whether its directory is an older one: it neither votes nor stands
 	marks     map[uint64]mark
 	wishes    map[string]wish // by name
+	heard     map[uint64]int  // tick at which a voter was last heard
 	ticks     int
 	busy      *work
 	tried     int // tick of the last change proposed
