--- /dev/null
+++ b/internal/rollout/world_test.go
@@ -0,0 +1,670 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+)
+
+// world is a fleet in virtual time: relays that heed the record late, owners of members, askers of permits, a leader whose view is late
+// and partial, failures. The judge in it knows the truth, and looks at nothing that the module counts.
+type world struct {
+	rng       *rand.Rand
+	now       int64
+	s         *State
+	log       []agreed
+	relays    []*host
+	members   []*slot
+	askers    []*asker
+	pending   []proposal
+	budgets   Budgets
+	load      float64
+	leader    int64 // the leader's view began; in the future: there is none until then
+	skew      int64
+	old       []byte // a state of a while ago, which a second leader still plans from
+	oldView   View
+	calm      bool // no more faults
+	drop      int64
+	given     map[string]func() bool // what was given out, and whether it still is
+	trace     uint64
+	faults    []string
+	roundtrip bool
+	peak      int
+	service   []Count
+	history   *[]op
+	drift     int64
+}
+
+const cold = 0.3 // of its capacity that a cold member bears
+
+type agreed struct {
+	at      int64
+	version uint64
+	leave   map[string]*Leave
+	out     map[string]Out
+}
+
+type proposal struct {
+	at, sent int64
+	by       string
+	c        Command
+	answer   func(Answer)
+}
+
+// host is a relay's host: it starts the relay again, whatever ended it.
+type host struct {
+	name, zone, program, was string
+	up, stopped              bool
+	cut                      bool
+	start                    uint64
+	applied, saw             int // indexes of the log
+	serveAt, endAt, upAt     int64
+	thaw, heal               int64
+	contact                  int64
+	next                     string // the program after an ordered end
+	ordered                  int
+	capacity                 float64
+	word                     Relay
+	said                     int64
+	wordAt                   int64
+	held                     map[string]int64 // members: until when it holds flows there; 0 as long as they are not out
+	lostSince                int64
+}
+
+// slot is a member and its owner's hand.
+type slot struct {
+	name, zone, program, was string
+	up                       bool
+	started, warmAt, upAt    int64
+	capacity                 float64
+	next                     string
+	rename, labels           bool
+	number                   uint64 // the order that was heeded last
+	lostSince                int64
+}
+
+type asker struct {
+	kind, name, who string
+	rate            float64 // of its clock
+	number          uint64
+	deadline        int64 // by the world's clock, as its own comes to
+	begun           bool
+	may             int64
+	doneAt          int64
+	down            bool
+	next            int64
+	end             bool
+}
+
+func newWorld(seed uint64, n, m, zones int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 31)), now: 1e6, s: New(), given: map[string]func() bool{}, log: []agreed{{}}}
+	w.budgets = Budgets{Relays: Budget{Whole: Part{Share: 0.34}}, Members: Budget{Whole: Part{Share: 0.34}}, Headroom: 0.05, Silent: 1500, Hold: 3000,
+		Fresh: 1500, Drain: 4000, Start: 4000, Warm: 4000, Window: 3000, Clock: 0.02, Drift: 2000, Slack: 0.05}
+	if w.rng.IntN(2) == 0 {
+		w.budgets.Relays.Zone, w.budgets.Members.Zone = Part{Count: 1 + w.rng.IntN(2)}, Part{Share: 0.5}
+	}
+	if w.rng.IntN(3) == 0 {
+		w.budgets.Relays.Whole, w.budgets.Members.Whole = Part{Count: 1}, Part{Count: 2}
+	}
+	sum := 0.0
+	for i := range n {
+		w.relays = append(w.relays, &host{name: fmt.Sprintf("n%d", i), zone: fmt.Sprintf("z%d", i%zones), program: "p1", was: "p1", up: true,
+			start: 1, said: w.now - int64(w.rng.IntN(500)), capacity: 100 + float64(w.rng.IntN(100)), held: map[string]int64{}})
+	}
+	for i := range m {
+		x := &slot{name: fmt.Sprintf("m%d", i), zone: fmt.Sprintf("z%d", i%zones), program: "b1", was: "b1", up: true, started: w.now - 1e5,
+			capacity: 50 + float64(w.rng.IntN(100)), rename: w.rng.IntN(2) == 0, labels: w.rng.IntN(2) == 0}
+		w.members = append(w.members, x)
+		sum += x.capacity
+	}
+	w.load = sum * (0.4 + 0.3*w.rng.Float64())
+	return w
+}
+
+func (w *world) fault(format string, args ...any) {
+	if len(w.faults) < 5 {
+		w.faults = append(w.faults, fmt.Sprintf("%d: ", w.now)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) rnd(low, high int64) int64 { return low + w.rng.Int64N(high-low+1) }
+
+// propose is a call to the record: it comes to be agreed later, or never, or the answer is lost.
+func (w *world) propose(by string, c Command, answer func(Answer)) {
+	p := proposal{w.now + w.rnd(30, 200), w.now, by, c, answer}
+	if !w.calm {
+		switch w.rng.IntN(30) {
+		case 0:
+			return
+		case 1:
+			p.at += w.rnd(500, 3000) // in doubt, and then agreed after all
+		}
+	}
+	w.pending = append(w.pending, p)
+}
+
+func (w *world) commit(p proposal) {
+	at := p.sent + w.skew
+	if w.roundtrip {
+		s, err := Decode(w.s.Encode())
+		if err != nil {
+			w.fault("decode: %v", err)
+			return
+		}
+		w.s = s
+	}
+	before := w.s.Version()
+	body := p.c.Encode()
+	answer := w.s.Apply(at, p.by, body)
+	var a Answer
+	if err := json.Unmarshal(answer, &a); err != nil {
+		w.fault("answer: %v", err)
+	}
+	h := fnv.New64a()
+	fmt.Fprint(h, w.trace, at, p.by)
+	h.Write(body)
+	h.Write(answer)
+	w.trace = h.Sum64()
+	if a.Error == "" && w.s.Version() != before {
+		w.remember()
+		w.judge(p.c)
+	}
+	if w.history != nil {
+		*w.history = append(*w.history, op{p.c, a, p.sent, w.now})
+	}
+	if p.answer != nil && (w.calm || w.rng.IntN(10) > 0) {
+		p.answer(a)
+	}
+	if !w.calm && p.answer == nil && w.rng.IntN(12) == 0 {
+		w.kill() // at each command of the pilot
+	}
+}
+
+func (w *world) remember() {
+	a := agreed{at: w.now, version: w.s.Version(), leave: map[string]*Leave{}, out: w.s.Orders("").Out}
+	for _, r := range w.s.d.Releases {
+		for _, u := range r.Units {
+			if u.Kind == KindRelay && u.Phase == Told {
+				a.leave[u.Name] = w.s.Orders(u.Name).Leave
+			}
+		}
+	}
+	w.log = append(w.log, a)
+}
+
+func (w *world) kill() {
+	switch w.rng.IntN(6) {
+	case 0:
+		h := w.relays[w.rng.IntN(len(w.relays))]
+		h.die(w, w.rnd(500, 4000))
+	case 1:
+		x := w.members[w.rng.IntN(len(w.members))]
+		x.die(w.now+w.rnd(500, 4000), x.program)
+	case 2, 3:
+		w.leader = w.now + w.rnd(200, 3000)
+		w.skew = w.rnd(-200, 200)
+	case 4:
+		h := w.relays[w.rng.IntN(len(w.relays))]
+		h.stopped, h.thaw = true, w.now+w.rnd(500, 6000)
+	case 5:
+		h := w.relays[w.rng.IntN(len(w.relays))]
+		h.cut, h.heal = true, w.now+w.rnd(500, 6000)
+	}
+}
+
+func (h *host) die(w *world, back int64) {
+	if h.up {
+		h.up, h.stopped, h.upAt, h.next = false, false, w.now+back, ""
+	}
+}
+
+func (x *slot) die(back int64, program string) {
+	if x.up {
+		x.up, x.upAt, x.next = false, back, program
+	}
+}
+
+func (h *host) serves(now int64) bool { return h.up && !h.stopped && h.serveAt <= now && h.endAt == 0 }
+
+// pendingLeave says whether the process that runs may still be told to leave by what it has not applied yet.
+func (w *world) pendingLeave(h *host) bool {
+	for _, a := range w.log[h.applied:] {
+		if l := a.leave[h.name]; l != nil && h.start <= l.Start {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) memberOut(x *slot) bool {
+	if _, out := w.log[len(w.log)-1].out[x.name]; out {
+		return true
+	}
+	return !x.up || w.now < x.warmAt
+}
+
+// letsGo is after how long without the record a relay lets go of flows at members that may be out: as much before Hold as words take.
+func (w *world) letsGo() int64 { return w.budgets.Hold - w.budgets.Silent }
+
+func (w *world) live(at int64) bool { return w.leader <= at }
+
+// tick is a tenth of a second.
+func (w *world) tick() {
+	w.now += 100
+	for _, h := range w.relays {
+		w.host(h)
+	}
+	for _, x := range w.members {
+		w.slot(x)
+	}
+	for _, a := range w.askers {
+		w.asker(a)
+	}
+	due := w.pending
+	w.pending = nil
+	for _, p := range due {
+		switch {
+		case p.at > w.now || !w.live(w.now) && w.rng.IntN(4) > 0:
+			w.pending = append(w.pending, p)
+		case !w.live(w.now): // lost with the leader
+		default:
+			w.commit(p)
+		}
+	}
+	if w.now%1000 == 0 {
+		asked, out := 5000.0, 0.0
+		for _, h := range w.relays {
+			if !h.serves(w.now) {
+				out++
+			}
+		}
+		served := asked - float64(w.rng.IntN(10)) - 20*out/float64(len(w.relays))
+		if w.now < w.drop {
+			served *= 0.8
+		}
+		w.service = append(w.service, Count{w.now + w.skew, asked, served})
+		w.service = w.service[max(0, len(w.service)-30):]
+	}
+	if w.now%200 == 0 && w.live(w.now) {
+		w.lead()
+	}
+	if !w.calm && w.rng.IntN(400) == 0 {
+		w.kill()
+	}
+}
+
+func (w *world) host(h *host) {
+	if h.stopped && w.now >= h.thaw {
+		h.stopped = false
+	}
+	if h.cut && w.now >= h.heal {
+		h.cut = false
+	}
+	if !h.up && w.now >= h.upAt {
+		h.up, h.stopped, h.endAt, h.start = true, false, 0, h.start+1
+		h.serveAt = w.now + w.rnd(300, 1500)
+		if h.next != "" {
+			h.program = h.next
+		}
+		h.next = ""
+		if !w.calm && w.rng.IntN(4) == 0 {
+			h.applied = max(0, h.applied-w.rng.IntN(5)) // an older directory
+		}
+		clear(h.held)
+	}
+	if !h.serves(w.now) {
+		if h.lostSince == 0 {
+			h.lostSince = w.now
+		}
+	} else {
+		h.lostSince = 0
+	}
+	if !h.up || h.stopped {
+		return
+	}
+	if !h.cut {
+		h.contact = w.now
+		for n := 0; n < 3 && h.applied+1 < len(w.log) && w.log[h.applied+1].at+50 <= w.now && w.rng.IntN(3) > 0; n++ {
+			h.applied++
+			w.heed(h)
+		}
+	}
+	if h.endAt > 0 && w.now >= h.endAt { // it ends as it was ordered
+		h.up, h.upAt = false, w.now+w.rnd(100, 500)
+		h.ordered++
+		return
+	}
+	for m, until := range h.held { // flows at members that are out
+		if w.now >= until || w.now-h.contact > w.letsGo() {
+			delete(h.held, m)
+		}
+	}
+	if !h.cut && w.now-h.said >= 500 && (w.calm || w.rng.IntN(10) > 0) {
+		h.said, h.wordAt = w.now, w.now
+		phase := "serving" // it says so before others see it
+		if h.endAt > 0 {
+			phase = "draining"
+		}
+		h.word = Relay{Name: h.name, Zone: h.zone, Start: h.start, Phase: phase, Program: h.program, Applied: w.log[h.applied].version,
+			Flows: int(h.capacity / 2), Capacity: h.capacity}
+		h.saw = h.applied
+	}
+}
+
+// heed is what a relay does with what it has just applied.
+func (w *world) heed(h *host) {
+	a := w.log[h.applied]
+	l := a.leave[h.name]
+	switch {
+	case l != nil && h.start <= l.Start && h.endAt == 0:
+		h.endAt, h.next = w.now+w.rnd(300, 2000), l.Program
+	case l == nil && h.endAt > w.now+200: // it was taken back, and it has not begun to end
+		h.endAt, h.next = 0, ""
+	}
+	for m, o := range a.out {
+		if _, told := w.log[h.applied-1].out[m]; !told {
+			h.held[m] = w.now + o.MoveOver
+		}
+	}
+}
+
+func (w *world) slot(x *slot) {
+	if !x.up && w.now >= x.upAt {
+		x.up, x.started, x.warmAt, x.program = true, w.now, w.now+w.rnd(500, 2500), x.next
+	}
+	if w.memberOut(x) {
+		if x.lostSince == 0 {
+			x.lostSince = w.now
+		}
+	} else {
+		x.lostSince = 0
+	}
+	// Its owner replaces it when the record says that it is empty.
+	for _, r := range w.s.d.Releases {
+		for _, u := range r.Units {
+			if u.Kind == KindMember && u.name() == x.name && u.Phase == Empty && u.Number != x.number && !r.Wish.Drain && x.up && w.rng.IntN(4) == 0 {
+				x.number = u.Number
+				next := r.Wish.Program
+				if u.Undo || r.Backing {
+					next = x.was // its owner knows, whether or not it says so to the fleet
+				}
+				x.up, x.upAt, x.next = false, w.now+w.rnd(200, 1000), next
+				if x.rename {
+					x.name += "'"
+				}
+			}
+		}
+	}
+}
+
+func (w *world) asker(a *asker) {
+	if a.down || w.now < a.next || a.end {
+		if a.down && w.now >= a.doneAt {
+			a.down, a.end = false, true
+			if w.rng.IntN(2) == 0 {
+				w.propose(a.who, Command{Kind: Give, Number: a.number}, func(Answer) {})
+			}
+		}
+		return
+	}
+	a.next = w.now + w.rnd(300, 900)
+	if w.calm && !a.begun {
+		a.end = true
+		return
+	}
+	if a.begun { // the answer was yes: it may take the thing down for a while
+		if w.now < a.may {
+			a.take(w)
+		}
+		return
+	}
+	sent := w.now
+	if a.number != 0 && w.now < a.deadline {
+		w.propose(a.who, Command{Kind: Begin, Number: a.number}, func(x Answer) {
+			if x.State == Begun {
+				a.begun, a.may = true, sent+int64(float64(w.budgets.Window)*a.rate*(1-w.budgets.Clock))
+			} else if x.Error != "" {
+				a.number = 0
+			}
+		})
+		return
+	}
+	w.propose(a.who, Command{Kind: Ask, Thing: a.kind, Name: a.name, Who: a.who, For: 4000}, func(x Answer) {
+		a.number = 0
+		if x.State == Granted {
+			a.number, a.deadline = x.Number, sent+int64(float64(x.Left)*a.rate*(1-w.budgets.Clock))
+		}
+	})
+}
+
+func (a *asker) take(w *world) {
+	a.down, a.doneAt = true, w.now+w.rnd(500, 2000)
+	if a.kind == KindRelay {
+		for _, h := range w.relays {
+			if h.name == a.name {
+				h.die(w, a.doneAt-w.now)
+			}
+		}
+		return
+	}
+	for _, x := range w.members {
+		if x.name == a.name {
+			x.die(a.doneAt, x.program)
+		}
+	}
+}
+
+// view is what the leader knows: words that are late or lost, what peers say.
+func (w *world) view() View {
+	v := View{At: w.now + w.skew, Load: w.load, Service: w.service}
+	if w.drift > w.now {
+		v.Drift, v.DriftMS = "n0 is late", 500
+	}
+	for _, h := range w.relays {
+		r := h.word
+		r.Name, r.Zone, r.HeardMS = h.name, h.zone, w.now-h.wordAt
+		if h.wordAt < w.leader {
+			r = Relay{Name: h.name, Zone: h.zone, HeardMS: w.now - w.leader, Start: h.word.Start, Capacity: h.capacity}
+		}
+		r.Gone = !h.up
+		r.Full = h.serves(w.now) && h.start == r.Start
+		v.Relays = append(v.Relays, r)
+	}
+	for _, x := range w.members {
+		bears := x.capacity
+		if w.now < x.warmAt {
+			bears = x.capacity * cold
+		}
+		m := Member{Name: x.name, Zone: x.zone, Started: x.started, Capacity: x.capacity, Bears: bears, Failing: !x.up, Program: x.program, Held: map[string]Held{}}
+		if !x.labels {
+			m.Program = "" // not all say what they run
+		}
+		for _, h := range w.relays {
+			if h.wordAt < w.leader {
+				continue
+			}
+			if _, moving := h.held[x.name]; moving {
+				m.Held[h.name] = Held{1, h.wordAt}
+			} else if _, out := w.log[h.saw].out[x.name]; !out && len(w.relays) <= 40 {
+				m.Held[h.name] = Held{2, h.wordAt}
+			}
+		}
+		if x.rename && !x.up {
+			continue // the new name is listed when it is there
+		}
+		v.Members = append(v.Members, m)
+	}
+	w.rng.Shuffle(len(v.Members), func(i, j int) { v.Members[i], v.Members[j] = v.Members[j], v.Members[i] })
+	return v
+}
+
+func (w *world) lead() {
+	if w.now-w.leader < w.budgets.Silent && w.leader > 1e6 {
+		return // it has not yet heard all
+	}
+	v := w.view()
+	for _, c := range w.s.Plan(w.now+w.skew, v, w.budgets) {
+		w.propose("pilot", c, nil)
+	}
+	if w.old != nil && w.rng.IntN(4) == 0 && !w.calm {
+		s, err := Decode(w.old)
+		if err != nil {
+			w.fault("decode: %v", err)
+			return
+		}
+		for _, c := range s.Plan(w.oldView.At, w.oldView, w.budgets) {
+			w.propose("another", c, nil)
+		}
+	}
+	if w.rng.IntN(3) == 0 {
+		w.old, w.oldView = w.s.Encode(), v
+	}
+}
+
+// ---- The judge ----
+
+// judge looks at each step that was agreed: what was given out and is, what is lost for so long that it had to be known, against
+// the budgets, in truth.
+func (w *world) judge(c Command) {
+	if c.Kind == Seen {
+		for _, s := range c.Saw {
+			if s.Phase == Empty {
+				w.judgeEmpty(s)
+			}
+		}
+	}
+	if c.Kind != Step {
+		return
+	}
+	fresh := map[string]bool{}
+	for _, g := range c.Gives {
+		var kind, name string
+		if p := w.s.d.permit(g.Permit); p != nil {
+			kind, name = p.Kind, p.Name
+		} else if u := w.s.d.release(g.Release).unit(g.Unit); u.Kind == KindRelay || u.Kind == KindMember {
+			kind, name = u.Kind, u.name()
+		} else {
+			continue
+		}
+		fresh[kind+" "+name] = true
+		w.give(kind, name, g.Permit)
+	}
+	for key, out := range w.given {
+		if !out() {
+			delete(w.given, key)
+		}
+	}
+	// Long enough that the view had it.
+	known := w.budgets.Silent + w.budgets.Fresh + 3500
+	out, zones, total := map[string]int{}, map[string]int{}, map[string]int{}
+	left := 0.0
+	count := func(kind, name, zone string, lost int64, bears float64) {
+		total[kind]++
+		total[kind+zone]++
+		is := w.given[kind+" "+name] != nil
+		if is || lost > 0 && w.now-lost > known {
+			out[kind]++
+			zones[kind+zone]++
+		}
+		if kind == KindMember {
+			left += bears
+		}
+	}
+	for _, h := range w.relays {
+		count(KindRelay, h.name, h.zone, h.lostSince, 0)
+	}
+	for _, x := range w.members {
+		bears := x.capacity
+		_, told := w.log[len(w.log)-1].out[x.name]
+		switch {
+		case told || w.given[KindMember+" "+x.name] != nil && !x.up:
+			bears = 0
+		case w.now-x.lostSince > known && x.lostSince > 0 && !x.up:
+			bears = 0
+		case w.now < x.warmAt:
+			bears *= cold
+		}
+		count(KindMember, x.name, x.zone, x.lostSince, bears)
+	}
+	for _, kind := range []string{KindRelay, KindMember} {
+		b := w.budgets.Members
+		if kind == KindRelay {
+			b = w.budgets.Relays
+		}
+		w.peak = max(w.peak, out[kind])
+		any := false
+		for key := range fresh {
+			any = any || key[:3] == kind[:3]
+		}
+		if !any {
+			continue
+		}
+		if most := b.whole(total[kind]); out[kind] > most {
+			w.fault("%d of kind %s are out, of %d", out[kind], kind, most)
+		}
+		for z, n := range zones {
+			if len(z) > len(kind) && z[:len(kind)] == kind && n > b.zone(total[z]) {
+				w.fault("%d are out in %s of %d", n, z, b.zone(total[z]))
+			}
+		}
+		if kind == KindMember && left < w.load*(1+w.budgets.Headroom) {
+			for key := range fresh {
+				i := slices.IndexFunc(w.members, func(x *slot) bool { return KindMember+" "+x.name == key })
+				if i >= 0 && w.members[i].lostSince == 0 {
+					w.fault("what is left bears %.0f, the load is %.0f", left, w.load)
+					break
+				}
+			}
+		}
+	}
+}
+
+// give notes that a thing was given out, and how it is seen, in truth, that it is back.
+func (w *world) give(kind, name string, permit uint64) {
+	var truth func() bool
+	if kind == KindRelay {
+		h := w.relays[slices.IndexFunc(w.relays, func(h *host) bool { return h.name == name })]
+		truth = func() bool { return !h.serves(w.now) || w.pendingLeave(h) }
+	} else {
+		i := slices.IndexFunc(w.members, func(x *slot) bool { return x.name == name })
+		if i < 0 {
+			return // it has another name by now: its unit is on its way
+		}
+		x := w.members[i]
+		truth = func() bool { return w.memberOut(x) }
+	}
+	if permit != 0 {
+		i := slices.IndexFunc(w.askers, func(a *asker) bool { return a.kind == kind && a.name == name })
+		if i < 0 {
+			return
+		}
+		a := w.askers[i]
+		thing := truth
+		truth = func() bool {
+			mayBegin := a.number == permit && !a.begun && !a.end && w.now < a.deadline
+			mayTake := a.number == permit && a.begun && !a.end && (a.down || w.now < a.may)
+			return mayBegin || mayTake || thing()
+		}
+	}
+	w.given[kind+" "+name] = truth
+}
+
+func (w *world) judgeEmpty(s Saw) {
+	r := w.s.d.release(s.Release)
+	if r == nil || r.unit(s.Unit) == nil || r.unit(s.Unit).Phase != Empty {
+		return
+	}
+	name := r.unit(s.Unit).name()
+	for _, h := range w.relays {
+		until, moving := h.held[name]
+		_, out := w.log[h.applied].out[name]
+		if h.up && moving && until > w.now && w.now-h.contact <= w.letsGo() {
+			w.fault("%s is said to be empty, %s moves its flows", name, h.name)
+		}
+		if h.up && !out && h.serveAt < w.now-5000 && w.now-h.contact <= w.letsGo() && h.serves(w.now) {
+			w.fault("%s is said to be empty, %s has not heard that it is out", name, h.name)
+		}
+	}
+}
