--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -112,7 +112,8 @@
 	if u.Kind == KindBan || u.Kind == KindAllow {
 		return Saw{Phase: Done}, u.Phase == Told && p.heeded(u.Order)
 	}
-	if u.Phase == Waiting && r.State == Running && p.there(u) == nil && p.alone(r, u) {
+	if u.Phase == Waiting && r.State == Running && p.there(u) == nil && p.alone(r, u) && !p.rooms[side(u.Kind)].planned[u.Name] &&
+		p.now-max(r.Moved, r.Resumed) > p.b.Start+p.b.Silent { // longer than one that fell over takes
 		return Saw{Phase: Missing}, true
 	}
 	if u.Phase == Done && u.Stranded {
