--- a/internal/drift/watch.go
+++ b/internal/drift/watch.go
@@ -324,6 +324,9 @@
 	if restarted || r.quiet && w.flaw != cutIsDrift {
 		w.begin(said, r, restarted)
 	}
+	if gap := said - r.said - w.set.Period; r.ever && 2*gap > w.set.Period && w.flaw != cutIsDrift {
+		r.missed(said, gap)
+	}
 	if r.quiet {
 		if r.ever {
 			w.tell(Change{At: now, Relay: r.name, From: NotHeard, To: OnItsWay})
@@ -343,6 +346,21 @@
 	}
 }
 
+// missed takes the time in which words are missing off what its pairs had: only time in which a relay was heard makes it late, so that one that was
+// stopped or cut off for less than it takes to be not heard is no drift either.
+func (r *relay) missed(said, gap int64) {
+	for _, g := range r.groups {
+		if g.settled {
+			continue
+		}
+		for _, p := range g.pairs {
+			if p.behind > 0 {
+				p.moved = min(said, max(p.moved, p.behind)+gap)
+			}
+		}
+	}
+}
+
 // begin starts all clocks of a relay anew: it restarted, or was not heard for a while. What it says from here on counts, within the bound for those
 // that come back.
 func (w *Watch) begin(said int64, r *relay, restarted bool) {
@@ -555,13 +573,14 @@
 	if w.flaw == fixedBound {
 		return said-p.behind > 5*w.set.Period
 	}
-	patience := int64(w.set.Patience * float64(bound))
-	if t := p.tally; t != nil && t.live >= 3 && 2*t.there < t.live {
-		return said-p.behind > patience // most of the fleet has not arrived: it is the fleet that is slow, not the relay
-	} else if t != nil && g.pace.n < paceEnough {
-		bound = max(bound, int64(w.set.Patience*float64(t.half))) // little is known but how long half of them took
+	switch t := p.tally; {
+	case t == nil:
+	case t.live >= 3 && 2*t.there < t.live: // most of the fleet has not arrived: it is the fleet that is slow, not the relay
+		bound = int64(w.set.Patience * float64(bound))
+	case g.pace.n < paceEnough: // little is known but how long half of them took
+		bound = max(bound, int64(w.set.Patience*float64(t.half)))
 	}
-	return said-max(p.behind, p.moved) > bound || said-p.behind > patience
+	return said-max(p.behind, p.moved) > bound || said-p.behind > max(w.set.Most, bound) // who moves has a slow disk, yet not for ever
 }
 
 func (w *Watch) why(now int64, g *group, p *pair, to State) string {
