--- a/internal/drift/model_test.go
+++ b/internal/drift/model_test.go
@@ -3,13 +3,17 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 )
 
+type rng = rand.Rand
+
 // world is a fleet in virtual time: relays with a Book each, one leader with a Watch, and a network that loses, delays, reorders and repeats.
 type world struct {
 	now, step int64
@@ -21,16 +25,15 @@
 	agreed    map[string]Item
 	wire      map[int64][]func() // what arrives when
 	loss      float64
-	delay     int64                    // of a datagram, at most
-	apply     func(r *rand.Rand) int64 // how long a relay takes for a change
-	planted   map[string]State         // by relay and item: what may be found
-	found     map[string]int64         // when it was
-	due       map[string]int64         // since when it counts
-	falsely   []string                 // claims of what was not planted
+	delay     int64              // of a datagram, at most
+	apply     func(r *rng) int64 // how long a relay takes for a change
+	planted   map[string]State   // by relay and item: what may be found
+	found     map[string]int64   // when it was
+	due       map[string]int64   // since when it counts
+	falsely   []string           // claims of what was not planted
 	bytes     int
 	longest   int
 	trace     uint64
-	lifeTold  map[string]Life
 }
 
 type sim struct {
@@ -57,8 +60,8 @@
 
 func newWorld(seed uint64, n, items int) *world {
 	w := &world{now: 1_100_000_000_000, rng: rand.New(rand.NewPCG(seed, 31)), agreed: map[string]Item{}, wire: map[int64][]func(){}, loss: 0.05, delay: 200,
-		planted: map[string]State{}, found: map[string]int64{}, due: map[string]int64{}, lifeTold: map[string]Life{}}
-	w.apply = func(r *rand.Rand) int64 { return 20 + int64(r.ExpFloat64()*150) }
+		planted: map[string]State{}, found: map[string]int64{}, due: map[string]int64{}}
+	w.apply = func(r *rng) int64 { return 20 + int64(r.ExpFloat64()*150) }
 	w.names = []string{Program, List, Bans, Drains, Weights, Voters, Permits}
 	for i := 0; len(w.names) < items; i++ {
 		w.names = append(w.names, fmt.Sprintf("config.section%d", i))
@@ -148,6 +151,9 @@
 	case s.run[it.Name].Version > it.Version && s.run[it.Name].Version <= w.agreed[it.Name].Version:
 	case s.refuses[it.Name]:
 		s.book.Refuse(s.clock(w.now), it, "record", "no such key")
+		if key := s.name + " " + it.Name; w.due[key] == 0 {
+			w.due[key] = w.now
+		}
 	default:
 		if it == w.agreed[it.Name] {
 			delete(s.working, it.Name)
@@ -193,7 +199,9 @@
 		b, start := reply.Encode(), s.starts
 		w.send(s, func() {
 			if r, err := DecodeReply(b); err == nil && s.up && s.starts == start && w.now >= s.stopped {
-				s.book.Hear(r)
+				for _, item := range s.book.Hear(r) {
+					w.reach(s, w.agreed[item])
+				}
 			}
 		})
 	}
@@ -218,17 +226,16 @@
 	}
 }
 
-// counts keeps since when a planted late one counts as such.
+// counts keeps since when what was planted, and takes its time to count as drift, does so.
 func (w *world) counts() {
-	for key, want := range w.planted {
-		if w.due[key] != 0 || want != Late {
+	for _, key := range slices.Sorted(maps.Keys(w.planted)) {
+		if w.due[key] != 0 || w.planted[key] == Refused {
 			continue
 		}
-		var relay, item string
-		fmt.Sscan(key, &relay, &item)
+		relay, item, _ := strings.Cut(key, " ")
 		r := w.watch.relays[relay]
 		g := r.group(GroupOf(item))
-		if p := g.find(item); p.behind > 0 && !r.quiet && w.watch.overdue(w.now, g, p) {
+		if p := g.find(item); p.behind > 0 && p.cond == w.planted[key] && !r.quiet && w.watch.overdue(w.now, g, p) {
 			w.due[key] = w.now
 		}
 	}
