Canary: counts on the wire, e-values per block, and the leader's judge

Arms are compared within relay, zone, class, warmth and load by likelihood ratios whose mean is at most 1 under any rates that the claim allows, so they may be looked at every second.

--- a/internal/canary/api.go
+++ b/internal/canary/api.go
@@ -32,13 +32,13 @@
 	Failures  Metric = "failures"   // attempts that failed, were reset or timed out
 	SetUp     Metric = "set-up"     // time until a flow stands
 	Message   Metric = "message"    // time of a message on a flow
-	EarlyEnds Metric = "early-ends" // flows that a member ended before their client did
+	EarlyEnds Metric = "early-ends" // flows that a member ended before their client did, within their first minute
 )
 
 // Guard is a metric and by how much the arm may be worse without a verdict.
 type Guard struct {
 	Metric Metric  `json:"metric"`
-	Points int     `json:"points,omitempty"` // failures, early-ends: in per mille of all (10: one percent more)
+	Points int     `json:"points,omitempty"` // failures, early-ends: in per mille of attempts, of flows' minutes (10: one percent more)
 	Factor float64 `json:"factor,omitempty"` // set-up, message: slower by this factor; held in steps of the square root of 2, upwards
 }
 
@@ -144,7 +144,6 @@
 	Zones    []string  // where outcomes diverge
 	Relays   []string  // the same, single relays
 	Ill      []Illness // relays that are bad for both arms: left out
-	Figures  []Figure  // per guard, for operators
 }
 
 // Illness is a relay that is itself bad.
--- /dev/null
+++ b/internal/canary/counts_test.go
@@ -0,0 +1,143 @@
+package canary
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A relay of thirty flows a second, two classes, its own zone and two others, members warm and cold: a word a second, for an hour.
+func TestWordSize(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	c := NewCounter(1<<63, 1_733_100_000_000)
+	sum, largest := 0, 0
+	const seconds = 3600
+	for range seconds {
+		for range 30 {
+			s := Stratum{Class: uint8(rng.IntN(10) / 7), Load: 1, Cold: rng.IntN(30) == 0}
+			if rng.IntN(5) == 0 {
+				s.Zone = uint8(rng.IntN(3))
+			}
+			k := c.At(s, rng.IntN(20) == 0)
+			k.Attempts++
+			k.Held += 60
+			k.SetUp.Add(20 * math.Exp(0.6*rng.NormFloat64()))
+			k.Message.Add(5 * math.Exp(0.6*rng.NormFloat64()))
+			if rng.IntN(50) == 0 {
+				k.Failed++
+			}
+		}
+		b := c.Append(nil, 600)
+		sum += len(b)
+		largest = max(largest, len(b))
+		if _, err := DecodeCounts(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Logf("%d strata: %d bytes a word, %d at most", len(c.strata), sum/seconds, largest)
+	if largest > 600 {
+		t.Errorf("a word of %d bytes", largest)
+	}
+}
+
+// Whatever is counted arrives, though words are bounded and a third of them is lost.
+func TestWordsArrive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		c := NewCounter(7, 1)
+		got := map[Stratum]Pair{}
+		hear := func() {
+			b := c.Append(nil, 1400)
+			w, err := DecodeCounts(b)
+			if err != nil || len(b) > 1400 {
+				t.Fatalf("%d bytes: %v", len(b), err)
+			}
+			for _, p := range w.Strata {
+				if rng.IntN(3) > 0 {
+					got[p.Stratum] = p
+				}
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "counts") {
+			s := Stratum{Class: uint8(rng.IntN(5)), Zone: uint8(rng.IntN(5)), Cold: rng.IntN(2) == 0, Load: uint8(rng.IntN(5))}
+			k := c.At(s, rng.IntN(2) == 0)
+			k.Attempts += rng.Uint64N(1 << 40)
+			k.SetUp[rng.IntN(Buckets)] += k.Attempts / (Buckets * 200)
+			if rng.IntN(3) == 0 {
+				hear()
+			}
+		}
+		for range 600 {
+			hear()
+		}
+		for _, k := range c.strata {
+			if got[k.Stratum] != k.Pair {
+				t.Fatalf("%v did not arrive", k.Stratum)
+			}
+		}
+		if len(c.strata) > StrataMost {
+			t.Fatalf("%d strata", len(c.strata))
+		}
+	})
+}
+
+func FuzzDecodeCounts(f *testing.F) {
+	c := NewCounter(5, 6)
+	f.Add(c.Append(nil, 600))
+	k := c.At(Stratum{Class: 1, Zone: 2, Cold: true, Load: 3}, true)
+	k.Attempts, k.Failed, k.Held, k.Early = 300, 20, 9000, 3
+	k.SetUp.Add(12)
+	k.Message.Add(1e9)
+	c.At(Stratum{}, false).Attempts++
+	f.Add(c.Append(nil, 600))
+	f.Add([]byte{wireVersion})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		w, err := DecodeCounts(b)
+		if err != nil {
+			return
+		}
+		j := NewJudge(Settings{Spec: spec("r"), Epoch: 1})
+		w.Salt = j.set.Salt
+		for i, start := range []uint64{0, w.Start, w.Start} { // what was before, from nothing, and as a restart
+			heard := w
+			heard.Start, heard.Seq = start, uint64(i+1)
+			j.Hear(int64(1000*i), "n", "z", heard)
+		}
+		if v := j.Verdict(60_000); math.IsNaN(v.Evidence) {
+			t.Fatalf("%+v", v)
+		}
+		j.Figures()
+	})
+}
+
+// The mean of a block's e-value is at most 1 under any rates that the claim allows, however far the guess of the base is off: by all outcomes
+// of small blocks, each by its chance.
+func TestBetMean(t *testing.T) {
+	choose := func(n, k int) float64 {
+		a, _ := math.Lgamma(float64(n + 1))
+		b, _ := math.Lgamma(float64(k + 1))
+		c, _ := math.Lgamma(float64(n - k + 1))
+		return math.Exp(a - b - c)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n1, n0 := rapid.IntRange(1, 12).Draw(t, "arm"), rapid.IntRange(1, 30).Draw(t, "base")
+		delta := rapid.SampledFrom([]float64{0, 0.0002, 0.01, 0.05}).Draw(t, "delta")
+		harm := rapid.SampledFrom([]float64{0.0002, 0.01, 0.04, 0.16, 0.5}).Draw(t, "harm")
+		guess := rapid.Float64Range(1e-6, 0.9).Draw(t, "guess")
+		q0 := rapid.Float64Range(0, 0.9).Draw(t, "base rate")
+		q1 := min(rapid.Float64Range(0, 1).Draw(t, "of what is allowed")*(q0+delta), 1)
+		mean := 0.0
+		for k1 := range n1 + 1 {
+			for k0 := range n0 + 1 {
+				p := choose(n1, k1) * math.Pow(q1, float64(k1)) * math.Pow(1-q1, float64(n1-k1)) *
+					choose(n0, k0) * math.Pow(q0, float64(k0)) * math.Pow(1-q0, float64(n0-k0))
+				mean += p * math.Exp(bet(float64(n1), float64(k1), float64(n0), float64(k0), guess, delta, harm))
+			}
+		}
+		if !(mean <= 1+1e-6) {
+			t.Fatalf("the mean is %v", mean)
+		}
+	})
+}
--- /dev/null
+++ b/internal/canary/judge.go
@@ -0,0 +1,672 @@
+package canary
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	sliceMS   = 1000 // evidence is taken in slices of so long, as relays tell once a second
+	holdMost  = 10   // slices that one arm's counts of a stratum wait for the other's
+	pastMost  = 4000 // trials that a guess of the base goes by; then half are forgotten
+	priorOf   = 20   // trials that a relay's class counts for where it has few of its own
+	capParts  = 8    // no single slice brings more than this part of what a pause needs: a hiccup of seconds is no verdict
+	settle    = 8    // slices that are waited for a name after the evidence suffices
+	illPoints = 100  // a relay is ill if its base fails by so many per mille more than the others'
+	illShift  = 4    // or is slower by so many buckets: 4 times
+	clear     = 3.0  // natural logarithm: one explanation is 20 times as likely as the other
+	missed    = 0.01 // a harm of sought times what is borne passes a rung so often
+	sought    = 4    // so five times what is borne in all: 5 points where 1 is borne
+	soughtBy  = 0.25 // times: so much more of the arm above what the slowest quarter of the base takes
+	smallZone = 4    // a zone with less than its part of what was compared, over this, is not waited for
+)
+
+// Judge weighs what relays counted for one canary on one rung. Begin starts the next rung with no evidence; what is known of relays stays.
+type Judge struct {
+	set      Settings
+	tests    []*test
+	relays   []*relay // by name
+	zones    []string // by name
+	shared   []*past  // by class, warmth and load: the base of all relays
+	end      int64    // of this slice
+	compared uint64
+	armed    uint64 // attempts of the arm, compared or not
+	total    [2]Tally
+	verdict  Verdict
+	decided  bool
+	due      int // slices left to find a name; 0 for no evidence yet
+	Refused  uint64
+	Old      uint64 // words that came again, or after a later one
+	Bad      uint64 // counts that ran back without a restart
+	watch    func(t int, n1, k1, n0, k0 uint64)
+}
+
+// test is one guard, with the harms that it looks for.
+type test struct {
+	Guard
+	delta    float64
+	shift    int // buckets
+	suspects []suspect
+	sought   int         // which of them must be ruled out before a step up
+	all      []float64   // evidence of the whole fleet, by suspect
+	zone     [][]float64 // by zone
+	needed   float64
+	cap      float64
+}
+
+type relay struct {
+	name, zone string
+	start, seq uint64
+	strata     []*stratum
+	sum        [][]float64 // by test and suspect, each slice bounded: for the verdict
+	raw        [][]float64 // the same, unbounded: for the name
+	sick       [][]float64 // by test: that the relay is ill
+	ill        string      // by which metric; "" if it is not
+	compared   uint64
+}
+
+type stratum struct {
+	Stratum
+	last      Pair // as told
+	base, arm Tally
+	waited    int
+	past      past
+	shared    *past
+}
+
+// past is what a guess goes by: the base of before this slice.
+type past struct {
+	Stratum
+	Tally
+	slice Tally // of this slice, not in it yet
+}
+
+// NewJudge begins with no evidence. The spec has passed Check.
+func NewJudge(s Settings) *Judge {
+	j := &Judge{set: s}
+	for _, g := range s.Guards {
+		t := &test{Guard: g}
+		switch g.Metric {
+		case Failures, EarlyEnds:
+			t.delta = float64(g.Points) / 1000
+			if g.Metric == EarlyEnds {
+				t.delta /= 60 // of a second, not of a minute
+			}
+			t.sought = 2
+			for _, times := range []float64{1, 2, sought, 16} { // of what is borne
+				t.suspects = append(t.suspects, suspect{harm: min(t.delta*times, 0.5)})
+			}
+		default:
+			t.shift = int(math.Ceil(2*math.Log2(g.Factor) - 1e-9))
+			t.sought = 1
+			for _, part := range []float64{0.25, 0.05} { // slower all over, and in the tail
+				for _, harm := range []float64{0.1, soughtBy, 0.5} {
+					t.suspects = append(t.suspects, suspect{harm, part})
+				}
+			}
+		}
+		// The error is shared by the guards and the rungs, each of which begins anew.
+		t.needed = math.Log(float64(len(s.Guards)*len(s.Ladder)) / s.Error)
+		t.cap = t.needed / capParts
+		j.tests = append(j.tests, t)
+	}
+	j.Begin(s.Epoch, s.Rung)
+	return j
+}
+
+// Begin starts a rung: all evidence is forgotten, ill relays count again.
+func (j *Judge) Begin(epoch uint64, rung int) {
+	j.set.Epoch, j.set.Rung = epoch, rung
+	j.decided, j.due, j.compared, j.armed = false, 0, 0, 0
+	j.total = [2]Tally{}
+	j.verdict = Verdict{}
+	for _, t := range j.tests {
+		t.all = make([]float64, len(t.suspects))
+		t.zone = nil
+		for range j.zones {
+			t.zone = append(t.zone, make([]float64, len(t.suspects)))
+		}
+	}
+	for _, r := range j.relays {
+		r.clear(j.tests)
+		for _, s := range r.strata {
+			s.base, s.arm, s.waited = Tally{}, Tally{}, 0
+		}
+	}
+}
+
+func (r *relay) clear(tests []*test) {
+	r.sum, r.raw, r.sick, r.ill, r.compared = nil, nil, nil, "", 0
+	for _, t := range tests {
+		r.sum = append(r.sum, make([]float64, len(t.suspects)))
+		r.raw = append(r.raw, make([]float64, len(t.suspects)))
+		r.sick = append(r.sick, make([]float64, len(illHarms)))
+	}
+}
+
+// Hear takes a relay's word. What a relay counted before its first word here is nobody's evidence.
+func (j *Judge) Hear(now int64, name, zone string, c Counts) {
+	j.tick(now)
+	if c.Salt != j.set.Salt {
+		return // of another canary
+	}
+	i, found := slices.BinarySearchFunc(j.relays, name, func(r *relay, n string) int { return strings.Compare(r.name, n) })
+	if !found {
+		if len(j.relays) >= RelaysMost {
+			j.Refused++
+			return
+		}
+		r := &relay{name: name, start: c.Start}
+		r.clear(j.tests)
+		j.relays = slices.Insert(j.relays, i, r)
+	}
+	r := j.relays[i]
+	if c.Start < r.start || c.Start == r.start && found && c.Seq <= r.seq {
+		j.Old++
+		return
+	}
+	if k, known := slices.BinarySearch(j.zones, zone); !known && len(j.zones) < RelaysMost {
+		j.zones = slices.Insert(j.zones, k, zone)
+		for _, t := range j.tests {
+			t.zone = slices.Insert(t.zone, k, make([]float64, len(t.suspects)))
+		}
+	}
+	restarted := found && c.Start > r.start
+	if restarted { // it counts from nothing again
+		for _, s := range r.strata {
+			s.last.Base, s.last.Arm = Tally{}, Tally{}
+		}
+	}
+	r.zone, r.start, r.seq = zone, c.Start, c.Seq
+	for _, p := range c.Strata {
+		j.take(r, p)
+	}
+}
+
+func (j *Judge) take(r *relay, p Pair) {
+	i, found := slices.BinarySearchFunc(r.strata, p.Stratum, func(s *stratum, k Stratum) int { return compare(s.Stratum, k) })
+	if !found {
+		if len(r.strata) >= StrataMost {
+			j.Refused++
+			return
+		}
+		s := &stratum{Stratum: p.Stratum, last: p, shared: j.pastOf(p.Stratum)}
+		r.strata = slices.Insert(r.strata, i, s)
+		return // when it was counted is not known
+	}
+	s := r.strata[i]
+	base, ok := since(&p.Base, &s.last.Base)
+	arm, ok2 := since(&p.Arm, &s.last.Arm)
+	s.last = p
+	if !ok || !ok2 {
+		j.Bad++
+		return
+	}
+	add(&s.base, &base)
+	add(&s.arm, &arm)
+	add(&s.past.slice, &base)
+	add(&s.shared.slice, &base)
+	j.armed += arm.Attempts
+	add(&j.total[0], &base)
+	add(&j.total[1], &arm)
+}
+
+func (j *Judge) pastOf(s Stratum) *past {
+	s.Zone = 0 // thin enough without
+	i, found := slices.BinarySearchFunc(j.shared, s, func(p *past, s Stratum) int { return compare(p.Stratum, s) })
+	if !found {
+		j.shared = slices.Insert(j.shared, i, &past{Stratum: s})
+	}
+	return j.shared[i]
+}
+
+// since is what was counted between two words; false if counts ran back.
+func since(now, last *Tally) (d Tally, ok bool) {
+	ok = true
+	less := func(n, m uint64) uint64 {
+		if n < m {
+			ok = false
+			return 0
+		}
+		return n - m
+	}
+	d.Attempts, d.Failed = less(now.Attempts, last.Attempts), less(now.Failed, last.Failed)
+	d.Reset, d.TimedOut = less(now.Reset, last.Reset), less(now.TimedOut, last.TimedOut)
+	d.Held, d.Early = less(now.Held, last.Held), less(now.Early, last.Early)
+	for i := range Buckets {
+		d.SetUp[i], d.Message[i] = less(now.SetUp[i], last.SetUp[i]), less(now.Message[i], last.Message[i])
+	}
+	return d, ok
+}
+
+func add(to, more *Tally) {
+	to.Attempts += more.Attempts
+	to.Failed += more.Failed
+	to.Reset += more.Reset
+	to.TimedOut += more.TimedOut
+	to.Held += more.Held
+	to.Early += more.Early
+	for i := range Buckets {
+		to.SetUp[i] += more.SetUp[i]
+		to.Message[i] += more.Message[i]
+	}
+}
+
+// turn takes the slice into the past, and forgets half of what has become much.
+func (p *past) turn() {
+	add(&p.Tally, &p.slice)
+	p.slice = Tally{}
+	if p.Attempts > pastMost {
+		p.each(func(n *uint64) { *n /= 2 })
+	}
+}
+
+// trials is a tally as one guard sees it: of all so many bad. Cut and shift are for times.
+func (t *test) trials(c *Tally, cut int) (n, bad uint64) {
+	switch t.Metric {
+	case Failures:
+		return c.Attempts, c.Failed + c.Reset + c.TimedOut
+	case EarlyEnds:
+		return c.Held + c.Early, c.Early // each second is a trial
+	}
+	times := t.times(c)
+	return times.above(-1), times.above(cut)
+}
+
+func (t *test) times(c *Tally) *Times {
+	if t.Metric == SetUp {
+		return &c.SetUp
+	}
+	return &c.Message
+}
+
+// cut is the lowest bucket that at most this part of the base was above; its own relay's if that is known well enough.
+func (t *test) cut(own, shared *Tally, part float64) int {
+	times := t.times(own)
+	if float64(times.above(-1))*part < 10 {
+		times = t.times(shared)
+	}
+	n := float64(times.above(-1))
+	if n*part < 5 {
+		return -1
+	}
+	for b := range Buckets {
+		if float64(times.above(b)) <= part*n {
+			return b
+		}
+	}
+	return -1
+}
+
+// guess is the base's rate as the past has it, its own and its class's.
+func (t *test) guess(own, shared *Tally, cut int) float64 {
+	n, k := t.trials(own, cut)
+	m, l := t.trials(shared, cut)
+	prior := (float64(l) + 0.5) / (float64(m) + 1)
+	return (float64(k) + priorOf*prior) / (float64(n) + priorOf)
+}
+
+// tick closes slices that are over.
+func (j *Judge) tick(now int64) {
+	if j.end == 0 {
+		j.end = now + sliceMS
+	}
+	if now < j.end {
+		return
+	}
+	j.end = now - (now-j.end)%sliceMS + sliceMS
+	j.close()
+}
+
+// close takes a slice into the evidence.
+func (j *Judge) close() {
+	zones := make([][][]float64, len(j.tests)) // what this slice brings, by test, zone and suspect
+	all := make([][]float64, len(j.tests))
+	for k, t := range j.tests {
+		all[k] = make([]float64, len(t.suspects))
+		for range j.zones {
+			zones[k] = append(zones[k], make([]float64, len(t.suspects)))
+		}
+	}
+	for _, r := range j.relays {
+		zone, _ := slices.BinarySearch(j.zones, r.zone)
+		brings := make([][]float64, len(j.tests))
+		for k, t := range j.tests {
+			brings[k] = make([]float64, len(t.suspects))
+		}
+		for _, s := range r.strata {
+			j.block(r, s, brings)
+		}
+		if r.ill == "" {
+			for k, t := range j.tests {
+				for i, b := range brings[k] {
+					r.raw[k][i] += b
+					b = min(b, t.cap)
+					r.sum[k][i] += b
+					zones[k][zone][i] += b
+					all[k][i] += b
+				}
+			}
+		}
+		j.sicken(r)
+	}
+	for k, t := range j.tests {
+		for i := range t.suspects {
+			t.all[i] += min(all[k][i], t.cap)
+			for z := range j.zones {
+				t.zone[z][i] += min(zones[k][z][i], t.cap)
+			}
+		}
+	}
+	for _, r := range j.relays {
+		for _, s := range r.strata {
+			s.past.turn()
+		}
+	}
+	for _, p := range j.shared {
+		p.turn()
+	}
+	j.decide()
+}
+
+// block weighs one stratum, once both arms have something in it.
+func (j *Judge) block(r *relay, s *stratum, brings [][]float64) {
+	if s.arm.Attempts+s.arm.Held+s.arm.Early == 0 && s.arm.Message.above(-1) == 0 {
+		s.base, s.waited = Tally{}, 0 // alone it says nothing of the arm
+		return
+	}
+	if s.arm.Attempts == 0 || s.base.Attempts == 0 {
+		if s.waited++; s.waited < holdMost {
+			return
+		}
+	}
+	if r.ill == "" {
+		j.compared += min(s.arm.Attempts, s.base.Attempts)
+		r.compared += min(s.arm.Attempts, s.base.Attempts)
+	}
+	for k, t := range j.tests {
+		j.weigh(k, t, s, brings[k])
+	}
+	s.base, s.arm, s.waited = Tally{}, Tally{}, 0
+}
+
+func (j *Judge) weigh(k int, t *test, s *stratum, brings []float64) {
+	cut, last := 0, 0.0
+	for i, su := range t.suspects {
+		if su.part != 0 && su.part != last {
+			cut, last = t.cut(&s.past.Tally, &s.shared.Tally, su.part), su.part
+		}
+		if su.part != 0 && cut < 0 {
+			continue
+		}
+		n0, k0 := t.trials(&s.base, cut)
+		n1, k1 := t.trials(&s.arm, cut+t.shift) // slower by the factor borne is not slower
+		if n0 == 0 || n1 == 0 {
+			continue
+		}
+		if j.watch != nil && i == 0 {
+			j.watch(k, n1, k1, n0, k0)
+		}
+		brings[i] += bet(float64(n1), float64(k1), float64(n0), float64(k0), t.guess(&s.past.Tally, &s.shared.Tally, cut), t.delta, su.harm)
+	}
+}
+
+var illHarms = []float64{0.1, 0.3}
+
+// sicken asks whether a relay's base is bad beside the base of the others: then it is the relay, whatever the arm does there.
+func (j *Judge) sicken(r *relay) {
+	if r.ill != "" || len(j.relays) < 3 {
+		return // of two that differ, neither is known to be the ill one
+	}
+	needed := math.Log(float64(len(j.relays)*len(j.tests)*len(j.set.Ladder)) / j.set.Error)
+	for k, t := range j.tests {
+		if t.Metric == EarlyEnds {
+			continue // its rates are of seconds: a bound in points means nothing there
+		}
+		delta, shift := float64(illPoints)/1000, 0
+		if t.shift != 0 {
+			delta, shift = 0, illShift
+		}
+		sums := make([]float64, len(illHarms))
+		for _, s := range r.strata {
+			cut := 0
+			if shift != 0 {
+				if cut = t.cut(&s.shared.Tally, &s.shared.Tally, 0.25); cut < 0 {
+					continue
+				}
+			}
+			rest, _ := since(&s.shared.slice, &s.past.slice)
+			n1, k1 := t.trials(&s.past.slice, cut+shift)
+			n0, k0 := t.trials(&rest, cut)
+			if n1 == 0 || n0 == 0 {
+				continue
+			}
+			for i, harm := range illHarms {
+				sums[i] += bet(float64(n1), float64(k1), float64(n0), float64(k0), t.guess(&s.shared.Tally, &s.shared.Tally, cut), delta, harm)
+			}
+		}
+		for i := range sums {
+			r.sick[k][i] += min(sums[i], needed/capParts)
+		}
+		if logMean(r.sick[k]) >= needed {
+			r.ill = string(t.Metric)
+			return
+		}
+	}
+}
+
+// evidence is a guard's e-value: half of it for harm everywhere, a quarter for harm in one zone, a quarter for harm at one relay, each the mean
+// over all that it could be. A mean of e-values is one: this is what so many relays cost.
+func (j *Judge) evidence(k int) float64 {
+	t := j.tests[k]
+	var zones, relays []float64
+	for _, z := range t.zone {
+		zones = append(zones, logMean(z))
+	}
+	for _, r := range j.relays {
+		if r.ill == "" {
+			relays = append(relays, logMean(r.sum[k]))
+		}
+	}
+	return logMean([]float64{logMean(t.all), logMean(t.all), logMean(zones), logMean(relays)})
+}
+
+// decide looks at the evidence after a slice. A verdict stays until the next Begin.
+func (j *Judge) decide() {
+	if j.decided {
+		return
+	}
+	worst, most := 0, math.Inf(-1)
+	for k, t := range j.tests {
+		if e := j.evidence(k) - t.needed; e > most {
+			worst, most = k, e
+		}
+	}
+	t := j.tests[worst]
+	j.verdict.Metric, j.verdict.Needed, j.verdict.Evidence = t.Metric, t.needed, most+t.needed
+	j.verdict.Doubt = most+t.needed >= t.needed/2
+	if j.due == 0 && most < 0 {
+		return
+	}
+	if j.due == 0 {
+		j.due = settle + 1
+	}
+	j.due--
+	zones, relays, ahead := j.explain(worst)
+	if math.Abs(ahead) < clear && j.due > 1 {
+		return
+	}
+	j.decided = true
+	j.verdict.Kind = Worse
+	if ahead > 0 {
+		j.verdict.Kind, j.verdict.Zones, j.verdict.Relays = Diverge, zones, relays
+	}
+}
+
+// explain says who is likeliest to be harmed if not all are, and by how much (natural logarithm) that is likelier than harm everywhere. The price of naming some
+// of many is what it takes to write down which.
+func (j *Judge) explain(k int) (zones, relays []string, ahead float64) {
+	t := j.tests[k]
+	everywhere, byZone, byRelay := math.Inf(-1), math.Inf(-1), math.Inf(-1)
+	for i := range t.suspects {
+		all, some, single := 0.0, -float64(len(j.zones))*math.Ln2, 0.0
+		sums := make([]float64, len(j.zones))
+		var names, named []string
+		price := math.Log(float64(len(j.relays) + 1))
+		for _, r := range j.relays {
+			if r.ill != "" {
+				continue
+			}
+			z, _ := slices.BinarySearch(j.zones, r.zone)
+			sums[z] += r.raw[k][i]
+			all += r.raw[k][i]
+			if r.raw[k][i] > price {
+				single += r.raw[k][i] - price
+				names = append(names, r.name)
+			}
+		}
+		for z, sum := range sums {
+			if sum > 0 {
+				some += sum
+				named = append(named, j.zones[z])
+			}
+		}
+		everywhere = max(everywhere, all)
+		if len(named) < len(j.zones) && len(named) > 0 && some > byZone {
+			byZone, zones = some, named
+		}
+		if len(names) > 0 && single > byRelay {
+			byRelay, relays = single, names
+		}
+	}
+	if math.IsInf(byZone, -1) && math.IsInf(byRelay, -1) {
+		return nil, nil, -clear
+	}
+	if byRelay > byZone+clear {
+		return j.whole(relays), relays, byRelay - everywhere
+	}
+	if byRelay > byZone { // which of the two is not clear: the zone holds the relay
+		ahead = min(byRelay-everywhere, clear/2)
+	} else {
+		ahead = byZone - everywhere
+	}
+	if math.IsInf(byZone, -1) {
+		return j.whole(relays), relays, ahead
+	}
+	return zones, nil, ahead
+}
+
+// ruledOut says whether the harm that is looked for is unlikely by now, by every guard, in each zone that counts. A number of attempts alone
+// would not do: what it shows depends on how often the base is bad.
+func (j *Judge) ruledOut() bool {
+	compared := make([]uint64, len(j.zones))
+	for _, r := range j.relays {
+		if r.ill == "" {
+			z, _ := slices.BinarySearch(j.zones, r.zone)
+			compared[z] += r.compared
+		}
+	}
+	for k, t := range j.tests {
+		sums := make([]float64, len(j.zones))
+		for _, r := range j.relays {
+			if r.ill == "" {
+				z, _ := slices.BinarySearch(j.zones, r.zone)
+				sums[z] += r.raw[k][t.sought]
+			}
+		}
+		all := 0.0
+		for z, sum := range sums {
+			all += sum
+			if compared[z]*uint64(len(j.zones))*smallZone >= j.compared && sum > math.Log(missed) {
+				return false
+			}
+		}
+		if all > math.Log(missed) {
+			return false
+		}
+	}
+	return true
+}
+
+// whole is the zones of which every relay that counts is named.
+func (j *Judge) whole(named []string) (zones []string) {
+	for _, z := range j.zones {
+		all, some := true, false
+		for _, r := range j.relays {
+			if r.zone == z && r.ill == "" {
+				all = all && slices.Contains(named, r.name)
+				some = true
+			}
+		}
+		if all && some {
+			zones = append(zones, z)
+		}
+	}
+	return zones
+}
+
+// Verdict is what there is to say now.
+func (j *Judge) Verdict(now int64) Verdict {
+	j.tick(now)
+	v := j.verdict
+	v.At, v.Release, v.Epoch, v.Rung, v.Compared = now, j.set.Release, j.set.Epoch, j.set.Rung, j.compared
+	for _, r := range j.relays {
+		if r.ill != "" {
+			v.Ill = append(v.Ill, Illness{r.name, Metric(r.ill)})
+		}
+	}
+	if j.decided {
+		return v
+	}
+	v.Kind = NotEnough
+	switch {
+	case j.due > 0: // there is a verdict without a name yet
+	case j.set.Ladder[j.set.Rung] == 1000: // there is no base left to compare with
+		if j.armed >= j.set.Floor {
+			v.Kind = Sound
+		}
+	case j.compared >= j.set.Floor && j.ruledOut():
+		v.Kind = Sound
+	}
+	return v
+}
+
+// Figures are what was counted on this rung, for operators.
+func (j *Judge) Figures() []Figure {
+	var list []Figure
+	for _, t := range j.tests {
+		f := Figure{Metric: t.Metric}
+		if t.shift == 0 {
+			n0, k0 := t.trials(&j.total[0], 0)
+			n1, k1 := t.trials(&j.total[1], 0)
+			f.BaseN, f.ArmN = n0, n1
+			f.Base, f.Arm = float64(k0)/float64(max(n0, 1)), float64(k1)/float64(max(n1, 1))
+		} else {
+			f.Base, f.Base99, f.BaseN = quantiles(t.times(&j.total[0]))
+			f.Arm, f.Arm99, f.ArmN = quantiles(t.times(&j.total[1]))
+		}
+		list = append(list, f)
+	}
+	return list
+}
+
+// quantiles are the median and the 99th part of a hundred, in ms, as the upper ends of buckets.
+func quantiles(times *Times) (median, last float64, n uint64) {
+	h := hdrhistogram.New(1, int64(upper(Buckets)*1000)+1, 2) // microseconds
+	for i, k := range times {
+		if k == 0 {
+			continue
+		}
+		if err := h.RecordValues(int64(upper(i)*1000), int64(k)); err != nil {
+			continue // no bucket lies outside of its range
+		}
+		n += k
+	}
+	if n == 0 {
+		return 0, 0, 0
+	}
+	return float64(h.ValueAtQuantile(50)) / 1000, float64(h.ValueAtQuantile(99)) / 1000, n
+}
