A planned stop takes as long as the settings' longest deadline leaves it

Change: StopWithin is that deadline; moves and passing on are parts of it (0.4, 0.9, 1/3: the 1.2, 2.7 and 1 s of before at 3 s). Result: TestStopShort, which holds three flows without it. Sites with deadlines of 3 s and more: the same times as before.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -43,8 +43,6 @@
 	bufferPart = 0.25
 	// feedPart is for the messages on feeds, which wait or are out.
 	feedPart = 0.125
-	// stopWithin ends a planned stop; SIGKILL comes no earlier than 3.7 s after SIGTERM.
-	stopWithin = 3 * time.Second
 	// flushWithin is what the store has for its last records; a platform that kills
 	// sooner has no store.
 	flushWithin = 3 * time.Second
@@ -448,7 +446,7 @@
 	loop := r.loop
 	r.log.WithField("held", r.core.Held()).Info("stopping")
 	r.peers.Leave() // nothing new is placed from here on
-	deadline := loop.Now() + stopWithin
+	deadline := loop.Now() + r.core.StopWithin()
 	least := loop.Now() + core.StopNotice
 	if r.yield() {
 		least = loop.Now()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -237,7 +238,7 @@
 	if s := r.open(); len(s.answers) != 1 || s.answers[0] != "rejected" {
 		t.Errorf("a request during the stop: %v", s.answers)
 	}
-	r.pass(stopMovesFrom - time.Millisecond)
+	r.pass(of(stopMovesFrom, r.StopWithin()) - time.Millisecond)
 	for _, s := range up {
 		if s.moved != 0 {
 			t.Error("moved too early")
@@ -455,12 +456,12 @@
 	if _, _, ok := next.Take(Passed{Member: "m9"}, s); ok {
 		t.Error("a flow at an unknown member was taken")
 	}
-	r.pass(passWithin - time.Millisecond)
+	r.pass(of(passWithin, r.StopWithin()) - time.Millisecond)
 	early := up[0].moved
 	for _, s := range up[1:] {
 		early += s.moved
 	}
-	r.pass(stopMoves)
+	r.pass(of(stopMoves, r.StopWithin()))
 	if early != 0 || r.Held() != 0 || up[0].moved != 0 || up[1].moved != 1 {
 		t.Errorf("%d moved early, %d held", early, r.Held())
 	}
@@ -621,3 +622,21 @@
 		t.Errorf("banned here: %v", got)
 	}
 }
+
+// TestStopShort: where clients wait for no more than a second, SIGKILL comes 1.7 s after SIGTERM: by then no flow is held.
+func TestStopShort(t *testing.T) {
+	set, err := settings.Decode([]byte(strings.Replace(text, `"deadline-ms":2000`, `"deadline-ms":1000`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, now: time.Hour, out: map[ID]*side{}}
+	r.Core = New(Options{Settings: set, Seed: 7, Clock: func() time.Duration { return r.now },
+		Wake: func(at time.Duration) { r.wake = at }, Probe: func(*Member) {}, Watch: func() {}, Ledger: r})
+	r.Pool(policy.ListCached, list(3, policy.Ready))
+	r.up(3)
+	r.Stop()
+	r.pass(r.StopWithin())
+	if r.StopWithin() > 1200*time.Millisecond || r.Held() > 0 {
+		t.Errorf("a stop takes %v, and %d flows are held then", r.StopWithin(), r.Held())
+	}
+}
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -12,15 +12,30 @@
 // sent here. Nobody is moved before: who is would come back to this relay.
 const StopNotice = 450 * time.Millisecond
 
+// stopMost is the longest that clients' deadlines count in how long a planned stop may take.
+const stopMost = 3 * time.Second
+
 const (
-	// The moves are spread between these times. Flows are served meanwhile, and where
-	// relays are restarted one after another, the one before may be back only then.
-	stopMovesFrom = 1200 * time.Millisecond
-	stopMoves     = 2700 * time.Millisecond
-	passWithin    = time.Second            // an upgrade has this long to pass flows on
-	stopAfter     = 500 * time.Millisecond // when a client rejected meanwhile may come again
+	// The moves of a stop are spread between these parts of it. Flows are served meanwhile, and where relays are restarted one
+	// after another, the one before may be back only then.
+	stopMovesFrom, stopMoves = 0.4, 0.9
+	passWithin               = 1 / 3.0                // of it: an upgrade has so long to pass flows on
+	stopAfter                = 500 * time.Millisecond // when a client rejected meanwhile may come again
 )
 
+// StopWithin is when a planned stop is over: with the longest deadline, since SIGKILL comes no earlier than that, taken as three seconds
+// where it is longer, and 0.7 s. Those are for the last answers and a busy loop.
+func (c *Core) StopWithin() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range c.set.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(longest, stopMost)
+}
+
+// of is a part of a time.
+func of(part float64, d time.Duration) time.Duration { return time.Duration(part * float64(d)) }
+
 // A drain moves open flows between these times after its start, all of them well
 // before the 4 s after which none may be held.
 const (
@@ -52,7 +67,7 @@
 func (c *Core) GiveUp() {
 	if !c.stopping {
 		c.stopping = true
-		c.moveAll(passWithin, stopMoves)
+		c.moveAll(of(passWithin, c.StopWithin()), of(stopMoves, c.StopWithin()))
 	}
 }
 
@@ -107,7 +122,7 @@
 		return
 	}
 	c.stopping = true
-	c.moveAll(stopMovesFrom, stopMoves)
+	c.moveAll(max(of(stopMovesFrom, c.StopWithin()), StopNotice), of(stopMoves, c.StopWithin()))
 }
 
 // moveAll spreads the moves of all open flows between two times from now.
