--- a/internal/accord/engine.go
+++ b/internal/accord/engine.go
@@ -65,7 +65,6 @@
 	mute                    error
 	members                 members
 	marks                   map[uint64]mark
-	own                     mark
 	held                    string
 	at                      time.Time
 }
@@ -324,7 +323,7 @@
 func (e *engine) show() {
 	b := e.c.basic()
 	v := &view{leads: b.RaftState == raft.StateLeader && e.mute == nil, unsure: e.c.unsure, joint: e.c.joint(), leader: b.Lead, term: b.GetTerm(), committed: b.GetCommit(),
-		members: e.c.members, marks: copyMarks(e.c.marks), own: e.c.own(), held: e.c.said, mute: e.mute, at: time.Now()}
+		members: e.c.members, marks: copyMarks(e.c.marks), held: e.c.said, mute: e.mute, at: time.Now()}
 	v.first, _ = e.c.st.FirstIndex()
 	v.last = e.c.lastIndex()
 	v.snapIndex, v.snapBytes = e.c.snapIndex, e.c.snapBytes
--- a/internal/accord/follow.go
+++ b/internal/accord/follow.go
@@ -454,10 +454,11 @@
 				continue
 			}
 			heard++
-			if h.mark.over(v.own) {
-				n.later(func(e *engine) { e.why = errOlder })
-				return
-			}
+			n.later(func(e *engine) { // there, since it writes on meanwhile
+				if e.c.older(h.mark) {
+					e.why = errOlder
+				}
+			})
 		}
 		if heard == len(v.members)-1 || heard >= need && time.Since(began) > vouchFor {
 			n.later(func(e *engine) { e.c.unsure = false; e.show() })
--- a/internal/accord/model_test.go
+++ b/internal/accord/model_test.go
@@ -107,6 +107,7 @@
 	ops    []porcupine.Operation
 	nextID uint64
 	calm   bool
+	ending bool
 	bad    string
 	early  bool // planted: answers before commit
 	sameID bool // planted: a return with nothing keeps its identity
@@ -198,7 +199,7 @@
 	n.up, n.still, n.held, n.writing, n.c = true, false, nil, nil, nil
 	n.g, n.pend = &register{}, &pending{}
 	n.ap = newApplier(n.g)
-	n.ap.every = 24
+	n.ap.every = 12
 	n.slow = time.Duration(w.rng.Float64() * 8 * float64(time.Millisecond))
 	n.waiting, n.waiters, n.snap = map[[16]byte]func(result){}, map[[16]byte]*waiter{}, nil
 	if n.disk.state != nil {
@@ -285,7 +286,7 @@
 		if s := n.snap; s != nil {
 			n.snap = nil
 			if s.index <= n.c.basic().Applied && s.index <= n.c.lastIndex() && s.index > n.c.snapIndex {
-				if err := n.c.compact(*s, n.raw, 6); err != nil {
+				if err := n.c.compact(*s, n.raw, 3); err != nil {
 					w.fail("compact: %v", err)
 					return
 				}
@@ -686,6 +687,9 @@
 // client makes one call after another, at any node.
 func (w *world) client(id int) {
 	again := func() { w.push(time.Duration(w.rng.IntN(250))*time.Millisecond, nil, func() { w.client(id) }) }
+	if w.ending {
+		return
+	}
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	if !n.up || n.still {
 		w.push(50*time.Millisecond, nil, func() { w.client(id) })
@@ -817,7 +821,9 @@
 	}
 	w.run(30 * time.Second)
 	had := w.counts["acked"]
-	w.run(35 * time.Second)
+	w.run(32 * time.Second)
+	w.ending = true
+	w.run(32*time.Second + 2*patience) // until every call has ended
 	if w.counts["acked"] == had {
 		w.fail("nothing is agreed any more")
 	}
