--- a/internal/rollout/account.go
+++ b/internal/rollout/account.go
@@ -16,7 +16,7 @@
 	for i := range d.Releases {
 		for j := range d.Releases[i].Units {
 			if u := &d.Releases[i].Units[j]; u.Kind == kind && u.isOut() {
-				list = append(list, Place{u.Name, u.Zone})
+				list = append(list, Place{u.name(), u.Zone})
 			}
 		}
 	}
@@ -28,7 +28,7 @@
 	return list
 }
 
-// covered are the names that a planned one stands for: its own, and its successor's.
+// covered are the names that a planned one stands for: its own, and its first.
 func (d *data) covered(kind string) map[string]bool {
 	names := map[string]bool{}
 	for _, p := range d.planned(kind) {
@@ -37,7 +37,7 @@
 	for i := range d.Releases {
 		for j := range d.Releases[i].Units {
 			if u := &d.Releases[i].Units[j]; u.Kind == kind && u.isOut() {
-				names[u.name()] = true
+				names[u.Name] = true
 			}
 		}
 	}
--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -440,7 +440,7 @@
 			if u.bans() != 0 {
 				kind = KindBan
 			}
-			kind, name, zone = cmp.Or(kind, u.Kind), u.Name, u.Zone
+			kind, name, zone = cmp.Or(kind, u.Kind), u.name(), u.Zone
 			if u.bans() < 0 {
 				continue // gives back
 			}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -17,7 +17,6 @@
 	gone    map[string]bool // units that this look sees further, by release and name
 	used    map[string]bool // newcomers that stand for something by now
 	rooms   map[string]*room
-	refused map[string]string // by release: why nothing of it may go out
 }
 
 // Plan says what to propose next: a few commands, the same for the same state and view. Halts come first, then what others saw; what gives something
@@ -53,6 +52,13 @@
 	return nil
 }
 
+// Waits says, by release, why nothing of it may go out now, where nothing is. For operators, at the leader.
+func (s *State) Waits(now int64, v View, b Budgets) map[string]string {
+	p := s.d.planner(now, v, b)
+	_, why := p.step()
+	return why
+}
+
 func (d *data) planner(now int64, v View, b Budgets) *planner {
 	p := &planner{d: d, now: now, v: v, b: b, relays: map[string]*Relay{}, members: map[string]*Member{}, gone: map[string]bool{}, used: map[string]bool{}}
 	p.v.Relays, p.v.Members = slices.Clone(v.Relays), slices.Clone(v.Members)
@@ -76,7 +82,6 @@
 
 func (p *planner) reset() {
 	p.rooms = map[string]*room{KindRelay: p.d.room(KindRelay, p.d.relays(&p.v, p.b), p.b), KindMember: p.d.room(KindMember, p.d.members(&p.v), p.b)}
-	p.refused = map[string]string{}
 }
 
 // ---- What others saw ----
@@ -112,12 +117,12 @@
 	if u.Kind == KindBan || u.Kind == KindAllow {
 		return Saw{Phase: Done}, u.Phase == Told && p.heeded(u.Order)
 	}
-	if u.Phase == Waiting && r.State == Running && p.there(u) == nil && p.alone(r, u) && !p.rooms[side(u.Kind)].planned[u.Name] &&
+	if u.Phase == Waiting && r.State == Running && p.there(u) == nil && p.alone(r, u) && !p.rooms[side(u.Kind)].planned[u.name()] &&
 		p.now-max(r.Moved, r.Resumed) > p.b.Start+p.b.Silent { // longer than one that fell over takes
 		return Saw{Phase: Missing}, true
 	}
 	if u.Phase == Done && u.Stranded {
-		return Saw{Phase: Waiting}, p.there(u) != nil
+		return Saw{Phase: Waiting}, p.there(u) != nil && !p.rooms[side(u.Kind)].planned[u.name()]
 	}
 	if u.Stranded && r.ended() && p.there(u) == nil {
 		return Saw{Phase: Missing}, true // nobody knows of it any more
@@ -148,6 +153,10 @@
 	}
 	m := p.members[u.name()]
 	program, _ := r.wants(u, u.Undo)
+	// Who does not say what it runs fits. On the way back an owner may put back at once what was there before.
+	fits := func(m *Member) bool {
+		return program == "" || m.Program == "" || m.Program == program || r.Backing && m.Program == u.Program
+	}
 	switch u.Phase {
 	case Told:
 		if !p.empty(u, m) {
@@ -163,11 +172,11 @@
 			return Saw{Phase: Done}, m == nil // gone for good: no member any more, so not out
 		}
 		if m == nil {
-			name := p.newcomer(u)
+			name := p.newcomer(u, fits)
 			return Saw{Phase: Coming, Now: name}, name != ""
 		}
-		if u.Phase == Empty {
-			return Saw{Phase: Coming, Now: m.Name}, m.Started > u.Start
+		if u.Phase == Empty { // one that fell over and came back as it was is still to be replaced
+			return Saw{Phase: Coming, Now: m.Name}, m.Started > u.Start && fits(m)
 		}
 		if program != "" && m.Program != "" && program != m.Program {
 			// Not what was wanted. It is in service all the same, once nobody waits for it.
@@ -177,7 +186,7 @@
 	}
 	switch {
 	case m == nil:
-		name := p.newcomer(u)
+		name := p.newcomer(u, fits)
 		return Saw{Phase: Coming, Now: name}, name != "" && !r.Wish.Drain
 	case !p.full(m) || !p.heeded(u.Order):
 		return none, false
@@ -249,11 +258,11 @@
 }
 
 // newcomer is a member that has come in the place of one that is gone: of its zone rather than another, the earliest.
-func (p *planner) newcomer(u *Unit) string {
+func (p *planner) newcomer(u *Unit, fits func(*Member) bool) string {
 	var best *Member
 	for i := range p.v.Members {
 		m := &p.v.Members[i]
-		if p.used[m.Name] || m.Started <= u.At {
+		if p.used[m.Name] || m.Started <= u.At || !fits(m) {
 			continue
 		}
 		if best == nil || (m.Zone == u.Zone) != (best.Zone == u.Zone) && m.Zone == u.Zone ||
@@ -279,7 +288,7 @@
 	if m := p.members[x.Name]; m != nil {
 		return p.full(m) && (over || m.Started > x.Start)
 	}
-	name := p.newcomer(&Unit{Zone: x.Zone, At: x.At})
+	name := p.newcomer(&Unit{Zone: x.Zone, At: x.At}, func(*Member) bool { return true })
 	return x.Given || name != "" && p.full(p.members[name])
 }
 
@@ -296,7 +305,9 @@
 // late says that a unit is out for longer than its kind takes.
 func (p *planner) late(r *release, u *Unit) bool {
 	if !u.isOut() {
-		return r.State == Backing && u.Phase == Done && r.undoable(u) && p.there(u) == nil && p.now-r.Moved > p.d.bound(u.Kind, p.b)
+		// Not there, or held out by another release or a permit.
+		kept := p.there(u) == nil || p.rooms[side(u.Kind)].planned[u.name()]
+		return r.State == Backing && u.Phase == Done && r.undoable(u) && kept && p.now-max(r.Moved, r.Resumed) > p.d.bound(u.Kind, p.b)
 	}
 	if r.Wish.Drain && u.Phase == Empty {
 		return false
@@ -384,7 +395,7 @@
 	x.State = x.going()
 	room := p.d.room(side(r.Wish.Kind), p.rooms[side(r.Wish.Kind)].side, p.b)
 	for _, u := range p.candidates(&x) {
-		if u.bans() < 0 || p.there(u) != nil && room.take(u.Name, u.Zone, p.bears(u)) == "" {
+		if u.bans() < 0 || p.there(u) != nil && room.take(u.name(), u.Zone, p.bears(u)) == "" {
 			return true
 		}
 	}
@@ -577,7 +588,7 @@
 }
 
 func (p *planner) take(u *Unit, zone string, bears float64) string {
-	return p.rooms[side(u.Kind)].take(u.Name, zone, bears)
+	return p.rooms[side(u.Kind)].take(u.name(), zone, bears)
 }
 
 // gift is what goes with a thing, as it is seen now.
@@ -626,7 +637,7 @@
 		if !r.may(u) || u.Stranded || found && u.Zone != zone {
 			continue
 		}
-		if p.rooms[side(u.Kind)].out[u.Name] && u.bans() >= 0 {
+		if p.rooms[side(u.Kind)].out[u.name()] && u.bans() >= 0 {
 			lost = append(lost, u)
 		} else {
 			list = append(list, u)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -99,6 +99,10 @@
 	}
 	w.calm, w.drop, w.drift = true, 0, 0
 	w.settleDown(600, Resume)
+	w.settleDown(1000, Back)
+	if w.s.d.release("drain") != nil {
+		w.order(Command{Kind: Back, Name: "drain"}) // it may have held up what else is to go back
+	}
 	w.settleDown(1500, Back)
 	w.settleDown(1500, Back)
 	w.settleDown(1, "")
@@ -138,7 +142,9 @@
 func (w *world) last() {
 	for _, r := range w.s.d.Releases {
 		if !r.ended() && r.State != Halted {
-			w.fault("release %s is %s behind %q: %+v", r.Name, r.State, r.Behind, r.Units)
+			w.fault("release %s is %s behind %q: %+v", r.Name, r.State, r.Behind, slices.DeleteFunc(slices.Clone(r.Units), func(u Unit) bool {
+				return u.Phase == Waiting || u.Phase == Done && !r.undoable(&u)
+			}))
 			continue
 		}
 		if r.Wish.Drain || r.State == Halted {
