--- a/internal/drift/model_test.go
+++ b/internal/drift/model_test.go
@@ -51,6 +51,7 @@
 	refuses  map[string]bool
 	astray   map[string]bool
 	slow     bool
+	spared   bool            // nothing else happens to it
 	working  map[string]bool // moves on with an item while it is slow
 	inflight int64           // until when sends that began before a change are counted
 	skew     int64           // of its clock
@@ -316,7 +317,7 @@
 func (w *world) upset(ms int64) {
 	for end := w.now + ms; w.now < end; {
 		s := w.sims[w.rng.IntN(len(w.sims))]
-		free := s.up && w.now > s.stopped && s.cut == 0 && !s.slow
+		free := !s.spared && s.up && w.now > s.stopped && s.cut == 0 && !s.slow
 		switch k := w.rng.IntN(15); {
 		case k < 6:
 			w.commit(w.names[w.rng.IntN(len(w.names))])
--- a/internal/drift/planted_test.go
+++ b/internal/drift/planted_test.go
@@ -33,6 +33,7 @@
 		s.run[item] = Item{item, cur.Version + 3, 6}
 		s.book.Note(s.clock(w.now), s.run[item], "record")
 	case Local:
+		s.ignores[item] = true
 		s.book.Local(s.clock(w.now), cur, "PUT /-/members/m1/disable")
 		w.due[key] = w.now
 	case Contradicts:
@@ -193,3 +194,28 @@
 		t.Errorf("%.0f to %.0f bytes a second", least, most)
 	}
 }
+
+// TestPlantedAmongFaults: drift is found while other relays restart, are cut off and stop, and the leader changes.
+func TestPlantedAmongFaults(t *testing.T) {
+	for seed := range seeds(3) {
+		w := newWorld(seed, 30, 12)
+		w.warm(60_000)
+		for i, p := range []struct {
+			item string
+			kind State
+		}{{List, Late}, {Weights, Ahead}, {Bans, Contradicts}, {Drains, Local}} {
+			w.sims[i].spared = true
+			w.plant(w.sims[i], p.item, p.kind, false)
+		}
+		w.upset(180_000)
+		w.more(60_000)
+		for key, kind := range w.planted {
+			if w.found[key] == 0 {
+				t.Errorf("seed %d: %s, %v, was not found", seed, key, kind)
+			}
+		}
+		if len(w.falsely) > 0 {
+			t.Errorf("seed %d: %s", seed, w.falsely[0])
+		}
+	}
+}
