--- /dev/null
+++ b/internal/rehearse/fleet.go
@@ -0,0 +1,184 @@
+package rehearse
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"dahliarudder/internal/rehearsal"
+	"dahliarudder/internal/rollout"
+	"dahliarudder/internal/standin"
+)
+
+// What the host and the owner of members do, who are stand-ins: a relay that ends because it was told to is started again, and a
+// member is replaced when the fleet says that it is empty, never before.
+
+// ownerEvery is how often the owner asks, callFor how long an operator asks again.
+const (
+	ownerEvery = 200 * time.Millisecond
+	callFor    = 15 * time.Second
+)
+
+// host starts a relay again that has ended by order.
+func (n *relay) host() {
+	n.down(n)
+	time.Sleep(rehearsal.Millis(n.File.Relays.Host))
+	n.with(func(at time.Duration) {
+		n.judge.Calm(at, n.name)
+		n.judge.Restarted(n.name)
+		n.views.back(at, n.name)
+	})
+	n.mu.Lock()
+	closing := n.closing
+	n.mu.Unlock()
+	if closing {
+		return
+	}
+	if err := n.start(); err != nil {
+		n.with(func(at time.Duration) { n.judge.Crashed(at, n.name, err.Error()) })
+	}
+}
+
+var fleetClient = http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// ask is one call of the fleet's; into may be nil.
+func ask(method, addr, path string, body []byte, into any) int {
+	q, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	a, err := fleetClient.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer a.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(a.Body, 4<<20))
+	if into != nil {
+		json.Unmarshal(text, into)
+	}
+	return a.StatusCode
+}
+
+// call is an operator's, who asks again while nobody can say yes.
+func (r *run) call(n *relay, s rehearsal.Step) {
+	method, path, _ := strings.Cut(s.Call, " ")
+	for end := time.Now().Add(callFor); ; time.Sleep(ownerEvery) {
+		var a rollout.Answer
+		code := ask(method, n.calls, path, s.Body, &a)
+		if code == http.StatusOK {
+			r.with(func(at time.Duration) { r.out.calls = append(r.out.calls, at) })
+			return
+		}
+		if code == http.StatusConflict || code == http.StatusBadRequest || time.Now().After(end) {
+			r.Say("\r%s %s at %s: %d %s\n", method, path, n.name, code, a.Error)
+			return
+		}
+	}
+}
+
+// owner replaces members that are empty, and remembers how releases stand.
+func (r *run) owner(ctx context.Context) {
+	replaced := map[string]bool{}
+	for k := 0; sleep(ctx, ownerEvery); k++ {
+		n := r.relays[k%len(r.relays)]
+		var all struct{ Releases []rollout.Account }
+		if ask("GET", n.calls, "/-/releases?stale", nil, &all) != http.StatusOK {
+			continue
+		}
+		for _, a := range all.Releases {
+			var whole rollout.Account
+			if ask("GET", n.calls, "/-/releases/"+a.Name+"?stale", nil, &whole) != http.StatusOK {
+				continue
+			}
+			r.with(func(at time.Duration) { r.out.release(at, whole) })
+			for _, u := range whole.Units {
+				if u.Kind == rollout.KindMember && u.Phase == rollout.Empty && !replaced[u.Name] {
+					replaced[u.Name] = true
+					r.succeed(u.Name)
+				}
+			}
+		}
+	}
+}
+
+// succeed ends a member and starts its successor.
+func (r *run) succeed(name string) {
+	r.mu.Lock()
+	m := r.members[name]
+	r.mu.Unlock()
+	if m == nil {
+		return
+	}
+	r.Say("\r%7.1f s: the owner replaces %s%s\n", r.now().Seconds(), name, strings.Repeat(" ", 40))
+	next, err := r.newMember(m.index, m.lives+1)
+	m.SendAway()
+	m.Kill()
+	r.disc.Set(m.ID, standin.Deleted)
+	if err != nil {
+		r.Say("%s has no successor: %v\n", name, err)
+		return
+	}
+	r.begin(next)
+}
+
+// outs is what was out, as processes and sockets show it.
+type outs struct {
+	relays, members int     // at once, at most
+	lost            float64 // of all that members bear, at once, at most
+	calls           []time.Duration
+	states          map[string]string        // of releases
+	ended           map[string]time.Duration // since the first call
+}
+
+func (o *outs) release(at time.Duration, a rollout.Account) {
+	if o.states == nil {
+		o.states, o.ended = map[string]string{}, map[string]time.Duration{}
+	}
+	if o.states[a.Name] != a.State {
+		o.states[a.Name], o.ended[a.Name] = a.State, at
+	}
+}
+
+// done is the time from the first call until all releases had ended, in seconds; nil if one has not.
+func (o *outs) done() *float64 {
+	if len(o.states) == 0 || len(o.calls) == 0 {
+		return nil
+	}
+	last := time.Duration(0)
+	for name, state := range o.states {
+		if state != rollout.Ended && state != rollout.Undone {
+			return nil
+		}
+		last = max(last, o.ended[name])
+	}
+	s := (last - o.calls[0]).Seconds()
+	return &s
+}
+
+// countOut looks how many relays no front sends to, and how many members are down or cold. What the time line breaks counts too.
+func (r *run) countOut(ctx context.Context) {
+	for sleep(ctx, 50*time.Millisecond) {
+		relays := len(r.relays) - r.front.count()
+		r.with(func(time.Duration) {
+			members, all, lost, now := 0, 0.0, 0.0, time.Now()
+			for _, m := range r.byIndex {
+				bears, cores := 1.0, m.Bearing.Cores
+				if m.entry.Started > 0 {
+					bears = m.Bearing.Share(now.Sub(time.UnixMilli(m.entry.Started)))
+				}
+				if m.Down() {
+					bears = 0
+				}
+				if bears < 1 {
+					members++
+				}
+				all, lost = all+cores, lost+cores*(1-bears)
+			}
+			r.out.relays, r.out.members, r.out.lost = max(r.out.relays, relays), max(r.out.members, members), max(r.out.lost, lost/all)
+		})
+	}
+}
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -39,11 +39,19 @@
 	Lists   float64            `json:"list_calls_in_100_ms_most"`
 	Probes  float64            `json:"probes_a_s"`
 	Relays  []Relay            `json:"relays"`
-	Late    map[string]float64 `json:"rehearsal_late_ms"`
-	Peers   *Peers             `json:"peers,omitempty"`
-	Asked   []float64          `json:"asked"` // connections, each second
-	Served  []float64          `json:"served"`
-	Steps   []Mark             `json:"faults"`
+	// Out is how many were out together at most: relays that no front sends to, members that are down or cold. Cores is the least that members bore.
+	Out struct {
+		Relays  int     `json:"relays"`
+		Members int     `json:"members"`
+		Cores   float64 `json:"cores_left_part"`
+	} `json:"out_at_once"`
+	Releases map[string]string  `json:"releases,omitempty"` // how each stands at the end
+	Done     *float64           `json:"releases_done_after_s"`
+	Late     map[string]float64 `json:"rehearsal_late_ms"`
+	Peers    *Peers             `json:"peers,omitempty"`
+	Asked    []float64          `json:"asked"` // connections, each second
+	Served   []float64          `json:"served"`
+	Steps    []Mark             `json:"faults"`
 }
 
 // Relay is what one relay used.
@@ -108,6 +116,8 @@
 		v := r.views
 		x.Peers = &Peers{len(v.noticed), rehearsal.Quantile(v.noticed, 0.5), rehearsal.Quantile(v.noticed, 0.99), v.false_, v.dead}
 	}
+	x.Out.Relays, x.Out.Members, x.Out.Cores, x.Releases = r.out.relays, r.out.members, 1-r.out.lost, r.out.states
+	x.Done = r.out.done()
 	for _, s := range r.plan.Steps {
 		x.Steps = append(x.Steps, Mark{s.At.Seconds(), strings.TrimSpace(s.Do + " " + s.Who + " " + s.To)})
 	}
@@ -137,9 +147,24 @@
 	{"an end noticed by a relay, p99", func(r *Result) float64 { return r.peers().P99 }, "s", true},
 	{"live relays suspected", func(r *Result) float64 { return float64(r.peers().Suspected) }, "", true},
 	{"live relays held for dead", func(r *Result) float64 { return float64(r.peers().Dead) }, "", true},
+	{"relays out at once", func(r *Result) float64 { return float64(r.Out.Relays) }, "", false},
+	{"members down or cold at once", func(r *Result) float64 { return float64(r.Out.Members) }, "", false},
+	{"least that members bore, of all", func(r *Result) float64 { return 100 * r.Out.Cores }, "%", false},
+	{"releases done after", func(r *Result) float64 { return released(r) }, "s", false},
 	{"rules broken", func(r *Result) float64 { return float64(len(r.Broken)) }, "", false},
 }
 
+// released is the time from the first call until all releases had ended; 0 without any, all that was left where one did not.
+func released(r *Result) float64 {
+	switch {
+	case r.Done != nil:
+		return *r.Done
+	case len(r.Releases) == 0:
+		return 0
+	}
+	return r.Seconds
+}
+
 // back is the time to full service; a play that never got there counts as all that was left of it.
 func back(r *Result) float64 {
 	if r.Back != nil {
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -163,6 +163,13 @@
 	}
 }
 
+// Down says that nobody is at its addresses.
+func (m *Member) Down() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.doors[0].l == nil
+}
+
 // Set says how it answers from now on.
 func (m *Member) Set(mode string) {
 	m.mu.Lock()
