--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,529 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+)
+
+// op is one call to the record, for porcupine.
+type op struct {
+	c          Command
+	a          Answer
+	call, back int64
+}
+
+func seeds(short uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("ROLLOUT_SEEDS"), 10, 64); err == nil {
+		return n
+	}
+	return short
+}
+
+// play is one seed: releases of relays and members, permits, failures; then calm, and all has to end.
+func play(seed uint64, roundtrip bool, history *[]op) *world {
+	pick := newWorld(seed, 1, 1, 1).rng
+	n, m := 3+pick.IntN(10), 3+pick.IntN(10)
+	if seed%40 == 39 {
+		n, m = 60+pick.IntN(40), 60+pick.IntN(40)
+	}
+	w := newWorld(seed, n, m, 1+pick.IntN(3))
+	w.roundtrip, w.history = roundtrip, history
+	w.calm = seed%5 == 0 // some without faults
+	w.faulty = !w.calm
+	for i := range pick.IntN(4) {
+		a := &asker{kind: []string{KindRelay, KindMember}[i%2], who: "asker" + strconv.Itoa(i), rate: 1 + (pick.Float64()-0.5)/50}
+		a.name = map[string]string{KindRelay: w.relays[pick.IntN(n)].name, KindMember: w.members[pick.IntN(m)].name}[a.kind]
+		if !slices.ContainsFunc(w.askers, func(b *asker) bool { return a.kind == b.kind && a.name == b.name }) {
+			a.next = w.now + w.rnd(0, 20000)
+			w.askers = append(w.askers, a)
+		}
+	}
+	for range 40 {
+		w.tick()
+	}
+	opens := []Command{
+		{Kind: Open, Name: "relays", Release: &Wish{Kind: KindRelay, All: true, Program: "p2", Lone: pick.IntN(4) == 0, Zonal: pick.IntN(4) == 0}},
+		{Kind: Open, Name: "members", Release: &Wish{Kind: KindMember, All: true, Program: "b2", Wait: true}},
+	}
+	if pick.IntN(3) == 0 {
+		opens = append(opens, Command{Kind: Open, Name: "drain", Release: &Wish{Kind: KindMember, Drain: true, Names: []string{"m0"}, Wait: true}})
+	}
+	for _, c := range opens {
+		w.order(c)
+	}
+	backAt, haltAt := int64(0), int64(0)
+	if pick.IntN(2) == 0 {
+		backAt = w.now + w.rnd(1000, 30000)
+	}
+	if pick.IntN(2) == 0 {
+		haltAt = w.now + w.rnd(1000, 20000)
+	}
+	if pick.IntN(6) == 0 {
+		w.drop = w.now + w.rnd(5000, 15000)
+	}
+	if pick.IntN(6) == 0 {
+		w.drift = w.now + w.rnd(1000, 5000)
+	}
+	for range 400 {
+		w.tick()
+		name := []string{"relays", "members"}[w.rng.IntN(2)]
+		if backAt > 0 && w.now >= backAt {
+			w.order(Command{Kind: Back, Name: name})
+			backAt = 0
+			if w.rng.IntN(3) == 0 {
+				haltAt = w.now + w.rnd(100, 3000) // a second halt, on the way back
+			}
+		}
+		if haltAt > 0 && w.now >= haltAt {
+			w.order(Command{Kind: Halt, Name: name, Why: "by hand"})
+			haltAt = 0
+		}
+		if w.rng.IntN(300) == 0 {
+			w.order(Command{Kind: Resume, Name: name})
+		}
+	}
+	w.calm, w.drop, w.drift = true, 0, 0
+	w.settleDown(600, Resume)
+	w.settleDown(1000, Back)
+	if w.s.d.release("drain") != nil {
+		w.order(Command{Kind: Back, Name: "drain"}) // it may have held up what else is to go back
+	}
+	w.settleDown(1500, Back)
+	w.settleDown(1500, Back)
+	w.settleDown(1, "")
+	w.last()
+	return w
+}
+
+// order is an operator's call, repeated until it is answered.
+func (w *world) order(c Command) {
+	for {
+		done := false
+		w.propose("operator", c, func(Answer) { done = true })
+		for range 20 {
+			if w.tick(); done {
+				return
+			}
+		}
+	}
+}
+
+// settleDown waits until all has ended, and calls at what is halted.
+func (w *world) settleDown(ticks int, call string) {
+	for range ticks {
+		w.tick()
+		if !slices.ContainsFunc(w.s.d.Releases, func(r release) bool { return !r.ended() && r.State != Halted }) {
+			break
+		}
+	}
+	for _, r := range w.s.Releases() {
+		if r.State == Halted && call != "" {
+			w.order(Command{Kind: call, Name: r.Name})
+		}
+	}
+}
+
+// last is what has to be so at the end.
+func (w *world) last() {
+	for _, r := range w.s.d.Releases {
+		if !r.ended() && r.State != Halted {
+			w.fault("release %s is %s behind %q: %+v", r.Name, r.State, r.Behind, slices.DeleteFunc(slices.Clone(r.Units), func(u Unit) bool {
+				return u.Phase == Waiting || u.Phase == Done && !r.undoable(&u)
+			}))
+			continue
+		}
+		if r.Wish.Drain || r.State == Halted {
+			continue
+		}
+		for _, u := range r.Units {
+			is, was, ordered := "", "", 0
+			for _, h := range w.relays {
+				if u.Kind == KindRelay && h.name == u.Name {
+					is, was, ordered = h.program, h.was, h.ordered
+				}
+			}
+			for _, x := range w.members {
+				if u.Kind == KindMember && x.name == u.name() {
+					is, was = x.program, x.was
+				}
+			}
+			if u.Number == 0 && ordered > 0 {
+				w.fault("%s was never told, and left", u.Name)
+			}
+			if w.faulty && (u.Phase == Missing || u.Now != "" && !strings.HasPrefix(u.Now, u.Name)) {
+				continue // it was down while all else was through, and is named; or one that was down when all was laid out stands for it
+			}
+			if u.Stranded || u.Phase == Missing {
+				w.fault("%s is stranded in the calm: %+v", u.Name, u)
+				continue
+			}
+			if r.State == Undone && is != was {
+				w.fault("back: %s runs %q, before %q: %+v", u.Name, is, was, u)
+			}
+			if r.State == Ended && is != r.Wish.Program {
+				w.fault("done: %s runs %q: %+v", u.Name, is, u)
+			}
+		}
+	}
+}
+
+// all plays seeds side by side, each by itself, and says what was wrong with the first.
+func all(n uint64, one func(seed uint64) []string) (seed uint64, faults []string) {
+	var next atomic.Uint64
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	seed = n
+	for range runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			for i := next.Add(1) - 1; i < n; i = next.Add(1) - 1 {
+				if f := one(i); len(f) > 0 {
+					mu.Lock()
+					if i < seed {
+						seed, faults = i, f
+					}
+					mu.Unlock()
+					next.Store(n)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return seed, faults
+}
+
+func TestModel(t *testing.T) {
+	var ended, undone, halted atomic.Int64
+	seed, faults := all(seeds(150), func(seed uint64) []string {
+		w := play(seed, false, nil)
+		for _, r := range w.s.Releases() {
+			switch r.State {
+			case Ended:
+				ended.Add(1)
+			case Undone:
+				undone.Add(1)
+			default:
+				halted.Add(1)
+			}
+		}
+		return w.faults
+	})
+	if len(faults) > 0 {
+		t.Errorf("seed %d: %q", seed, faults)
+	}
+	t.Logf("releases: %d done, %d went back, %d halted", ended.Load(), undone.Load(), halted.Load())
+}
+
+// The same seed gives the same trace, also where the state goes through Encode and Decode before each command.
+func TestReplay(t *testing.T) {
+	_, faults := all(seeds(100)/5, func(seed uint64) []string {
+		if a, b := play(seed, false, nil).trace, play(seed, true, nil).trace; a != b {
+			return []string{fmt.Sprintf("%x and %x", a, b)}
+		}
+		return nil
+	})
+	if len(faults) > 0 {
+		t.Error(faults)
+	}
+}
+
+// Each defect is found by the judge, or by the trace.
+func TestPlanted(t *testing.T) {
+	defer func() { planted = "" }()
+	for _, defect := range []string{"no failures", "no fencing", "a map's order", "own word", "half forgotten"} {
+		planted = defect
+		seed, faults := all(400, func(seed uint64) []string {
+			if seed%40 == 39 {
+				return nil // a large one
+			}
+			w := play(seed, false, nil)
+			if defect == "a map's order" && play(seed, false, nil).trace != w.trace {
+				return []string{"two plays of one seed differ"}
+			}
+			return w.faults
+		})
+		if len(faults) == 0 {
+			t.Errorf("%s: not found", defect)
+		} else {
+			t.Logf("%s: seed %d: %s", defect, seed, faults[0])
+		}
+	}
+}
+
+// Permits are linearizable: what askers and pilots were answered, in the times in which they called, fits one permit at a time for
+// each thing, and never more granted than the budgets hold.
+func TestPermits(t *testing.T) {
+	type held struct {
+		who, state string
+		number     uint64
+	}
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{map[string]held{}} },
+		Step: func(state, input, output any) []any {
+			s, c, a := state.(map[string]held), input.(Command), output.(Answer)
+			if a.Error != "" {
+				return []any{s} // refused: nothing changed
+			}
+			next, key := maps.Clone(s), c.Thing+" "+c.Name
+			find := func(number uint64) string {
+				for k, h := range s {
+					if h.number == number {
+						return k
+					}
+				}
+				return ""
+			}
+			switch c.Kind {
+			case Ask:
+				h, is := s[key]
+				switch {
+				case !is:
+					next[key] = held{c.Who, Wait, a.Number}
+					if a.State != Wait || find(a.Number) != "" {
+						return nil
+					}
+				case h.number != a.Number || a.State != h.state && !(a.State == Wait && h.state == Granted && a.Left == 0):
+					return nil
+				}
+			case Begin:
+				k := find(c.Number)
+				if k == "" || s[k].state == Wait {
+					return nil
+				}
+				next[k] = held{s[k].who, Begun, c.Number}
+			case Give:
+				k := find(c.Number)
+				if k == "" {
+					return nil
+				}
+				if s[k].state != Begun {
+					delete(next, k)
+				}
+			case Step:
+				for _, g := range c.Gives {
+					if k := find(g.Permit); g.Permit != 0 {
+						if k == "" || s[k].state != Wait {
+							return nil
+						}
+						next[k] = held{s[k].who, Granted, g.Permit}
+					}
+				}
+				for _, kind := range []string{KindRelay, KindMember} {
+					n, total, budget := 0, 0, c.Sight.Budgets.Members
+					zones := c.Sight.Members.Zones
+					if kind == KindRelay {
+						zones, budget = c.Sight.Relays.Zones, c.Sight.Budgets.Relays
+					}
+					for _, z := range zones {
+						total += z
+					}
+					for k, h := range next {
+						if strings.HasPrefix(k, kind) && h.state != Wait {
+							n++
+						}
+					}
+					if n > budget.whole(total) {
+						return nil
+					}
+				}
+			case Seen:
+				for _, x := range c.Saw {
+					if k := find(x.Permit); x.Permit != 0 && k != "" && s[k].state == Begun {
+						delete(next, k)
+					}
+				}
+			case Void:
+				for _, number := range c.Numbers {
+					if k := find(number); k != "" && s[k].state == Begun {
+						return nil
+					} else if k != "" {
+						delete(next, k)
+					}
+				}
+			}
+			return []any{next}
+		},
+		Equal: func(x, y any) bool { return maps.Equal(x.(map[string]held), y.(map[string]held)) },
+	}
+	granted := 0
+	for seed := range seeds(200) / 10 {
+		var history []op
+		if seed%40 == 39 {
+			continue
+		}
+		play(seed, false, &history)
+		var ops []porcupine.Operation
+		for i, o := range history {
+			if slices.Contains([]string{Ask, Begin, Give, Step, Seen, Void}, o.c.Kind) && o.a.Error == "" {
+				ops = append(ops, porcupine.Operation{ClientId: i, Input: o.c, Call: o.call, Output: o.a, Return: o.back})
+				if o.c.Kind == Ask && o.a.State == Granted {
+					granted++
+				}
+			}
+		}
+		if r := porcupine.CheckOperationsTimeout(model.ToModel(), ops, time.Minute); r == porcupine.Illegal {
+			t.Fatalf("seed %d: no order of the calls explains what was answered", seed)
+		}
+	}
+	if granted == 0 {
+		t.Error("no permit was ever granted")
+	}
+}
+
+// Operators and pilots that call anything at all, in any order: an error changes nothing, and what is out stays within the budget of the
+// sight that was given.
+func TestRandomCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64Range(0, 1000).Draw(t, "seed"), 5, 6, 2)
+		w.calm = true
+		names := rapid.SampledFrom([]string{"a", "b", "n1", "m1", "m2", ""})
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			c := Command{Kind: rapid.SampledFrom([]string{Open, Ask, Begin, Give, Halt, Resume, Back, Ban, Allow, Void, Seen, "tick", "tick", "tick"}).Draw(t, "kind"),
+				Name: names.Draw(t, "name"), Names: []string{names.Draw(t, "of")}, Thing: rapid.SampledFrom([]string{KindRelay, KindMember}).Draw(t, "thing"),
+				For: rapid.Int64Range(-1, 5000).Draw(t, "for"), Number: rapid.Uint64Range(0, 12).Draw(t, "number"), Who: names.Draw(t, "who")}
+			switch c.Kind {
+			case "tick":
+				for range 15 {
+					w.tick()
+				}
+				continue
+			case Open:
+				c.Release = &Wish{Kind: rapid.SampledFrom([]string{KindRelay, KindMember, KindBan, "x"}).Draw(t, "what"), All: rapid.Bool().Draw(t, "all"),
+					Drain: rapid.Bool().Draw(t, "drain"), Wait: rapid.Bool().Draw(t, "wait"), Program: names.Draw(t, "program")}
+				if c.Release.Kind == KindBan {
+					c.Release.All, c.Release.Drain, c.Release.Ban = false, false, []string{names.Draw(t, "ban")}
+				}
+			case Void:
+				c.Numbers = []uint64{c.Number}
+			case Seen:
+				c.Saw = []Saw{{Release: c.Name, Unit: names.Draw(t, "unit"), Order: c.Number, Phase: rapid.SampledFrom([]string{Done, Empty, Coming, Waiting, Missing}).Draw(t, "phase")}}
+			}
+			before := w.s.Encode()
+			var a Answer
+			if err := json.Unmarshal(w.s.Apply(w.now, "operator", c.Encode()), &a); err != nil {
+				t.Fatal(err)
+			}
+			if a.Error != "" && !bytes.Equal(before, w.s.Encode()) {
+				t.Fatalf("%+v was refused (%s), and changed the state", c, a.Error)
+			}
+			w.remember()
+			for _, kind := range []string{KindRelay, KindMember} {
+				if n := len(w.s.d.planned(kind)); n > 6 {
+					t.Fatalf("%d of kind %s are out by plan", n, kind)
+				}
+			}
+		}
+	})
+}
+
+func FuzzApply(f *testing.F) {
+	var history []op
+	play(2, false, &history)
+	kinds := map[string]int{}
+	for _, o := range history {
+		if kinds[o.c.Kind]++; kinds[o.c.Kind] < 4 {
+			f.Add(o.call, o.c.Encode(), uint16(40))
+		}
+	}
+	f.Add(int64(-1), []byte(`{"kind":"step","gives":[{}],"sight":{}}`), uint16(0))
+	f.Add(int64(1)<<62, []byte(`{"kind":"lay","before":[{"asked":1e308}]}`), uint16(9))
+	f.Fuzz(func(t *testing.T, at int64, body []byte, n uint16) {
+		s := New()
+		for _, o := range history[:min(int(n), len(history))] {
+			s.Apply(o.call, "n1", o.c.Encode())
+		}
+		before := s.Encode()
+		var a Answer
+		if err := json.Unmarshal(s.Apply(at, "n2", body), &a); err != nil {
+			t.Fatal(err)
+		}
+		if a.Error != "" && !bytes.Equal(before, s.Encode()) {
+			t.Fatalf("refused (%s), and changed", a.Error)
+		}
+		s.Orders("n1")
+		if _, err := Decode(s.Encode()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	for seed := range uint64(3) {
+		f.Add(play(seed, false, nil).s.Encode())
+	}
+	f.Add([]byte(`{"releases":[{"state":"running"}]}`))
+	w := newWorld(1, 3, 3, 2)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := Decode(b)
+		if err != nil {
+			return
+		}
+		s.Orders("n1")
+		for _, c := range s.Plan(w.now, w.view(), w.budgets) {
+			s.Apply(w.now, "n1", c.Encode())
+		}
+		s.Encode()
+	})
+}
+
+// Budgets as operators write them, and those with which nothing ever could go out.
+func TestBudgets(t *testing.T) {
+	for text, want := range map[string]Part{"25%": {Share: 0.25}, "2": {Count: 2}, "0": {}, "-1": {}, "0%": {}, "101%": {}, "x": {}, "NaN%": {}} {
+		if got, err := ParsePart(text); got != want || (err == nil) != want.set() {
+			t.Errorf("%s: %v, %v", text, got, err)
+		}
+	}
+	b := Budgets{Relays: Budget{Whole: Part{Share: 0.25}}, Members: Budget{Whole: Part{Count: 1}, Zone: Part{Share: 0.3}}}
+	if why := b.Never(map[string]int{"a": 2, "b": 2}, map[string]int{"a": 4, "b": 3}); why != "members: the budget of a zone lets none out in b" {
+		t.Error(why)
+	}
+	if why := b.Never(map[string]int{"a": 3}, nil); why == "" {
+		t.Error("a quarter of three is none")
+	}
+}
+
+// What the service was before, and what is more than noise: neither its own spread nor a single bad window halts.
+func TestService(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	window := func(p float64) Count {
+		n, served := 400+rng.IntN(200), 0
+		p += (rng.Float64() - 0.5) / 50 // windows differ by more than chance
+		for range n {
+			if rng.Float64() < p {
+				served++
+			}
+		}
+		return Count{1, float64(n), float64(served)}
+	}
+	halted, found := 0, 0
+	for range 2000 {
+		var counts []Count
+		for range 30 {
+			counts = append(counts, window(0.97))
+		}
+		asked, served, spread := before(counts)
+		if worse(asked, served, spread, 0.01, []Count{window(0.97), window(0.97), window(0.97)}, 0) {
+			halted++
+		}
+		if worse(asked, served, spread, 0.01, []Count{window(0.85), window(0.85), window(0.85)}, 0) {
+			found++
+		}
+	}
+	if halted > 0 || found < 1990 {
+		t.Errorf("%d of 2000 halted by noise, %d found", halted, found)
+	}
+}
