--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -25,7 +25,7 @@
 
 // patience is how long a test waits for what must come; only a failing test
 // waits that long.
-const patience = 60 * time.Second
+const patience = 30 * time.Second
 
 var program string
 
