The module keeps a canary's arm apart: whose group is drawn goes there, nobody else does

Change: Arms is news to the module; maySendTo holds both sides to their servers; an arm without room gives way to limits, drains and cold budgets, and that is counted.

--- a/policy/facade.go
+++ b/policy/facade.go
@@ -68,6 +68,12 @@
 	}
 	// Relays is by how many the budgets are divided that all relays share.
 	Relays struct{ Share float64 }
+	// Arms is which servers are of a canary's arm, and whose connections go there: by the group, or the key where there is none. Nobody
+	// else's do. Nil: none.
+	Arms struct {
+		Of    func(ServerID) bool
+		Drawn func(group uint64) bool
+	}
 	// FlowDelay is how long a message on an open flow takes at its server.
 	FlowDelay struct {
 		ID   RequestID
@@ -87,8 +93,17 @@
 		b.relays = n.Share
 	}
 }
+func (n Arms) tell(b *Balancer, _ time.Duration) {
+	b.arms = n
+	for _, s := range b.servers {
+		s.arm = b.inArm(s.ID)
+	}
+}
 func (n FlowDelay) tell(b *Balancer, now time.Duration) { b.Slow(now, n.ID, n.Took) }
 
+// Strayed is how many connections were drawn for an arm and went elsewhere, since it had no room.
+func (f *Facade) Strayed() uint64 { return f.b.strayed }
+
 // Facade drives a Balancer by calls that return verdicts. The slice that a call
 // returns is valid until the next call.
 type Facade struct {
--- a/policy/facade_test.go
+++ b/policy/facade_test.go
@@ -169,3 +169,52 @@
 		t.Error("zones of other settings were taken over")
 	}
 }
+
+// TestArms: whose group is drawn for an arm goes there and nobody else does; where the arm has no room, or is gone, limits and drains go before
+// its share, and what could not be kept is counted; with no weight nothing new goes there, however full the others are.
+func TestArms(t *testing.T) {
+	set := settings()
+	set.Groups = true
+	f := Begin(t0, set, 7)
+	all := fleet(6, 1)
+	arm := all[0].ID
+	f.Report(t0, Pool{Kind: ListCached, Servers: all})
+	weight := uint64(2) // groups below it
+	f.Report(t0, Arms{Of: func(id ServerID) bool { return id == arm }, Drawn: func(group uint64) bool { return group <= weight }})
+	next := RequestID(0)
+	sent := func(group uint64) (at ServerID) {
+		next++
+		todo := slices.Clone(f.Pick(t0, Request{ID: next, Group: group, Deadline: t0 + 2*time.Second, Load: 0.01}))
+		for len(todo) > 0 {
+			v := todo[0]
+			todo = todo[1:]
+			switch {
+			case v.Do == DoProbe:
+				todo = append(todo, f.Report(t0, Probed{Server: v.Server, Result: OK, Report: Report{Connections: 1, Load: 0.1, Util: -1}})...)
+			case v.Do == DoSend && v.ID == next:
+				at = v.Server
+			}
+		}
+		return at
+	}
+	for group := uint64(1); group <= 20; group++ {
+		if at := sent(group); at == 0 || (at == arm) != (group <= weight) {
+			t.Errorf("group %d went to %d, the arm is %d", group, at, arm)
+		}
+	}
+	gone := all[0]
+	gone.State = Draining
+	f.Report(t0, Pool{Kind: ListDelta, Servers: []Server{gone}})
+	if sent(1); f.Strayed() != 0 {
+		t.Error("given up before it was held")
+	}
+	strayed := false
+	for at := t0; at < t0+2*time.Second; at += 10 * time.Millisecond {
+		for _, v := range f.Tick(at) {
+			strayed = strayed || v.Do == DoSend && v.ID == next && v.Server != arm
+		}
+	}
+	if !strayed || f.Strayed() != 1 {
+		t.Errorf("with the arm draining: sent elsewhere %v, counted %d", strayed, f.Strayed())
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -177,7 +177,7 @@
 		s.health, s.has, s.recent = health{}, false, nil
 		b.chill(now, s)
 	}
-	s.Server = e
+	s.Server, s.arm = e, b.inArm(e.ID)
 }
 
 // owner is the tenant whose slice a server belongs to. It depends on the id and the shares alone, so
@@ -255,7 +255,7 @@
 func (b *Balancer) admit(now time.Duration, q Request) *request {
 	q.Class = min(max(q.Class, 0), len(b.set.Classes)-1)
 	q.Tenant = min(max(q.Tenant, 0), len(b.set.Tenants)-1)
-	r := &request{Request: q, arrived: now}
+	r := &request{Request: q, arrived: now, arm: b.isDrawn(q)}
 	if q.Load > 0 && !math.IsInf(q.Load, 1) {
 		r.load = q.Load
 	}
@@ -369,8 +369,8 @@
 			continue
 		}
 		tier := foreignHere
-		if !grouped { // a group has one slice in the whole fleet: one in each zone would be paid for there
-			tier += 2 * b.away(s.Zone)
+		if !grouped && s.Zone != b.set.Zone { // a group has one slice: one in each zone would be paid for there
+			tier = foreignAway
 		}
 		if key == 0 && slices.Contains(b.slices[r.Tenant], s) {
 			tier -= foreignHere
@@ -397,14 +397,6 @@
 	return tiered
 }
 
-// away is 1 for another zone than the own.
-func (b *Balancer) away(zone int) int {
-	if zone == b.set.Zone {
-		return 0
-	}
-	return 1
-}
-
 // usable says whether a server may be sent this request at all, room aside.
 func (b *Balancer) usable(now time.Duration, r *request, s *server) bool {
 	return !slices.Contains(r.tried, s.ID) && r.maySendTo(b, now, s) && now >= s.until &&
@@ -620,6 +612,12 @@
 	again := time.Duration(float64(aim) / 4 * (0.5 + b.rng.Float64()))
 	if b.overShare(r.Tenant) || r.tries >= b.set.MaxAttempts || now+again > min(r.arrived+aim, r.Deadline) ||
 		r.ran && b.set.Classes[r.Class].Effect == Unsafe {
+		if r.arm { // its arm has no room: limits, drains and cold budgets go before the arm's share
+			r.arm, r.stage, r.asked = false, 0, 0
+			b.strayed++
+			b.place(now, r)
+			return
+		}
 		if s := b.lastResort(now, r); s != nil {
 			b.send(now, r, s, true)
 			return
@@ -655,8 +653,8 @@
 	if r.done || r.open || r.tries >= b.set.MaxAttempts || now >= r.Deadline || s.State != Ready {
 		return false
 	}
-	if !r.ran {
-		return true
+	if !r.ran || s.arm != r.arm {
+		return s.arm == r.arm
 	}
 	switch c := b.set.Classes[r.Class]; c.Effect {
 	case Safe:
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -38,7 +39,8 @@
 type server struct {
 	Server
 	health
-	owner        int // tenant whose slice it belongs to
+	owner        int  // tenant whose slice it belongs to
+	arm          bool // it is of a canary's arm
 	report       Report
 	reported     time.Duration // when the report came
 	since        time.Duration // when these values were first seen
@@ -75,6 +77,7 @@
 	tried       []ServerID
 	at          *server // where the open attempt went
 	foreign     bool
+	arm         bool // it is drawn for a canary's arm
 	open        bool // an attempt is out
 	established bool
 	moved       bool // asked to come again
@@ -113,6 +116,14 @@
 	horizon    time.Duration
 	slowest    time.Duration
 	messageAim time.Duration // the shortest of all classes
+	arms       Arms
+	strayed    uint64 // connections that were drawn for an arm and went elsewhere
+}
+
+// inArm and isDrawn ask the news of arms, if there was any.
+func (b *Balancer) inArm(id ServerID) bool { return b.arms.Of != nil && b.arms.Of(id) }
+func (b *Balancer) isDrawn(q Request) bool {
+	return b.arms.Drawn != nil && !q.MidFlow && b.arms.Drawn(cmp.Or(q.Group, q.Key))
 }
 
 // holds says whether own connections of a group are there.
