A member that just started looks cold also before anybody learned its capacity

Seen in a rehearsal of a release: four of twelve members were cold together with a budget of two. Cause: a new member's capacity is unknown, so it bore 0 of 0 and looked warm (view.go, members). Change: such a one is taken for a mean member. Result: TestView.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -206,8 +206,17 @@
 			}
 		}
 	}
+	known, sum := 0.0, 0.0
+	for _, name := range slices.Sorted(maps.Keys(pool)) {
+		if c := pool[name].Capacity; c > 0 {
+			known, sum = known+1, sum+c
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(pool)) {
 		m := pool[name]
+		if m.Capacity == 0 && known > 0 { // a new one of which no report told yet: without a capacity it would not look cold
+			m.Capacity = sum / known
+		}
 		m.Bears = m.Capacity
 		if m.Started > 0 {
 			m.Bears = m.Capacity * cold.at(now-m.Started)
--- /dev/null
+++ b/internal/fleet/view_test.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"testing"
+
+	"dahliarudder/internal/rollout"
+)
+
+func member(v rollout.View, name string) (m rollout.Member) {
+	for _, m = range v.Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return rollout.Member{}
+}
+
+// TestView: what many relays said becomes one view. A member that was just started bears little although nobody has learned its capacity; flows
+// count while a relay names them; failures of long ago are forgotten; a word of an earlier process, or one that was overtaken, changes
+// nothing; a relay serves in full only if others see this very process serve.
+func TestView(t *testing.T) {
+	s, cold := newScene(), warmth{0.25, 8000}
+	const now = 1_000_000
+	own := Look{Members: []Pooled{{Name: "old", Listed: "ready", Capacity: 40}, {Name: "new", Listed: "ready", Started: now - 4000}},
+		Peers: []Peer{{Name: "b", Alive: true, Serving: true, Incarnation: 70}, {Name: "c", Gone: true, Incarnation: 5}}}
+	word := func(start, asked, bad uint64, flows int) word {
+		return word{Start: start, Phase: "serving", Asked: asked, Served: asked, Members: []sight{{Name: "old", Flows: flows, Bad: bad}}}
+	}
+	s.hear(now-3000, "a", word(50, 10, 0, 3))
+	s.hear(now-2500, "b", word(71, 20, 0, 4))
+	s.hear(now-2000, "b", word(71, 30, 5, 6))
+	s.hear(now-1500, "b", word(70, 90, 90, 90)) // an earlier process
+	s.hear(now-1400, "b", word(71, 25, 5, 90))  // overtaken
+	v := s.view(now, "a", own, cold)
+	if m := member(v, "new"); m.Capacity != 40 || m.Bears != 25 {
+		t.Errorf("a cold member bears %v of %v", m.Bears, m.Capacity)
+	}
+	if m := member(v, "old"); m.Held["a"].Flows != 3 || m.Held["b"].Flows != 6 || !m.Failing || m.Bears != 40 || v.Load != 9 {
+		t.Errorf("%+v, load %v", m, v.Load)
+	}
+	if m := member(s.view(now+triedMS, "a", own, cold), "old"); m.Failing {
+		t.Error("failures of long ago count")
+	}
+	for _, r := range v.Relays {
+		want := map[string][2]bool{"a": {true, false}, "b": {false, false}, "c": {false, true}}[r.Name]
+		if r.Full != want[0] || r.Gone != want[1] {
+			t.Errorf("%+v", r)
+		}
+	}
+	own.Peers[0].Incarnation = 71
+	if v := s.view(now, "a", own, cold); !v.Relays[1].Full {
+		t.Errorf("%+v", v.Relays[1])
+	}
+	s.hear(now-1000, "a", word(50, 14, 0, 0))
+	if m := member(s.view(now, "a", own, cold), "old"); len(m.Held) != 1 {
+		t.Errorf("held %v", m.Held)
+	}
+	if n := len(s.windows); n == 0 || s.windows[n-1].Served == 0 {
+		t.Errorf("windows %v", s.windows)
+	}
+}
