accord: that a change of voters is agreed outlasts a restart; followers go to their own voter

The engine does not insist on writing the commit index. The index is written with each change of voters.

--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -74,10 +74,11 @@
 	early   []*pb.Message // may go before it is written
 	late    []*pb.Message
 	marks   map[uint64]mark
+	voters  bool // who votes changes: that this is agreed has to outlast a restart, or this voter would count by its old configuration again
 }
 
 // write says whether it has to be on disk first.
-func (w *work) write() bool { return w.rd.MustSync || w.snap != nil }
+func (w *work) write() bool { return w.rd.MustSync || w.snap != nil || w.voters }
 
 // newCore begins from what is held: the storage has the last snapshot, which s is, and what follows it.
 func newCore(id uint64, st *raft.MemoryStorage, s state, unsure bool, log raft.Logger) (c *core, err error) {
@@ -322,6 +323,12 @@
 	if !raft.IsEmptySnap(rd.Snapshot) {
 		w.snap = rd.Snapshot
 	}
+	for _, e := range rd.CommittedEntries {
+		w.voters = w.voters || e.GetType() != pb.EntryNormal
+	}
+	if w.voters && w.hard == nil {
+		w.hard, _, _ = c.st.InitialState()
+	}
 	for _, m := range rd.Messages {
 		switch m.GetType() {
 		case pb.MsgApp, pb.MsgHeartbeat, pb.MsgSnap: // a leader's, of what it writes meanwhile itself
--- a/internal/accord/follow.go
+++ b/internal/accord/follow.go
@@ -17,6 +17,7 @@
 	silence    = 2 * time.Second        // after which a follower takes another voter
 	streamMost = 256 << 10              // bytes of entries in a frame
 	frameMost  = largeMost
+	homeAfter  = 10 * time.Second // a follower that took another voter looks so often whether its own is well again
 )
 
 const (
@@ -161,13 +162,17 @@
 			continue
 		}
 		m := list[next%len(list)]
-		err := n.follow(m)
+		err := n.follow(m, list[0])
 		n.mu.Lock()
 		n.followed = followed{}
 		n.mu.Unlock()
 		if errors.Is(err, errIdle) {
 			continue
 		}
+		if errors.Is(err, errHome) {
+			next = 0
+			continue
+		}
 		next++
 		select {
 		case <-n.quit:
@@ -178,13 +183,15 @@
 }
 
 var (
-	errIdle   = errors.New("not needed any more")
-	errSilent = errors.New("silent")
-	errAlone  = errors.New("it hears no leader")
+	errIdle  = errors.New("not needed any more")
+	errHome  = errors.New("the voter that is this relay's by name is well again")
+	errAlone = errors.New("it hears no leader")
 )
 
-// follow reads one voter's stream until it fails, falls silent, or hears no leader for long.
-func (n *Node) follow(m member) error {
+// follow reads one voter's stream until it fails, falls silent, or hears no leader for long; or until home, the voter that this relay would
+// take first, is well again: else all would stay with the one that was up first.
+func (n *Node) follow(m, home member) error {
+	looked := time.Now()
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	alive := time.AfterFunc(silence, cancel)
@@ -261,6 +268,13 @@
 			n.mu.Lock()
 			n.followed.committed, n.followed.majority, n.followed.leader = committed, majority, leader
 			n.mu.Unlock()
+			if m.Name != home.Name && time.Since(looked) > homeAfter {
+				looked = time.Now()
+				record, _, _ := n.ap.at()
+				if h, err := n.greet(home, 0, 0); err == nil && h.record == record && h.majority {
+					return errHome
+				}
+			}
 			switch {
 			case majority:
 				alone = time.Time{}
@@ -337,6 +351,7 @@
 	members                        members
 	mark                           mark // of who asks, as it is remembered
 	voter                          bool // it has an engine that knows who asks
+	majority                       bool // it has one that hears a leader
 }
 
 func (n *Node) answerHello(from string, body []byte) []byte {
@@ -366,9 +381,10 @@
 		v := e.view.Load()
 		h.mark = v.marks[asker]
 		_, h.voter = v.members[asker]
+		h.majority = v.leader != 0 && v.mute == nil
 	}
 	b := put([]byte{codeOK}, h.state, h.identity, h.record, h.index)
-	return put(putMembers(b, h.members), h.mark.term, h.mark.index, flag(h.voter))
+	return put(putMembers(b, h.members), h.mark.term, h.mark.index, flag(h.voter), flag(h.majority))
 }
 
 func decodeHello(b []byte) (h hello, err error) {
@@ -376,7 +392,7 @@
 		return h, errShort
 	}
 	r := reader{b: b[1:]}
-	h = hello{state: r.uint(), identity: r.uint(), record: r.uint(), index: r.uint(), members: r.members(), mark: mark{r.uint(), r.uint()}, voter: r.uint() == 1}
+	h = hello{state: r.uint(), identity: r.uint(), record: r.uint(), index: r.uint(), members: r.members(), mark: mark{r.uint(), r.uint()}, voter: r.uint() == 1, majority: r.uint() == 1}
 	return h, r.end()
 }
 
--- a/internal/accord/http.go
+++ b/internal/accord/http.go
@@ -102,7 +102,7 @@
 
 func newCaller(n *Node) *caller {
 	d := &net.Dialer{Timeout: dialMost}
-	t := &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	t := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
 			if err != nil {
