--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -141,6 +141,7 @@
 	Order   uint64 `json:"order"`           // of the unit, so that an old sight changes nothing; 0 for a permit
 	Phase   string `json:"phase"`           // empty, coming, done (with the new thing), waiting (as before), missing
 	Now     string `json:"now,omitempty"`   // successor
+	Zone    string `json:"zone,omitempty"`  // its
 	Start   int64  `json:"start,omitempty"` // seen at empty
 	Strand  bool   `json:"strand,omitempty"`
 }
--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -501,7 +501,7 @@
 	}
 	changed := false
 	for _, s := range c.Saw {
-		if len(s.Now) > NameMost {
+		if max(len(s.Now), len(s.Zone)) > NameMost {
 			continue
 		}
 		if p := d.permit(s.Permit); s.Permit != 0 {
@@ -545,7 +545,7 @@
 	case s.Phase == Empty && u.Kind == KindMember && (u.Phase == Told || u.Phase == Done && r.Wish.Drain):
 		u.Phase, u.Start = Empty, s.Start
 	case s.Phase == Coming && u.Kind == KindMember && (u.Phase == Empty || u.Phase == Revoked || u.Phase == Coming && u.name() != cmp.Or(s.Now, u.Name)) && !r.Wish.Drain:
-		u.Phase, u.Order, u.Now = Coming, next, s.Now
+		u.Phase, u.Order, u.Now, u.Zone = Coming, next, s.Now, s.Zone
 		if u.Now == u.Name {
 			u.Now = ""
 		}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -98,6 +98,9 @@
 			}
 			if ok {
 				s.Release, s.Unit, s.Order = r.Name, u.Name, u.Order
+				if m := p.members[s.Now]; m != nil && s.Phase == Coming {
+					s.Zone = m.Zone
+				}
 				list = append(list, s)
 				p.gone[r.Name+"\n"+u.Name] = true
 			}
@@ -257,16 +260,17 @@
 	return m.sound() && !banned
 }
 
-// newcomer is a member that has come in the place of one that is gone: of its zone rather than another, the earliest.
+// newcomer is a member that has come in the place of one that is gone: the earliest of its zone; one of another only once its own has
+// had the time to come.
 func (p *planner) newcomer(u *Unit, fits func(*Member) bool) string {
 	var best *Member
 	for i := range p.v.Members {
 		m := &p.v.Members[i]
-		if p.used[m.Name] || m.Started <= u.At || !fits(m) {
+		if p.used[m.Name] || m.Started <= u.At || !fits(m) || m.Zone != u.Zone && p.now-u.At < p.b.Drain+p.b.Start {
 			continue
 		}
-		if best == nil || (m.Zone == u.Zone) != (best.Zone == u.Zone) && m.Zone == u.Zone ||
-			(m.Zone == u.Zone) == (best.Zone == u.Zone) && m.Started < best.Started {
+		near, nearer := best != nil && best.Zone == u.Zone, m.Zone == u.Zone
+		if best == nil || nearer && !near || nearer == near && m.Started < best.Started {
 			best = m
 		}
 	}
