--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -347,12 +347,16 @@
 // cause is why a release is to halt. One on its way back does so only where nothing of it can go: what is bad about the fleet then may be
 // what it undoes.
 func (p *planner) cause(r *release, verdict bool, stalled map[string]string) (cause, why string) {
-	if stalled[r.Name] != "" && p.now-max(r.Moved, r.Resumed) > p.d.bound(r.Wish.Kind, p.b) {
-		return Stalled, stalled[r.Name]
+	if !r.Backing {
+		cause, why = p.bad(r, verdict)
 	}
-	if r.Backing {
-		return "", ""
+	if cause == "" && stalled[r.Name] != "" && p.now-max(r.Moved, r.Resumed) > p.d.bound(r.Wish.Kind, p.b) {
+		return Stalled, stalled[r.Name]
 	}
+	return cause, why
+}
+
+func (p *planner) bad(r *release, verdict bool) (cause, why string) {
 	if verdict {
 		return Verdict, p.v.Worse
 	}
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -547,6 +547,7 @@
 			}
 		}
 	}
+	w.forget() // what was back before a failure that comes next is not out by plan
 	if c.Kind != Step {
 		return
 	}
@@ -563,11 +564,7 @@
 		fresh[kind+" "+name] = true
 		w.give(kind, name, g.Permit)
 	}
-	for key, out := range w.given {
-		if !out() {
-			delete(w.given, key)
-		}
-	}
+	w.forget()
 	// Long enough that the view had it.
 	known := w.budgets.Silent + w.budgets.Fresh + 3500
 	out, zones, total := map[string]int{}, map[string]int{}, map[string]int{}
@@ -634,6 +631,15 @@
 	}
 }
 
+// forget what was given out and is back, in truth.
+func (w *world) forget() {
+	for key, out := range w.given {
+		if !out() {
+			delete(w.given, key)
+		}
+	}
+}
+
 // give notes that a thing was given out, and how it is seen, in truth, that it is back.
 func (w *world) give(kind, name string, permit uint64) {
 	var truth func() bool
