--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -19,9 +19,8 @@
 	rooms   map[string]*room
 }
 
-// Plan says what to propose next: a few commands, the same for the same state and view. Halts come first, then what others saw; what gives something
-// out comes alone, since it rests on the version that all else changes. A relay that was never heard is to have the age of the view as HeardMS,
-// else nothing of it is ever past its time.
+// Plan says what to propose next, in this order: a few commands, the same for the same state and view. Halts come first, then what others
+// saw, then what goes out. A relay that was never heard is to have the age of the view as HeardMS, else nothing of it is ever past its time.
 func (s *State) Plan(now int64, v View, b Budgets) []Command {
 	p := s.d.planner(now, v, b)
 	saw := p.seen()
@@ -38,6 +37,14 @@
 		list = append(list, Command{Kind: Void, Numbers: numbers})
 	}
 	if len(list) > 0 {
+		// What may go out once this is agreed comes with it, reckoned from the version that it makes: if it is not, it is refused.
+		next := State{s.d.clone()}
+		for _, c := range list {
+			next.Apply(now, "", c.Encode())
+		}
+		if c, _ := next.d.planner(now, v, b).step(); c != nil && c.Base == s.d.Version+uint64(len(list)) {
+			list = append(list, *c)
+		}
 		return list
 	}
 	if c := p.resume(); c != nil {
@@ -98,6 +105,9 @@
 			}
 			if ok {
 				s.Release, s.Unit, s.Order = r.Name, u.Name, u.Order
+				if m := p.members[s.Now]; m != nil && s.Phase == Coming {
+					s.Zone = m.Zone
+				}
 				list = append(list, s)
 				p.gone[r.Name+"\n"+u.Name] = true
 			}
@@ -257,16 +267,17 @@
 	return m.sound() && !banned
 }
 
-// newcomer is a member that has come in the place of one that is gone: of its zone rather than another, the earliest.
+// newcomer is a member that has come in the place of one that is gone: the earliest of its zone; one of another only once its own has
+// had the time to come.
 func (p *planner) newcomer(u *Unit, fits func(*Member) bool) string {
 	var best *Member
 	for i := range p.v.Members {
 		m := &p.v.Members[i]
-		if p.used[m.Name] || m.Started <= u.At || !fits(m) {
+		if p.used[m.Name] || m.Started <= u.At || !fits(m) || m.Zone != u.Zone && p.now-u.At < p.b.Drain+p.b.Start {
 			continue
 		}
-		if best == nil || (m.Zone == u.Zone) != (best.Zone == u.Zone) && m.Zone == u.Zone ||
-			(m.Zone == u.Zone) == (best.Zone == u.Zone) && m.Started < best.Started {
+		near, nearer := best != nil && best.Zone == u.Zone, m.Zone == u.Zone
+		if best == nil || nearer && !near || nearer == near && m.Started < best.Started {
 			best = m
 		}
 	}
@@ -322,7 +333,7 @@
 	for i := range p.d.Releases {
 		r := &p.d.Releases[i]
 		verdict := p.v.Worse != "" && (p.v.WorseOf == "" || p.v.WorseOf == r.Name)
-		if r.State != Running && !(r.State == Halted && verdict && !r.Halt.Stays && !r.Backing) {
+		if r.State != Running && r.State != Backing && !(r.State == Halted && verdict && !r.Halt.Stays && !r.Backing) {
 			continue
 		}
 		cause, why := p.cause(r, verdict, stalled)
@@ -333,7 +344,19 @@
 	return nil
 }
 
+// cause is why a release is to halt. One on its way back does so only where nothing of it can go: what is bad about the fleet then may be
+// what it undoes.
 func (p *planner) cause(r *release, verdict bool, stalled map[string]string) (cause, why string) {
+	if !r.Backing {
+		cause, why = p.bad(r, verdict)
+	}
+	if cause == "" && stalled[r.Name] != "" && p.now-max(r.Moved, r.Resumed) > p.d.bound(r.Wish.Kind, p.b) {
+		return Stalled, stalled[r.Name]
+	}
+	return cause, why
+}
+
+func (p *planner) bad(r *release, verdict bool) (cause, why string) {
 	if verdict {
 		return Verdict, p.v.Worse
 	}
@@ -355,9 +378,6 @@
 	if worse(r.Asked, r.Served, r.Spread, p.b.Slack, p.v.Service, max(r.Since, r.Resumed)) {
 		return Service, fmt.Sprintf("it was %.4f before", r.Served/r.Asked)
 	}
-	if stalled[r.Name] != "" && p.now-max(r.Moved, r.Resumed) > p.d.bound(r.Wish.Kind, p.b) {
-		return Stalled, stalled[r.Name]
-	}
 	return "", ""
 }
 
