--- a/internal/drift/watch_test.go
+++ b/internal/drift/watch_test.go
@@ -392,3 +392,26 @@
 		w.Hear(now, word)
 	}
 }
+
+// TestClockSet: what was in flight is not held against a relay whose clock is set back, wherever the change falls.
+func TestClockSet(t *testing.T) {
+	for apart := range 70 {
+		w, books, now := one(1, Item{Bans, 1, 1})
+		b := books[0]
+		for k := range 90 {
+			now += 1000
+			if k == apart {
+				w.Intend(now, b.relay, []Item{{Bans, 2, 2}})
+				b.Note(now-20_000, Item{Bans, 2, 2}, "record")
+			}
+			if k >= apart && k < apart+4 {
+				b.Count(Bans, KindOut, 4, 4)
+			}
+			w.Hear(now, b.Word(now-20_000))
+			w.Tick(now)
+			if s := state(w, b.relay, Bans); s != InStep {
+				t.Fatalf("changed %d s after, %d s after that: %v", apart, k-apart, s)
+			}
+		}
+	}
+}
