--- a/internal/canary/plan.go
+++ b/internal/canary/plan.go
@@ -77,8 +77,8 @@
 	if s.Floor == 0 || s.Floor > 1<<40 {
 		return errors.New("floor: a rung needs some evidence")
 	}
-	if s.Longest <= 0 {
-		return errors.New("longest: a rung needs an end")
+	if s.Longest < shortest*sliceMS {
+		return fmt.Errorf("longest: nothing can be judged in under %d s", shortest*sliceMS/1000)
 	}
 	if !(s.Error > 0 && s.Error <= 0.5) { // NaN too
 		return errors.New("error: above 0, 0.5 at most")
