--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -361,9 +361,8 @@
 	Asked  int64   `json:"asked"`            // last
 	At     int64   `json:"at,omitempty"`     // granted, or begun
 	Window int64   `json:"window,omitempty"` // to begin in, ms
-	Until  int64   `json:"until,omitempty"`  // the record's: granted: void after it; begun: may be over after it without having left
-	Start  int64   `json:"start,omitempty"`
-	Given  bool    `json:"given,omitempty"`
+	Until  int64   `json:"until,omitempty"`  // the record's: granted: not begun after it; begun: not taken down after it
+	Given  int64   `json:"given,omitempty"`  // when the asker gave it back
 	Clock  float64 `json:"clock,omitempty"`
 }
 
--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -207,8 +207,10 @@
 		return refuse("there is no permit %d, or no more", c.Number)
 	}
 	switch {
+	case c.Kind == Give && p.State == Begun && p.Given > 0:
+		return Answer{Number: p.Number, State: p.State}
 	case c.Kind == Give && p.State == Begun:
-		p.Given = true
+		p.Given = at
 	case c.Kind == Give:
 		d.Permits = slices.DeleteFunc(d.Permits, func(p Pass) bool { return p.Number == c.Number })
 		d.Version++
@@ -218,7 +220,7 @@
 	case p.State == Granted && at > p.Until:
 		return refuse("permit %d was not begun in time", c.Number)
 	case p.State == Granted:
-		p.State, p.At, p.Until = Begun, at, at+stretch(max(p.For, p.Window), p.Clock)
+		p.State, p.At, p.Until = Begun, at, at+stretch(p.Window, p.Clock)
 	}
 	d.Version++
 	return Answer{Number: p.Number, State: p.State}
@@ -455,8 +457,8 @@
 	d.Version++
 	for _, g := range c.Gives {
 		if p := d.permit(g.Permit); p != nil {
-			p.State, p.At, p.Window, p.Until, p.Clock, p.Zone, p.Start = Granted, at, b.Window,
-				at+stretch(b.Window, b.Clock), b.Clock, g.Zone, g.Start
+			p.State, p.At, p.Window, p.Until, p.Clock, p.Zone = Granted, at, b.Window,
+				at+stretch(b.Window, b.Clock), b.Clock, g.Zone
 			continue
 		}
 		r := d.release(g.Release)
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -288,19 +288,22 @@
 	return best.Name
 }
 
-// returned says that the thing of a begun permit is in full service as others see it, and has left in between; or that the asker
-// may not take it down any more.
+// returned says that others see the thing of a begun permit in full service, when its asker may not take it down any more: its time for that is
+// over, or it gave the permit back; and so long ago that what is seen is of after that. A later start proves nothing: it may have fallen over
+// by itself just before.
 func (p *planner) returned(x *Pass) bool {
-	over := x.Given || p.now > x.Until
+	if !(p.now > x.Until+p.b.Silent || x.Given > 0 && p.now > x.Given+p.b.Silent) && planted != "own word" {
+		return false
+	}
 	if x.Kind == KindRelay {
 		r := p.relays[x.Name]
-		return r == nil && x.Given || r != nil && (r.sound(p.b) || planted == "own word" && r.Phase == "serving") && (over || r.Start > uint64(x.Start))
+		return r == nil && x.Given > 0 || r != nil && (r.sound(p.b) || planted == "own word" && r.Phase == "serving")
 	}
 	if m := p.members[x.Name]; m != nil {
-		return p.full(m) && (over || m.Started > x.Start)
+		return p.full(m)
 	}
 	name := p.newcomer(&Unit{Zone: x.Zone, At: x.At}, func(*Member) bool { return true })
-	return x.Given || name != "" && p.full(p.members[name])
+	return x.Given > 0 || name != "" && p.full(p.members[name])
 }
 
 func (p *planner) void() []uint64 {
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -268,6 +268,7 @@
 	for _, a := range w.askers {
 		w.asker(a)
 	}
+	w.forget() // what was back for a moment, and fails then, is not out by plan
 	due := w.pending
 	w.pending = nil
 	for _, p := range due {
@@ -547,7 +548,7 @@
 			}
 		}
 	}
-	w.forget() // what was back before a failure that comes next is not out by plan
+	w.forget()
 	if c.Kind != Step {
 		return
 	}
