--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -205,7 +205,7 @@
 	Capacity float64 `json:"capacity"` // flows; 0 unknown
 }
 
-// Member is one as the fleet sees it.
+// Member is one as the fleet sees it. One that is not listed any more stays in the view as long as a relay holds flows there.
 type Member struct {
 	Name     string          `json:"name"`
 	Zone     string          `json:"zone"`
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -678,6 +678,9 @@
 		return
 	}
 	name := r.unit(s.Unit).name()
+	if slices.ContainsFunc(w.members, func(x *slot) bool { return x.name == name && !x.up }) {
+		return // no flow outlives it
+	}
 	for _, h := range w.relays {
 		if !h.serves(w.now) || max(h.serveAt, h.heal, h.thaw) > w.now-5000 || w.now-h.contact > w.letsGo() {
 			continue // it may have come back since it was seen: such a relay catches up before it serves
