--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -700,3 +700,25 @@
 	slices.Sort(all)
 	t.Logf("Plan with 300 relays and 300 members: median %v, most %v; the largest command %d bytes, the state %d", all[100], all[199], largest, len(w.s.Encode()))
 }
+
+// The smallest first, one of each zone in turn; zone after zone where all that may be out fits into one.
+func TestOrder(t *testing.T) {
+	v := View{At: 1, Relays: []Relay{{Name: "r", Zone: "a"}}}
+	for i, zone := range []string{"a", "b", "a", "b"} {
+		v.Members = append(v.Members, Member{Name: "m" + strconv.Itoa(i), Zone: zone, Capacity: 9, Bears: float64(9 - i)})
+	}
+	for want, budget := range map[string]Budget{
+		"m3 m2 m1 m0 ": {Whole: Part{Count: 2}, Zone: Part{Count: 1}},
+		"m3 m1 m2 m0 ": {Whole: Part{Count: 1}, Zone: Part{Count: 1}},
+	} {
+		s := New()
+		calls(t, s, 1, Queued, Command{Kind: Open, Name: "r", Release: &Wish{Kind: KindMember, All: true}})
+		got := ""
+		for _, u := range s.Plan(1, v, Budgets{Members: budget})[0].Units {
+			got += u.Name + " "
+		}
+		if got != want {
+			t.Errorf("%+v: %s, not %s", budget, got, want)
+		}
+	}
+}
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -39,8 +39,6 @@
 	drift     int64
 }
 
-var trace func(w *world, at int64, by string, body, answer []byte)
-
 const cold = 0.3 // of its capacity that a cold member bears
 
 type agreed struct {
@@ -166,9 +164,6 @@
 	if err := json.Unmarshal(answer, &a); err != nil {
 		w.fault("answer: %v", err)
 	}
-	if trace != nil {
-		trace(w, at, p.by, body, answer)
-	}
 	h := fnv.New64a()
 	fmt.Fprint(h, w.trace, at, p.by)
 	h.Write(body)
