--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -205,7 +205,7 @@
 	Capacity float64 `json:"capacity"` // flows; 0 unknown
 }
 
-// Member is one as the fleet sees it.
+// Member is one as the fleet sees it. One that is not listed any more stays in the view as long as a relay holds flows there.
 type Member struct {
 	Name     string          `json:"name"`
 	Zone     string          `json:"zone"`
@@ -361,9 +361,8 @@
 	Asked  int64   `json:"asked"`            // last
 	At     int64   `json:"at,omitempty"`     // granted, or begun
 	Window int64   `json:"window,omitempty"` // to begin in, ms
-	Until  int64   `json:"until,omitempty"`  // the record's: granted: void after it; begun: may be over after it without having left
-	Start  int64   `json:"start,omitempty"`
-	Given  bool    `json:"given,omitempty"`
+	Until  int64   `json:"until,omitempty"`  // the record's: granted: not begun after it; begun: not taken down after it
+	Given  int64   `json:"given,omitempty"`  // when the asker gave it back
 	Clock  float64 `json:"clock,omitempty"`
 }
 
