Canaries across relays: one weight for the fleet, counted at each, paused everywhere

Change: the record carries canaries; relays count attempts, set-up, messages and early ends by class, zone and warmth; the leader judges each look and has the next rung, pause or way back agreed; notices ride on the peers' datagrams and can only lower; a release waits for its canary.

--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -50,10 +50,12 @@
 	if set.Zone >= 0 && set.Zone < len(set.Zones) {
 		zone = string(set.Zones[set.Zone])
 	}
+	r.trial = newTrial(r)
 	var err error
 	r.fleet, err = fleet.Start(fleet.Options{Config: c, Name: r.cfg.Name, Zone: zone, Start: r.peers.Start(), Program: program,
 		Settings: commonDigest(r.cfg), Keys: r.cfg.Peers.Keys(), ColdFrom: set.Guarantees.ColdFrom, ColdFor: settings.Span(set.Guarantees.Cold),
-		Wall: time.Now, Log: r.log, Post: r.loop.Post, Look: r.look, Follow: r.heed})
+		Wall: time.Now, Log: r.log, Post: r.loop.Post, Look: r.look, Follow: r.heed,
+		Pause: r.pauseTrial})
 	return err
 }
 
@@ -116,6 +118,7 @@
 		}
 		l.Members = append(l.Members, p)
 	}
+	l.Weighs, l.Counts = r.trial.weighs, r.trial.counts()
 	for _, p := range r.peers.Known() {
 		l.Peers = append(l.Peers, fleet.Peer{Name: p.Name, Zone: p.Zone, Alive: p.State <= peers.Suspect, Gone: p.State >= peers.Gone,
 			Serving: p.Phase == peers.Serving, Incarnation: p.Incarnation})
@@ -123,8 +126,10 @@
 	return l
 }
 
-// heed does what was agreed, as of a version of the record.
-func (r *relay) heed(o rollout.Orders, version uint64) {
+// heed does what was agreed.
+func (r *relay) heed(o fleet.Orders) {
+	version := o.Version
+	r.trial.agreed(o)
 	out := map[string]core.Leaving{}
 	for name, i := range o.Out {
 		out[name] = core.Leaving{Over: time.Duration(i.MoveOver) * time.Millisecond, Ban: i.Why == rollout.Ban}
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -153,6 +153,7 @@
 	fleet     *fleet.Service   // nil if nothing is agreed with others
 	follows   uint64           // the version of the fleet's record that this relay goes by
 	agreed    []string         // the members that are out by it
+	trial     *trial           // of canaries; nil without a fleet
 	leaving   *leaving         // it was told to leave; nil if not
 	ordered   bool             // it ends because it was told to
 	ending    bool
@@ -283,7 +284,7 @@
 	}
 	r.peers = peering.New(peering.Options{Seen: func() peers.Digest { return book.Digest(r.clock()) }, Loop: r.loop, Log: r.log, Name: r.cfg.Name, Zone: zone, Listen: p.Listen, Address: p.Address,
 		Known: known, Reach: p.Reach, Keys: p.Keys(), Configured: max(set.Balancers, 1), Seed: r.cfg.SeedNumber(), Wall: time.Now,
-		Share: r.core.Relays, Ahead: func() {
+		Share: r.core.Relays, Noted: func(_ string, note []byte) { r.trial.noted(note) }, Ahead: func() {
 			r.log.Warn("other relays hold a newer list; members are asked for anew")
 			r.watch.Refresh(func() {})
 		},
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -323,3 +323,43 @@
 	f.relays[cut].put("/-/backends/s2/enable")
 	until(t, "the drift to end", func() bool { return rows() == 0 })
 }
+
+// TestFleetCanary: a member of a new build that answers errors gets a small share of new flows at every relay, the same groups everywhere; the
+// fleet finds it worse, holds it at zero everywhere, and goes back.
+func TestFleetCanary(t *testing.T) {
+	f := newFleet(t, 3, 3, 4, nil)
+	f.leader()
+	f.agreed(0, "POST", "/-/canaries", map[string]any{"release": "c1", "arm": map[string]any{"members": []string{"s0"}}, "ladder": []int{300, 1000},
+		"floor": 200, "longest": 120000, "error": 0.01, "guards": []map[string]any{{"metric": "failures", "points": 50}}})
+	for i := range f.relays {
+		f.relays[i].logged("map[c1:300]")
+	}
+	before := map[string]int{}
+	flows := func(from, to int) {
+		for n := from; n < to; n++ {
+			c := f.relays[n%3].open(n, "")
+			c.line()
+			c.Close()
+		}
+	}
+	flows(0, 120)
+	for _, m := range f.members {
+		before[m.id] = len(m.firstLines())
+	}
+	if n := before["s0"]; n < 18 || n > 60 {
+		t.Errorf("%d of 120 flows at an arm that is to get three in ten", n)
+	}
+	f.members[0].Set(standin.ModeErr)
+	back := false
+	for n := 120; !back && n < 12000; n += 30 {
+		flows(n, n+30)
+		var a struct{ Canaries []struct{ Status string } }
+		f.call(0, "GET", "/-/canaries", nil, &a)
+		back = len(a.Canaries) == 0 || a.Canaries[0].Status == "back"
+	}
+	if !back {
+		var a json.RawMessage
+		f.call(f.leader(), "GET", "/-/canaries", nil, &a)
+		t.Fatalf("no verdict on an arm that answers errors: %s", a)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,6 +85,8 @@
 	Ledger   Ledger                 // nil for none
 	// Saw is told how each attempt and probe went; nil if nobody wants to know.
 	Saw func(m *Member, result policy.Result)
+	// Happened is told what happens at members, by request; nil if nobody counts it.
+	Happened func(Happening)
 	// FeedMemory is how many bytes the messages on all feeds may hold; 0 for no bound.
 	FeedMemory int
 }
@@ -270,6 +272,9 @@
 	r.open = true
 	c.record(r, Served)
 	c.saw(r.member, policy.OK)
+	if !r.standing {
+		c.happens(r, r.member, Stood, c.Clock()-r.sent)
+	}
 	if r.standing {
 		c.tell(policy.Standing{Request: r.policy(), Server: r.member.ID})
 	} else {
@@ -321,6 +326,7 @@
 		return
 	}
 	m, now, slow := r.member, c.Clock(), false
+	c.happens(r, m, Answered, took)
 	for _, class := range c.set.Classes {
 		slow = slow || took > class.MessageAim/3
 	}
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -143,6 +143,9 @@
 	if result != policy.OK { // an open flow was seen when it came up
 		c.saw(m, result)
 	}
+	if what, ok := ends[ending{r.open, result}]; ok {
+		c.happens(r, m, what, c.Clock()-r.sent)
+	}
 	if c.Ledger != nil {
 		c.Ledger.Attempt(&r.Request, r.id, try, m.Name, r.sent, c.Clock(), result)
 	}
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +14,7 @@
 	"time"
 
 	"dahliarudder/internal/accord"
+	"dahliarudder/internal/canary"
 	"dahliarudder/internal/rollout"
 )
 
@@ -130,6 +133,52 @@
 		}
 		s.agree(w, r, c)
 	})
+	m.HandleFunc("GET /-/canaries", func(w http.ResponseWriter, r *http.Request) {
+		if !s.current(w, r) {
+			return
+		}
+		s.record.mu.RLock()
+		all := s.record.canary.Canaries()
+		s.record.mu.RUnlock()
+		s.mu.Lock()
+		verdict, leads := s.verdict, s.ledAt != 0
+		s.mu.Unlock()
+		out := map[string]any{"canaries": all}
+		if leads {
+			out["verdict"] = verdict
+		}
+		say(w, http.StatusOK, out)
+	})
+	m.HandleFunc("POST /-/canaries", func(w http.ResponseWriter, r *http.Request) {
+		var spec canary.Spec
+		if !take(w, r, &spec) {
+			return
+		}
+		if len(spec.Arm.Members) == 0 && spec.Arm.Since == 0 { // all that start after the release
+			s.record.read(func(st *rollout.State, _ held) {
+				a, _ := st.Release(spec.Release)
+				spec.Arm.Since = a.Opened
+			})
+		}
+		for spec.Salt == 0 {
+			var b [8]byte
+			rand.Read(b[:])
+			spec.Salt = binary.LittleEndian.Uint64(b[:])
+		}
+		s.agreeTrial(w, r, canary.Command{Do: "open", Release: spec.Release, Spec: &spec})
+	})
+	m.HandleFunc("PUT /-/canaries/{name}/{verb}", func(w http.ResponseWriter, r *http.Request) {
+		c := canary.Command{Do: r.PathValue("verb"), Release: r.PathValue("name"), Why: r.URL.Query().Get("why")}
+		switch c.Do {
+		case "pause":
+			s.Post(func() { s.Pause(c.Release) }) // here at once, and round without a majority; the record follows
+		case "resume", "back", "close":
+		default:
+			say(w, http.StatusNotFound, rollout.Answer{Error: "a canary can be told to pause, resume, go back, or be closed"})
+			return
+		}
+		s.agreeTrial(w, r, c)
+	})
 	m.HandleFunc("PUT /-/voters/{old}/{new}", func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), callWithin)
 		defer cancel()
@@ -168,6 +217,17 @@
 	}
 }
 
+func (s *Service) agreeTrial(w http.ResponseWriter, r *http.Request, c canary.Command) {
+	switch err := s.proposeTrial(r.Context(), c); {
+	case errors.Is(err, errRefused):
+		say(w, http.StatusConflict, rollout.Answer{Error: err.Error()})
+	case err != nil:
+		say(w, status(err), rollout.Answer{Error: err.Error()})
+	default:
+		say(w, http.StatusOK, rollout.Answer{Name: c.Release, State: c.Do})
+	}
+}
+
 // status is 503 where a call may be repeated, 504 where it is not known whether it counts: the record tells.
 func status(err error) int {
 	switch {
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -69,6 +69,9 @@
 	case partRollout:
 		answer = r.rollout.Apply(r.held.At, c.By, c.Body)
 	case partCanary:
+		if why := r.second(c.Body); why != "" {
+			return refusal(why)
+		}
 		answer = r.canary.Apply(r.held.At, c.By, c.Body)
 	default:
 		return refusal("no such part: " + c.Part) // of a newer program: all of this version refuse it alike
@@ -78,6 +81,25 @@
 	return answer
 }
 
+// weights are those of the canaries, with the version of their state.
+func (r *Record) weights() (list []canary.Weight, version uint64) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.canary.Weights(), r.canary.Version()
+}
+
+// second says why a canary cannot be opened beside another: the module keeps one arm apart.
+func (r *Record) second(body []byte) string {
+	var c canary.Command
+	if json.Unmarshal(body, &c) != nil || c.Do != "open" {
+		return ""
+	}
+	for _, other := range r.canary.Canaries() {
+		return fmt.Sprintf("release %q has a canary (%s): one at a time", other.Release, other.Status)
+	}
+	return ""
+}
+
 func refusal(why string) []byte {
 	text, _ := json.Marshal(map[string]string{"error": why})
 	return text
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"dahliarudder/internal/accord"
+	"dahliarudder/internal/canary"
 	"dahliarudder/internal/drift"
 	"dahliarudder/internal/peers"
 	"dahliarudder/internal/rollout"
@@ -33,8 +34,20 @@
 	Post func(f func())
 	// Look is what the relay does; on the loop.
 	Look func() Look
-	// Follow has the relay do what was agreed, as of a version of the record; on the loop.
-	Follow func(o rollout.Orders, version uint64)
+	// Follow has the relay do what was agreed; on the loop.
+	Follow func(Orders)
+	// Pause holds a canary's weight at zero at this relay and has the others told, without the record; on the loop.
+	Pause func(release string)
+}
+
+// Orders are what a relay is to do by the record.
+type Orders struct {
+	rollout.Orders
+	Version uint64 // of the record
+	Weights []canary.Weight
+	Weighed uint64 // the version of the canaries
+	Index   uint64 // of the engine, up to which this is
+	Reached bool   // a majority stood behind it just now
 }
 
 // Service is one relay's part in the fleet. Its threads: the engine's own; words; orders; the pilot; calls.
@@ -48,18 +61,22 @@
 
 	posting sync.Mutex
 
-	mu     sync.Mutex
-	look   Look // the last
-	scene  *scene
-	drift  *drift.Watch
-	book   *drift.Book
-	ledAt  int64 // when this relay began to lead; 0 while it does not
-	term   uint64
-	leads  string // whom the book has told all
-	bad    int    // words that could not be read
-	missed int    // looks that the loop did not answer in time
-	said   int    // bytes of words
-	fails  map[string]int
+	mu      sync.Mutex
+	look    Look // the last
+	scene   *scene
+	drift   *drift.Watch
+	book    *drift.Book
+	judge   *canary.Judge // of the canary that is going; nil if there is none
+	judged  canary.Canary // as it was when the judge last began
+	verdict canary.Verdict
+	trial   bool  // there is a canary
+	ledAt   int64 // when this relay began to lead; 0 while it does not
+	term    uint64
+	leads   string // whom the book has told all
+	bad     int    // words that could not be read
+	missed  int    // looks that the loop did not answer in time
+	said    int    // bytes of words
+	fails   map[string]int
 }
 
 // Start begins. What the engine cannot do with its directory is no error: it says so in its status.
@@ -148,7 +165,7 @@
 	before := s.look
 	s.look = l
 	w := word{Start: s.Start, Zone: s.Zone, Phase: l.Phase, Program: s.Program, Config: s.Settings, Follows: l.Follows, List: l.List,
-		Flows: l.Flows, Asked: l.Asked, Served: l.Served, Local: l.Local}
+		Flows: l.Flows, Asked: l.Asked, Served: l.Served, Local: l.Local, Weighs: l.Weighs, Counts: l.Counts}
 	last := map[string]Pooled{}
 	for _, m := range before.Members {
 		last[m.Name] = m
@@ -238,7 +255,7 @@
 			anew = true
 		case <-again.C:
 			s.mu.Lock()
-			anew = s.look.Follows != sent
+			anew = s.look.Follows != sent || s.trial // a weight that is not confirmed falls
 			s.mu.Unlock()
 		}
 		if !anew && !first {
@@ -250,6 +267,10 @@
 			return
 		}
 		first = false
+		list, _ := s.record.weights()
+		s.mu.Lock()
+		s.trial = len(list) > 0
+		s.mu.Unlock()
 		sent = s.post(func() { followed <- struct{}{} })
 	}
 }
@@ -259,10 +280,13 @@
 func (s *Service) post(done func()) (version uint64) {
 	s.posting.Lock()
 	defer s.posting.Unlock()
-	var o rollout.Orders
-	s.record.read(func(r *rollout.State, _ held) { o, version = r.Orders(s.Name), r.Version() })
-	s.Post(func() { s.Follow(o, version); done() })
-	return version
+	var o Orders
+	st := s.node.Status() // before the record is read: what is applied later is in it too
+	o.Index, o.Reached = st.Applied, st.Majority && st.Applied == st.Committed
+	s.record.read(func(r *rollout.State, _ held) { o.Orders, o.Version = r.Orders(s.Name), r.Version() })
+	o.Weights, o.Weighed = s.record.weights()
+	s.Post(func() { s.Follow(o); done() })
+	return o.Version
 }
 
 // ---- The leader ----
@@ -281,6 +305,13 @@
 	if d, ok := w.decodeDrift(from); ok {
 		s.drift.Hear(now, d)
 	}
+	if len(w.Counts) > 0 && s.judge != nil {
+		if c, err := canary.DecodeCounts(w.Counts); err == nil {
+			s.judge.Hear(now, from, w.Zone, c)
+		} else {
+			s.bad++
+		}
+	}
 }
 
 // led is told when this relay begins or ends to lead. Who begins has heard nothing: what an earlier time left is no sight of now.
@@ -288,7 +319,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.scene, s.drift = newScene(), drift.New(drift.Settings{Period: sayEvery.Milliseconds()})
-	s.ledAt, s.term = 0, term
+	s.judge, s.ledAt, s.term = nil, 0, term
 	if leads {
 		s.ledAt = s.now()
 	}
@@ -307,13 +338,20 @@
 		}
 		v := seen.view(now, s.Name, look, warmth{s.ColdFrom, s.ColdFor.Milliseconds()})
 		s.watchDrift(now, &v)
+		trials := s.weigh(now, &v)
 		s.mu.Unlock()
 		if now-led < silentAfter.Milliseconds() && slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool { return r.HeardMS < 0 && !r.Gone }) {
 			return
 		}
+		for _, c := range trials {
+			if err := s.proposeTrial(context.Background(), c); err != nil {
+				s.failed("canary "+c.Do, err)
+				return
+			}
+		}
 		var plan []rollout.Command
 		s.record.read(func(r *rollout.State, h held) { plan = r.Plan(max(now, h.At), v, s.Budgets()) })
-		for _, c := range plan {
+		for _, c := range s.gate(plan) {
 			answer, err := s.propose(context.Background(), c)
 			if err != nil || answer.Error != "" {
 				if err == nil {
--- /dev/null
+++ b/internal/fleet/trial.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliarudder/internal/canary"
+	"dahliarudder/internal/rollout"
+)
+
+// weigh has the judge of the canary say what it thinks, and gives what is to be proposed. What is worse goes into the view, so that the
+// release halts. Called with the lock held.
+func (s *Service) weigh(now int64, v *rollout.View) (plan []canary.Command) {
+	s.record.mu.RLock()
+	defer s.record.mu.RUnlock()
+	all := s.record.canary.Canaries()
+	if len(all) == 0 {
+		s.judge = nil
+		return nil
+	}
+	c := all[0] // one at a time
+	switch {
+	case s.judge == nil || s.judged.Salt != c.Salt:
+		s.judge = canary.NewJudge(canary.Settings{Spec: c.Spec, Epoch: c.Epoch, Rung: c.Rung})
+	case s.judged.Epoch != c.Epoch || s.judged.Rung != c.Rung:
+		s.judge.Begin(c.Epoch, c.Rung)
+	}
+	s.judged = c
+	release, _ := s.record.rollout.Release(c.Release)
+	switch {
+	case c.Status == canary.Done, c.Status == canary.Back && (release.Name == "" || release.State == rollout.Undone || release.State == rollout.Ended):
+		return []canary.Command{{Do: "close", Release: c.Release}}
+	case c.Status != canary.Going:
+		v.Worse, v.WorseOf = cmpOr(c.Why, string(c.Status)), c.Release
+	}
+	was := s.verdict.Kind
+	if s.verdict = s.judge.Verdict(now); s.verdict.Kind != was {
+		s.Log.WithFields(logrus.Fields{"release": c.Release, "rung": c.Rung, "per_mille": c.PerMille, "verdict": s.verdict.Kind, "metric": s.verdict.Metric,
+			"zones": s.verdict.Zones, "relays": s.verdict.Relays}).Info("fleet: canary")
+	}
+	applied := !slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool {
+		h := s.scene.words[r.Name]
+		return r.HeardMS >= 0 && r.HeardMS < silentAfter.Milliseconds() && h != nil && h.Weighs < s.record.canary.Version()
+	})
+	return s.record.canary.Plan(max(now, s.record.held.At), s.verdict, applied)
+}
+
+func cmpOr(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+// gate leaves out what a release would give out while its canary is not over and the arm is there; the way back is never held up. Of a
+// release whose canary went back, it adds that the release goes back too.
+func (s *Service) gate(plan []rollout.Command) (out []rollout.Command) {
+	s.record.mu.RLock()
+	defer s.record.mu.RUnlock()
+	hold := map[string]bool{}
+	for _, c := range s.record.canary.Canaries() {
+		r, ok := s.record.rollout.Release(c.Release)
+		switch {
+		case !ok || r.Backing:
+		case c.Status == canary.Back && (r.State == rollout.Halted || r.State == rollout.Running):
+			out = append(out, rollout.Command{Kind: rollout.Back, Name: r.Name, Who: "canary", Why: c.Why})
+		case c.Status != canary.Done && slices.ContainsFunc(r.Units, func(u rollout.Unit) bool { return u.Phase != rollout.Waiting }):
+			hold[c.Release] = true
+		}
+	}
+	for _, c := range plan {
+		if c.Kind == rollout.Step {
+			had := len(c.Gives)
+			c.Gives = slices.DeleteFunc(slices.Clone(c.Gives), func(g rollout.Gift) bool { return hold[g.Release] })
+			if had > 0 && len(c.Gives) == 0 {
+				continue
+			}
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// proposeTrial has a command of the canaries agreed.
+func (s *Service) proposeTrial(ctx context.Context, c canary.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	text, err := json.Marshal(command{Part: partCanary, At: s.now(), By: s.Name, Body: c.Body()})
+	if err != nil {
+		return err
+	}
+	answer, index, err := s.node.Propose(ctx, text)
+	if err != nil {
+		return err
+	}
+	var a struct{ Error string }
+	if err := json.Unmarshal(answer, &a); err != nil {
+		return err
+	}
+	if a.Error != "" {
+		return fmt.Errorf("%w: %s", errRefused, a.Error)
+	}
+	s.node.WaitApplied(ctx, index)
+	return nil
+}
+
+var errRefused = errors.New("refused")
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -38,6 +38,8 @@
 	Local         []string // members that its own operators have taken out
 	Agreed        []string // and by the fleet's word, as the core has them
 	Follows       uint64
+	Weighs        uint64 // the version of the canaries that it goes by
+	Counts        []byte // what it counted for a canary
 	Peers         []Peer
 }
 
--- a/internal/fleet/word.go
+++ b/internal/fleet/word.go
@@ -22,7 +22,9 @@
 	Served  uint64   `json:"served"`
 	Members []sight  `json:"members,omitempty"` // those with flows, or tried since the last word
 	Drift   []byte   `json:"drift,omitempty"`
-	Local   []string `json:"local,omitempty"` // what its own operators have taken out
+	Weighs  uint64   `json:"weighs,omitempty"` // the version of the canaries that its loop goes by
+	Counts  []byte   `json:"counts,omitempty"` // of a canary
+	Local   []string `json:"local,omitempty"`  // what its own operators have taken out
 }
 
 // sight is what a relay knows of a member. Names are short: there are many.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -43,6 +43,8 @@
 	Seen func() peers.Digest
 	// Ahead is called when others have held a newer list than this relay for a while.
 	Ahead func()
+	// Noted is told what other relays pass on for others than this package; nil if nobody wants it.
+	Noted func(from string, note []byte)
 	// Share is told by how many the budgets are divided that all relays share, when that changes.
 	Share func(float64)
 }
@@ -74,10 +76,19 @@
 	s.start = start
 	self := peers.Update{Name: o.Name, Addr: o.Address, Zone: o.Zone, Incarnation: start}
 	s.m = peers.New(o.Loop.Now(), self, o.Known, rand.New(rand.NewPCG(o.Seed, start)))
+	s.m.Noted = o.Noted
 	s.listen()
 	return s
 }
 
+// Carry has a note go round: with each datagram, and at once if it is a new one.
+func (s *Service) Carry(note []byte) {
+	s.m.Carry(s.Loop.Now(), note)
+	if !s.closed && s.sock != nil {
+		s.due()
+	}
+}
+
 func (s *Service) listen() {
 	var err error
 	if s.sock, err = s.Loop.Datagrams(s.Listen, s.heard); err == nil {
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -68,6 +68,9 @@
 	Unknown     []byte // fields of newer versions, passed on as they came
 }
 
+// NoteMost bounds a message's note.
+const NoteMost = 400
+
 // Message is one datagram's content.
 type Message struct {
 	Kind    Kind
@@ -76,6 +79,7 @@
 	At      string // of Ask: the address
 	Updates []Update
 	Seen    Digest // what the sender saw itself; with pings and answers
+	Note    []byte // what it passes on for others than this package; at most NoteMost bytes
 }
 
 func (u *Update) append(b []byte) []byte {
@@ -116,6 +120,9 @@
 	if one = m.Seen.append(one); len(one) > 0 {
 		b = protowire.AppendBytes(protowire.AppendTag(b, 6, protowire.BytesType), one)
 	}
+	if len(m.Note) > 0 {
+		b = protowire.AppendBytes(protowire.AppendTag(b, 7, protowire.BytesType), m.Note)
+	}
 	for i := range m.Updates {
 		one = m.Updates[i].append(one[:0])
 		if len(b)+len(one)+4 > most {
@@ -180,6 +187,10 @@
 			if m.Seen = seen; err != nil {
 				inner = ErrMalformed
 			}
+		case 7:
+			if m.Note = s; len(s) > NoteMost {
+				inner = ErrMalformed
+			}
 		}
 		return true
 	})
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -4,6 +4,7 @@
 package peers
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"math"
@@ -80,8 +81,10 @@
 	leaving   bool
 	ticked    time.Duration
 	at        struct{ probe, ask, gossip, sync, reach, sweep time.Duration }
-	Clashes   int // datagrams that another relay sent under this one's name
-	Refusals  int // relays that were claimed beyond PeersMost
+	note      []byte
+	Noted     func(from string, note []byte) // is told of others' notes, if set
+	Clashes   int                            // datagrams that another relay sent under this one's name
+	Refusals  int                            // relays that were claimed beyond PeersMost
 }
 
 type errand struct {
@@ -127,6 +130,16 @@
 // there stays bounded in bytes a second.
 func (m *Machine) Show(d Digest) { m.seen = d }
 
+// Carry changes the note that rides on all that this relay sends; a new one is news, and goes round as fast as that.
+func (m *Machine) Carry(now time.Duration, note []byte) {
+	if len(note) > NoteMost || bytes.Equal(note, m.note) {
+		return
+	}
+	if m.note = note; len(note) > 0 {
+		m.news(now, &m.sent)
+	}
+}
+
 // Shown is what it tells.
 func (m *Machine) Shown() Digest { return m.seen }
 
@@ -181,6 +194,9 @@
 		return nil // beyond the bound, or it said nothing of itself
 	}
 	p.Heard = now
+	if len(msg.Note) > 0 && m.Noted != nil {
+		m.Noted(from, msg.Note)
+	}
 	if msg.Kind == Ping || msg.Kind == Ack {
 		p.Seen, p.SeenAt = msg.Seen, now
 	}
@@ -486,7 +502,7 @@
 
 // load puts what this relay says of itself on a message, what is given, and the news that was passed on least.
 func (m *Machine) load(msg Message, first []Update) Message {
-	msg.Updates = append([]Update{m.self}, first...)
+	msg.Updates, msg.Note = append([]Update{m.self}, first...), m.note
 	if msg.Kind == Ping || msg.Kind == Ack {
 		msg.Seen = m.seen
 	}
