--- a/internal/rehearsal/file.go
+++ b/internal/rehearsal/file.go
@@ -42,6 +42,7 @@
 		Group  float64    `json:"group_ms"`  // further work for the first of a group
 		Report float64    `json:"report_ms"` // how old a report may be
 		Rough  float64    `json:"rough"`     // by which part it may be off
+		Flaw   Flaw       `json:"flaw"`      // of those that come in the place of others
 		Leave  float64    `json:"leave_ms"`  // how long after it drains a member sends its clients away
 	} `json:"members"`
 	Discovery struct {
@@ -77,6 +78,13 @@
 	Faults  []Fault         `json:"faults"` // in the place of the file's; absent: the file's
 }
 
+// Flaw is what a new build of members does wrong.
+type Flaw struct {
+	Fail  float64 `json:"fail"`     // part of the first lines answered with ERR
+	Delay float64 `json:"delay_ms"` // before each answer to one
+	Zone  string  `json:"zone"`     // to relays of this zone alone
+}
+
 // Fault is one entry of the time line.
 type Fault struct {
 	At    float64  `json:"at_ms"`
@@ -207,6 +215,7 @@
 		{"members.count", float64(f.Members.Count), 1, 300}, {"relays.views_ms", f.Relays.Views, 0, 1e5}, {"relays.host_ms", f.Relays.Host, 0, 1e5}, {"relays.voters", float64(f.Relays.Voters), 1, 5}, {"members.cores", f.Members.Cores[0], 0.01, f.Members.Cores[1]},
 		{"members.most", float64(f.Members.Most), 0, 1e6}, {"members.open_ms", f.Members.Open, 0, 1e4}, {"members.group_ms", f.Members.Group, 0, 1e4},
 		{"members.report_ms", f.Members.Report, 0, 1e5}, {"members.rough", f.Members.Rough, 0, 0.9}, {"members.leave_ms", f.Members.Leave, 0, 1e6},
+		{"members.flaw.fail", f.Members.Flaw.Fail, 0, 1}, {"members.flaw.delay_ms", f.Members.Flaw.Delay, 0, 1e4},
 		{"discovery.lag_ms", f.Discovery.Lag, 0, 1e5}, {"front.ping_ms", f.Front.Ping, 10, 1e5}, {"front.notice_ms", f.Front.Notice, 10, 1e5},
 		{"clients.standing", float64(f.Clients.Standing), 0, 20000}, {"clients.per_second", f.Clients.Rate, 0, 2000},
 		{"clients.stay_ms", f.Clients.Stay, 100, 1e8}, {"clients.load", f.Clients.Load[0], 0, f.Clients.Load[1]},
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -311,6 +311,12 @@
 	zones := site(r.set)
 	m := &member{Member: standin.NewMember(fmt.Sprintf("s%d", i)), index: i, zone: zones.Zone(i), doors: map[string]string{}, lives: lives}
 	if lives > 0 {
+		m.Flaw = standin.Flaw{Fail: f.Flaw.Fail, Delay: rehearsal.Millis(f.Flaw.Delay)}
+		for k, n := range r.relays {
+			if f.Flaw.Zone != "" && zones.Zone(k) == f.Flaw.Zone {
+				m.Flaw.Via = append(m.Flaw.Via, n.name)
+			}
+		}
 		m.ID = fmt.Sprintf("s%d.%d", i, lives)
 	}
 	m.name = m.ID
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +62,7 @@
 	Begun   func(Attempt)                // called with each attempt, if set
 	Made    func(a Attempt, up string)   // called before an UP is sent
 	Ended   func(a Attempt, itself bool) // called at its end; itself: the member ended it
+	Flaw    Flaw                         // of its build
 	Probed  func()                       // called with each probe
 
 	mu      sync.Mutex
@@ -89,6 +91,17 @@
 	away bool // the member ends it
 }
 
+// Flaw is what a build does wrong, to what comes from some relays or from all.
+type Flaw struct {
+	Fail  float64       // part of the first lines answered with ERR
+	Delay time.Duration // before each answer to one
+	Via   []string      // from these alone; empty: from all
+}
+
+func (f Flaw) meets(via string) bool {
+	return (f.Fail > 0 || f.Delay > 0) && (len(f.Via) == 0 || slices.Contains(f.Via, via))
+}
+
 // NewMember has been up for long.
 func NewMember(id string) *Member {
 	return &Member{ID: id, held: map[net.Conn]*flow{}, all: map[net.Conn]bool{}, groups: map[string]int{}}
@@ -336,6 +349,12 @@
 	if m.Ended != nil {
 		defer func() { m.Ended(f.Attempt, itself) }()
 	}
+	if m.Flaw.meets(via) {
+		time.Sleep(m.Flaw.Delay)
+		if rand.Float64() < m.Flaw.Fail {
+			mode = ModeErr
+		}
+	}
 	switch mode {
 	case ModeBusy:
 		fmt.Fprint(c, "BUSY inflight=9\r\n")
