serve.go is split by concern: how this relay knows the others, what operators tell it

Change: meet.go and operate.go; the functions stand as they were. Result: vet and build; nothing else changed.

--- /dev/null
+++ b/cmd/dahliarudder/meet.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"slices"
+	"time"
+
+	"dahliarudder/internal/config"
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/peering"
+	"dahliarudder/internal/peers"
+	"dahliarudder/policy"
+)
+
+// This file is how this relay knows the others.
+
+// outcomes are the results that say something of a member: a client that leaves says nothing.
+var outcomes = map[policy.Result]peers.Outcome{policy.OK: peers.Good, policy.Full: peers.Good, policy.Error: peers.Bad, policy.Reset: peers.Bad,
+	policy.ConnectFailed: peers.Bad, policy.Timeout: peers.Silent}
+
+// meet begins to know the other relays.
+func (r *relay) meet(p config.Peers) {
+	set := r.names.Settings
+	zone := ""
+	if set.Zone >= 0 && set.Zone < len(set.Zones) {
+		zone = string(set.Zones[set.Zone])
+	}
+	book := &peers.Book{}
+	r.core.Saw = func(m *core.Member, result policy.Result) {
+		if how, ok := outcomes[result]; ok {
+			in := ""
+			if m.Zone < len(set.Zones) {
+				in = string(set.Zones[m.Zone])
+			}
+			book.Note(r.clock(), m.Name, in, how)
+		}
+	}
+	known := p.Known
+	if r.came != nil { // those that it knew: all that are configured may be down
+		known = append(slices.Clone(known), r.came.peers...)
+	}
+	r.peers = peering.New(peering.Options{Seen: func() peers.Digest { return book.Digest(r.clock()) }, Loop: r.loop, Log: r.log, Name: r.cfg.Name, Zone: zone, Listen: p.Listen, Address: p.Address,
+		Known: known, Reach: p.Reach, Keys: p.Keys(), Configured: max(set.Balancers, 1), Seed: r.cfg.SeedNumber(), Wall: time.Now,
+		Share: r.core.Relays, Noted: func(_ string, note []byte) { r.trial.noted(note) }, Ahead: func() {
+			r.log.Warn("other relays hold a newer list; members are asked for anew")
+			r.watch.Refresh(func() {})
+		},
+		Own: func() (peers.Phase, uint64, uint64, uint64) {
+			phase := peers.Serving
+			switch {
+			case !r.open || !r.core.Usable():
+				phase = peers.Starting
+			case !r.core.Welcomes():
+				phase = peers.Draining
+			}
+			list, _ := r.watch.List()
+			return phase, list.Generation, uint64(r.core.Held()), uint64(r.core.Counts.Requests)
+		}})
+}
+
+// Peers is what is known of the other relays, as JSON; empty where peers are not set up.
+func (r *relay) Peers() string {
+	if r.peers == nil {
+		return ""
+	}
+	return r.peers.Text()
+}
--- /dev/null
+++ b/cmd/dahliarudder/operate.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"errors"
+
+	"dahliarudder/internal/bans"
+	"dahliarudder/internal/handover"
+)
+
+// This file is what operators tell this relay at its second address.
+
+// recall takes over the bans that an earlier process has kept.
+func (r *relay) recall() error {
+	dir, err := bans.Dir(r.cfg.Name)
+	if err != nil {
+		return err
+	}
+	r.dir, r.bans, r.words = dir, &bans.File{Dir: dir}, make(chan func(), wordsMost)
+	go func() {
+		for word := range r.words {
+			word()
+		}
+	}()
+	if err := r.succeed(dir); err != nil {
+		return err
+	}
+	// Only now: the older process, if there is one, tells of what changes from here on.
+	names, err := r.bans.Read()
+	if err != nil {
+		r.log.WithError(err).Error("no ban is in force")
+	}
+	for _, name := range names {
+		r.core.Ban(name)
+		r.log.WithField("member", name).Info("banned")
+	}
+	return nil
+}
+
+// Ready says whether clients can be served: every listener is up, and the pool has
+// a member to send to.
+func (r *relay) Ready() bool { return r.open && r.core.Usable() }
+
+// Known says whether operators may speak of a member by that name.
+func (r *relay) Known(member string) bool { return r.core.Known(member) }
+
+// Ban keeps an operator's word off the loop, so that a slow disk does not hold it
+// up, and then follows it.
+func (r *relay) Ban(member string, out bool, done func(error)) {
+	if r.fleet != nil {
+		r.banAll(member, out, done)
+		return
+	}
+	r.follow(member, out, done)
+}
+
+// follow writes a ban, if member names one, and then does as the file says, which
+// another process of this relay may have written too.
+func (r *relay) follow(member string, out bool, done func(error)) {
+	word := func() {
+		var err error
+		if member != "" {
+			err = r.bans.Set(member, out)
+		}
+		names, unread := r.bans.Read()
+		err = errors.Join(err, unread)
+		r.loop.Post(func() {
+			if err == nil {
+				r.core.Bans(names)
+				if member != "" {
+					r.tell(handover.Note{Bans: true})
+				}
+			}
+			done(err)
+		})
+	}
+	select {
+	case r.words <- word:
+	default:
+		done(errors.New("too many calls are waiting"))
+	}
+}
+
+// Drain empties the relay.
+func (r *relay) Drain() { r.order(true) }
+
+// Resume ends that.
+func (r *relay) Resume() { r.order(false) }
+
+// order drains or resumes both processes of the relay.
+func (r *relay) order(drain bool) {
+	r.drain(drain)
+	r.tell(handover.Note{Drain: &drain})
+}
+
+func (r *relay) drain(on bool) {
+	if on {
+		r.core.Drain()
+	} else {
+		r.core.Resume()
+	}
+	switch {
+	case r.nats == nil:
+	case on:
+		r.nats.Leave()
+	case r.core.Welcomes():
+		r.nats.Stay()
+	}
+}
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -25,7 +25,6 @@
 	"dahliarudder/internal/netloop"
 	"dahliarudder/internal/operator"
 	"dahliarudder/internal/peering"
-	"dahliarudder/internal/peers"
 	"dahliarudder/internal/pool"
 	"dahliarudder/internal/rollout"
 	"dahliarudder/internal/settings"
@@ -257,58 +256,6 @@
 	return nil
 }
 
-// outcomes are the results that say something of a member: a client that leaves says nothing.
-var outcomes = map[policy.Result]peers.Outcome{policy.OK: peers.Good, policy.Full: peers.Good, policy.Error: peers.Bad, policy.Reset: peers.Bad,
-	policy.ConnectFailed: peers.Bad, policy.Timeout: peers.Silent}
-
-// meet begins to know the other relays.
-func (r *relay) meet(p config.Peers) {
-	set := r.names.Settings
-	zone := ""
-	if set.Zone >= 0 && set.Zone < len(set.Zones) {
-		zone = string(set.Zones[set.Zone])
-	}
-	book := &peers.Book{}
-	r.core.Saw = func(m *core.Member, result policy.Result) {
-		if how, ok := outcomes[result]; ok {
-			in := ""
-			if m.Zone < len(set.Zones) {
-				in = string(set.Zones[m.Zone])
-			}
-			book.Note(r.clock(), m.Name, in, how)
-		}
-	}
-	known := p.Known
-	if r.came != nil { // those that it knew: all that are configured may be down
-		known = append(slices.Clone(known), r.came.peers...)
-	}
-	r.peers = peering.New(peering.Options{Seen: func() peers.Digest { return book.Digest(r.clock()) }, Loop: r.loop, Log: r.log, Name: r.cfg.Name, Zone: zone, Listen: p.Listen, Address: p.Address,
-		Known: known, Reach: p.Reach, Keys: p.Keys(), Configured: max(set.Balancers, 1), Seed: r.cfg.SeedNumber(), Wall: time.Now,
-		Share: r.core.Relays, Noted: func(_ string, note []byte) { r.trial.noted(note) }, Ahead: func() {
-			r.log.Warn("other relays hold a newer list; members are asked for anew")
-			r.watch.Refresh(func() {})
-		},
-		Own: func() (peers.Phase, uint64, uint64, uint64) {
-			phase := peers.Serving
-			switch {
-			case !r.open || !r.core.Usable():
-				phase = peers.Starting
-			case !r.core.Welcomes():
-				phase = peers.Draining
-			}
-			list, _ := r.watch.List()
-			return phase, list.Generation, uint64(r.core.Held()), uint64(r.core.Counts.Requests)
-		}})
-}
-
-// Peers is what is known of the other relays, as JSON; empty where peers are not set up.
-func (r *relay) Peers() string {
-	if r.peers == nil {
-		return ""
-	}
-	return r.peers.Text()
-}
-
 func (r *relay) listen(front, addr string, accept func(*netloop.Conn)) error {
 	l, err := r.inherit(front, addr, accept)
 	r.took(front, l, err)
@@ -326,104 +273,6 @@
 	}
 }
 
-// recall takes over the bans that an earlier process has kept.
-func (r *relay) recall() error {
-	dir, err := bans.Dir(r.cfg.Name)
-	if err != nil {
-		return err
-	}
-	r.dir, r.bans, r.words = dir, &bans.File{Dir: dir}, make(chan func(), wordsMost)
-	go func() {
-		for word := range r.words {
-			word()
-		}
-	}()
-	if err := r.succeed(dir); err != nil {
-		return err
-	}
-	// Only now: the older process, if there is one, tells of what changes from here on.
-	names, err := r.bans.Read()
-	if err != nil {
-		r.log.WithError(err).Error("no ban is in force")
-	}
-	for _, name := range names {
-		r.core.Ban(name)
-		r.log.WithField("member", name).Info("banned")
-	}
-	return nil
-}
-
-// Ready says whether clients can be served: every listener is up, and the pool has
-// a member to send to.
-func (r *relay) Ready() bool { return r.open && r.core.Usable() }
-
-// Known says whether operators may speak of a member by that name.
-func (r *relay) Known(member string) bool { return r.core.Known(member) }
-
-// Ban keeps an operator's word off the loop, so that a slow disk does not hold it
-// up, and then follows it.
-func (r *relay) Ban(member string, out bool, done func(error)) {
-	if r.fleet != nil {
-		r.banAll(member, out, done)
-		return
-	}
-	r.follow(member, out, done)
-}
-
-// follow writes a ban, if member names one, and then does as the file says, which
-// another process of this relay may have written too.
-func (r *relay) follow(member string, out bool, done func(error)) {
-	word := func() {
-		var err error
-		if member != "" {
-			err = r.bans.Set(member, out)
-		}
-		names, unread := r.bans.Read()
-		err = errors.Join(err, unread)
-		r.loop.Post(func() {
-			if err == nil {
-				r.core.Bans(names)
-				if member != "" {
-					r.tell(handover.Note{Bans: true})
-				}
-			}
-			done(err)
-		})
-	}
-	select {
-	case r.words <- word:
-	default:
-		done(errors.New("too many calls are waiting"))
-	}
-}
-
-// Drain empties the relay.
-func (r *relay) Drain() { r.order(true) }
-
-// Resume ends that.
-func (r *relay) Resume() { r.order(false) }
-
-// order drains or resumes both processes of the relay.
-func (r *relay) order(drain bool) {
-	r.drain(drain)
-	r.tell(handover.Note{Drain: &drain})
-}
-
-func (r *relay) drain(on bool) {
-	if on {
-		r.core.Drain()
-	} else {
-		r.core.Resume()
-	}
-	switch {
-	case r.nats == nil:
-	case on:
-		r.nats.Leave()
-	case r.core.Welcomes():
-		r.nats.Stay()
-	}
-}
-
 // reload takes over what a configuration that was read again may change: where
 // discovery is.
 func (r *relay) reload(fresh *config.Config) {
