--- a/cmd/dahliarudder-rehearse/main.go
+++ b/cmd/dahliarudder-rehearse/main.go
@@ -6,12 +6,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
 
+	"github.com/mattn/go-isatty"
 	"github.com/spf13/cobra"
 
 	"dahliarudder/internal/rehearsal"
@@ -73,7 +75,7 @@
 				return err
 			}
 			r := &rehearse.Rehearsal{File: f, Dir: filepath.Dir(args[0]), Program: program, Work: work,
-				Say: func(format string, a ...any) { fmt.Fprintf(cmd.ErrOrStderr(), format, a...) }}
+				Say: teller(cmd.ErrOrStderr())}
 			for _, v := range f.Variants {
 				if _, _, err := r.Settings(v); err != nil {
 					return fmt.Errorf("%s: %w", args[0], err)
@@ -132,3 +134,16 @@
 	}
 	return filepath.Join(filepath.Dir(self), name)
 }
+
+// teller writes what a rehearsal says. A line that is written over on a terminal comes as a line of its own elsewhere.
+func teller(to io.Writer) func(format string, a ...any) {
+	if f, ok := to.(*os.File); ok && isatty.IsTerminal(f.Fd()) {
+		return func(format string, a ...any) { fmt.Fprintf(to, format, a...) }
+	}
+	return func(format string, a ...any) {
+		line := strings.TrimRight(strings.TrimLeft(fmt.Sprintf(format, a...), "\r\n"), " \r\n")
+		if line != "" {
+			fmt.Fprintln(to, line)
+		}
+	}
+}
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -6,8 +6,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -363,3 +367,83 @@
 		t.Fatalf("no verdict on an arm that answers errors: %s", a)
 	}
 }
+
+// TestFleetMany measures with as many processes as FLEET_PROCESSES says: how long until the last relay heeds a halt, and a canary's pause
+// without a majority; what a relay says and uses.
+func TestFleetMany(t *testing.T) {
+	n, _ := strconv.Atoi(os.Getenv("FLEET_PROCESSES"))
+	if n == 0 {
+		t.Skip("FLEET_PROCESSES is not set")
+	}
+	f := newFleet(t, n, 3, 4, nil)
+	l := f.leader()
+	until(t, "all to be heard", func() bool {
+		var a struct{ Relays map[string]any }
+		f.call(l, "GET", "/-/fleet", nil, &a)
+		return len(a.Relays) == n
+	})
+	heed := func(what string, ok func(i int) bool) []time.Duration {
+		from, took := time.Now(), make([]time.Duration, n)
+		var all sync.WaitGroup
+		for i := range n {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				for !ok(i) && time.Since(from) < patience {
+					time.Sleep(5 * time.Millisecond)
+				}
+				took[i] = time.Since(from)
+			}()
+		}
+		all.Wait()
+		slices.Sort(took)
+		t.Logf("%s: p50 %v, last %v of %d", what, took[n/2].Round(time.Millisecond), took[n-1].Round(time.Millisecond), n)
+		return took
+	}
+	logs := func(text string) func(int) bool {
+		before := make([]int, n)
+		for i, r := range f.relays {
+			before[i] = strings.Count(r.log.String(), text)
+		}
+		return func(i int) bool { return strings.Count(f.relays[i].log.String(), text) > before[i] }
+	}
+	out, in := `members that are out" out="[s1]"`, `members that are out" out="[]"`
+	for k := range 5 {
+		name := fmt.Sprintf("d%d", k)
+		told := logs(out)
+		f.agreed(0, "POST", "/-/releases", map[string]any{"name": name, "kind": "member", "drain": true, "names": []string{"s1"}})
+		heed("a drain, from the call's answer", told)
+		halted := logs(in)
+		if f.call(k%n, "PUT", "/-/releases/"+name+"/halt", nil, nil) != 200 {
+			t.Fatal("no halt")
+		}
+		heed("a halt, from the call's answer", halted)
+		f.agreed(0, "PUT", "/-/releases/"+name+"/back", nil)
+		f.release(0, name, rollout.Undone)
+	}
+	weighed := logs("map[c1:300]")
+	f.agreed(0, "POST", "/-/canaries", map[string]any{"release": "c1", "arm": map[string]any{"members": []string{"s0"}}, "ladder": []int{300, 1000},
+		"floor": 200, "longest": 120000, "error": 0.01, "guards": []map[string]any{{"metric": "failures", "points": 50}}})
+	heed("a canary's first weight", weighed)
+	for i := range 3 {
+		f.apart(i, true)
+	}
+	none := logs("map[c1:0]")
+	go f.call(n-1, "PUT", "/-/canaries/c1/pause", nil, nil)
+	heed("a pause without a majority", none)
+	var a struct {
+		Said   int `json:"said_bytes"`
+		Engine struct{ BytesIn, BytesOut uint64 }
+	}
+	for _, i := range []int{l, (l + 1) % 3, n - 1} {
+		f.call(i, "GET", "/-/fleet", nil, &a)
+		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.relays[i].cmd.Process.Pid))
+		rss := ""
+		for _, line := range strings.Split(string(text), "\n") {
+			if strings.HasPrefix(line, "VmRSS") {
+				rss = strings.TrimSpace(line)
+			}
+		}
+		t.Logf("n%d (leads %v): said %d bytes, engine in %d out %d, %s", i, i == l, a.Said, a.Engine.BytesIn, a.Engine.BytesOut, rss)
+	}
+}
