accord: a voter back from a failed disk does not say that it leads until others are heard

One that led before its disk failed took calls into a log that others had overtaken; what a stream had already applied in its place was passed over without a word, so the call waited to its end and was in doubt.

--- a/internal/accord/apply.go
+++ b/internal/accord/apply.go
@@ -220,7 +220,19 @@
 	}
 }
 
-// read answers a barrier.
+// passed is of an entry that was applied before this node knew that it waits for it, by a stream: it has no answer any more.
+func (p *pending) passed(index uint64, id [16]byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.byIndex[index]; w != nil && w.id != id {
+		p.end(w, result{err: ErrNoMajority})
+	}
+	if w := p.byID[id]; w != nil {
+		p.end(w, result{err: ErrDoubt})
+	}
+}
+
+// readAt answers a barrier.
 func (p *pending) readAt(id [16]byte, index uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/accord/engine.go
+++ b/internal/accord/engine.go
@@ -41,6 +41,7 @@
 	after   func()
 	mute    error
 	tryAt   time.Time
+	stale   int // tick until which this voter, back from a failed disk, does not say that it leads: others may long have another
 	led     bool
 	ledTerm uint64
 	snap    *state // of this voter's own, to be written
@@ -170,7 +171,7 @@
 }
 
 func (e *engine) call(w *waiter) {
-	if e.mute != nil {
+	if e.mute != nil || e.c.ticks < e.stale {
 		e.n.pend.fail(w, errNoLeader)
 		return
 	}
@@ -234,7 +235,7 @@
 	}
 	if e.mute != nil {
 		e.n.log().Warn("accord: the disk is well again: this voter votes")
-		e.mute = nil
+		e.mute, e.stale = nil, e.c.ticks+electionTicks+1
 	}
 	if f := e.after; f != nil {
 		e.after = nil
@@ -322,12 +323,12 @@
 
 func (e *engine) show() {
 	b := e.c.basic()
-	v := &view{leads: b.RaftState == raft.StateLeader && e.mute == nil, unsure: e.c.unsure, joint: e.c.joint(), leader: b.Lead, term: b.GetTerm(), committed: b.GetCommit(),
+	v := &view{leads: b.RaftState == raft.StateLeader && e.mute == nil && e.c.ticks >= e.stale, unsure: e.c.unsure, joint: e.c.joint(), leader: b.Lead, term: b.GetTerm(), committed: b.GetCommit(),
 		members: e.c.members, marks: copyMarks(e.c.marks), held: e.c.said, mute: e.mute, at: time.Now()}
 	v.first, _ = e.c.st.FirstIndex()
 	v.last = e.c.lastIndex()
 	v.snapIndex, v.snapBytes = e.c.snapIndex, e.c.snapBytes
-	if e.mute != nil {
+	if e.mute != nil || b.RaftState == raft.StateLeader && !v.leads {
 		v.leader = 0
 	}
 	e.view.Store(v)
--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -271,6 +271,8 @@
 				answer, ok := n.ap.apply(it)
 				if ok {
 					n.pend.applied(it.index, it.id, answer)
+				} else {
+					n.pend.passed(it.index, it.id)
 				}
 			}
 			if a.done != nil {
