--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -240,6 +240,8 @@
 		return refuse("it was reckoned from version %d, this is %d", c.Base, d.Version)
 	case c.Kind != Back && r.ended():
 		return refuse("release %q has ended", c.Name)
+	case c.Kind == Back && r.ended() && d.inTheWay(r) != "":
+		return refuse("release %q touches the same things, and is not through", d.inTheWay(r))
 	}
 	switch c.Kind {
 	case Halt:
@@ -278,6 +280,16 @@
 	return Answer{Name: r.Name, State: r.State}
 }
 
+// inTheWay is a release that goes on at the same things as one that has ended.
+func (d *data) inTheWay(r *release) string {
+	for i := range d.Releases {
+		if o := &d.Releases[i]; o.Name != r.Name && !o.ended() && o.Behind == "" && o.Wish.overlaps(&r.Wish) {
+			return o.Name
+		}
+	}
+	return ""
+}
+
 // going is the state of a release that is not halted.
 func (r *release) going() string {
 	switch {
@@ -607,7 +619,7 @@
 func (d *data) settle(at int64) {
 	for i := range d.Releases {
 		r := &d.Releases[i]
-		if r.State == Undone && slices.ContainsFunc(r.Units, func(u Unit) bool { return u.Phase == Done && !u.Stranded && r.undoable(&u) }) {
+		if r.State == Undone && d.inTheWay(r) == "" && slices.ContainsFunc(r.Units, func(u Unit) bool { return u.Phase == Done && !u.Stranded && r.undoable(&u) }) {
 			r.State, r.Ended, r.Resumed, r.Moved = Backing, 0, at, at // one that was stranded came back with the new thing
 		}
 		end := ""
