--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -239,7 +239,7 @@
 				undone.Add(1)
 			default:
 				halted.Add(1)
-				t.Logf("seed %d: %s is halted, back %v: %+v", seed, r.Name, r.Backing, *r.Halt)
+				t.Logf("seed %d: %s is %s, back %v: %+v", seed, r.Name, r.State, r.Backing, r.Halt)
 			}
 		}
 		return w.faults
