Canary: the cut of times lies where a quarter of the base or more is above it

With wide buckets 'at most a quarter' was an eighth at times: twice as slow then was half of the harm looked for, and 1 of 100 releases slow in one zone climbed to the end, another was found at a quarter. 15 points more above the cut are looked for now.

--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -21,7 +21,7 @@
 	clear     = 3.0  // natural logarithm: one explanation is 20 times as likely as the other
 	missed    = 0.05 // a harm of sought times what is borne passes a rung so often; two rungs, as each begins anew: 1 in 400
 	sought    = 4    // so five times what is borne in all: 5 points where 1 is borne
-	soughtBy  = 0.25 // times: so much more of the arm above what the slowest quarter of the base takes
+	soughtBy  = 0.15 // times: so much more of the arm above what the slowest quarter of the base takes
 	smallZone = 4    // a zone with less than its part of what was compared, over this, is not waited for
 )
 
@@ -104,7 +104,7 @@
 			t.shift = int(math.Ceil(2*math.Log2(g.Factor) - 1e-9))
 			t.sought = 1
 			for _, part := range []float64{0.25, 0.05} { // slower all over, and in the tail
-				for _, harm := range []float64{0.1, soughtBy, 0.5} {
+				for _, harm := range []float64{0.05, soughtBy, 0.4} {
 					t.suspects = append(t.suspects, suspect{harm, part})
 				}
 			}
@@ -286,7 +286,7 @@
 	return &c.Message
 }
 
-// cut is the lowest bucket that at most this part of the base was above; its own relay's if that is known well enough.
+// cut is the highest bucket that at least this part of the base was above (a bucket is wide: at most, and it may be next to none); its own relay's if that is known well enough.
 func (t *test) cut(own, shared *Tally, part float64) int {
 	times := t.times(own)
 	if float64(times.above(-1))*part < 10 {
@@ -298,8 +298,8 @@
 	}
 	above := 0.0
 	for b := Buckets - 1; b > 0; b-- {
-		if above += float64(times[b]); above > part*n {
-			return b
+		if above += float64(times[b]); above >= part*n {
+			return b - 1
 		}
 	}
 	return 0
