A relay that peers hear may hold flows however long the leader does not; who starts catches up first

And a relay that comes back must not send to members that were taken out while it was down. Change: such a relay is silent at most for as long as it may hold flows, so empty waits for it; one never heard is silent since the leader began; at a start what is new to a member waits for the record, 2 s at most.

--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -56,7 +56,23 @@
 		Settings: commonDigest(r.cfg), Keys: r.cfg.Peers.Keys(), ColdFrom: set.Guarantees.ColdFrom, ColdFor: settings.Span(set.Guarantees.Cold),
 		Wall: time.Now, Log: r.log, Post: r.loop.Post, Look: r.look, Follow: r.heed,
 		Pause: r.pauseTrial})
-	return err
+	if err != nil {
+		return err
+	}
+	// What was agreed while it was down is heard first: until then nothing new goes to a member, for catchUp at most.
+	r.core.Doubt()
+	r.loop.After(catchUp, r.catchUp)
+	return nil
+}
+
+// catchUp is how long a relay that starts waits for the record: an election takes two seconds at most, and without a majority it serves.
+const catchUp = 2 * time.Second
+
+func (r *relay) catchUp() {
+	if !r.caught {
+		r.caught = true
+		r.core.Sure()
+	}
 }
 
 // fileDigest is the beginning of the digest of a file, "unknown" if it cannot be read.
@@ -134,6 +150,9 @@
 	for name, i := range o.Out {
 		out[name] = core.Leaving{Over: time.Duration(i.MoveOver) * time.Millisecond, Ban: i.Why == rollout.Ban}
 	}
+	if o.Reached {
+		defer r.catchUp()
+	}
 	names := slices.Sorted(maps.Keys(out))
 	if !slices.Equal(names, r.agreed) {
 		r.log.WithFields(logrus.Fields{"out": names, "version": version}).Info("fleet: members that are out")
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -156,6 +156,7 @@
 	leaving   *leaving         // it was told to leave; nil if not
 	ordered   bool             // it ends because it was told to
 	ending    bool
+	caught    bool // it has heard what was agreed while it was down, or waited long enough
 	listeners []*netloop.Listener
 	sockets   int                          // descriptors that the loop may hold
 	memory    int                          // bytes that its buffers may
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -69,6 +69,7 @@
 	judge   *canary.Judge // of the canary that is going; nil if there is none
 	judged  canary.Canary // as it was when the judge last began
 	verdict canary.Verdict
+	caught  bool  // this relay has followed the record as a majority has it, once
 	trial   bool  // there is a canary
 	ledAt   int64 // when this relay began to lead; 0 while it does not
 	term    uint64
@@ -240,11 +241,12 @@
 
 // orders has the loop follow the record, once for all that changed meanwhile, and again as long as it does not.
 func (s *Service) orders() {
-	again := time.NewTicker(sayEvery)
+	again := time.NewTicker(planEvery)
 	defer again.Stop()
 	followed := make(chan struct{}, 1)
 	followed <- struct{}{}
 	var sent uint64
+	var last time.Time
 	first := true
 	for {
 		anew := false
@@ -255,7 +257,8 @@
 			anew = true
 		case <-again.C:
 			s.mu.Lock()
-			anew = s.look.Follows != sent || s.trial // a weight that is not confirmed falls
+			// Until it has caught up; a weight that is not confirmed falls; the loop may have been told before a restored record.
+			anew = !s.caught || time.Since(last) >= sayEvery && (s.look.Follows != sent || s.trial)
 			s.mu.Unlock()
 		}
 		if !anew && !first {
@@ -271,6 +274,7 @@
 		s.mu.Lock()
 		s.trial = len(list) > 0
 		s.mu.Unlock()
+		last = time.Now()
 		sent = s.post(func() { followed <- struct{}{} })
 	}
 }
@@ -283,6 +287,9 @@
 	var o Orders
 	st := s.node.Status() // before the record is read: what is applied later is in it too
 	o.Index, o.Reached = st.Applied, st.Majority && st.Applied == st.Committed
+	s.mu.Lock()
+	s.caught = s.caught || o.Reached
+	s.mu.Unlock()
 	s.record.read(func(r *rollout.State, _ held) { o.Orders, o.Version = r.Orders(s.Name), r.Version() })
 	o.Weights, o.Weighed = s.record.weights()
 	s.Post(func() { s.Follow(o); done() })
@@ -336,11 +343,12 @@
 			s.mu.Unlock()
 			return
 		}
-		v := seen.view(now, s.Name, look, warmth{s.ColdFrom, s.ColdFor.Milliseconds()})
+		v := seen.view(now, led, s.Budgets().Hold, s.Name, look, warmth{s.ColdFrom, s.ColdFor.Milliseconds()})
 		s.watchDrift(now, &v)
 		trials := s.weigh(now, &v)
+		unheard := slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool { return seen.words[r.Name] == nil && !r.Gone })
 		s.mu.Unlock()
-		if now-led < silentAfter.Milliseconds() && slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool { return r.HeardMS < 0 && !r.Gone }) {
+		if now-led < silentAfter.Milliseconds() && unheard {
 			return
 		}
 		for _, c := range trials {
@@ -379,7 +387,7 @@
 		switch {
 		case r.Gone:
 			s.drift.Alive(now, r.Name, drift.Gone)
-		case r.HeardMS < 0 || r.HeardMS > silentAfter.Milliseconds():
+		case s.scene.words[r.Name] == nil || r.HeardMS > silentAfter.Milliseconds():
 			s.drift.Alive(now, r.Name, drift.Silent)
 		case r.Phase == "leaving" || r.Phase == "starting":
 			s.drift.Alive(now, r.Name, drift.Restarting)
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -45,7 +45,7 @@
 	}
 	applied := !slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool {
 		h := s.scene.words[r.Name]
-		return r.HeardMS >= 0 && r.HeardMS < silentAfter.Milliseconds() && h != nil && h.Weighs < s.record.canary.Version()
+		return r.HeardMS < silentAfter.Milliseconds() && h != nil && h.Weighs < s.record.canary.Version()
 	})
 	return s.record.canary.Plan(max(now, s.record.held.At), s.verdict, applied)
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -142,8 +142,9 @@
 	return w.From + (1-w.From)*float64(max(age, 0))/float64(w.For)
 }
 
-// view is what the leader knows, with its own look at the pool and the peers.
-func (s *scene) view(now int64, self string, own Look, cold warmth) rollout.View {
+// view is what the leader knows, with its own look at the pool and the peers. It has led since ledAt: a relay that it has not heard is silent
+// for so long. One that peers hear lives, whatever keeps its words away: it may hold flows, however long it is not heard (hold).
+func (s *scene) view(now, ledAt, hold int64, self string, own Look, cold warmth) rollout.View {
 	v := rollout.View{At: now}
 	for _, c := range s.windows {
 		if c.At <= now { // whole ones
@@ -162,7 +163,7 @@
 		names[n] = true
 	}
 	for _, name := range slices.Sorted(maps.Keys(names)) {
-		r := rollout.Relay{Name: name, HeardMS: -1}
+		r := rollout.Relay{Name: name, HeardMS: now - ledAt}
 		p, known := peers[name]
 		if h := s.words[name]; h != nil {
 			r.Zone, r.HeardMS, r.Start, r.Phase, r.Program, r.Config, r.Applied, r.Flows = h.Zone, now-h.at, h.Start, h.Phase, h.Program, h.Config, h.Follows, h.Flows
@@ -172,6 +173,9 @@
 		if known {
 			r.Zone = cmp.Or(r.Zone, p.Zone)
 			r.Gone = p.Gone && p.Incarnation >= r.Start
+			if p.Alive {
+				r.HeardMS = min(r.HeardMS, hold)
+			}
 		}
 		v.Relays = append(v.Relays, r)
 	}
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -31,14 +31,14 @@
 	s.hear(now-2000, "b", word(71, 30, 5, 6))
 	s.hear(now-1500, "b", word(70, 90, 90, 90)) // an earlier process
 	s.hear(now-1400, "b", word(71, 25, 5, 90))  // overtaken
-	v := s.view(now, "a", own, cold)
+	v := s.view(now, now-9000, 8000, "a", own, cold)
 	if m := member(v, "new"); m.Capacity != 40 || m.Bears != 25 {
 		t.Errorf("a cold member bears %v of %v", m.Bears, m.Capacity)
 	}
 	if m := member(v, "old"); m.Held["a"].Flows != 3 || m.Held["b"].Flows != 6 || !m.Failing || m.Bears != 40 || v.Load != 9 {
 		t.Errorf("%+v, load %v", m, v.Load)
 	}
-	if m := member(s.view(now+triedMS, "a", own, cold), "old"); m.Failing {
+	if m := member(s.view(now+triedMS, now-9000, 8000, "a", own, cold), "old"); m.Failing {
 		t.Error("failures of long ago count")
 	}
 	for _, r := range v.Relays {
@@ -47,12 +47,16 @@
 			t.Errorf("%+v", r)
 		}
 	}
+	later := s.view(now+60_000, now-9000, 8000, "a", own, cold).Relays
+	if later[0].HeardMS != 63_000 || later[1].HeardMS != 8000 || later[2].HeardMS != 69_000 {
+		t.Errorf("not heard for %d, %d (peers hear it), %d (never)", later[0].HeardMS, later[1].HeardMS, later[2].HeardMS)
+	}
 	own.Peers[0].Incarnation = 71
-	if v := s.view(now, "a", own, cold); !v.Relays[1].Full {
+	if v := s.view(now, now-9000, 8000, "a", own, cold); !v.Relays[1].Full {
 		t.Errorf("%+v", v.Relays[1])
 	}
 	s.hear(now-1000, "a", word(50, 14, 0, 0))
-	if m := member(s.view(now, "a", own, cold), "old"); len(m.Held) != 1 {
+	if m := member(s.view(now, now-9000, 8000, "a", own, cold), "old"); len(m.Held) != 1 {
 		t.Errorf("held %v", m.Held)
 	}
 	if n := len(s.windows); n == 0 || s.windows[n-1].Served == 0 {
