--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -240,7 +240,7 @@
 		return refuse("it was reckoned from version %d, this is %d", c.Base, d.Version)
 	case c.Kind != Back && r.ended():
 		return refuse("release %q has ended", c.Name)
-	case c.Kind == Back && r.ended() && !r.Wish.Drain && d.inTheWay(r) != "":
+	case c.Kind == Back && r.ended() && !r.Wish.Drain && r.Wish.Kind != KindBan && d.inTheWay(r) != "":
 		return refuse("release %q touches the same things, and is not through", d.inTheWay(r))
 	}
 	switch c.Kind {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -599,7 +599,7 @@
 				break
 			}
 		}
-		out := slices.ContainsFunc(r.Units, func(u Unit) bool { return u.isOut() })
+		out := slices.ContainsFunc(r.Units, func(u Unit) bool { return u.isOut() && !u.Stranded })
 		if len(c.Gives) == n && !out && why != "" {
 			stalled[r.Name] = why
 		}
