Process tests of a fleet under faults: leader killed, no majority, old orders

Need: releases, permits, bans and canaries across relays were shown by processes only on the good way and with one fault each.

Change: seven tests of three or four real relays with faults between them: two releases of one thing, the leader killed in a release of relays, two of three voters cut off in a release of members, a stopped relay with an order that was taken back, a missed ban, a canary paused with no record in reach, two owners who ask for one place. The rig takes other settings, and its own ports lie outside of what the system draws from, so that nobody is given one while its relay is down.

--- /dev/null
+++ b/integration/fleet_faults_test.go
@@ -0,0 +1,460 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/rollout"
+)
+
+// leads is the relay that leads now by its own word, -1 if none does.
+func (f *fleetRig) leads() int {
+	for i := range f.relays {
+		var a struct{ Engine struct{ Role string } }
+		if f.call(i, "GET", "/-/fleet", nil, &a) == 200 && a.Engine.Role == "leader" {
+			return i
+		}
+	}
+	return -1
+}
+
+// within is until with a time of its own, for what takes several waits.
+func within(t *testing.T, span time.Duration, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(span); !ok(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+// shows logs the release when the test fails.
+func (f *fleetRig) shows(name string) {
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			f.show(name)
+		}
+	})
+}
+
+// out is how many things a release has out, by the record of a relay as it is.
+func (f *fleetRig) out(i int, name string) int {
+	var a rollout.Account
+	if f.call(i, "GET", "/-/releases/"+name+"?stale", nil, &a) != 200 {
+		return 0
+	}
+	return a.Counts.Out
+}
+
+// leaves says that a relay was told to leave, and not since that it may stay.
+func leaves(r *relay) bool {
+	log := r.log.String()
+	return strings.LastIndex(log, "fleet: told to leave") > strings.LastIndex(log, "fleet: may stay")
+}
+
+// TestFleetSame: a release that touches what another one does is refused with that one's name, or waits for it if that is wanted; one that
+// touches other things goes. Guards against two releases that pull at one thing.
+func TestFleetSame(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, 3, 3, nil)
+	f.leader()
+	f.agreed(0, "POST", "/-/releases", map[string]any{"name": "a", "kind": "member", "drain": true, "names": []string{"s0"}})
+	var a rollout.Answer
+	code := f.call(1, "POST", "/-/releases", map[string]any{"name": "b", "kind": "member", "drain": true, "names": []string{"s0", "s1"}}, &a)
+	if code != 409 || !strings.Contains(a.Error, `"a"`) {
+		t.Errorf("%d %+v", code, a)
+	}
+	if code := f.call(2, "GET", "/-/releases/b", nil, nil); code != 404 {
+		t.Errorf("what was refused is answered with %d", code)
+	}
+	f.agreed(1, "POST", "/-/releases", map[string]any{"name": "c", "kind": "member", "drain": true, "wait": true, "names": []string{"s0"}})
+	if a := f.release(2, "c", rollout.Queued); a.Behind != "a" {
+		t.Errorf("behind %q", a.Behind)
+	}
+	until(t, "s0 to be out", func() bool { return f.outs(2) == 1 })
+	f.agreed(2, "PUT", "/-/releases/a/back", nil)
+	f.release(0, "a", rollout.Undone)
+	if a := f.release(0, "c", rollout.Running, rollout.Ended); a.Behind != "" {
+		t.Errorf("still behind %q", a.Behind)
+	}
+	until(t, "s0 to be out for the one that waited", func() bool { return f.out(1, "c") == 1 && f.outs(1) == 1 })
+}
+
+// TestFleetLeaderKilled: the relay that leads is killed while another one is out by order. The release goes on under the next leader once the
+// killed one is there again; nothing more is given out meanwhile, and each relay ends by order once. Guards against a new leader that does not know
+// what its predecessor gave out, and against one that takes a loss for room.
+func TestFleetLeaderKilled(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, 3, 4, map[string]any{"relays": map[string]string{"whole": "1"}})
+	f.leader()
+	f.agreed(3, "POST", "/-/releases", map[string]any{"name": "r", "kind": "relay", "all": true})
+	f.shows("r")
+	ended := map[int]int{}
+	dead := -1
+	most := func() {
+		told := 0
+		for i, r := range f.relays {
+			if n := f.out(i, "r"); n > 1 {
+				t.Errorf("n%d: %d are out by order", i, n)
+			}
+			if leaves(r) && i != dead {
+				told++
+			}
+		}
+		if told > 1 {
+			t.Errorf("%d relays leave at once", told)
+		}
+	}
+	hosts := func() {
+		for i := range f.relays {
+			if i != dead && f.host(i) {
+				ended[i]++
+			}
+		}
+	}
+	other := -1
+	within(t, patience, "one relay to have left, and another to leave that does not lead", func() bool {
+		most()
+		hosts()
+		l := f.leads()
+		if len(ended) == 0 || l < 0 || leaves(f.relays[l]) {
+			return false
+		}
+		for i, r := range f.relays {
+			if i != l && leaves(r) {
+				dead, other = l, i
+			}
+		}
+		return other >= 0
+	})
+	killed := dead
+	f.relays[killed].cmd.Process.Kill()
+	<-f.relays[killed].done
+	// The other one is not started again before the killed one: while it is out there is no room, so that all are told to leave once. If
+	// both vote, there is no majority and no leader until then.
+	within(t, patience, "another leader, or the end of the other one", func() bool {
+		most()
+		l := f.leads()
+		return l >= 0 || len(f.relays[other].done) > 0
+	})
+	f.start(killed)
+	dead = -1
+	within(t, 2*patience, "all relays to have left by order", func() bool { most(); hosts(); return len(ended) == 4 })
+	if a := f.release(killed, "r", rollout.Ended); a.Counts.Done != 4 {
+		t.Errorf("%+v", a)
+	}
+	for i, n := range ended {
+		if n != 1 {
+			t.Errorf("n%d left %d times", i, n)
+		}
+	}
+}
+
+// again has a member begin anew at its address, cold, as its owner does who replaces it.
+func (f *fleetRig) again(i int) time.Time {
+	f.t.Helper()
+	b := f.members[i]
+	b.Kill()
+	now := time.Now()
+	if err := b.Start(now); err != nil {
+		f.t.Fatal(err)
+	}
+	e := b.member()
+	e.Started = now.UnixMilli()
+	f.d.Put(e)
+	return now
+}
+
+// shortCold are settings by which a member is cold for three seconds.
+var shortCold = strings.Replace(settingsText, `"cold-ms":8600`, `"cold-ms":3000`, 1)
+
+// TestFleetNoMajority: two of three voters are cut off while one member of a release is out. Its owner replaces it meanwhile, so that the next
+// one would be due: it does not go out, the order that was given holds at every relay, and after the cut the release goes on to its end. Guards
+// against a leader that gives out what nobody else knows of, and against relays that forget an order with the record out of reach.
+func TestFleetNoMajority(t *testing.T) {
+	t.Parallel()
+	f := newFleetBy(t, shortCold, 4, 3, 3, nil)
+	l := f.leader()
+	f.agreed(3, "POST", "/-/releases", map[string]any{"name": "m", "kind": "member", "names": []string{"s0", "s1"}})
+	f.shows("m")
+	out := func(i int) (names string) {
+		var a struct{ Orders rollout.Orders }
+		f.call(i, "GET", "/-/fleet", nil, &a)
+		for _, n := range []string{"s0", "s1", "s2"} {
+			if _, is := a.Orders.Out[n]; is {
+				names += n
+			}
+		}
+		return names
+	}
+	for i := range f.relays {
+		until(t, "the first to be out", func() bool { return out(i) != "" })
+	}
+	empty := func(name string) {
+		t.Helper()
+		within(t, patience, name+" to be empty", func() bool {
+			for _, u := range f.release(3, "m", rollout.Running).Units {
+				if u.Name == name {
+					return u.Phase == rollout.Empty
+				}
+			}
+			return false
+		})
+	}
+	first := out(l)
+	at := int(first[1] - '0')
+	empty(first) // its owner may replace it
+	f.apart(l, true)
+	f.apart((l+1)%3, true)
+	f.again(at)
+	before, n := len(f.members[at].firstLines()), 1
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		for i, r := range f.relays {
+			if got := out(i); got != first {
+				t.Fatalf("n%d has %q out, before the cut %q", i, got, first)
+			}
+			c := r.open(n*7919, "")
+			c.want("UP ")
+			c.Close()
+			n++
+		}
+	}
+	if n := len(f.members[at].firstLines()) - before; n > 0 {
+		t.Errorf("%d flows at a member that is out", n)
+	}
+	f.apart(l, false)
+	f.apart((l+1)%3, false)
+	other := map[string]string{"s0": "s1", "s1": "s0"}[first]
+	for i := range f.relays {
+		until(t, "the next to be out", func() bool { return out(i) == other })
+	}
+	empty(other)
+	f.again(1 - at)
+	if a := f.release(3, "m", rollout.Ended, rollout.Halted); a.State != rollout.Ended {
+		t.Errorf("%+v", a)
+	}
+}
+
+// TestFleetOldOrder: a relay that was told to leave stands still before it can end; meanwhile the release is halted and taken back. When it goes on,
+// its time to end is over by far, and all it knows of is the order: it asks, stays, and serves. Guards against an end by an order
+// that was taken back.
+func TestFleetOldOrder(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, 3, 3, nil)
+	old := (f.leader() + 1) % 3
+	r := f.relays[old]
+	r.hold(24)
+	f.agreed(3, "POST", "/-/releases", map[string]any{"name": "o", "kind": "relay", "names": []string{fmt.Sprintf("n%d", old)}})
+	f.shows("o")
+	r.logged("fleet: told to leave")
+	r.cmd.Process.Signal(syscall.SIGSTOP)
+	t.Cleanup(func() { r.cmd.Process.Signal(syscall.SIGCONT) })
+	f.agreed(3, "PUT", "/-/releases/o/halt", nil)
+	f.agreed(3, "PUT", "/-/releases/o/back", nil)
+	time.Sleep(6 * time.Second) // beyond what a drain is waited for
+	if a := f.release(3, "o", rollout.Backing); a.Counts.Out != 1 {
+		t.Errorf("nobody has seen it serve: %+v", a)
+	}
+	r.cmd.Process.Signal(syscall.SIGCONT)
+	r.logged("fleet: may stay")
+	f.release(3, "o", rollout.Undone)
+	for n := range 6 {
+		r.open(1000+n, "").want("UP ")
+	}
+	select {
+	case err := <-r.done:
+		t.Errorf("it has ended: %v", err)
+	default:
+	}
+}
+
+// TestFleetMissedBan: a relay whose record is cut off does not learn of a ban, and sends there still; the leader shows that it is not heard, and
+// bans it no more than it can. With the way back it takes the ban by itself, and the row goes. Guards against drift that nobody sees.
+func TestFleetMissedBan(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, 3, 3, nil)
+	f.leader()
+	f.apart(3, true)
+	until(t, "the ban", func() bool { return f.relays[0].call("PUT", "/-/backends/s0/disable") == 200 })
+	for i := range 3 {
+		f.relays[i].logged("fleet: members that are out")
+		for _, c := range f.relays[i].hold(6) {
+			c.Close()
+		}
+	}
+	if n := len(f.members[0].firstLines()); n > 0 {
+		t.Errorf("%d flows by those who know", n)
+	}
+	for _, c := range f.relays[3].hold(12) {
+		c.Close()
+	}
+	if n := len(f.members[0].firstLines()); n == 0 {
+		t.Error("the one that cannot know of the ban sends nothing there: nothing is shown here")
+	}
+	states := func() (all []string) {
+		var a struct {
+			Rows []struct{ Relay, Item, State string }
+		}
+		if f.call(f.leader(), "GET", "/-/drift", nil, &a) != 200 {
+			return []string{"unknown"}
+		}
+		for _, r := range a.Rows {
+			if r.Relay == "n3" {
+				all = append(all, r.Item+" "+r.State)
+			}
+		}
+		return all
+	}
+	var last []string
+	until(t, "n3 to be shown as not heard", func() bool {
+		time.Sleep(100 * time.Millisecond)
+		last = states()
+		return strings.Contains(strings.Join(last, ","), "not heard") || strings.Contains(strings.Join(last, ","), "late")
+	})
+	t.Logf("shown as %q", last)
+	f.apart(3, false)
+	f.relays[3].logged("fleet: members that are out")
+	before := len(f.members[0].firstLines())
+	for _, c := range f.relays[3].hold(12) {
+		c.Close()
+	}
+	if n := len(f.members[0].firstLines()) - before; n > 0 {
+		t.Errorf("%d flows after it took the ban", n)
+	}
+	within(t, 2*patience, "the row to go", func() bool { last = states(); return len(last) == 0 })
+}
+
+// TestFleetPauseApart: no two relays' records reach each other when an operator pauses a canary at one relay. The call cannot be agreed, yet every
+// relay goes to zero by what relays pass on in datagrams, and stays there when the record is back, until a resume is agreed. Guards against a
+// bad build that gets flows for as long as there is no majority.
+func TestFleetPauseApart(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, 3, 4, nil)
+	f.leader()
+	f.agreed(0, "POST", "/-/canaries", map[string]any{"release": "c", "arm": map[string]any{"members": []string{"s0"}}, "ladder": []int{500, 1000},
+		"floor": 100000, "longest": 600000, "error": 0.01, "guards": []map[string]any{{"metric": "failures", "points": 50}}})
+	n := 0
+	flows := func() int { // how many of 40 at each relay are at the arm
+		before := len(f.members[0].firstLines())
+		for range 40 {
+			for _, r := range f.relays {
+				c := r.open(n*7919, "")
+				n++
+				c.want("UP ")
+				c.Close()
+			}
+		}
+		return len(f.members[0].firstLines()) - before
+	}
+	logged := func(weight string) { // the newest
+		t.Helper()
+		for i, r := range f.relays {
+			until(t, fmt.Sprintf("n%d to go to %s", i, weight), func() bool {
+				log := r.log.String()
+				at := strings.LastIndex(log, "fleet: canary weights")
+				return at >= 0 && strings.Contains(log[at:], weight)
+			})
+		}
+	}
+	logged("map[c:500]")
+	for i := range 3 {
+		f.apart(i, true)
+	}
+	if flows() == 0 {
+		t.Error("nothing at the arm before the pause")
+	}
+	begun := time.Now()
+	answered := make(chan int, 1)
+	go func() { answered <- f.call(3, "PUT", "/-/canaries/c/pause", nil, nil) }()
+	logged("map[c:0]")
+	t.Logf("zero everywhere after %v", time.Since(begun).Round(time.Millisecond))
+	if k := flows(); k > 0 {
+		t.Errorf("%d flows at the arm of a paused canary", k)
+	}
+	if code := <-answered; code == 200 {
+		t.Error("a pause was agreed without a majority")
+	}
+	for i := range 3 {
+		f.apart(i, false)
+	}
+	f.agreed(3, "PUT", "/-/canaries/c/pause", nil)
+	var a struct {
+		Canaries []struct {
+			Status   string
+			PerMille int `json:"per_mille"`
+		}
+	}
+	for i := range f.relays {
+		until(t, "the pause in the record", func() bool {
+			a.Canaries = nil
+			return f.call(i, "GET", "/-/canaries", nil, &a) == 200 && len(a.Canaries) == 1 && a.Canaries[0].PerMille == 0
+		})
+	}
+	t.Logf("agreed: %+v", a)
+	if k := flows(); k > 0 {
+		t.Errorf("%d flows at the arm after the pause was agreed", k)
+	}
+	f.agreed(1, "PUT", "/-/canaries/c/resume", nil)
+	logged("map[c:500]")
+	if flows() == 0 {
+		t.Error("nothing at the arm after it was resumed")
+	}
+}
+
+// TestFleetPermits: two owners ask for one member each, and one may be out. The second waits, is told why and when to ask again, and keeps its
+// number; it is granted once the first one's member, restarted, bears all again, by what relays see and not by its owner's word. A number that is done
+// with does nothing. Guards against a budget that is given out twice.
+func TestFleetPermits(t *testing.T) {
+	t.Parallel()
+	f := newFleetBy(t, strings.Replace(settingsText, `"cold-ms":8600`, `"cold-ms":7000`, 1), 4, 3, 3, nil)
+	f.leader()
+	for _, r := range f.relays {
+		r.hold(6) // so that what members bear is known
+	}
+	ask := func(i int, who, name string) rollout.Answer {
+		t.Helper()
+		a := f.agreed(i, "POST", "/-/permits", map[string]any{"kind": "member", "name": name, "who": who, "for_ms": 60000, "why": "a kernel"})
+		time.Sleep(100 * time.Millisecond)
+		return a
+	}
+	var a, b rollout.Answer
+	first := ask(0, "ann", "s0")
+	second := ask(1, "bob", "s1")
+	until(t, "the first to be granted", func() bool { a = ask(2, "ann", "s0"); return a.State == rollout.Granted })
+	if b = ask(3, "bob", "s1"); b.State != rollout.Wait || b.Why == "" || b.Again <= 0 {
+		t.Errorf("%+v", b)
+	}
+	if a.Number != first.Number || b.Number != second.Number || a.Number == b.Number || a.Left <= 0 {
+		t.Errorf("%+v, before %+v; %+v, before %+v", a, first, b, second)
+	}
+	if code := f.call(0, "PUT", fmt.Sprintf("/-/permits/%d/begin", b.Number), nil, nil); code != 409 {
+		t.Errorf("one that waits may begin: %d", code)
+	}
+	f.agreed(1, "PUT", fmt.Sprintf("/-/permits/%d/begin", a.Number), nil)
+	begun := f.again(0)
+	f.agreed(2, "PUT", fmt.Sprintf("/-/permits/%d/done", a.Number), nil)
+	var took time.Duration
+	within(t, patience, "the second to be granted", func() bool {
+		b = ask(3, "bob", "s1")
+		took = time.Since(begun)
+		return b.State == rollout.Granted
+	})
+	if took < 7*time.Second { // the rule, not a measure: it is cold until then
+		t.Errorf("granted after %v, while the first was cold", took)
+	}
+	if b.Number != second.Number {
+		t.Errorf("granted as %d, asked as %d", b.Number, second.Number)
+	}
+	for _, verb := range []string{"begin", "done"} {
+		if code := f.call(0, "PUT", fmt.Sprintf("/-/permits/%d/%s", a.Number, verb), nil, nil); code != 409 {
+			t.Errorf("%s of an old number: %d", verb, code)
+		}
+	}
+	var all json.RawMessage
+	f.call(0, "GET", "/-/releases", nil, &all)
+	t.Logf("%s", all)
+}
--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +34,11 @@
 
 // newFleet starts n relays of which the first voters vote, before so many members that bear everything.
 func newFleet(t *testing.T, n, voters, members int, out map[string]any) *fleetRig {
+	return newFleetBy(t, settingsText, n, voters, members, out)
+}
+
+// newFleetBy is the same with other settings.
+func newFleetBy(t *testing.T, settings string, n, voters, members int, out map[string]any) *fleetRig {
 	f := &fleetRig{t: t}
 	var list []member
 	for i := range members {
@@ -41,7 +49,7 @@
 	f.d = newDiscovery(t, list...)
 	var gossip []string
 	for range n {
-		f.listen, gossip = append(f.listen, freePort(t)), append(gossip, freePort(t))
+		f.listen, gossip = append(f.listen, quietPort(t)), append(gossip, quietPort(t))
 	}
 	votes := map[string]string{}
 	for i := range voters {
@@ -63,7 +71,7 @@
 		}
 		f.pipes = append(f.pipes, row)
 		path := configure(t, f.d, map[string]any{"name": fmt.Sprintf("n%d", i), "operator": "127.0.0.1:0", "seed": fmt.Sprintf("%x", 99+i),
-			"settings": json.RawMessage(strings.Replace(settingsText, `"balancers":1`, fmt.Sprintf(`"balancers":%d`, n), 1)),
+			"settings": json.RawMessage(strings.Replace(settings, `"balancers":1`, fmt.Sprintf(`"balancers":%d`, n), 1)),
 			"peers":    map[string]any{"listen": gossip[i], "known": gossip[:min(2, n)], "key_file": "key"},
 			"fleet":    map[string]any{"listen": f.listen[i], "calls": "127.0.0.1:0", "dir": "record", "voters": votes, "reach": reach, "out": out}})
 		write(t, filepath.Join(filepath.Dir(path), "key"), fleetKey+"\n")
@@ -75,6 +83,21 @@
 	return f
 }
 
+var lastPort atomic.Uint32
+
+// quietPort is an address outside of what the system draws ports from: nobody else is given it while its relay is down or not started yet.
+func quietPort(t testing.TB) string {
+	for range 1000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+(uint32(os.Getpid())*37+lastPort.Add(1))%20000)
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
+}
+
 func (f *fleetRig) start(i int) { f.relays[i] = start(f.t, f.conf[i], 3) }
 
 // call is one at a relay's address for calls; it returns the answer's status, 0 if there is none.
