--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -196,6 +196,7 @@
 
 // TestFleetBan: one call at any relay takes a member out at all of them, also at one that was down then; and puts it back.
 func TestFleetBan(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 4, 3, 3, nil)
 	f.leader()
 	f.relays[2].cmd.Process.Kill()
@@ -227,6 +228,7 @@
 // TestFleetRelease: all relays are restarted by one order, the one that leads too, while clients stay connected through their moves: never
 // more out than the budget says, and each comes back. Then all members are drained and replaced by their owner, one after another.
 func TestFleetRelease(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 4, 3, 4, map[string]any{"relays": map[string]string{"whole": "1"}, "members": map[string]string{"whole": "1"}})
 	f.leader()
 	f.agreed(3, "POST", "/-/releases", map[string]any{"name": "r1", "kind": "relay", "all": true, "who": "test"})
@@ -286,6 +288,7 @@
 // TestFleetHaltBack: a member is drained by all relays; halted, all use it again; resumed, it is drained; and the way back brings it in.
 // The relay that leads is killed half-way.
 func TestFleetHaltBack(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 4, 3, 3, nil)
 	f.leader()
 	at := func(what string, n int) {
@@ -317,6 +320,7 @@
 // TestFleetApart: a relay that is cut off from the record has nothing agreed, and answers so; a ban told to it holds at it alone, and is shown
 // as drift when it is back, until it is lifted there.
 func TestFleetApart(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 4, 3, 3, nil)
 	l := f.leader()
 	cut := (l + 1) % 3
@@ -353,6 +357,7 @@
 // TestFleetCanary: a member of a new build that answers errors gets a small share of new flows at every relay, the same groups everywhere; the
 // fleet finds it worse, holds it at zero everywhere, and goes back.
 func TestFleetCanary(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 3, 3, 4, nil)
 	f.leader()
 	f.agreed(0, "POST", "/-/canaries", map[string]any{"release": "c1", "arm": map[string]any{"members": []string{"s0"}}, "ladder": []int{300, 1000},
