--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -96,17 +97,18 @@
 			}
 			r.with(func(at time.Duration) { r.out.release(at, whole) })
 			for _, u := range whole.Units {
-				if u.Kind == rollout.KindMember && u.Phase == rollout.Empty && !replaced[u.Name] {
-					replaced[u.Name] = true
-					r.succeed(u.Name)
+				name := cmp.Or(u.Now, u.Name) // on the way back it is the successor that is replaced, by the build of before
+				if u.Kind == rollout.KindMember && u.Phase == rollout.Empty && !replaced[name] {
+					replaced[name] = true
+					r.succeed(name, u.Undo)
 				}
 			}
 		}
 	}
 }
 
-// succeed ends a member and starts its successor.
-func (r *run) succeed(name string) {
+// succeed ends a member and starts its successor, of the old build if that is wanted back.
+func (r *run) succeed(name string, old bool) {
 	r.mu.Lock()
 	m := r.members[name]
 	r.mu.Unlock()
@@ -122,6 +124,9 @@
 		r.Say("%s has no successor: %v\n", name, err)
 		return
 	}
+	if old {
+		next.Flaw = standin.Flaw{}
+	}
 	r.begin(next)
 }
 
