rehearse: cuts reach the record, the leader as a target, old directories, flaws by variant

A cut between relays broke their datagrams alone: faults.go left at the UDP link before the pipes of the record, so no rehearsal could cut a relay off from the fleet. Pipes are broken too now. The time line can name whoever leads, copy a state directory and start with the copy, change a configuration and send SIGHUP; a variant may have a flaw of its own; what the leader shows as drift is in the result.

--- a/cmd/dahliarudder-rehearse/main.go
+++ b/cmd/dahliarudder-rehearse/main.go
@@ -33,6 +33,7 @@
 func command() *cobra.Command {
 	var seed uint64
 	var repetitions, seeds, relays, members int
+	var clients float64
 	var program, out, keep string
 	var check bool
 	c := &cobra.Command{
@@ -62,7 +63,7 @@
 			if seeds > 0 {
 				f.Seeds = seeds
 			}
-			if err := f.Resize(relays, members); err != nil {
+			if err := f.Resize(relays, members, clients); err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
 			work := keep
@@ -119,6 +120,7 @@
 	c.Flags().IntVar(&seeds, "seeds", 0, "how many draws, from the seed on (default: the file's)")
 	c.Flags().IntVar(&relays, "relays", 0, "how many (default: the file's)")
 	c.Flags().IntVar(&members, "members", 0, "how many (default: the file's)")
+	c.Flags().Float64Var(&clients, "clients", 0, "as many times the file's clients")
 	c.Flags().StringVar(&program, "program", beside("dahliarudder"), "the relay")
 	c.Flags().StringVar(&out, "out", "", "name of the JSON file and the page, without its ending (default: the file's name and -result, here)")
 	c.Flags().StringVar(&keep, "keep", "", "directory for the relays' files and logs (default: a new one, removed if all went well)")
--- a/internal/rehearsal/file.go
+++ b/internal/rehearsal/file.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"path"
 	"reflect"
 	"regexp"
@@ -76,6 +77,7 @@
 	Program string          `json:"program"` // of the relay; relative to the file; empty: the one that rehearses
 	Change  json.RawMessage `json:"change"`
 	Faults  []Fault         `json:"faults"` // in the place of the file's; absent: the file's
+	Flaw    *Flaw           `json:"flaw"`   // likewise
 }
 
 // Flaw is what a new build of members does wrong.
@@ -100,7 +102,8 @@
 	Rough
 	Late float64         `json:"late_ms"` // of discovery
 	Lose bool            `json:"lose_state"`
-	Call string          `json:"call"` // to the fleet, such as "POST /-/releases"; asked again until it is agreed
+	Old  bool            `json:"old_state"` // as the last copy_state left it
+	Call string          `json:"call"`      // to the fleet, such as "POST /-/releases"; asked again until it is agreed
 	Body json.RawMessage `json:"body"`
 }
 
@@ -113,13 +116,16 @@
 	Rate   float64 `json:"kb_per_s"`
 }
 
+// Leader names whichever relay leads the fleet when its turn comes.
+const Leader = "leader"
+
 // What a fault does, to whom, and what undoes it.
 var verbs = map[string]struct{ whom, undo string }{
 	"kill": {"n", "start"}, "stop": {"n", "continue"}, "continue": {"n", ""}, "term": {"n", "start"}, "start": {"n", ""},
 	"silent": {"s", "well"}, "failing": {"s", "well"}, "well": {"s", ""}, "die": {"s", "return"}, "return": {"s", ""},
 	"drain": {"s", "return"}, "replace": {"s", ""},
 	"down": {"discovery", "up"}, "up": {"discovery", ""}, "late": {"discovery", "on_time"}, "on_time": {"discovery", ""},
-	"old": {"discovery", ""}, "call": {"n", ""},
+	"old": {"discovery", ""}, "call": {"n", ""}, "copy_state": {"n", ""}, "configure": {"n", ""},
 	"cut": {"link", "heal"}, "cut_one_way": {"link", "heal"}, "rough": {"link", "heal"}, "heal": {"link", ""}, "reset": {"link", ""}, "stall": {"link", ""},
 }
 
@@ -215,7 +221,6 @@
 		{"members.count", float64(f.Members.Count), 1, 300}, {"relays.views_ms", f.Relays.Views, 0, 1e5}, {"relays.host_ms", f.Relays.Host, 0, 1e5}, {"relays.voters", float64(f.Relays.Voters), 1, 5}, {"members.cores", f.Members.Cores[0], 0.01, f.Members.Cores[1]},
 		{"members.most", float64(f.Members.Most), 0, 1e6}, {"members.open_ms", f.Members.Open, 0, 1e4}, {"members.group_ms", f.Members.Group, 0, 1e4},
 		{"members.report_ms", f.Members.Report, 0, 1e5}, {"members.rough", f.Members.Rough, 0, 0.9}, {"members.leave_ms", f.Members.Leave, 0, 1e6},
-		{"members.flaw.fail", f.Members.Flaw.Fail, 0, 1}, {"members.flaw.delay_ms", f.Members.Flaw.Delay, 0, 1e4},
 		{"discovery.lag_ms", f.Discovery.Lag, 0, 1e5}, {"front.ping_ms", f.Front.Ping, 10, 1e5}, {"front.notice_ms", f.Front.Notice, 10, 1e5},
 		{"clients.standing", float64(f.Clients.Standing), 0, 20000}, {"clients.per_second", f.Clients.Rate, 0, 2000},
 		{"clients.stay_ms", f.Clients.Stay, 100, 1e8}, {"clients.load", f.Clients.Load[0], 0, f.Clients.Load[1]},
@@ -227,6 +232,9 @@
 			return f.fault(c.key, "%v is not from %v to %v", c.v, c.low, c.top)
 		}
 	}
+	if err := f.checkFlaw("members.flaw", &f.Members.Flaw); err != nil {
+		return err
+	}
 	if f.Config == "" {
 		return f.fault("config", "names no configuration of a relay")
 	}
@@ -236,6 +244,9 @@
 			return f.fault(key, "%q: each variant has a name of its own", v.Name)
 		}
 		names[v.Name] = true
+		if err := f.checkFlaw(fmt.Sprintf("variants[%d].flaw", i), v.Flaw); err != nil {
+			return err
+		}
 		for k := range v.Faults {
 			if err := f.checkFault(fmt.Sprintf("variants[%d].faults[%d]", i, k), &f.Variants[i].Faults[k]); err != nil {
 				return err
@@ -250,6 +261,13 @@
 	return nil
 }
 
+func (f *File) checkFlaw(key string, x *Flaw) error {
+	if x != nil && !(x.Fail >= 0 && x.Fail <= 1 && x.Delay >= 0 && x.Delay <= 1e4) {
+		return f.fault(key, "fail is a part of all, delay_ms from 0 to 10,000")
+	}
+	return nil
+}
+
 func (f *File) checkFault(key string, x *Fault) error {
 	v, ok := verbs[x.Do]
 	if !ok {
@@ -302,6 +320,9 @@
 	if len(x.Who) == 0 {
 		return f.fault(key+".who", "names nobody")
 	}
+	if v.whom == "n" && slices.Equal(x.Who, []string{Leader}) {
+		return nil
+	}
 	for i, p := range x.Who {
 		if all := f.Names(v.whom); len(match([]string{p}, all)) == 0 {
 			return f.fault(fmt.Sprintf("%s.who[%d]", key, i), "%q matches none of %s to %s", p, all[0], all[len(all)-1])
@@ -329,24 +350,29 @@
 	return append(append(f.Names("n"), f.Names("s")...), "discovery")
 }
 
-// Resize has other numbers of relays and members than the file says; 0 leaves one as it is.
-func (f *File) Resize(relays, members int) error {
+// Resize has other numbers of relays and members than the file says, and as many times its clients; 0 leaves one as it is.
+func (f *File) Resize(relays, members int, clients float64) error {
 	if relays > 0 {
 		f.Relays.Count = relays
 	}
 	if members > 0 {
 		f.Members.Count = members
 	}
+	if clients > 0 {
+		f.Clients.Standing, f.Clients.Rate = int(math.Round(float64(f.Clients.Standing)*clients)), f.Clients.Rate*clients
+	}
 	return f.check()
 }
 
 // For is the file as a variant is played.
 func (f *File) For(v Variant) *File {
-	if v.Faults == nil {
-		return f
-	}
 	own := *f
-	own.Faults = v.Faults
+	if v.Faults != nil {
+		own.Faults = v.Faults
+	}
+	if v.Flaw != nil {
+		own.Members.Flaw = *v.Flaw
+	}
 	return &own
 }
 
--- a/internal/rehearsal/plan.go
+++ b/internal/rehearsal/plan.go
@@ -35,6 +35,7 @@
 	Rough   Rough
 	Late    time.Duration
 	Lose    bool
+	Old     bool
 	Call    string // method and path
 	Body    []byte
 	Fault   int // its number in the file
@@ -107,6 +108,10 @@
 	case "discovery":
 		whom = [][2]string{{"discovery"}}
 	default:
+		if slices.Equal(x.Who, []string{Leader}) {
+			whom = [][2]string{{Leader}}
+			break
+		}
 		for _, n := range in(match(x.Who, f.Names(v.whom))) {
 			whom = append(whom, [2]string{n})
 		}
@@ -131,7 +136,7 @@
 	}
 	for i, w := range whom {
 		at := Millis(x.At + float64(i)*x.Every)
-		step := Step{At: at, Do: x.Do, Who: w[0], To: w[1], Rough: x.Rough, Late: Millis(x.Late), Lose: x.Lose, Call: x.Call, Body: x.Body, Fault: number}
+		step := Step{At: at, Do: x.Do, Who: w[0], To: w[1], Rough: x.Rough, Late: Millis(x.Late), Lose: x.Lose, Old: x.Old, Call: x.Call, Body: x.Body, Fault: number}
 		p.Steps = append(p.Steps, step)
 		if x.For > 0 {
 			step.At, step.Do = at+Millis(x.For), verbs[x.Do].undo
--- a/internal/rehearsal/where.go
+++ b/internal/rehearsal/where.go
@@ -67,6 +67,8 @@
 		switch {
 		case t == reflect.TypeFor[json.RawMessage]():
 			free = append(free, path)
+		case t.Kind() == reflect.Pointer:
+			walk(path, t.Elem())
 		case t.Kind() == reflect.Struct:
 			for i := range t.NumField() {
 				f := t.Field(i)
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -34,6 +34,10 @@
 			r.breakLink(s)
 		case s.Who == "discovery":
 			r.breakDiscovery(s)
+		case s.Who == rehearsal.Leader:
+			if s.Who = r.leader(s); s.Who != "" {
+				r.breakRelay(s)
+			}
 		case s.Who[0] == 'n':
 			r.breakRelay(s)
 		default:
@@ -64,9 +68,8 @@
 		}
 		w.udp.Rough(s.Rough.Loss, s.Rough.Repeat, w.there.Delay, w.there.Jitter)
 		w.udp.Rate(w.there.Rate)
-		return
 	}
-	for _, p := range w.pipes {
+	for _, p := range w.pipes { // between relays: the record's
 		switch s.Do {
 		case "reset":
 			p.Reset()
@@ -76,8 +79,9 @@
 			go p.Set(w.there, w.back) // a cut takes a moment, and the time line goes on
 		}
 	}
-	// A relay answers for what is behind it, not for the way to its clients.
+	// A relay answers for what is behind it, not for the way to its clients, and not for the way to other relays.
 	switch {
+	case w.udp != nil:
 	case s.Do == "reset" || s.Do == "stall":
 		relay := s.To
 		if s.Who != "front" {
@@ -135,6 +139,16 @@
 		})
 	case "call":
 		go r.call(n, s)
+	case "copy_state":
+		if err := n.copyState(); err != nil {
+			r.Say("%s's state is not copied: %v\n", n.name, err)
+		}
+	case "configure":
+		if err := n.change(s.Body); err != nil {
+			r.Say("%s keeps its configuration: %v\n", n.name, err)
+			return
+		}
+		n.signal(syscall.SIGHUP, false)
 	case "term":
 		n.remember()
 		n.signal(syscall.SIGTERM, true)
@@ -147,10 +161,8 @@
 	case "start":
 		go func() { // an end that takes its time comes first
 			<-n.done
-			if s.Lose {
-				if err := n.lose(); err != nil {
-					r.Say("%s keeps its state: %v\n", n.name, err)
-				}
+			if err := n.prepare(s); err != nil {
+				r.Say("%s starts with its own files: %v\n", n.name, err)
 			}
 			r.with(func(at time.Duration) {
 				r.judge.Calm(at, n.name)
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -7,9 +7,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
+	"dahliarudder/internal/drift"
 	"dahliarudder/internal/rehearsal"
 	"dahliarudder/internal/rollout"
 	"dahliarudder/internal/standin"
@@ -81,6 +83,73 @@
 	}
 }
 
+// leader is the relay that leads when its turn comes, and for what undoes that fault the one that led then; "" if nobody says who leads.
+func (r *run) leader(s rehearsal.Step) string {
+	if was := r.led[s.Fault]; was != "" {
+		return was
+	}
+	for _, n := range r.relays {
+		var a struct{ Engine struct{ Leader string } }
+		if ask("GET", n.calls, "/-/fleet", nil, &a) == http.StatusOK && a.Engine.Leader != "" {
+			r.led[s.Fault] = a.Engine.Leader
+			r.Say("\r%7.1f s: %s leads%s\n", r.now().Seconds(), a.Engine.Leader, strings.Repeat(" ", 40))
+			return a.Engine.Leader
+		}
+	}
+	r.Say("\rnobody says who leads\n")
+	return ""
+}
+
+// Drifted is a pair of relay and item that was shown as drift, and from when to when.
+type Drifted struct {
+	Relay string  `json:"relay"`
+	Item  string  `json:"item"`
+	State string  `json:"state"`
+	From  float64 `json:"from_s"`
+	To    float64 `json:"to_s"`
+}
+
+// watchDrift asks the leader what drifts. What is on its way or not heard is no drift.
+func (r *run) watchDrift(ctx context.Context) {
+	led := r.relays[0]
+	for sleep(ctx, ownerEvery) {
+		var a struct {
+			Name string
+			Rows []struct{ Relay, Item, State string }
+		}
+		if ask("GET", led.calls, "/-/drift", nil, &a) != http.StatusOK {
+			led = r.relays[(led.index+1)%len(r.relays)]
+			for _, n := range r.relays {
+				if n.name == a.Name {
+					led = n
+				}
+			}
+			continue
+		}
+		r.with(func(at time.Duration) {
+			now := at.Seconds()
+			for _, row := range a.Rows {
+				if row.State == drift.OnItsWay.String() || row.State == drift.NotHeard.String() {
+					continue
+				}
+				d := Drifted{row.Relay, row.Item, row.State, now, now}
+				i := slices.IndexFunc(r.out.drift, func(o Drifted) bool {
+					return o.Relay == d.Relay && o.Item == d.Item && o.State == d.State && now-o.To < 2
+				})
+				if i >= 0 {
+					r.out.drift[i].To = now
+				} else if len(r.out.drift) < driftsMost {
+					r.out.drift = append(r.out.drift, d)
+					r.Say("\r%7.1f s: drift: %s %s %s%s\n", now, d.Relay, d.Item, d.State, strings.Repeat(" ", 40))
+				}
+			}
+		})
+	}
+}
+
+// driftsMost bounds what is kept of what drifted.
+const driftsMost = 1000
+
 // owner replaces members that are empty, and remembers how releases stand.
 func (r *run) owner(ctx context.Context) {
 	replaced := map[string]bool{}
@@ -134,6 +203,7 @@
 type outs struct {
 	relays, members int     // at once, at most
 	lost            float64 // of all that members bear, at once, at most
+	drift           []Drifted
 	calls           []time.Duration
 	states          map[string]string        // of releases
 	ended           map[string]time.Duration // since the first call
--- a/internal/rehearse/relay.go
+++ b/internal/rehearse/relay.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"dahliarudder/internal/rehearsal"
 	"dahliarudder/internal/rollout"
 )
 
@@ -184,8 +185,42 @@
 	return n.cmd.Process.Signal(s) == nil
 }
 
-// lose takes its state directory away.
-func (n *relay) lose() error { return os.RemoveAll(filepath.Join(n.dir, "state")) }
+// prepare has the next process find no state, or an older one.
+func (n *relay) prepare(s rehearsal.Step) error {
+	state, old := filepath.Join(n.dir, "state"), filepath.Join(n.dir, "old")
+	switch {
+	case s.Lose:
+		return os.RemoveAll(state)
+	case s.Old:
+		if err := os.RemoveAll(state); err != nil {
+			return err
+		}
+		return os.CopyFS(state, os.DirFS(old))
+	}
+	return nil
+}
+
+// copyState keeps the state as it is now, for a later start. A process may be writing it: so may one be whose disk was copied.
+func (n *relay) copyState() error {
+	old := filepath.Join(n.dir, "old")
+	if err := os.RemoveAll(old); err != nil {
+		return err
+	}
+	return os.CopyFS(old, os.DirFS(filepath.Join(n.dir, "state")))
+}
+
+// change merges into its configuration file, which the process reads on SIGHUP and the next one at its start.
+func (n *relay) change(body json.RawMessage) error {
+	path := filepath.Join(n.dir, "config.json")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if text, err = rehearsal.Merge(text, body); err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o600)
+}
 
 // look reads what the process has used so far and what it has sent to others.
 func (n *relay) look() (cpu, memory float64, bytes int) {
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -47,6 +47,7 @@
 	} `json:"out_at_once"`
 	Releases map[string]string  `json:"releases,omitempty"` // how each stands at the end
 	Done     *float64           `json:"releases_done_after_s"`
+	Drift    []Drifted          `json:"drift,omitempty"` // what the leader said
 	Late     map[string]float64 `json:"rehearsal_late_ms"`
 	Peers    *Peers             `json:"peers,omitempty"`
 	Asked    []float64          `json:"asked"` // connections, each second
@@ -117,7 +118,7 @@
 		x.Peers = &Peers{len(v.noticed), rehearsal.Quantile(v.noticed, 0.5), rehearsal.Quantile(v.noticed, 0.99), v.false_, v.dead}
 	}
 	x.Out.Relays, x.Out.Members, x.Out.Cores, x.Releases = r.out.relays, r.out.members, 1-r.out.lost, r.out.states
-	x.Done = r.out.done()
+	x.Done, x.Drift = r.out.done(), r.out.drift
 	for _, s := range r.plan.Steps {
 		x.Steps = append(x.Steps, Mark{s.At.Seconds(), strings.TrimSpace(s.Do + " " + s.Who + " " + s.To)})
 	}
@@ -151,6 +152,7 @@
 	{"members down or cold at once", func(r *Result) float64 { return float64(r.Out.Members) }, "", false},
 	{"least that members bore, of all", func(r *Result) float64 { return 100 * r.Out.Cores }, "%", false},
 	{"releases done after", func(r *Result) float64 { return released(r) }, "s", false},
+	{"drift shown", func(r *Result) float64 { return float64(len(r.Drift)) }, "", false},
 	{"rules broken", func(r *Result) float64 { return float64(len(r.Broken)) }, "", false},
 }
 
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -41,6 +41,7 @@
 	dir     string
 	given   map[string]bool // addresses
 	began   time.Time
+	led     map[int]string // by fault of the time line: the relay that led then; the time line's own
 
 	mu      sync.Mutex // guards all below, and the judge
 	judge   *rehearsal.Judge
@@ -165,9 +166,11 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &run{Rehearsal: r, set: set, config: config, program: r.Program, plan: rehearsal.Draw(r.File.For(v), site(set), seed),
+	own := *r
+	own.File = r.File.For(v)
+	x := &run{Rehearsal: &own, set: set, config: config, program: r.Program, plan: rehearsal.Draw(own.File, site(set), seed),
 		dir:   filepath.Join(r.Work, fmt.Sprintf("%s-%d", strings.Map(plain, v.Name), repetition)),
-		given: map[string]bool{}, members: map[string]*member{}, ways: map[[2]string]*way{}, fresh: map[string]*rehearsal.Peak{}, answers: map[string]int{},
+		given: map[string]bool{}, led: map[int]string{}, members: map[string]*member{}, ways: map[[2]string]*way{}, fresh: map[string]*rehearsal.Peak{}, answers: map[string]int{},
 		setUp: hdrhistogram.New(1, 600e6, 3), late: hdrhistogram.New(1, 600e6, 3),
 		lists: &rehearsal.Peak{Over: 100 * time.Millisecond}, probes: &rehearsal.Peak{Over: time.Second}}
 	if v.Program != "" {
@@ -445,8 +448,9 @@
 	go func() { defer all.Done(); r.steps(ctx) }()
 	go func() { defer all.Done(); r.progress(ctx) }()
 	if _, on := r.config["fleet"]; on {
-		all.Add(1)
+		all.Add(2)
 		go func() { defer all.Done(); r.owner(ctx) }()
+		go func() { defer all.Done(); r.watchDrift(ctx) }()
 	}
 	all.Add(1)
 	go func() { defer all.Done(); r.countOut(ctx) }()
