accord: the leader answers words

Need: the leader's parts have to ask relays for more than they said, and a word had no way back. Change: Heard returns an answer, Told is called with it at the relay that said the word. It comes in the answer to the request that brought the word, also through a voter that passes it on. Bounded: the ring of words, 256 requests that wait (0.3 s at most), the ring of answers, 2,048 bytes an answer; each loss is counted. The bound of a machine's answer is now called ResultMost. The fleet answers nothing yet. Measured: TestSay has words and answers through a voter, a leader that is slow, a relay that tells nobody, each ring overfull.

--- a/internal/accord/api.go
+++ b/internal/accord/api.go
@@ -30,8 +30,9 @@
 // Bounds.
 const (
 	CommandMost = 256 << 10 // bytes of a command
-	AnswerMost  = 256 << 10 // bytes of an answer; what is longer is cut off
+	ResultMost  = 256 << 10 // bytes of a machine's answer; what is longer is cut off
 	WordMost    = 64 << 10  // bytes of a word said
+	AnswerMost  = 2 << 10   // bytes of an answer to a word; what is longer is dropped
 	// SnapshotMost bounds a machine's snapshot. A machine that returns more is in error: the log is not truncated, and Status says so.
 	SnapshotMost = 64 << 20
 )
@@ -60,8 +61,12 @@
 	Dir     string
 	Keys    peers.Keys
 	Machine Machine
-	// Heard is called at the leader with what relays said, its own words included: on a goroutine of its own, from a bounded ring.
-	Heard func(from string, word []byte)
+	// Heard is called at the leader with what relays said, its own words included: on a goroutine of its own, from a bounded ring. What it
+	// answers goes back to who said the word, unless it is empty, larger than AnswerMost, or late.
+	Heard func(from string, word []byte) (answer []byte)
+	// Told is called with what the leader, by name, answered to a word of this relay's own: on a goroutine of its own, from a bounded ring,
+	// maybe never. The leader tells itself too.
+	Told func(from string, answer []byte)
 	// Led is called when this relay begins or ends to lead: on a goroutine of its own, in order, the last state always told.
 	Led func(leading bool, term uint64)
 	Log logrus.FieldLogger
--- a/internal/accord/apply.go
+++ b/internal/accord/apply.go
@@ -70,7 +70,7 @@
 	}
 	if it.kind == entryCommand {
 		answer = a.machine.Apply(it.index, it.data)
-		answer = answer[:min(len(answer), AnswerMost)]
+		answer = answer[:min(len(answer), ResultMost)]
 	}
 	if it.kind == entryVoters {
 		a.now.members, a.now.conf = it.members, it.conf
--- a/internal/accord/fault_test.go
+++ b/internal/accord/fault_test.go
@@ -360,31 +360,104 @@
 	}
 }
 
+// TestSay: words reach the leader and its answers come back, by a voter too; whoever is slow or full holds up nobody else.
 func TestSay(t *testing.T) {
 	t.Parallel()
 	var mu sync.Mutex
-	got := map[string]string{}
+	got, back := map[string]string{}, map[string]string{}
+	has := func(m map[string]string, key, value string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return m[key] == value
+	}
+	slow, deaf := make(chan struct{}), make(chan struct{})
 	f := newFleet(t, 3, false)
-	f.heard = func(from string, word []byte) { mu.Lock(); got[from] = string(word); mu.Unlock() }
+	f.heard = func(from string, word []byte) []byte {
+		mu.Lock()
+		got[from] = string(word)
+		mu.Unlock()
+		switch string(word) {
+		case "nothing":
+			return nil
+		case "large":
+			return make([]byte, AnswerMost+1)
+		case "slow":
+			<-slow
+		}
+		return []byte("to " + from + ": " + string(word))
+	}
+	f.told = func(at, from, answer string) {
+		mu.Lock()
+		back[at] = from + " " + answer
+		mu.Unlock()
+		if strings.HasSuffix(answer, "deaf") {
+			<-deaf
+		}
+	}
 	f.allUp()
+	f.propose("v0", "a")
+	l := f.leader()
+	f.reach["r0"] = map[string]string{l: freeAddr(t)} // nobody is there: all that it says goes by another voter
 	f.up("r0")
-	f.propose("r0", "a")
-	f.wait("all are heard", func() bool {
-		for name, n := range f.nodes {
-			if err := n.Say([]byte("I am " + name)); err != nil && !errors.Is(err, ErrFull) {
-				t.Fatal(err)
+	f.propose("r0", "b")
+	say := func(name, word string) {
+		if err := f.nodes[name].Say([]byte(word)); err != nil && !errors.Is(err, ErrFull) {
+			t.Fatal(err)
+		}
+	}
+	until := func(what, word string, ok func() bool) {
+		f.wait(what, func() bool { say("r0", word); return ok() })
+	}
+	f.wait("all are heard and told", func() bool {
+		done := true
+		for name := range f.nodes {
+			say(name, "I am "+name)
+			done = done && has(got, name, "I am "+name) && has(back, name, f.leader()+" to "+name+": I am "+name)
+		}
+		return done
+	})
+	dropped := func(what string) bool { // at any of them: the leader may change under load
+		for _, n := range f.nodes {
+			if n.Status().Dropped[what] > 0 {
+				return true
 			}
 		}
+		return false
+	}
+	told := func(word string) bool {
 		mu.Lock()
 		defer mu.Unlock()
-		return len(got) == 4 && got["r0"] == "I am r0"
+		return strings.HasSuffix(back["r0"], " to r0: "+word)
+	}
+	until("one that is too large is dropped", "large", func() bool { return dropped("answersize") })
+	until("one that waits is given up, the next ones count", "slow", func() bool {
+		for name := range f.voters {
+			f.nodes[name].hear(f.nodes[name].ctx, "r0", make([][]byte, heardMost/8))
+		}
+		return dropped("unanswered") && dropped("heard")
 	})
-	full := false
+	close(slow)
+	until("a relay that tells nobody", "deaf", func() bool { return told("deaf") })
+	f.nodes["r0"].tell(l, make([][]byte, toldMost+1))
+	if !dropped("told") {
+		t.Error("the ring of answers has no bound")
+	}
+	close(deaf)
+	until("it is told again", "end", func() bool { return told("end") })
+	for name := range f.voters { // as if so many waited
+		for range awaitMost {
+			f.nodes[name].await <- struct{}{}
+		}
+	}
+	until("words count without a place to wait", "alone", func() bool { return has(got, "r0", "alone") })
+	if told("alone") {
+		t.Error("an answer that nobody could wait for")
+	}
 	for range saidMost + 1 {
-		full = full || errors.Is(f.nodes["r0"].Say([]byte("x")), ErrFull)
+		say("r0", "x")
 	}
-	if !full || f.nodes["r0"].Status().Dropped["said"] == 0 {
-		t.Fatal("the ring has no bound")
+	if !dropped("said") {
+		t.Error("what is said has no bound")
 	}
 }
 
--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -25,7 +25,10 @@
 	saidMost   = 256 // words that wait
 	saidBytes  = 256 << 10
 	heardMost  = 1024
-	tryMost    = 2 * time.Second // of a question that may be asked again
+	toldMost   = 256                    // answers that wait to be told
+	awaitMost  = 256                    // requests that wait for answers to their words: half of what is served at a time
+	awaitFor   = 300 * time.Millisecond // less than sayEvery: who gave a word up would say it again elsewhere
+	tryMost    = 2 * time.Second        // of a question that may be asked again
 	tryPause   = 50 * time.Millisecond
 	leaderless = 2 * time.Second // after which a voter reads a stream too: it may have been replaced
 	bindFor    = 10 * time.Second
@@ -80,6 +83,8 @@
 	noLeader  time.Time // since when the engine has none; zero: it has
 	led       chan ledNews
 	heard     chan saidWord
+	await     chan struct{}
+	told      chan saidWord
 	faultHook func(op string) error
 }
 
@@ -91,6 +96,7 @@
 type saidWord struct {
 	from string
 	word []byte
+	back chan<- []byte // with room for its answer; nil in the ring of answers
 }
 
 // followed is what the stream last told.
@@ -134,7 +140,8 @@
 	}
 	n := &Node{o: o, quit: make(chan struct{}), applies: make(chan applied, appliesMost), ask: make(chan chan struct{}, 16),
 		serving: make(chan struct{}, requestsMost), large: make(chan struct{}, 1), dropped: map[string]uint64{}, refusals: map[string]uint64{},
-		led: make(chan ledNews, 16), heard: make(chan saidWord, heardMost), since: time.Now(), role: RoleFollower, faultHook: fault}
+		led: make(chan ledNews, 16), heard: make(chan saidWord, heardMost),
+		await: make(chan struct{}, awaitMost), told: make(chan saidWord, toldMost), since: time.Now(), role: RoleFollower, faultHook: fault}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.fresh.epoch = random()
 	binary.BigEndian.PutUint64(n.idBase[:], random())
@@ -156,6 +163,7 @@
 	n.wg.Go(n.followThread)
 	n.wg.Go(n.sayThread)
 	n.wg.Go(n.heardThread)
+	n.wg.Go(n.toldThread)
 	n.wg.Go(n.ledThread)
 	n.wg.Go(func() {
 		if err := n.srv.Serve(&countedListener{ln, &n.bytesIn, &n.bytesOut}); !errors.Is(err, http.ErrServerClosed) {
@@ -242,8 +250,27 @@
 		case <-n.quit:
 			return
 		case s := <-n.heard:
+			var answer []byte
 			if n.o.Heard != nil {
-				n.o.Heard(s.from, s.word)
+				answer = n.o.Heard(s.from, s.word)
+			}
+			if len(answer) > AnswerMost {
+				n.drop("answersize")
+				answer = nil
+			}
+			s.back <- answer
+		}
+	}
+}
+
+func (n *Node) toldThread() {
+	for {
+		select {
+		case <-n.quit:
+			return
+		case s := <-n.told:
+			if n.o.Told != nil {
+				n.o.Told(s.from, s.word)
 			}
 		}
 	}
--- a/internal/accord/node_test.go
+++ b/internal/accord/node_test.go
@@ -66,7 +66,8 @@
 	addrs  map[string]string
 	reach  map[string]map[string]string
 	fault  map[string]func(string) error
-	heard  func(from string, word []byte)
+	heard  func(from string, word []byte) []byte
+	told   func(at, from, answer string)
 }
 
 var hosts atomic.Uint32
@@ -109,7 +110,12 @@
 		f.addrs[name] = freeAddr(f.t)
 	}
 	m := &sum{}
-	n, err := startWith(Options{Name: name, Voters: f.voters, Reach: f.reach[name], Listen: f.addrs[name], Dir: f.dirs[name], Keys: f.keys, Machine: m, Heard: f.heard}, f.fault[name])
+	told := func(from string, answer []byte) {
+		if f.told != nil {
+			f.told(name, from, string(answer))
+		}
+	}
+	n, err := startWith(Options{Name: name, Voters: f.voters, Reach: f.reach[name], Listen: f.addrs[name], Dir: f.dirs[name], Keys: f.keys, Machine: m, Heard: f.heard, Told: told}, f.fault[name])
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/accord/say.go
+++ b/internal/accord/say.go
@@ -46,16 +46,11 @@
 
 func (n *Node) bring(words [][]byte) bool {
 	if _, here, _ := n.leaderNow(); here {
-		for _, w := range words {
-			n.hear(n.o.Name, w)
-		}
+		n.tell(n.o.Name, n.hear(n.ctx, n.o.Name, words))
 		return true
 	}
 	b := putBytes(put(nil, 0), n.o.Name)
-	b = put(b, uint64(len(words)))
-	for _, w := range words {
-		b = putBytes(b, w)
-	}
+	b = putList(b, words)
 	// By the voter whose stream is read, else by the leader: a voter has its way to the leader open.
 	list := n.toLeader()
 	n.mu.Lock()
@@ -71,6 +66,11 @@
 		a, err := n.caller.ask(ctx, m.Name, m.Addr, kindSay, b)
 		cancel()
 		if err == nil && a[0] == codeOK {
+			r := reader{b: a[1:]}
+			leader, answers := r.string(), r.list(len(words))
+			if r.end() == nil {
+				n.tell(leader, answers)
+			}
 			return true
 		}
 		if n.ctx.Err() != nil {
@@ -80,31 +80,64 @@
 	return false
 }
 
-func (n *Node) hear(from string, word []byte) {
+// hear puts words into the leader's ring, and waits for the answers: not for long, and not if many wait already. The words count in any case.
+func (n *Node) hear(ctx context.Context, from string, words [][]byte) (answers [][]byte) {
+	back := make(chan []byte, len(words))
+	wait := 0
+	for _, w := range words {
+		select {
+		case n.heard <- saidWord{from, w, back}:
+			wait++
+		default:
+			n.drop("heard")
+		}
+	}
 	select {
-	case n.heard <- saidWord{from, word}:
+	case n.await <- struct{}{}:
+		defer func() { <-n.await }()
 	default:
-		n.drop("heard")
+		n.drop("unanswered")
+		return nil
+	}
+	late := time.NewTimer(awaitFor)
+	defer late.Stop()
+	for range wait {
+		select {
+		case a := <-back:
+			if len(a) > 0 {
+				answers = append(answers, a)
+			}
+			continue
+		case <-late.C:
+			n.drop("unanswered")
+		case <-ctx.Done():
+		case <-n.quit:
+		}
+		break
+	}
+	return answers
+}
+
+func (n *Node) tell(leader string, answers [][]byte) {
+	for _, a := range answers {
+		select {
+		case n.told <- saidWord{from: leader, word: a}:
+		default:
+			n.drop("told")
+		}
 	}
 }
 
 func (n *Node) hearSaid(ctx context.Context, body []byte) []byte {
 	r := reader{b: body}
-	hops, from := r.uint(), r.string()
-	var words [][]byte
-	for range min(r.count(), saidMost) {
-		words = append(words, r.bytes())
-	}
+	hops, from, words := r.uint(), r.string(), r.list(saidMost)
 	if err := r.end(); err != nil {
 		return refused(err)
 	}
 	m, here, ok := n.leaderNow()
 	switch {
 	case here:
-		for _, w := range words {
-			n.hear(from, w)
-		}
-		return []byte{codeOK}
+		return putList(putBytes([]byte{codeOK}, n.o.Name), n.hear(ctx, from, words))
 	case !ok || hops > 0:
 		return []byte{codeNoLeader}
 	}
--- a/internal/accord/wire.go
+++ b/internal/accord/wire.go
@@ -48,6 +48,19 @@
 	return int(n)
 }
 
+// list is at most so many byte strings: more are an error.
+func (r *reader) list(most int) (l [][]byte) {
+	n := r.count()
+	if n > most {
+		r.err, r.b = errShort, nil
+		return nil
+	}
+	for range n {
+		l = append(l, r.bytes())
+	}
+	return l
+}
+
 func (r *reader) string() string { return string(r.bytes()) }
 
 func (r *reader) end() error {
@@ -68,6 +81,14 @@
 	return append(binary.AppendUvarint(b, uint64(len(v))), v...)
 }
 
+func putList(b []byte, l [][]byte) []byte {
+	b = put(b, uint64(len(l)))
+	for _, v := range l {
+		b = putBytes(b, v)
+	}
+	return b
+}
+
 func flag(v bool) uint64 {
 	if v {
 		return 1
@@ -240,11 +261,7 @@
 	for _, id := range sortedKeys(marks) {
 		b = put(b, id, marks[id].term, marks[id].index)
 	}
-	b = put(b, uint64(len(ms)))
-	for _, m := range ms {
-		b = putBytes(b, m)
-	}
-	return b
+	return putList(b, ms)
 }
 
 func decodeBatch(b []byte) (from uint64, marks map[uint64]mark, ms []*pb.Message, err error) {
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -299,13 +299,13 @@
 // ---- The leader ----
 
 // heard takes a word at the leader.
-func (s *Service) heard(from string, text []byte) {
+func (s *Service) heard(from string, text []byte) []byte {
 	w, err := decodeWord(text)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
 		s.bad++
-		return
+		return nil
 	}
 	now := s.now()
 	s.scene.hear(now, from, w)
@@ -319,6 +319,7 @@
 			s.bad++
 		}
 	}
+	return nil
 }
 
 // led is told when this relay begins or ends to lead. Who begins has heard nothing: what an earlier time left is no sight of now.
