fleet: Look and the setting gain what drift of all items needs

The drift watch is told only bans, drains and the program so far. Look gains sections of the configuration, what was refused, and the numbers of permits and of being shut that the loop goes by; Orders gains Permits, which the loop hands back in its Look (0 says that it does not tell, so a relay of an older program is not held to it). take_out is read. Nothing of it is used yet.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -26,6 +26,7 @@
 		Members  Budget  `json:"members"`
 		Headroom float64 `json:"headroom"` // what is left sound carries the load of now and this part more
 	} `json:"out"`
+	TakeOut bool   `json:"take_out"` // relays that drift take no clients, as far as the budget bears it; false if absent: drift is only shown
 	Program string `json:"program"`  // what this relay says that it runs; absent: its version and the digest of its file
 	StartMS int64  `json:"start_ms"` // what is replaced may take so long until it serves; 30,000 if absent
 
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -46,6 +46,7 @@
 	Version uint64 // of the record
 	Weights []canary.Weight
 	Weighed uint64 // the version of the canaries
+	Permits uint64 // stands for the permits in force; never 0. The loop keeps it, and its Look shows it
 	Index   uint64 // of the engine, up to which this is
 	Reached bool   // a majority stood behind it just now
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -41,6 +41,13 @@
 	Weighs        uint64 // the version of the canaries that it goes by
 	Counts        []byte // what it counted for a canary
 	Peers         []Peer
+	// Sections is what it runs of its configuration now: the digest by section, of what all relays have the same. A section's name is 29 bytes
+	// at most. nil: Options.Settings stands for all of it, as the section "settings".
+	Sections map[string]string
+	// Refused is what it was given and did not take, by item ("config.SECTION"): why. An entry goes when a later one was taken.
+	Refused map[string]string
+	Permits uint64 // Orders.Permits as the loop had it last; 0: it does not tell
+	Shut    uint64 // the number of the order by which it takes no clients; 0: it takes them
 }
 
 // heard is the last word of a relay, and what is reckoned from those before.
