drift: who is spared, since when it blocks, and who is clear

A release may not be held up by the drift that it mends, and who is taken out has to stay out until it is known to be in step.

--- a/internal/drift/planted_test.go
+++ b/internal/drift/planted_test.go
@@ -101,10 +101,10 @@
 		for i, s := range w.sims {
 			names[i] = s.name
 		}
-		if why := w.watch.Blocks(names); !strings.Contains(why, "and 13 more") {
+		if why, _ := w.watch.Blocks(names, nil); !strings.Contains(why, "and 13 more") {
 			t.Fatalf("seed %d: blocks says %q", seed, why)
 		}
-		if out := w.watch.TakeOut(4, nil); len(out) != 4 {
+		if out := w.watch.TakeOut(4, nil, nil); len(out) != 4 {
 			t.Fatalf("seed %d: takes out %v", seed, out)
 		}
 		w.heal()
--- a/internal/drift/show.go
+++ b/internal/drift/show.go
@@ -37,11 +37,12 @@
 // rank orders what drifts by how much it is to be mistrusted.
 var rank = map[State]int{Contradicts: 6, GoneBack: 5, Ahead: 4, Refused: 3, Late: 2, Local: 1}
 
-// worst is the pair of a relay that ranks highest, the longest in it, then by name.
-func (r *relay) worst() (worst *pair) {
+// worst is the pair of a relay that ranks highest, the longest in it, then by name. Those that are spared do not count.
+func (r *relay) worst(spared func(relay, item string) bool) (worst *pair) {
 	for _, g := range r.groups {
 		for _, p := range g.pairs {
-			if rank[p.state] > 0 && (worst == nil || rank[p.state] > rank[worst.state] || rank[p.state] == rank[worst.state] && p.since < worst.since) {
+			if rank[p.state] > 0 && (worst == nil || rank[p.state] > rank[worst.state] || rank[p.state] == rank[worst.state] && p.since < worst.since) &&
+				(spared == nil || !spared(r.name, p.intent.Name)) {
 				worst = p
 			}
 		}
@@ -50,8 +51,8 @@
 }
 
 // Blocks says why a release must not step on, as to the relays that count: one of them is late or worse, or was not heard. "" if nothing. Who is on its way
-// does not block; Lacking names it.
-func (w *Watch) Blocks(relays []string) string {
+// does not block; Lacking names it. Spared are those that the release itself is to mend; nil spares none. Since is the oldest drift among what blocks, 0 if none drifts.
+func (w *Watch) Blocks(relays []string, spared func(relay, item string) bool) (blocks string, since int64) {
 	var why []string
 	for _, name := range slices.Sorted(slices.Values(relays)) {
 		r := w.relays[name]
@@ -61,15 +62,50 @@
 		case r.quiet:
 			why = append(why, name+": not heard, "+r.silence())
 		default:
-			if p := r.worst(); p != nil {
+			if p := r.worst(spared); p != nil {
 				why = append(why, fmt.Sprintf("%s: %s %s, %s", name, p.intent.Name, p.state, p.trouble.why))
 			}
+			for _, g := range r.groups {
+				for _, p := range g.pairs {
+					if rank[p.state] > 0 && (since == 0 || p.since < since) && (spared == nil || !spared(r.name, p.intent.Name)) {
+						since = p.since
+					}
+				}
+			}
 		}
 	}
 	if len(why) > 3 {
 		why = append(why[:3], fmt.Sprintf("and %d more", len(why)-3))
 	}
-	return strings.Join(why, "; ")
+	return strings.Join(why, "; "), since
+}
+
+// Clear says that a relay is heard and in step with all that is agreed, but what its own operators have changed: who was taken out may come back.
+func (w *Watch) Clear(relay string) bool {
+	r := w.relays[relay]
+	if r == nil || r.quiet {
+		return false
+	}
+	for _, g := range r.groups {
+		for _, p := range g.pairs {
+			if p.state != InStep && p.state != Local {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// State is that of a relay and an item. NotHeard: of the relay, or of such an item, nothing is known.
+func (w *Watch) State(relay, item string) State {
+	r := w.relays[relay]
+	if r == nil || r.quiet {
+		return NotHeard
+	}
+	if p := r.pair(item); p != nil {
+		return p.state
+	}
+	return NotHeard
 }
 
 // Lacking is which of the relays are not known to be in step with an item.
@@ -119,18 +155,21 @@
 	return reply, true
 }
 
-// TakeOut is which relays are to take no clients because of drift: never more than the budget, those that are out by it already and still
-// drift first, then the worst. An operator's own call takes nobody out, nor does silence.
-func (w *Watch) TakeOut(budget int, out []string) []string {
+// Unfit is a relay that is to take no clients, and why.
+type Unfit struct{ Relay, Why string }
+
+// TakeOut is which relays are to take no clients because of drift, the worst first: never more than the budget, those that are out by it already
+// and still drift before all others. An operator's own call takes nobody out, nor does silence. Spared is as with Blocks.
+func (w *Watch) TakeOut(budget int, out []string, spared func(relay, item string) bool) []Unfit {
 	type candidate struct {
-		name  string
+		Unfit
 		rank  int
 		since int64
 	}
 	var list []candidate
 	for _, r := range w.order {
-		if p := r.worst(); p != nil && !r.quiet && p.state != Local {
-			c := candidate{r.name, rank[p.state], p.since}
+		if p := r.worst(spared); p != nil && !r.quiet && p.state != Local {
+			c := candidate{Unfit{r.name, fmt.Sprintf("%s %s: %s", p.intent.Name, p.state, p.trouble.why)}, rank[p.state], p.since}
 			if slices.Contains(out, r.name) {
 				c.rank += 100
 			}
@@ -138,13 +177,12 @@
 		}
 	}
 	slices.SortFunc(list, func(x, y candidate) int {
-		return cmp.Or(-cmp.Compare(x.rank, y.rank), cmp.Compare(x.since, y.since), cmp.Compare(x.name, y.name))
+		return cmp.Or(-cmp.Compare(x.rank, y.rank), cmp.Compare(x.since, y.since), cmp.Compare(x.Relay, y.Relay))
 	})
-	var take []string
+	var take []Unfit
 	for _, c := range list[:min(max(budget, 0), len(list))] {
-		take = append(take, c.name)
+		take = append(take, c.Unfit)
 	}
-	slices.Sort(take)
 	return take
 }
 
--- a/internal/drift/watch_test.go
+++ b/internal/drift/watch_test.go
@@ -205,13 +205,20 @@
 		w.Intend(now, b.relay, []Item{{Bans, 2, 2}, {List, 1, 1}})
 	}
 	now = say(w, books, now, 5)
-	out := w.TakeOut(2, nil)
-	if len(w.TakeOut(0, nil)) != 0 || len(w.TakeOut(-1, nil)) != 0 || len(out) != 2 {
+	take := func(budget int, out []string) (names []string) {
+		for _, u := range w.TakeOut(budget, out, nil) {
+			names = append(names, u.Relay)
+		}
+		slices.Sort(names)
+		return names
+	}
+	out := take(2, nil)
+	if len(take(0, nil)) != 0 || len(take(-1, nil)) != 0 || len(out) != 2 {
 		t.Fatal(out)
 	}
 	books[4].Note(now, Item{List, 0, 9}, "file") // a worse one does not push another out
 	now = say(w, books, now, 5)
-	if again := w.TakeOut(2, out); !slices.Equal(again, out) {
+	if again := take(2, out); !slices.Equal(again, out) {
 		t.Fatal(again)
 	}
 	books[0].Note(now, Item{Bans, 2, 2}, "record")
@@ -220,7 +227,7 @@
 		t.Fatal("one word takes a claim back")
 	}
 	say(w, books, now, 1)
-	if again := w.TakeOut(2, out); !slices.Equal(again, []string{"n1", "n4"}) {
+	if again := take(2, out); !slices.Equal(again, []string{"n1", "n4"}) {
 		t.Fatal(again)
 	}
 	if lack := w.Lacking(Bans, []string{"n0", "n1", "nobody"}); !slices.Equal(lack, []string{"nobody"}) && !slices.Equal(lack, []string{"n1", "nobody"}) {
@@ -237,9 +244,15 @@
 	}
 	w.Saw(now+1000, "n1", Bans, "m2 got 5 flows")
 	now = say(w, books, now, 2)
-	if rows := w.Rows(); len(rows) != 1 || rows[0].State != Contradicts || len(rows[0].Evidence) != 2 || w.Blocks([]string{"n0", "n1"}) == "" {
+	if rows := w.Rows(); len(rows) != 1 || rows[0].State != Contradicts || len(rows[0].Evidence) != 2 || w.Clear("n1") || !w.Clear("n0") {
 		t.Fatalf("%+v", rows)
 	}
+	if why, since := w.Blocks([]string{"n0", "n1"}, nil); why == "" || since != w.Rows()[0].Since {
+		t.Fatal(why, since)
+	}
+	if why, since := w.Blocks([]string{"n0", "n1"}, func(relay, item string) bool { return relay == "n1" && item == Bans }); why != "" || since != 0 {
+		t.Fatal(why, since)
+	}
 	now = say(w, books, now, 40)
 	if rows := w.Rows(); len(rows) != 0 {
 		t.Fatalf("behaves, and %+v", rows)
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -400,12 +400,9 @@
 	for _, c := range s.drift.Tick(now) {
 		s.Log.WithFields(logrus.Fields{"relay": c.Relay, "item": c.Item, "from": c.From.String(), "to": c.To.String(), "why": c.Why}).Warn("fleet: drift")
 	}
-	if v.Drift = s.drift.Blocks(count); v.Drift != "" {
-		for _, row := range s.drift.Rows() {
-			if row.State != drift.OnItsWay && row.State != drift.NotHeard {
-				v.DriftMS = max(v.DriftMS, now-row.Since)
-			}
-		}
+	var since int64
+	if v.Drift, since = s.drift.Blocks(count, nil); since > 0 {
+		v.DriftMS = now - since
 	}
 }
 
