fleet: what is meant of program and configuration is a part of the record

Nothing in the record said what a relay should run unless a release named it, so a relay with another configuration was no drift. Intent is the third part: values by item for all relays, by relay where a release was of a part of them, former values so that one who went back is told apart. The record also keeps the items of permits in force and of the canaries' state.

--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -20,6 +20,8 @@
 	held    held
 	rollout *rollout.State
 	canary  *canary.State
+	intent  *intent
+	changes uint64        // counts what may have changed anything: readers keep what they derived
 	news    chan struct{} // one waits at most: something has changed
 }
 
@@ -28,18 +30,23 @@
 	At     int64      `json:"at"` // of the last command: it never runs back
 	Bans   drift.Item `json:"bans"`
 	Drains drift.Item `json:"drains"`
+
+	Permits drift.Item `json:"permits"` // those in force
+	Weights drift.Item `json:"weights"` // the canaries' state
 }
 
 type snapshotForm struct {
 	Held    held            `json:"held"`
 	Rollout json.RawMessage `json:"rollout"`
 	Canary  json.RawMessage `json:"canary"`
+	Intent  json.RawMessage `json:"intent,omitempty"`
 }
 
 // The parts that a command may be for.
 const (
 	partRollout = "rollout"
 	partCanary  = "canary"
+	partIntent  = "intent"
 )
 
 type command struct {
@@ -51,8 +58,9 @@
 
 // NewRecord is one in which nothing was agreed.
 func NewRecord() *Record {
-	return &Record{rollout: rollout.New(), canary: canary.New(), news: make(chan struct{}, 1),
-		held: held{Bans: drift.Item{Name: drift.Bans}, Drains: drift.Item{Name: drift.Drains}}}
+	return &Record{rollout: rollout.New(), canary: canary.New(), intent: &intent{}, news: make(chan struct{}, 1),
+		held: held{Bans: drift.Item{Name: drift.Bans}, Drains: drift.Item{Name: drift.Drains}, Permits: drift.Item{Name: drift.Permits},
+			Weights: drift.Item{Name: drift.Weights}}}
 }
 
 // Apply is the engine's: the next command. What it answers depends on the commands alone.
@@ -73,10 +81,15 @@
 			return refusal(why)
 		}
 		answer = r.canary.Apply(r.held.At, c.By, c.Body)
+	case partIntent:
+		var a rollout.Answer
+		r.intent, a = r.intent.apply(r.held.At, c.By, c.Body, r.rollout)
+		answer, _ = json.Marshal(a)
 	default:
 		return refusal("no such part: " + c.Part) // of a newer program: all of this version refuse it alike
 	}
 	r.items()
+	r.changes++
 	r.tell()
 	return answer
 }
@@ -116,15 +129,25 @@
 // items keeps the versions of what relays are to apply: the state's version at which each last changed.
 func (r *Record) items() {
 	bans, drains := split(r.rollout.Orders("").Out)
+	var permits []string
+	for _, p := range r.rollout.Permits() {
+		if p.State == rollout.Granted || p.State == rollout.Begun {
+			permits = append(permits, fmt.Sprint(p.Number, p.State))
+		}
+	}
 	for _, i := range []struct {
 		item  *drift.Item
 		name  string
 		names []string
-	}{{&r.held.Bans, drift.Bans, bans}, {&r.held.Drains, drift.Drains, drains}} {
+	}{{&r.held.Bans, drift.Bans, bans}, {&r.held.Drains, drift.Drains, drains}, {&r.held.Permits, drift.Permits, permits}} {
 		if d := digestOf(i.names); d != i.item.Digest {
 			*i.item = drift.Item{Name: i.name, Version: r.rollout.Version(), Digest: d}
 		}
 	}
+	if v := r.canary.Version(); v != r.held.Weights.Version {
+		text, _ := json.Marshal(r.canary.Canaries())
+		r.held.Weights = drift.Item{Name: drift.Weights, Version: v, Digest: digestOf([]string{string(text)})}
+	}
 }
 
 // split parts the members that are out into those that are banned and those that drain, each in order.
@@ -157,7 +180,8 @@
 func (r *Record) Snapshot() []byte {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	text, _ := json.Marshal(snapshotForm{r.held, r.rollout.Encode(), r.canary.Encode()})
+	kept, _ := json.Marshal(r.intent)
+	text, _ := json.Marshal(snapshotForm{r.held, r.rollout.Encode(), r.canary.Encode(), kept})
 	return text
 }
 
@@ -175,9 +199,16 @@
 	if err != nil {
 		return fmt.Errorf("record: %w", err)
 	}
+	in, err := decodeIntent(s.Intent)
+	if err != nil {
+		return fmt.Errorf("record: %w", err)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.held, r.rollout, r.canary = s.Held, ro, ca
+	r.held, r.rollout, r.canary, r.intent = s.Held, ro, ca, in
+	r.held.Permits.Name, r.held.Weights.Name = drift.Permits, drift.Weights // a snapshot of before there were these
+	r.items()
+	r.changes++
 	r.tell()
 	return nil
 }
