--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -46,6 +46,7 @@
 	Version uint64 // of the record
 	Weights []canary.Weight
 	Weighed uint64 // the version of the canaries
+	Permits uint64 // stands for the permits in force; never 0. The loop keeps it, and its Look shows it
 	Index   uint64 // of the engine, up to which this is
 	Reached bool   // a majority stood behind it just now
 }
@@ -299,13 +300,13 @@
 // ---- The leader ----
 
 // heard takes a word at the leader.
-func (s *Service) heard(from string, text []byte) {
+func (s *Service) heard(from string, text []byte) []byte {
 	w, err := decodeWord(text)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
 		s.bad++
-		return
+		return nil
 	}
 	now := s.now()
 	s.scene.hear(now, from, w)
@@ -319,6 +320,7 @@
 			s.bad++
 		}
 	}
+	return nil
 }
 
 // led is told when this relay begins or ends to lead. Who begins has heard nothing: what an earlier time left is no sight of now.
@@ -399,12 +401,9 @@
 	for _, c := range s.drift.Tick(now) {
 		s.Log.WithFields(logrus.Fields{"relay": c.Relay, "item": c.Item, "from": c.From.String(), "to": c.To.String(), "why": c.Why}).Warn("fleet: drift")
 	}
-	if v.Drift = s.drift.Blocks(count); v.Drift != "" {
-		for _, row := range s.drift.Rows() {
-			if row.State != drift.OnItsWay && row.State != drift.NotHeard {
-				v.DriftMS = max(v.DriftMS, now-row.Since)
-			}
-		}
+	var since int64
+	if v.Drift, since = s.drift.Blocks(count, nil); since > 0 {
+		v.DriftMS = now - since
 	}
 }
 
