fleet: the leader holds relays to all items, and relays tell what their loop goes by

Relays told of bans, drains and the released program alone. A ledger notes program, each section, list, weights, permits, bans and drains by what the loop shows; the helm (all that the leader knows, without I/O) says what is agreed for each, also under a release, where a unit that waits, is out or is through has another answer. Relays are held to what they tell of, so an older program is no drift. Not yet: replies (they come with the engine's answers), shutting, calls.

--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -283,7 +283,7 @@
 		Blocked string `json:"blocks,omitempty"`
 	}{Rows: []row{}}
 	now := s.now()
-	for _, r := range s.drift.Rows() {
+	for _, r := range s.helm.watch.Rows() {
 		all.Rows = append(all.Rows, row{r.Relay, r.Intent.Name, r.State.String(), now - r.Since, r.Intent.Version, r.Applied.Version, r.Why, r.Evidence})
 	}
 	say(w, http.StatusOK, all)
@@ -298,7 +298,7 @@
 	s.record.read(func(r *rollout.State, _ held) { out["version"], out["orders"] = r.Version(), r.Orders(s.Name) })
 	relays := map[string]any{}
 	now := s.now()
-	for name, h := range s.scene.words {
+	for name, h := range s.helm.scene.words {
 		relays[name] = map[string]any{"heard_ms": now - h.at, "phase": h.Phase, "program": h.Program, "config": h.Config, "follows": h.Follows, "flows": h.Flows, "zone": h.Zone}
 	}
 	for k, v := range map[string]any{"name": s.Name, "program": s.Program, "config": s.Settings, "engine": st, "follows": s.look.Follows,
--- /dev/null
+++ b/internal/fleet/helm.go
@@ -0,0 +1,392 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"dahliarudder/internal/drift"
+	"dahliarudder/internal/rollout"
+)
+
+// helm is what the leader knows of all relays, and reckons from that and the record. No I/O, no clock; a new leader begins with an empty one.
+type helm struct {
+	record *Record
+	scene  *scene
+	watch  *drift.Watch
+	voters drift.Item // in force
+
+	// Derived from the record at its change count.
+	changes uint64
+	held    held
+	intent  *intent
+	under   map[string]under
+	over    []rollout.Account // releases that are over, and what is meant does not follow them yet
+	shuts   map[string]string // why
+
+	sections map[string]map[string]string // by release: the new configuration, from the relays that run it
+	blocked  map[string]string            // by release: why it must not step on, where others may
+	runs     map[string]run               // by item that nobody agreed on
+}
+
+// run is what most relays run of an item, and since when.
+type run struct {
+	value string
+	since int64
+}
+
+func newHelm(r *Record) *helm {
+	return &helm{record: r, scene: newScene(), watch: drift.New(drift.Settings{Period: sayEvery.Milliseconds()}), runs: map[string]run{}}
+}
+
+// read takes over what the record has become.
+func (h *helm) read() {
+	r := h.record
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if h.intent != nil && h.changes == r.changes {
+		return
+	}
+	h.changes, h.held, h.intent = r.changes, r.held, r.intent
+	all := r.rollout.Releases()
+	h.under, h.over, h.shuts = underOf(all, r.intent), nil, map[string]string{}
+	for _, a := range all {
+		if _, settled := r.intent.follows(&a); !settled && a.Wish.Kind == rollout.KindRelay && a.Wish.Program+a.Wish.Config != "" &&
+			(a.State == rollout.Ended || a.State == rollout.Undone) {
+			h.over = append(h.over, a)
+		}
+	}
+}
+
+// hear takes a relay's word. What it answers is encoded; nil: nothing.
+func (h *helm) hear(now int64, from string, w word) []byte {
+	h.read()
+	fell := h.scene.hear(now, from, w)
+	d, ok := w.decodeDrift(from)
+	if !ok || h.scene.words[from] == nil {
+		return nil
+	}
+	h.scene.relist(now)
+	items := h.items(now, from)
+	if fell && h.watch.State(from, drift.List) < drift.Late {
+		// Not taken for a relay that goes back: discovery may have begun anew. It has the bound from here on.
+		h.watch.Intend(now, from, slices.DeleteFunc(slices.Clone(items), func(i drift.Item) bool { return i.Name == drift.List }))
+	}
+	h.watch.Intend(now, from, items)
+	h.watch.Hear(now, d)
+	if reply, ok := h.watch.Reply(from); ok {
+		return reply.Encode()
+	}
+	return nil
+}
+
+// ---- What is agreed for a relay ----
+
+// items are those that a relay is held to: what the record says, of what it tells anything of. One that is of an older program tells less.
+func (h *helm) items(now int64, relay string) []drift.Item {
+	items := []drift.Item{h.held.Bans, h.held.Drains}
+	x := h.scene.words[relay]
+	if x == nil {
+		return items
+	}
+	if x.tells(drift.Program) {
+		if value := h.program(relay, x); value != "" {
+			items = append(items, h.intent.item(relay, drift.Program, value))
+		}
+	}
+	if x.tells(drift.Config) {
+		all := h.config(relay, x)
+		for _, name := range slices.Sorted(maps.Keys(all)) {
+			items = append(items, h.intent.item(relay, name, all[name]))
+		}
+	}
+	if x.tells(drift.List) && x.list.gen > 0 {
+		items = append(items, h.scene.listItem(now, &x.list))
+	}
+	if x.tells(drift.Weights) {
+		items = append(items, h.held.Weights)
+	}
+	if x.tells(drift.Permits) {
+		items = append(items, h.held.Permits)
+	}
+	if x.tells(drift.Voters) && h.voters.Digest != 0 {
+		items = append(items, h.voters)
+	}
+	return items
+}
+
+func (x *heard) tells(group string) bool { return slices.Contains(x.Tells, group) }
+
+// program is what a relay is to run, "" if nobody has agreed on any. Under a release: what is new once it is through, what it had while it
+// waits, and either while it is out.
+func (h *helm) program(relay string, x *heard) string {
+	m, _ := h.intent.meant(relay, drift.Program)
+	u, ok := h.under[relay]
+	if !ok || !u.names(drift.Program) {
+		return m.Value
+	}
+	old, fresh := m.Value, u.release.Wish.Program
+	if u.taken {
+		old = u.unit.Program
+	}
+	switch {
+	case u.out() && (x.Program == fresh || slices.Contains(x.Refused, drift.Program)), u.unit.Phase == rollout.Done && u.unit.Got && !u.out():
+		return fresh
+	}
+	return old
+}
+
+// config is the same of the configuration, by item.
+func (h *helm) config(relay string, x *heard) map[string]string {
+	meant := map[string]string{}
+	for _, name := range h.intent.names(relay) {
+		if m, _ := h.intent.meant(relay, name); name != drift.Program {
+			meant[name] = m.Value
+		}
+	}
+	u, ok := h.under[relay]
+	if !ok || !u.names(drift.Config) {
+		return meant
+	}
+	old, fresh := meant, h.sections[u.release.Name]
+	if u.taken {
+		old = map[string]string{}
+		for name, value := range u.before {
+			if name != drift.Program {
+				old[name] = value
+			}
+		}
+	}
+	switch {
+	case u.out() && x.Config != u.release.Wish.Config:
+		for _, name := range x.Refused { // it was sent for the new one
+			if drift.GroupOf(name) == drift.Config && old[name] != "" {
+				old = maps.Clone(old)
+				if old[name] = fresh[name]; old[name] == "" {
+					old[name] = "that of " + u.release.Name
+				}
+			}
+		}
+		return old
+	case u.out(), u.unit.Phase == rollout.Done && u.unit.Got:
+		return fresh
+	}
+	return old
+}
+
+// learn takes the sections of new configurations from the units that have them, as most of them say.
+func (h *helm) learn() {
+	h.sections = map[string]map[string]string{}
+	count := map[string]map[string]int{}
+	for relay, u := range h.under {
+		x := h.scene.words[relay]
+		if x == nil || u.release.Wish.Config == "" || x.Config != u.release.Wish.Config || len(x.Sections) == 0 ||
+			!(u.unit.Got || u.out()) {
+			continue
+		}
+		text, _ := json.Marshal(x.Sections)
+		if count[u.release.Name] == nil {
+			count[u.release.Name] = map[string]int{}
+		}
+		count[u.release.Name][string(text)]++
+	}
+	for name, by := range count {
+		best := ""
+		for text, n := range by {
+			if best == "" || n > by[best] || n == by[best] && text < best {
+				best = text
+			}
+		}
+		var all map[string]string
+		json.Unmarshal([]byte(best), &all)
+		h.sections[name] = map[string]string{}
+		for section, value := range all {
+			h.sections[name][drift.Config+"."+section] = value
+		}
+	}
+}
+
+// ---- What is found ----
+
+// look tells the watch what is agreed and who lives, and puts what it finds into the view.
+func (h *helm) look(now int64, v *rollout.View) []drift.Change {
+	h.read()
+	h.scene.relist(now)
+	h.learn()
+	var count []string
+	for _, r := range v.Relays {
+		x, u := h.scene.words[r.Name], h.under[r.Name]
+		h.watch.Intend(now, r.Name, h.items(now, r.Name))
+		switch {
+		case r.Gone:
+			h.watch.Alive(now, r.Name, drift.Gone)
+		case x == nil || r.HeardMS > silentAfter.Milliseconds():
+			h.watch.Alive(now, r.Name, drift.Silent)
+		case r.Phase == "leaving" || r.Phase == "starting" || u.unit.Phase == rollout.Told && r.Start <= uint64(u.unit.Start):
+			h.watch.Alive(now, r.Name, drift.Restarting)
+		default:
+			h.watch.Alive(now, r.Name, drift.Live)
+			count = append(count, r.Name)
+		}
+	}
+	changes := h.watch.Tick(now)
+	var since int64
+	if v.Drift, since = h.watch.Blocks(count, h.mends("")); since > 0 {
+		v.DriftMS = now - since
+	}
+	h.blocked = map[string]string{}
+	if all, _ := h.watch.Blocks(count, nil); all != v.Drift {
+		h.blocked[""] = all // no release of relays mends anything
+		for _, u := range h.under {
+			if _, ok := h.blocked[u.release.Name]; !ok {
+				h.blocked[u.release.Name], _ = h.watch.Blocks(count, h.mends(u.release.Name))
+			}
+		}
+	}
+	return changes
+}
+
+// mends says what a release mends by itself, "" for any release: what a relay takes as it starts, where its restart is still to come. What it does to
+// members it must not is not spared: nothing is to be moved meanwhile.
+func (h *helm) mends(release string) func(relay, item string) bool {
+	return func(relay, item string) bool {
+		u := h.under[relay]
+		return u.ahead() && (release == "" || u.release.Name == release) && item != drift.Bans && item != drift.Drains
+	}
+}
+
+// gate leaves out what a release would give out while something drifts that it does not mend itself.
+func (h *helm) gate(plan []rollout.Command) (out []rollout.Command) {
+	for _, c := range plan {
+		if c.Kind == rollout.Step && len(h.blocked) > 0 {
+			had := len(c.Gives)
+			c.Gives = slices.DeleteFunc(slices.Clone(c.Gives), func(g rollout.Gift) bool {
+				why, ok := h.blocked[g.Release]
+				if !ok {
+					why = h.blocked[""]
+				}
+				return why != "" && g.Permit == 0 && !h.backing(g.Release)
+			})
+			if had > 0 && len(c.Gives) == 0 {
+				continue
+			}
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// backing says that a release is on its way back, which no drift holds up.
+func (h *helm) backing(release string) bool {
+	h.record.mu.RLock()
+	defer h.record.mu.RUnlock()
+	a, _ := h.record.rollout.Release(release)
+	return a.Backing
+}
+
+// ---- What is to be meant ----
+
+// meaning is what to have agreed on next.
+func (h *helm) meaning(now int64, v *rollout.View) (list []meaning) {
+	for _, a := range h.over {
+		c := meaning{Do: "adopt", Release: a.Name}
+		if a.State == rollout.Ended && a.Wish.Config != "" {
+			c.Items = h.sections[a.Name]
+			if c.Items == nil && slices.ContainsFunc(a.Units, func(u rollout.Unit) bool { return u.Got }) {
+				continue // until one that runs it has said so
+			}
+		}
+		list = append(list, c)
+	}
+	if c, ok := h.even(v); ok && len(list) == 0 {
+		list = append(list, c)
+	}
+	if items := h.most(now, v); len(items) > 0 {
+		list = append(list, meaning{Do: "adopt", Items: items})
+	}
+	return list
+}
+
+// most are the items that nobody agreed on, and more than half of all known relays have run the same of for long enough. Who is silent is known too,
+// and runs nothing.
+func (h *helm) most(now int64, v *rollout.View) map[string]string {
+	count := map[string]map[string]int{}
+	add := func(name, value string) {
+		if len(h.intent.Items[name]) > 0 || meanable(name, value) != "" {
+			return
+		}
+		if count[name] == nil {
+			count[name] = map[string]int{}
+		}
+		count[name][value]++
+	}
+	for _, r := range v.Relays {
+		x, u := h.scene.words[r.Name], h.under[r.Name]
+		if x == nil || r.HeardMS > silentAfter.Milliseconds() {
+			continue
+		}
+		if x.tells(drift.Program) && !u.names(drift.Program) {
+			add(drift.Program, x.Program)
+		}
+		if x.tells(drift.Config) && !u.names(drift.Config+".") {
+			for section, value := range x.Sections {
+				add(drift.Config+"."+section, value)
+			}
+		}
+	}
+	runs, items := map[string]run{}, map[string]string{}
+	for name, by := range count {
+		for value, n := range by {
+			if 2*n <= len(v.Relays) {
+				continue
+			}
+			if runs[name] = (run{value, now}); h.runs[name].value == value {
+				runs[name] = h.runs[name]
+			}
+			if now-runs[name].since >= silentAfter.Milliseconds() && len(h.intent.Items)+len(items) < meantMost {
+				items[name] = value
+			}
+		}
+	}
+	h.runs = runs
+	return items
+}
+
+// even is an item that is meant of single relays, and has come to be meant the same of all that are known: so it is meant of those that come.
+func (h *helm) even(v *rollout.View) (meaning, bool) {
+	if len(h.intent.Of) == 0 || len(h.over) > 0 || len(v.Relays) == 0 {
+		return meaning{}, false
+	}
+	first := v.Relays[0].Name
+	for _, name := range slices.Sorted(maps.Keys(h.intent.Of[first])) {
+		value := h.intent.Of[first][name].Value
+		if !slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool {
+			m, _ := h.intent.meant(r.Name, name)
+			return m.Value != value
+		}) {
+			return meaning{Do: "adopt", Even: true, Base: h.intent.Version, Items: map[string]string{name: value}}, true
+		}
+	}
+	return meaning{}, false
+}
+
+// as is what a relay said last that it runs, as an operator's word on what is meant. Item may be "" for all.
+func (h *helm) as(relay, item, who string) (meaning, error) {
+	x := h.scene.words[relay]
+	if x == nil {
+		return meaning{}, fmt.Errorf("%q was not heard by this leader", relay)
+	}
+	all := map[string]string{drift.Program: x.Program}
+	for section, value := range x.Sections {
+		all[drift.Config+"."+section] = value
+	}
+	c := meaning{Do: "adopt", Who: who, Items: all, Whole: true}
+	if item != "" {
+		if all[item] == "" {
+			return meaning{}, fmt.Errorf("%q tells nothing of %q", relay, item)
+		}
+		c.Items, c.Whole = map[string]string{item: all[item]}, false
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/fleet/ledger.go
@@ -0,0 +1,201 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"dahliarudder/internal/drift"
+	"dahliarudder/internal/rollout"
+)
+
+// ledger keeps this relay's book: what its loop really goes by, as its Look has it, not what it was told. No I/O.
+type ledger struct {
+	relay    string
+	book     *drift.Book
+	refused  map[string]refusedClaim
+	sections map[string]bool // in the book
+}
+
+type refusedClaim struct {
+	runs    drift.Item
+	version uint64
+	why     string
+}
+
+func newLedger(relay string, start uint64) *ledger {
+	g := &ledger{relay: relay, book: drift.NewBook(relay, start), refused: map[string]refusedClaim{}, sections: map[string]bool{}}
+	g.book.Count(drift.Bans, drift.KindOut, 0, 0) // so that the first time is seen to be one
+	return g
+}
+
+// sectionsOf are those of a look, as far as they can be told. Whole stands for all where they are not known apart.
+func sectionsOf(l Look, whole string) map[string]string {
+	all := l.Sections
+	if all == nil {
+		all = map[string]string{"settings": whole}
+	}
+	out := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if len(out) < meantMost-1 && meanable(drift.Config+"."+name, all[name]) == "" {
+			out[name] = all[name]
+		}
+	}
+	return out
+}
+
+// keep notes what the relay runs now. It returns the groups of which it tells anything: it is held to these alone.
+func (g *ledger) keep(now int64, l, before Look, r *Record, program string, sections map[string]string, voters drift.Item) (tells []string) {
+	r.mu.RLock()
+	h, in := r.held, r.intent
+	bans, drains := split(r.rollout.Orders(g.relay).Out)
+	out := under{}
+	if len(l.Refused) > 0 {
+		out = underOf(r.rollout.Releases(), in)[g.relay]
+	}
+	r.mu.RUnlock()
+
+	g.members(now, l, h, bans, drains)
+	if n := l.Astray - before.Astray; n > 0 {
+		g.book.Count(drift.Bans, drift.KindOut, n, n)
+	}
+	tells = []string{drift.Bans, drift.Drains}
+	told := func(name string, yes bool) bool {
+		if yes {
+			tells = append(tells, name)
+		}
+		return yes
+	}
+	if told(drift.Program, meanable(drift.Program, program) == "") {
+		g.runs(now, l, in, out, drift.Program, program)
+	}
+	told(drift.Config, true)
+	for name := range g.sections {
+		if _, ok := sections[name]; !ok {
+			g.book.Drop(drift.Config + "." + name)
+			delete(g.refused, drift.Config+"."+name)
+			delete(g.sections, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(sections)) {
+		g.sections[name] = true
+		g.runs(now, l, in, out, drift.Config+"."+name, sections[name])
+	}
+	if told(drift.List, l.List > 0) {
+		g.book.Note(now, listOf(l.List), "discovery")
+	}
+	if told(drift.Weights, true); l.Weighs == h.Weights.Version {
+		g.book.Note(now, h.Weights, "record")
+	}
+	if told(drift.Permits, l.Permits > 0) && l.Permits == permitsNumber(h) {
+		g.book.Note(now, h.Permits, "record")
+	}
+	if told(drift.Voters, voters.Digest != 0) {
+		g.book.Note(now, voters, "engine")
+	}
+	return tells
+}
+
+// permitsNumber is Orders.Permits.
+func permitsNumber(h held) uint64 { return h.Permits.Version + 1 }
+
+// runs notes program or a section. What it refused is told where it runs something else than is meant, or was sent for a restart with it: one
+// that runs what is meant has nothing to refuse.
+func (g *ledger) runs(now int64, l Look, in *intent, u under, name, value string) {
+	it := in.item(g.relay, name, value)
+	why, refused := l.Refused[name]
+	m, meant := in.meant(g.relay, name)
+	if !refused || !meant || m.Value == value && !(u.out() && u.names(name)) {
+		delete(g.refused, name)
+		g.book.Note(now, it, "file")
+		return
+	}
+	c := refusedClaim{it, m.Version, cmp.Or(why, "refused")}
+	if g.refused[name] != c {
+		g.refused[name] = c
+		g.book.Note(now, it, "file")
+		g.book.Refuse(now, drift.Item{Name: name, Version: c.version}, "file", c.why)
+	}
+}
+
+// members notes bans and drains, as the core has them.
+func (g *ledger) members(now int64, l Look, h held, bans, drains []string) {
+	inForce := func(names []string) (in []string) {
+		for _, n := range names {
+			if slices.Contains(l.Agreed, n) {
+				in = append(in, n)
+			}
+		}
+		return in
+	}
+	ours := slices.Clone(l.Local)
+	ours = slices.DeleteFunc(ours, func(n string) bool { return slices.Contains(bans, n) })
+	applied := inForce(bans)
+	if item := (drift.Item{Name: drift.Bans, Version: h.Bans.Version, Digest: digestOf(applied)}); len(ours) > 0 {
+		all := append(applied, ours...)
+		slices.Sort(all)
+		item.Digest = digestOf(all)
+		g.book.Local(now, item, "an operator's call")
+	} else if item.Digest == h.Bans.Digest {
+		g.book.Note(now, item, "record")
+	}
+	if d := digestOf(inForce(drains)); d == h.Drains.Digest {
+		g.book.Note(now, drift.Item{Name: drift.Drains, Version: h.Drains.Version, Digest: d}, "record")
+	}
+}
+
+// under is a relay's part in a release of relays that is not settled yet: it goes on, or what is meant does not follow it so far.
+type under struct {
+	release rollout.Account // without its units
+	unit    rollout.Unit
+	taken   bool              // what is meant is what the release brought, though it goes back now
+	before  map[string]string // and this is what was meant before
+}
+
+// underOf is by relay. Releases that go on come before those that are over.
+func underOf(all []rollout.Account, in *intent) map[string]under {
+	out := map[string]under{}
+	for _, over := range []bool{true, false} {
+		for _, a := range all {
+			taken, settled := in.follows(&a)
+			if a.Wish.Kind != rollout.KindRelay || (a.State == rollout.Ended || a.State == rollout.Undone) != over ||
+				over && (settled || a.Wish.Program+a.Wish.Config == "") {
+				continue
+			}
+			units := a.Units
+			a.Units = nil
+			for _, u := range units {
+				out[u.Name] = under{a, u, taken, in.Ended[a.Name].Before}
+			}
+		}
+	}
+	return out
+}
+
+// names says whether the release brings a new value of an item.
+func (u *under) names(item string) bool {
+	if item == drift.Program {
+		return u.release.Wish.Program != ""
+	}
+	return u.release.Wish.Config != "" && drift.GroupOf(item) == drift.Config
+}
+
+// out says whether the relay may run either: the new thing or what it had.
+func (u *under) out() bool {
+	switch u.unit.Phase {
+	case rollout.Told, rollout.Empty, rollout.Coming, rollout.Revoked:
+		return true
+	}
+	return u.unit.Stranded
+}
+
+// ahead says that the release has a restart of this relay before it.
+func (u *under) ahead() bool {
+	switch {
+	case u.release.Name == "" || u.unit.Phase == rollout.Missing:
+		return false
+	case u.release.Backing:
+		return u.out() || u.unit.Phase == rollout.Done && u.unit.Got
+	}
+	return u.out() || u.unit.Phase == rollout.Waiting && !u.unit.Got && u.release.State != rollout.Ended
+}
--- /dev/null
+++ b/internal/fleet/lists.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"strconv"
+
+	"dahliarudder/internal/drift"
+)
+
+// How far relays may be apart by their lists of discovery's before it counts.
+const (
+	listLag   = int64(silentAfter / 1e6) // a relay holds what was newest so long ago, or newer: discovery tells within 2 s, words take two more
+	listGrace = 15_000                   // one whose list fell is followed by the others by then, if discovery has begun anew
+)
+
+// lists reckons how new a list each relay is to hold, from what those say that are heard. Generations rise with each change, many a second in a large
+// fleet, so no two relays say the same; and they begin anew, lower, where discovery has lost them.
+type lists struct {
+	newest      uint64 // that two relays say, or the one of two: one alone may claim what is not so
+	floor, next uint64 // what was newest between one and two lags ago; what will be next
+	turned      int64
+}
+
+// listed is what is known of one relay's list.
+type listed struct {
+	gen     uint64 // last said; 0 never
+	fell    bool   // it went down, since fellAt
+	fellAt  int64
+	old     bool   // most have gone down, and this one has not: it counts for nothing until it moves
+	ahead   uint64 // claimed at aheadAt, newer than what is newest, which has not come so far since
+	aheadAt int64
+}
+
+// say takes a relay's word on its list. True: its generation fell.
+func (l *listed) say(now int64, gen uint64) bool {
+	if gen == 0 || gen == l.gen {
+		return false
+	}
+	fell := gen < l.gen
+	if fell && !l.fell {
+		l.fell, l.fellAt = true, now
+	}
+	l.gen, l.old = gen, false
+	return fell
+}
+
+// relist reckons anew.
+func (s *scene) relist(now int64) {
+	l := &s.lists
+	live, fell := 0, 0
+	for _, h := range s.words {
+		if now-h.at <= silentAfter.Milliseconds() && h.list.gen > 0 {
+			if live++; h.list.fell {
+				fell++
+			}
+		}
+	}
+	if 2*fell > live { // discovery has begun anew
+		*l = lists{turned: now}
+		for _, h := range s.words {
+			h.list.old, h.list.fell, h.list.ahead = !h.list.fell, false, 0
+		}
+	}
+	var first, second uint64
+	for _, h := range s.words {
+		if g := h.list.gen; now-h.at > silentAfter.Milliseconds() || h.list.old || g <= second {
+		} else if g > first {
+			first, second = g, first
+		} else {
+			second = g
+		}
+	}
+	if l.newest = second; live <= 2 || second == 0 {
+		l.newest = first
+	}
+	if now-l.turned >= listLag {
+		l.floor, l.next, l.turned = l.next, l.newest, now
+	}
+}
+
+// item is what a relay is to hold: its own list, while that is new enough.
+func (s *scene) listItem(now int64, l *listed) drift.Item {
+	n, gen := s.lists.newest, l.gen
+	floor := min(s.lists.floor, n)
+	switch {
+	case gen <= n:
+		l.ahead = 0
+	case l.ahead == 0 || n >= l.ahead:
+		l.ahead, l.aheadAt = gen, now
+	}
+	if l.fell && floor > 0 && gen >= floor {
+		l.fell = false
+	}
+	if l.old || gen < floor && !(l.fell && now-l.fellAt < listGrace) || gen > n && n > 0 && now-l.aheadAt > listLag {
+		gen = n
+	}
+	return listOf(gen)
+}
+
+func listOf(gen uint64) drift.Item {
+	return drift.Item{Name: drift.List, Version: gen, Digest: digestOf([]string{strconv.FormatUint(gen, 10)})}
+}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -64,9 +66,8 @@
 
 	mu      sync.Mutex
 	look    Look // the last
-	scene   *scene
-	drift   *drift.Watch
-	book    *drift.Book
+	helm    *helm
+	ledger  *ledger
 	judge   *canary.Judge // of the canary that is going; nil if there is none
 	judged  canary.Canary // as it was when the judge last began
 	verdict canary.Verdict
@@ -74,23 +75,19 @@
 	trial   bool  // there is a canary
 	ledAt   int64 // when this relay began to lead; 0 while it does not
 	term    uint64
-	leads   string // whom the book has told all
-	bad     int    // words that could not be read
-	missed  int    // looks that the loop did not answer in time
-	said    int    // bytes of words
+	bad     int // words that could not be read
+	missed  int // looks that the loop did not answer in time
+	said    int // bytes of words
 	fails   map[string]int
 }
 
 // Start begins. What the engine cannot do with its directory is no error: it says so in its status.
 func Start(o Options) (*Service, error) {
-	s := &Service{Options: o, record: NewRecord(), quit: make(chan struct{}), scene: newScene(), drift: drift.New(drift.Settings{Period: sayEvery.Milliseconds()}),
-		book: drift.NewBook(o.Name, o.Start), fails: map[string]int{}}
+	s := &Service{Options: o, record: NewRecord(), quit: make(chan struct{}), ledger: newLedger(o.Name, o.Start), fails: map[string]int{}}
+	s.helm = newHelm(s.record)
 	if o.Dir == "" {
 		o.Log.Warn("fleet: what is agreed is kept in memory alone; if all voters end at once, releases, drains and bans are forgotten")
 	}
-	now := s.now()
-	s.book.Note(now, drift.Item{Name: drift.Program, Version: 1, Digest: digestOf([]string{o.Program})}, "file")
-	s.book.Note(now, drift.Item{Name: drift.Config + ".settings", Version: 1, Digest: digestOf([]string{o.Settings})}, "file")
 	var err error
 	s.node, err = accord.Start(accord.Options{Name: o.Name, Voters: o.Voters, Reach: o.Reach, Listen: o.Listen, Dir: o.Dir, Keys: o.Keys,
 		Machine: s.record, Heard: s.heard, Led: s.led, Log: o.Log})
@@ -177,8 +174,11 @@
 			w.Members = append(w.Members, sight{m.Name, m.Flows, m.Capacity, m.Good, m.Bad})
 		}
 	}
-	s.keepBook(now, l, before)
-	w.Drift = s.book.Word(now).Encode()
+	w.Sections, w.Refused, w.Shut = sectionsOf(l, s.Settings), slices.Sorted(maps.Keys(l.Refused)), l.Shut
+	w.Refused = slices.DeleteFunc(w.Refused, func(n string) bool { return len(n) > drift.NameMost })
+	w.Refused = w.Refused[:min(len(w.Refused), meantMost)]
+	w.Tells = s.ledger.keep(now, l, before, s.record, s.Program, w.Sections, votersOf(s.node.Status()))
+	w.Drift = s.ledger.book.Word(now).Encode()
 	text, err := json.Marshal(w)
 	s.said += len(text)
 	s.mu.Unlock()
@@ -190,45 +190,8 @@
 	}
 }
 
-// keepBook notes what this relay has applied, and did. The core is asked for it, not what it was told.
-func (s *Service) keepBook(now int64, l, before Look) {
-	var h held
-	var bans, drains []string
-	s.record.read(func(r *rollout.State, was held) {
-		h = was
-		bans, drains = split(r.Orders(s.Name).Out)
-	})
-	inForce := func(names []string) (in []string) {
-		for _, n := range names {
-			if slices.Contains(l.Agreed, n) {
-				in = append(in, n)
-			}
-		}
-		return in
-	}
-	ours := slices.Clone(l.Local)
-	ours = slices.DeleteFunc(ours, func(n string) bool { return slices.Contains(bans, n) })
-	applied := inForce(bans)
-	if item := (drift.Item{Name: drift.Bans, Version: h.Bans.Version, Digest: digestOf(applied)}); len(ours) > 0 {
-		all := append(applied, ours...)
-		slices.Sort(all)
-		item.Digest = digestOf(all)
-		s.book.Local(now, item, "an operator's call")
-	} else if item.Digest == h.Bans.Digest {
-		s.book.Note(now, item, "record")
-	}
-	if d := digestOf(inForce(drains)); d == h.Drains.Digest {
-		s.book.Note(now, drift.Item{Name: drift.Drains, Version: h.Drains.Version, Digest: d}, "record")
-	}
-	if n := l.Astray - before.Astray; n > 0 {
-		s.book.Count(drift.Bans, drift.KindOut, n, n)
-	}
-	// A new leader knows nothing of what was said before it.
-	if leader := s.node.Status().Leader; leader != s.leads {
-		s.leads = leader
-		s.book.Hear(drift.Reply{Relay: s.Name, Start: s.Start, Want: []string{drift.Program, drift.Config, drift.Bans, drift.Drains}})
-	}
-}
+// votersOf is the item of who votes. Not told yet: the engine does not say when they were agreed.
+func votersOf(accord.Status) drift.Item { return drift.Item{Name: drift.Voters} }
 
 func (s *Service) failed(what string, err error) {
 	s.mu.Lock()
@@ -291,7 +254,9 @@
 	s.mu.Lock()
 	s.caught = s.caught || o.Reached
 	s.mu.Unlock()
-	s.record.read(func(r *rollout.State, _ held) { o.Orders, o.Version = r.Orders(s.Name), r.Version() })
+	s.record.read(func(r *rollout.State, h held) {
+		o.Orders, o.Version, o.Permits = r.Orders(s.Name), r.Version(), permitsNumber(h)
+	})
 	o.Weights, o.Weighed = s.record.weights()
 	s.Post(func() { s.Follow(o); done() })
 	return o.Version
@@ -309,10 +274,7 @@
 		return
 	}
 	now := s.now()
-	s.scene.hear(now, from, w)
-	if d, ok := w.decodeDrift(from); ok {
-		s.drift.Hear(now, d)
-	}
+	s.helm.hear(now, from, w)
 	if len(w.Counts) > 0 && s.judge != nil {
 		if c, err := canary.DecodeCounts(w.Counts); err == nil {
 			s.judge.Hear(now, from, w.Zone, c)
@@ -326,7 +288,7 @@
 func (s *Service) led(leads bool, term uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scene, s.drift = newScene(), drift.New(drift.Settings{Period: sayEvery.Milliseconds()})
+	s.helm = newHelm(s.record)
 	s.judge, s.ledAt, s.term = nil, 0, term
 	if leads {
 		s.ledAt = s.now()
@@ -339,13 +301,14 @@
 	s.every(planEvery, func() {
 		s.mu.Lock()
 		now := s.now()
-		led, look, seen := s.ledAt, s.look, s.scene
+		led, look, seen := s.ledAt, s.look, s.helm.scene
 		if led == 0 {
 			s.mu.Unlock()
 			return
 		}
 		v := seen.view(now, led, s.Budgets().Hold, s.Name, look, warmth{s.ColdFrom, s.ColdFor.Milliseconds()})
 		s.watchDrift(now, &v)
+		meant := s.helm.meaning(now, &v)
 		trials := s.weigh(now, &v)
 		unheard := slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool { return seen.words[r.Name] == nil && !r.Gone })
 		s.mu.Unlock()
@@ -358,8 +321,16 @@
 				return
 			}
 		}
+		for _, c := range meant {
+			if a, err := s.proposeMeaning(context.Background(), c); err != nil || a.Error != "" {
+				s.failed("intent", cmp.Or(err, errors.New(a.Error)))
+			}
+		}
 		var plan []rollout.Command
 		s.record.read(func(r *rollout.State, h held) { plan = r.Plan(max(now, h.At), v, s.Budgets()) })
+		s.mu.Lock()
+		plan = s.helm.gate(plan)
+		s.mu.Unlock()
 		for _, c := range s.gate(plan) {
 			answer, err := s.propose(context.Background(), c)
 			if err != nil || answer.Error != "" {
@@ -373,48 +344,12 @@
 	})
 }
 
-// watchDrift tells the module what is agreed and who lives, and puts what it finds into the view. Called with the lock held.
+// watchDrift holds what relays run against what is agreed. Called with the lock held.
 func (s *Service) watchDrift(now int64, v *rollout.View) {
-	var h held
-	var releases []rollout.Account
-	s.record.read(func(r *rollout.State, was held) { h, releases = was, r.Releases() })
-	var count []string
-	for _, r := range v.Relays {
-		items := []drift.Item{h.Bans, h.Drains}
-		if p := agreedProgram(releases, r.Name); p != "" {
-			items = append(items, drift.Item{Name: drift.Program, Version: 1, Digest: digestOf([]string{p})})
-		}
-		s.drift.Intend(now, r.Name, items)
-		switch {
-		case r.Gone:
-			s.drift.Alive(now, r.Name, drift.Gone)
-		case s.scene.words[r.Name] == nil || r.HeardMS > silentAfter.Milliseconds():
-			s.drift.Alive(now, r.Name, drift.Silent)
-		case r.Phase == "leaving" || r.Phase == "starting":
-			s.drift.Alive(now, r.Name, drift.Restarting)
-		default:
-			s.drift.Alive(now, r.Name, drift.Live)
-			count = append(count, r.Name)
-		}
-	}
-	for _, c := range s.drift.Tick(now) {
+	s.helm.voters = votersOf(s.node.Status())
+	for _, c := range s.helm.look(now, v) {
 		s.Log.WithFields(logrus.Fields{"relay": c.Relay, "item": c.Item, "from": c.From.String(), "to": c.To.String(), "why": c.Why}).Warn("fleet: drift")
 	}
-	var since int64
-	if v.Drift, since = s.drift.Blocks(count, nil); since > 0 {
-		v.DriftMS = now - since
-	}
-}
-
-// agreedProgram is what a relay runs by the last release that has ended; "" if none says.
-func agreedProgram(all []rollout.Account, relay string) (program string) {
-	for _, a := range all {
-		if a.State == rollout.Ended && a.Wish.Kind == rollout.KindRelay && a.Wish.Program != "" &&
-			slices.ContainsFunc(a.Units, func(u rollout.Unit) bool { return u.Name == relay && u.Got }) {
-			program = a.Wish.Program
-		}
-	}
-	return program
 }
 
 // ---- Having something agreed ----
@@ -426,7 +361,22 @@
 func (s *Service) propose(ctx context.Context, c rollout.Command) (rollout.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
-	text, err := json.Marshal(command{Part: partRollout, At: s.now(), By: s.Name, Body: c.Encode()})
+	return s.agreed(ctx, partRollout, c.Encode())
+}
+
+// proposeMeaning is the same for what is meant.
+func (s *Service) proposeMeaning(ctx context.Context, c meaning) (rollout.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	body, err := json.Marshal(c)
+	if err != nil {
+		return rollout.Answer{}, err
+	}
+	return s.agreed(ctx, partIntent, body)
+}
+
+func (s *Service) agreed(ctx context.Context, part string, body []byte) (rollout.Answer, error) {
+	text, err := json.Marshal(command{Part: part, At: s.now(), By: s.Name, Body: body})
 	if err != nil {
 		return rollout.Answer{}, err
 	}
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -44,7 +44,7 @@
 			"zones": s.verdict.Zones, "relays": s.verdict.Relays}).Info("fleet: canary")
 	}
 	applied := !slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool {
-		h := s.scene.words[r.Name]
+		h := s.helm.scene.words[r.Name]
 		return r.HeardMS < silentAfter.Milliseconds() && h != nil && h.Weighs < s.record.canary.Version()
 	})
 	return s.record.canary.Plan(max(now, s.record.held.At), s.verdict, applied)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -55,6 +55,7 @@
 	word
 	at    int64
 	tried map[string]*trial
+	list  listed
 }
 
 // trial counts how attempts at a member went lately, by one relay.
@@ -81,26 +82,27 @@
 type scene struct {
 	words   map[string]*heard
 	windows []rollout.Count
+	lists   lists
 	relays  int // most that are held
 }
 
 func newScene() *scene { return &scene{words: map[string]*heard{}, relays: 1024} }
 
-// hear takes a relay's word. Words that come late, of an earlier process or out of order, are passed over.
-func (s *scene) hear(now int64, from string, w word) {
+// hear takes a relay's word. Words that come late, of an earlier process or out of order, are passed over. True: the generation of its list fell.
+func (s *scene) hear(now int64, from string, w word) (fell bool) {
 	h := s.words[from]
 	switch {
 	case h == nil && len(s.words) >= s.relays:
-		return
+		return false
 	case h == nil:
 		h = &heard{tried: map[string]*trial{}}
 		s.words[from] = h
 	case w.Start < h.Start:
-		return
+		return false
 	case w.Start > h.Start:
 		h.tried = map[string]*trial{}
 	case w.Asked < h.Asked || w.Served < h.Served:
-		return
+		return false
 	default:
 		s.count(now, float64(w.Asked-h.Asked), float64(w.Served-h.Served))
 	}
@@ -123,6 +125,7 @@
 		return t.flows == 0 && len(t.marks) == 0 && len(h.tried) > sightsMost/2
 	})
 	h.word, h.at = w, now
+	return h.list.say(now, w.List)
 }
 
 // count adds to the window of now.
--- a/internal/fleet/word.go
+++ b/internal/fleet/word.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
 
 	"dahliarudder/internal/drift"
 )
@@ -25,6 +26,11 @@
 	Weighs  uint64   `json:"weighs,omitempty"` // the version of the canaries that its loop goes by
 	Counts  []byte   `json:"counts,omitempty"` // of a canary
 	Local   []string `json:"local,omitempty"`  // what its own operators have taken out
+	// What it runs of its configuration, by section; items that it refused; the groups of items of which it tells; by which order it is shut.
+	Sections map[string]string `json:"sections,omitempty"`
+	Refused  []string          `json:"refused,omitempty"`
+	Tells    []string          `json:"tells,omitempty"`
+	Shut     uint64            `json:"shut,omitempty"`
 }
 
 // sight is what a relay knows of a member. Names are short: there are many.
@@ -49,9 +55,20 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return word{}, err
 	}
-	if len(w.Members) > sightsMost || len(w.Local) > namesMost || w.Flows < 0 {
+	if len(w.Members) > sightsMost || len(w.Local) > namesMost || w.Flows < 0 || len(w.Sections) >= meantMost || len(w.Refused) > meantMost ||
+		len(w.Tells) > drift.GroupsMost {
 		return word{}, errWord
 	}
+	for section, value := range w.Sections {
+		if meanable(drift.Config+"."+section, value) != "" {
+			return word{}, errWord
+		}
+	}
+	for _, name := range slices.Concat(w.Refused, w.Tells) {
+		if len(name) > drift.NameMost {
+			return word{}, errWord
+		}
+	}
 	for _, m := range w.Members {
 		if m.Flows < 0 || !(m.Capacity >= 0 && m.Capacity < 1e9) {
 			return word{}, errWord
