A relay says the digest of each section of its configuration, and what it refused

Drift of a configuration could not be told by section: the relay said one digest of settings and limits. Keys that are each relay's own (where it is, its zone, its directories) are left out wherever they stand; check prints the digest that a release names. A file that SIGHUP brought and that cannot be used is said with its reason.

--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,8 +15,8 @@
 	"github.com/sirupsen/logrus"
 
 	"dahliarudder/internal/accord"
-	"dahliarudder/internal/config"
 	"dahliarudder/internal/core"
+	"dahliarudder/internal/drift"
 	"dahliarudder/internal/fleet"
 	"dahliarudder/internal/peers"
 	"dahliarudder/internal/rollout"
@@ -50,10 +49,10 @@
 	if set.Zone >= 0 && set.Zone < len(set.Zones) {
 		zone = string(set.Zones[set.Zone])
 	}
-	r.trial = newTrial(r)
+	r.trial, r.sections = newTrial(r), r.cfg.Sections()
 	var err error
 	r.fleet, err = fleet.Start(fleet.Options{Config: c, Name: r.cfg.Name, Zone: zone, Start: r.peers.Start(), Program: program,
-		Settings: commonDigest(r.cfg), Keys: r.cfg.Peers.Keys(), ColdFrom: set.Guarantees.ColdFrom, ColdFor: settings.Span(set.Guarantees.Cold),
+		Settings: r.cfg.Digest(), Keys: r.cfg.Peers.Keys(), ColdFrom: set.Guarantees.ColdFrom, ColdFor: settings.Span(set.Guarantees.Cold),
 		Wall: time.Now, Log: r.log, Post: r.loop.Post, Look: r.look, Follow: r.heed,
 		Pause: r.pauseTrial})
 	if err != nil {
@@ -93,21 +92,6 @@
 	return hex.EncodeToString(h.Sum(nil)[:4])
 }
 
-// commonDigest is of what all relays of an installation have the same of their configurations.
-func commonDigest(c *config.Config) string {
-	var all map[string]json.RawMessage
-	json.Unmarshal(c.Settings, &all) // it was read before
-	for _, own := range []string{"zone", "me"} {
-		delete(all, own)
-	}
-	text, _ := json.Marshal(struct {
-		Settings map[string]json.RawMessage
-		Limits   any
-	}{all, c.Limits})
-	sum := sha256.Sum256(text)
-	return hex.EncodeToString(sum[:4])
-}
-
 var listed = map[policy.State]string{policy.Ready: "ready", policy.Draining: "draining", policy.Gone: "gone"}
 
 // look is what this relay does now.
@@ -115,7 +99,10 @@
 	set, n := r.names.Settings, r.core.Counts
 	list, _ := r.watch.List()
 	l := fleet.Look{Phase: "serving", Flows: r.core.Held(), Asked: uint64(n.Requests - n.Left), Served: uint64(n.Served), Astray: uint64(n.Astray),
-		Local: r.core.Banned(), Agreed: r.agreed, Follows: r.follows, List: list.Generation}
+		Local: r.core.Banned(), Agreed: r.agreed, Follows: r.follows, List: list.Generation, Sections: r.sections, Permits: r.permits, Shut: r.shut}
+	if r.refused != "" {
+		l.Refused = map[string]string{drift.Config + ".settings": r.refused}
+	}
 	switch {
 	case r.ending:
 		l.Phase = "leaving"
@@ -158,7 +145,7 @@
 		r.log.WithFields(logrus.Fields{"out": names, "version": version}).Info("fleet: members that are out")
 	}
 	r.core.Agree(out)
-	r.agreed, r.follows = names, version
+	r.agreed, r.follows, r.permits = names, version, o.Permits
 	mine := o.Leave != nil && o.Leave.Start >= r.peers.Start() // else it was for the process before this one
 	switch {
 	case mine && r.leaving == nil:
--- a/cmd/dahliarudder/main.go
+++ b/cmd/dahliarudder/main.go
@@ -71,6 +71,9 @@
 				return fmt.Errorf("%w:\n%w", config.ErrInvalid, err)
 			}
 			cmd.Printf("%s: the configuration is sound\n", c.Name)
+			if c.Fleet != nil { // what a release of it names
+				cmd.Printf("%s: its digest is %s\n", c.Name, c.Digest())
+			}
 			return nil
 		},
 	}, &cobra.Command{
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -93,6 +93,7 @@
 			fresh, err := reload(cfg)
 			if err != nil {
 				log.WithError(err).Error("the old configuration stays")
+				loop.Post(func() { r.refused = err.Error() })
 				continue
 			}
 			cfg = fresh
@@ -144,17 +145,21 @@
 	names     pool.Names
 	watch     *pool.Watch
 	core      *core.Core
-	next      *netloop.Timer   // when the core is due
-	nats      *nats.Front      // nil if it is off
-	store     *store.Store     // nil if it is off
-	peers     *peering.Service // nil if it is off
-	came      *recovery        // nil if no state is kept
-	fleet     *fleet.Service   // nil if nothing is agreed with others
-	follows   uint64           // the version of the fleet's record that this relay goes by
-	agreed    []string         // the members that are out by it
-	trial     *trial           // of canaries; nil without a fleet
-	leaving   *leaving         // it was told to leave; nil if not
-	ordered   bool             // it ends because it was told to
+	next      *netloop.Timer    // when the core is due
+	nats      *nats.Front       // nil if it is off
+	store     *store.Store      // nil if it is off
+	peers     *peering.Service  // nil if it is off
+	came      *recovery         // nil if no state is kept
+	fleet     *fleet.Service    // nil if nothing is agreed with others
+	follows   uint64            // the version of the fleet's record that this relay goes by
+	agreed    []string          // the members that are out by it
+	permits   uint64            // what stands for the permits in force
+	shut      uint64            // the number of the order by which it takes no clients; 0: it takes them
+	sections  map[string]string // digests of the configuration that it runs
+	refused   string            // why it did not take the file that it last read; "" if it did
+	trial     *trial            // of canaries; nil without a fleet
+	leaving   *leaving          // it was told to leave; nil if not
+	ordered   bool              // it ends because it was told to
 	ending    bool
 	caught    bool // it has heard what was agreed while it was down, or waited long enough
 	listeners []*netloop.Listener
@@ -277,6 +282,7 @@
 // reload takes over what a configuration that was read again may change: where
 // discovery is.
 func (r *relay) reload(fresh *config.Config) {
+	r.refused = ""
 	keys := r.cfg.NeedRestart(fresh)
 	if len(keys) > 0 {
 		r.log.WithField("keys", keys).Warn("changed, but only a restart takes them")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,8 @@
 package config
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -11,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strconv"
 
 	"dahliarudder/internal/fleet"
@@ -324,6 +327,54 @@
 	return c.Discovery == discovery
 }
 
+// own are keys of what is each relay's own, in whatever section: where it is and what it is called.
+var own = []string{"zone", "me", "listen", "address", "calls", "reach", "known", "dir", "key_file", "program"}
+
+// Sections is what all relays of an installation have the same of their configurations: a digest of each section that is set.
+func (c *Config) Sections() map[string]string {
+	out := map[string]string{}
+	for name, section := range map[string]any{"settings": c.Settings, "limits": c.Limits, "fronts": c.Fronts, "store": c.Store, "peers": c.Peers,
+		"state": c.State, "fleet": c.Fleet, "counts_ms": c.CountsMS} {
+		text, err := json.Marshal(section)
+		var all any
+		if err != nil || json.Unmarshal(text, &all) != nil || all == nil {
+			continue
+		}
+		without(all, own)
+		text, _ = json.Marshal(all) // keys in order, so that one digest is of one meaning
+		out[name] = digest(text)
+	}
+	return out
+}
+
+// Digest is of all sections together: what a release of a configuration names.
+func (c *Config) Digest() string {
+	text, _ := json.Marshal(c.Sections())
+	return digest(text)
+}
+
+func digest(text []byte) string {
+	sum := sha256.Sum256(text)
+	return hex.EncodeToString(sum[:4])
+}
+
+func without(all any, keys []string) {
+	switch x := all.(type) {
+	case map[string]any:
+		for k, v := range x {
+			if slices.Contains(keys, k) {
+				delete(x, k)
+			} else {
+				without(v, keys)
+			}
+		}
+	case []any:
+		for _, v := range x {
+			without(v, keys)
+		}
+	}
+}
+
 // Security is what the files of the NATS front hold, nil if it is off.
 func (c *Config) Security() *nats.Security { return c.security }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"strings"
@@ -159,3 +160,26 @@
 		t.Errorf("an operators' address that is none: %v", err)
 	}
 }
+
+// TestSections: relays of one installation have the same digests whatever is each one's own; what is not each one's own shows in its section alone.
+func TestSections(t *testing.T) {
+	text := func(name, more string, zone int) string {
+		return fmt.Sprintf(`{"name":%q,"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","limits":{"sockets":1024%s},"state":{"dir":%q},`+
+			strings.Replace(settingsText, `"settings":{`, `"settings":{"zone":%d,`, 1)+`}`, name, more, name, zone)
+	}
+	var all []*Config
+	for _, c := range []string{text("n1", "", 0), text("n2", "", 1), text("n1", `,"cores":2`, 0)} {
+		x, err := load(t, c, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, x)
+	}
+	a, b, c := all[0].Sections(), all[1].Sections(), all[2].Sections()
+	if !maps.Equal(a, b) || all[0].Digest() != all[1].Digest() {
+		t.Errorf("each relay's own shows: %v, %v", a, b)
+	}
+	if a["limits"] == c["limits"] || a["settings"] != c["settings"] || a["peers"] != "" {
+		t.Errorf("%v, %v", a, c)
+	}
+}
