Relays that drifted are shut and admitted, on the account that steps draw on

Shut and Admit are commands of the rollout: Plan proposes them from View.Unfit, Apply counts them by number, zone and capacity with units, permits and losses. One that was admitted counts until it has applied that and is seen to serve; a later start ends it; a release may take it out at no further cost; an operator's admission stands above the drift. A step no longer needs both sides to have zones: without any nothing fits anyway, and a fleet without members could not have shut a relay.

--- a/internal/rollout/account.go
+++ b/internal/rollout/account.go
@@ -7,11 +7,22 @@
 	"slices"
 )
 
-// The account: what is out by plan (units and permits) and what is lost beside it, against the budgets. Plan and Apply
+// The account: what is out by plan (units, permits, relays that are shut) and what is lost beside it, against the budgets. Plan and Apply
 // count by the same code: Plan from the view, Apply from the state and the sight that stands in the command.
 
 // planned is what is out by plan.
 func (d *data) planned(kind string) []Place {
+	list := d.given(kind)
+	for i := range d.Shuts {
+		if s := &d.Shuts[i]; kind == KindRelay && !s.Back {
+			list = append(list, Place{s.Name, s.Zone})
+		}
+	}
+	return list
+}
+
+// given is what is out by plan to go and come back. A relay that is shut may be given out beside: that is how it is mended.
+func (d *data) given(kind string) []Place {
 	var list []Place
 	for i := range d.Releases {
 		for j := range d.Releases[i].Units {
@@ -130,7 +141,7 @@
 	side     Side
 	zones    map[string]int // out, by zone
 	out      map[string]bool
-	planned  map[string]bool
+	planned  map[string]bool // out to go and come back
 	total    int
 	overs    *string // what over said, until one more is out
 	full     string  // the same for one that is not out yet
@@ -145,9 +156,11 @@
 		r.total += n
 	}
 	for _, p := range d.planned(kind) {
-		r.planned[p.Name] = true
 		r.add(p)
 	}
+	for _, p := range d.given(kind) {
+		r.planned[p.Name] = true
+	}
 	for _, p := range s.Lost {
 		if planted != "no failures" {
 			r.add(p)
@@ -224,6 +237,14 @@
 	return ""
 }
 
+// shut is take for a relay that is to be shut.
+func (r *room) shut(name, zone string, bears float64) string {
+	if planted == "shut without budget" {
+		return ""
+	}
+	return r.take(name, zone, bears)
+}
+
 // bound is how long a unit may be out: by what the last ones took, at first by the budgets.
 func (d *data) bound(kind string, b Budgets) int64 {
 	first, took := b.Drain+b.Start+b.Warm, d.Members
--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -16,7 +16,8 @@
 	BansMost     = 1024
 	NameMost     = 128 // bytes of a name, a program, a configuration
 	WhyMost      = 512
-	GivesMost    = 64 // things in one step
+	GivesMost    = 64 // things in one step, relays shut at one look
+	ShutsMost    = 1024
 )
 
 // Kinds of things.
@@ -42,6 +43,8 @@
 	Step   = "step"   // Gives, Base, Sight: what goes out now, permits among them
 	Seen   = "seen"   // Saw: units and permits that were seen further by others
 	Void   = "void"   // Numbers: permits not begun in time, askers gone
+	Shut   = "shut"   // Name, Why, Zone, Bears, Start, Base, Sight: a relay that drifted is to take no client
+	Admit  = "admit"  // Name, Why: it may take clients again. By the pilot with Cause and Base; an operator's stands above the drift
 )
 
 // Command is the body of a command, one struct for all kinds.
@@ -63,6 +66,9 @@
 	Gives   []Gift   `json:"gives,omitempty"`
 	Saw     []Saw    `json:"saw,omitempty"`
 	Before  []Count  `json:"before,omitempty"` // lay: the fleet's service before the release
+	Zone    string   `json:"zone,omitempty"`   // shut: of the relay
+	Bears   float64  `json:"bears,omitempty"`  // shut: what goes with it
+	Start   uint64   `json:"start,omitempty"`  // shut: the start number that was seen to drift
 }
 
 // Encode is the command as the record's body.
@@ -138,6 +144,7 @@
 	Release string `json:"release,omitempty"`
 	Unit    string `json:"unit,omitempty"`
 	Permit  uint64 `json:"permit,omitempty"`
+	Shut    uint64 `json:"shut,omitempty"`  // the number of one that was admitted: done (it serves), or missing (nothing is left to say of it)
 	Order   uint64 `json:"order"`           // of the unit, so that an old sight changes nothing; 0 for a permit
 	Phase   string `json:"phase"`           // empty, coming, done (with the new thing), waiting (as before), missing
 	Now     string `json:"now,omitempty"`   // successor
@@ -150,6 +157,28 @@
 type Orders struct {
 	Leave *Leave         `json:"leave,omitempty"`
 	Out   map[string]Out `json:"out,omitempty"` // members that get nothing new
+	Shut  *Closed        `json:"shut,omitempty"`
+}
+
+// Closed is the order to take no client, and to move those that are there.
+type Closed struct {
+	Number uint64 `json:"number"`
+	Since  int64  `json:"since"`
+	Why    string `json:"why"`
+	Start  uint64 `json:"start"` // a later process may ignore it: it is admitted once it is seen
+}
+
+// Shutting is one relay that is shut for drift, or was and is not yet seen to serve.
+type Shutting struct {
+	Name   string `json:"name"`
+	Zone   string `json:"zone,omitempty"`
+	Why    string `json:"why,omitempty"`
+	Since  int64  `json:"since"`
+	Start  uint64 `json:"start"`
+	Number uint64 `json:"number"`
+	Opened uint64 `json:"opened,omitempty"` // the version that admitted it; out until it has applied that and serves
+	Let    bool   `json:"let,omitempty"`    // an operator admitted it: it is not shut again until it is in step, or starts anew
+	Back   bool   `json:"back,omitempty"`   // it serves: kept for Let alone
 }
 
 // Leave is the order to drain, move the clients and end with ExitOrdered.
@@ -178,8 +207,12 @@
 	Service []Count  `json:"service"` // windows in which all relays counted, oldest first
 	Worse   string   `json:"worse,omitempty"`
 	WorseOf string   `json:"worse_of,omitempty"` // the release; "" for all
-	Drift   string   `json:"drift,omitempty"`
+	Drift   string   `json:"drift,omitempty"`    // of relays that are not shut: it holds releases up, and one of them may be the mending
 	DriftMS int64    `json:"drift_ms,omitempty"` // for how long
+	// Relays that should be shut, with why, and the worst first. Who is shut and not here is admitted: a leader that does not know yet names
+	// those that are shut.
+	Unfit      map[string]string `json:"unfit,omitempty"`
+	UnfitOrder []string          `json:"unfit_order,omitempty"`
 }
 
 // Count is the service of one window, over all relays.
--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -68,6 +68,10 @@
 		a = d.seen(at, c)
 	case Void:
 		a = d.void(at, c)
+	case Shut:
+		a = d.shut(at, c)
+	case Admit:
+		a = d.admit(c)
 	default:
 		a = refuse("no such command: %q", cut(c.Kind, NameMost))
 	}
@@ -415,21 +419,29 @@
 	return Answer{Name: r.Name, State: r.State}
 }
 
+// stale says why what a command was reckoned from does not hold any more.
+func (d *data) stale(at int64, c *Command) string {
+	v, b := c.Sight, c.Sight.Budgets
+	switch {
+	case c.Base != d.Version && planted != "no fencing":
+		return fmt.Sprintf("it was reckoned from version %d, this is %d", c.Base, d.Version)
+	case at-v.At > b.Fresh:
+		return fmt.Sprintf("what it was reckoned from is %d ms old", at-v.At)
+	case b.Window <= 0 || b.Window > forMost || !(b.Clock >= 0 && b.Clock < 1):
+		return "a sight without window or clock"
+	}
+	return ""
+}
+
 // step gives things out: all of it, or nothing.
 func (d *data) step(at int64, c *Command) Answer {
 	if c.Sight == nil || len(c.Gives) == 0 || len(c.Gives) > GivesMost {
 		return refuse("a step names one to %d things, and what it was reckoned from", GivesMost)
 	}
-	v, b := c.Sight, c.Sight.Budgets
-	if c.Base != d.Version && planted != "no fencing" {
-		return refuse("it was reckoned from version %d, this is %d", c.Base, d.Version)
-	}
-	if at-v.At > b.Fresh {
-		return refuse("what it was reckoned from is %d ms old", at-v.At)
-	}
-	if v.Relays.Zones == nil || v.Members.Zones == nil || b.Window <= 0 || b.Window > forMost || !(b.Clock >= 0 && b.Clock < 1) {
-		return refuse("a sight without zones, window or clock")
+	if why := d.stale(at, c); why != "" {
+		return refuse("%s", why)
 	}
+	v, b := c.Sight, c.Sight.Budgets
 	rooms := map[string]*room{KindRelay: d.room(KindRelay, v.Relays, b), KindMember: d.room(KindMember, v.Members, b)}
 	for _, g := range c.Gives {
 		if len(g.Zone) > NameMost {
@@ -518,6 +530,10 @@
 		if max(len(s.Now), len(s.Zone)) > NameMost {
 			continue
 		}
+		if s.Shut != 0 {
+			changed = d.opened(s) || changed
+			continue
+		}
 		if p := d.permit(s.Permit); s.Permit != 0 {
 			if p != nil && p.State == Begun {
 				d.Permits = slices.DeleteFunc(d.Permits, func(p Pass) bool { return p.Number == s.Permit })
@@ -615,6 +631,63 @@
 	return p.State == Granted && at > p.Until || p.State == Wait && at-p.Asked > staleAfter
 }
 
+// shut takes a relay that drifted out of the service, within the budget: drift at half of the fleet must not empty it.
+func (d *data) shut(at int64, c *Command) Answer {
+	if c.Sight == nil || c.Name == "" || len(c.Zone) > NameMost {
+		return refuse("who is shut has a name and a zone, and what it was reckoned from")
+	}
+	if why := d.stale(at, c); why != "" {
+		return refuse("%s", why)
+	}
+	s := d.shutting(c.Name)
+	switch {
+	case s != nil && s.Opened == 0:
+		return refuse("%s is shut", s.Name)
+	case s != nil && s.Let:
+		return refuse("an operator admitted %s as it is", s.Name)
+	case s == nil && len(d.Shuts) >= ShutsMost:
+		return refuse("%d relays are shut", ShutsMost)
+	}
+	if why := d.room(KindRelay, c.Sight.Relays, c.Sight.Budgets).shut(c.Name, c.Zone, c.Bears); why != "" {
+		return refuse("%s", why)
+	}
+	d.Version++
+	d.Number++
+	d.Shuts = slices.DeleteFunc(d.Shuts, func(x Shutting) bool { return x.Name == c.Name })
+	d.Shuts = append(d.Shuts, Shutting{Name: c.Name, Zone: c.Zone, Why: c.Why, Since: at, Start: c.Start, Number: d.Number})
+	return Answer{Name: c.Name, State: Shut, Number: d.Number}
+}
+
+// admit lets a relay serve again. It counts as out until it is seen to.
+func (d *data) admit(c *Command) Answer {
+	s, itself := d.shutting(c.Name), c.Cause != ""
+	switch {
+	case s == nil || s.Opened != 0 && (itself || s.Let):
+		return refuse("%q is not shut", c.Name)
+	case itself && c.Base != d.Version:
+		return refuse("it was reckoned from version %d, this is %d", c.Base, d.Version)
+	}
+	d.Version++
+	s.Opened, s.Let = cmp.Or(s.Opened, d.Version), !itself
+	return Answer{Name: s.Name, State: Admit}
+}
+
+// opened takes over that one that was admitted serves, or is nothing to be spoken of any more.
+func (d *data) opened(saw Saw) bool {
+	i := slices.IndexFunc(d.Shuts, func(x Shutting) bool { return x.Number == saw.Shut && x.Opened != 0 })
+	switch {
+	case i < 0:
+		return false
+	case saw.Phase == Missing || saw.Phase == Done && !d.Shuts[i].Let:
+		d.Shuts = slices.Delete(d.Shuts, i, i+1)
+	case saw.Phase == Done && !d.Shuts[i].Back:
+		d.Shuts[i].Back = true
+	default:
+		return false
+	}
+	return true
+}
+
 // settle ends what is through, and lets go on what waited for it.
 func (d *data) settle(at int64) {
 	for i := range d.Releases {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -20,29 +21,40 @@
 }
 
 // Plan says what to propose next, in this order: a few commands, the same for the same state and view. Halts come first, then what others
-// saw, then what goes out. A relay that was never heard is to have the age of the view as HeardMS, else nothing of it is ever past its time.
+// saw, then who is admitted and who is shut, then what goes out. Each is reckoned as if those before it were agreed, and names the version that they make: if one of them is
+// not, the rest is refused and the next look plans anew. A relay that was never heard is to have the age of the view as HeardMS, else
+// nothing of it is ever past its time.
 func (s *State) Plan(now int64, v View, b Budgets) []Command {
 	p := s.d.planner(now, v, b)
 	saw := p.seen()
 	_, stalled := p.step()
 	p.reset()
+	next := State{s.d.clone()}
 	var list []Command
+	add := func(c Command) {
+		version := next.Version()
+		if next.Apply(now, "", c.Encode()); next.Version() == version+1 {
+			list = append(list, c)
+		}
+	}
 	if c := p.halt(stalled); c != nil {
-		list = append(list, *c)
+		add(*c)
 	}
 	if len(saw) > 0 {
-		list = append(list, Command{Kind: Seen, Saw: saw})
+		add(Command{Kind: Seen, Saw: saw})
 	}
 	if numbers := p.void(); len(numbers) > 0 {
-		list = append(list, Command{Kind: Void, Numbers: numbers})
+		add(Command{Kind: Void, Numbers: numbers})
 	}
-	if len(list) > 0 {
-		// What may go out once this is agreed comes with it, reckoned from the version that it makes: if it is not, it is refused.
-		next := State{s.d.clone()}
-		for _, c := range list {
-			next.Apply(now, "", c.Encode())
+	if len(s.d.Shuts)+len(v.Unfit) > 0 {
+		p = next.d.planner(now, v, b)
+		for _, c := range append(p.admits(), p.shuts()...) {
+			c.Base = next.Version()
+			add(c)
 		}
-		if c, _ := next.d.planner(now, v, b).step(); c != nil && c.Base == s.d.Version+uint64(len(list)) {
+	}
+	if len(list) > 0 {
+		if c, _ := next.d.planner(now, v, b).step(); c != nil {
 			list = append(list, *c)
 		}
 		return list
@@ -118,6 +130,17 @@
 			list = append(list, Saw{Permit: x.Number})
 		}
 	}
+	for i := range p.d.Shuts {
+		x := &p.d.Shuts[i]
+		r := p.relays[x.Name]
+		switch _, unfit := p.v.Unfit[x.Name]; {
+		case x.Opened == 0:
+		case r == nil || x.Back && r.live(p.b) && (!unfit || r.Start > x.Start):
+			list = append(list, Saw{Shut: x.Number, Phase: Missing})
+		case !x.Back && r.sound(p.b) && r.Applied >= x.Opened: // before that it may yet heed the order that was taken back
+			list = append(list, Saw{Shut: x.Number, Phase: Done})
+		}
+	}
 	return list
 }
 
@@ -329,6 +352,59 @@
 	return p.now-max(u.At, r.Resumed) > p.d.bound(u.Kind, p.b)
 }
 
+// ---- Drift ----
+
+// admits are the relays that need not be shut any more. One that is silent may be as it was.
+func (p *planner) admits() []Command {
+	var list []Command
+	for i := range p.d.Shuts {
+		s := &p.d.Shuts[i]
+		r, cause := p.relays[s.Name], ""
+		_, unfit := p.v.Unfit[s.Name]
+		switch {
+		case s.Opened != 0 || r != nil && !r.live(p.b):
+		case r == nil:
+			cause = "gone"
+		case r.Start > s.Start:
+			cause = "started"
+		case !unfit && p.now-s.Since >= p.b.Silent: // one that comes and goes is not let in and out at each look
+			cause = "fit"
+		}
+		if cause != "" {
+			list = append(list, Command{Kind: Admit, Name: s.Name, Cause: cause})
+		}
+	}
+	return list
+}
+
+// shuts are the relays that drifted, the worst first, as far as the budget bears it.
+func (p *planner) shuts() []Command {
+	var list []Command
+	if p.now-p.v.At > p.b.Fresh {
+		return nil
+	}
+	seen := map[string]bool{}
+	for _, n := range slices.Concat(p.v.UnfitOrder, slices.Sorted(maps.Keys(p.v.Unfit))) {
+		why, unfit := p.v.Unfit[n]
+		r, s := p.relays[n], p.d.shutting(n)
+		if !unfit || seen[n] || r == nil || !r.live(p.b) || s != nil && (s.Opened == 0 || s.Let) || len(list) >= GivesMost {
+			continue
+		}
+		seen[n] = true
+		c := Command{Kind: Shut, Name: n, Why: cut(why, WhyMost), Zone: r.Zone, Bears: p.bears(&Unit{Name: n, Kind: KindRelay}), Start: r.Start,
+			Sight: p.sight()}
+		if p.rooms[KindRelay].shut(n, r.Zone, c.Bears) == "" {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// sight is what a command rests on that gives something out.
+func (p *planner) sight() *Sight {
+	return &Sight{At: p.v.At, Budgets: p.b, Relays: p.rooms[KindRelay].side, Members: p.rooms[KindMember].side}
+}
+
 // ---- Halts ----
 
 // halt is the first release that is to halt, with the cause.
@@ -549,8 +625,7 @@
 // step is what goes out now: permits first, whose askers wait outside, then releases as they were opened. It also says of which
 // release nothing is out and nothing may go.
 func (p *planner) step() (*Command, map[string]string) {
-	c := Command{Kind: Step, Base: p.d.Version, Sight: &Sight{At: p.v.At, Budgets: p.b,
-		Relays: p.rooms[KindRelay].side, Members: p.rooms[KindMember].side}}
+	c := Command{Kind: Step, Base: p.d.Version, Sight: p.sight()}
 	stalled := map[string]string{}
 	if len(p.v.Relays) == 0 || p.now-p.v.At > p.b.Fresh {
 		return nil, stalled
@@ -630,7 +705,8 @@
 // bears is what is lost to the rest when a thing goes out: nothing, if it is lost already.
 func (p *planner) bears(u *Unit) float64 {
 	if u.Kind == KindRelay {
-		if x := p.relays[u.Name]; x != nil && x.sound(p.b) {
+		shut := p.d.shutting(u.Name)
+		if x := p.relays[u.Name]; x != nil && x.sound(p.b) && (shut == nil || shut.Back) {
 			return x.Capacity
 		}
 		return 0
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -85,6 +85,9 @@
 	if pick.IntN(6) == 0 {
 		w.drift = w.now + w.rnd(1000, 5000)
 	}
+	if pick.IntN(4) == 0 {
+		w.half = w.now + w.rnd(1000, 20000)
+	}
 	if pick.IntN(4) == 0 { // bans: by a release, and by an operator at once
 		w.order(Command{Kind: Open, Name: "bans", Release: &Wish{Kind: KindBan, Ban: []string{"m1"}, Wait: true}})
 		w.order(Command{Kind: Ban, Names: []string{"m2"}})
@@ -157,6 +160,9 @@
 
 // last is what has to be so at the end.
 func (w *world) last() {
+	if len(w.s.d.Shuts) > 0 {
+		w.fault("shut in the calm: %+v", w.s.d.Shuts)
+	}
 	if len(w.s.d.Bans) > 0 {
 		w.fault("bans stand: %v", w.s.d.Bans)
 	}
@@ -228,9 +234,10 @@
 }
 
 func TestModel(t *testing.T) {
-	var ended, undone, halted atomic.Int64
+	var ended, undone, halted, shuts atomic.Int64
 	seed, faults := all(seeds(100), func(seed uint64) []string {
 		w := play(seed, false, nil)
+		shuts.Add(int64(w.shuts))
 		for _, r := range w.s.Releases() {
 			switch r.State {
 			case Ended:
@@ -247,7 +254,7 @@
 	if len(faults) > 0 {
 		t.Errorf("seed %d: %q", seed, faults)
 	}
-	t.Logf("releases: %d done, %d went back, %d halted", ended.Load(), undone.Load(), halted.Load())
+	t.Logf("releases: %d done, %d went back, %d halted; relays shut: %d", ended.Load(), undone.Load(), halted.Load(), shuts.Load())
 }
 
 // The same seed gives the same trace, also where the state goes through Encode and Decode before each command.
@@ -266,7 +273,7 @@
 // Each defect is found by the judge, or by the trace.
 func TestPlanted(t *testing.T) {
 	defer func() { planted = "" }()
-	for _, defect := range []string{"no failures", "no fencing", "a map's order", "own word", "half forgotten"} {
+	for _, defect := range []string{"no failures", "no fencing", "a map's order", "own word", "half forgotten", "shut without budget"} {
 		planted = defect
 		seed, faults := all(400, func(seed uint64) []string {
 			if large(seed) {
@@ -414,7 +421,7 @@
 		w.calm = true
 		names := rapid.SampledFrom([]string{"a", "b", "n1", "m1", "m2", ""})
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			c := Command{Kind: rapid.SampledFrom([]string{Open, Ask, Begin, Give, Halt, Resume, Back, Ban, Allow, Void, Seen, "tick", "tick", "tick"}).Draw(t, "kind"),
+			c := Command{Kind: rapid.SampledFrom([]string{Open, Ask, Begin, Give, Halt, Resume, Back, Ban, Allow, Void, Seen, Shut, Admit, "tick", "tick", "tick"}).Draw(t, "kind"),
 				Name: names.Draw(t, "name"), Names: []string{names.Draw(t, "of")}, Thing: rapid.SampledFrom([]string{KindRelay, KindMember}).Draw(t, "thing"),
 				For: rapid.Int64Range(-1, 5000).Draw(t, "for"), Number: rapid.Uint64Range(0, 12).Draw(t, "number"), Who: names.Draw(t, "who")}
 			switch c.Kind {
@@ -431,8 +438,11 @@
 				}
 			case Void:
 				c.Numbers = []uint64{c.Number}
+			case Shut:
+				v := w.view()
+				c.Base, c.Sight = w.s.Version(), &Sight{At: w.now, Budgets: w.budgets, Relays: w.s.d.relays(&v, w.budgets), Members: w.s.d.members(&v)}
 			case Seen:
-				c.Saw = []Saw{{Release: c.Name, Unit: names.Draw(t, "unit"), Order: c.Number, Phase: rapid.SampledFrom([]string{Done, Empty, Coming, Waiting, Missing}).Draw(t, "phase")}}
+				c.Saw = []Saw{{Shut: rapid.SampledFrom([]uint64{0, 0, 0, 1, 2, 3}).Draw(t, "shut"), Release: c.Name, Unit: names.Draw(t, "unit"), Order: c.Number, Phase: rapid.SampledFrom([]string{Done, Empty, Coming, Waiting, Missing}).Draw(t, "phase")}}
 			}
 			before := w.s.Encode()
 			var a Answer
@@ -464,6 +474,10 @@
 		w.tick()
 	}
 	w.order(Command{Kind: Back, Name: "members"})
+	w.relays[2].unfit = w.now + 9000
+	for range 20 {
+		w.tick()
+	}
 	return w
 }
 
@@ -725,3 +739,131 @@
 		}
 	}
 }
+
+// Half of the fleet drifts: the worst go first, no more than the budget lets out by number, zone and capacity. Who is shut may be released,
+// costs no more for it, and counts until it is seen to serve again.
+func TestShut(t *testing.T) {
+	fleet := func() View {
+		v := View{At: 1e6, Unfit: map[string]string{}}
+		for i := range 8 {
+			r := Relay{Name: "n" + strconv.Itoa(i), Zone: "z" + strconv.Itoa(i%2), Start: 5, Phase: "serving", Full: true, Flows: 50, Capacity: 100}
+			v.Relays = append(v.Relays, r)
+			if i%2 == 0 {
+				v.Unfit[r.Name] = "late"
+			}
+		}
+		v.UnfitOrder = []string{"n6", "n2", "n1"}
+		return v
+	}
+	b := Budgets{Relays: Budget{Whole: Part{Count: 3}}, Silent: 100, Fresh: 100, Drain: 100, Start: 100, Window: 100}
+	// plan takes in what is planned, and says who is shut then.
+	plan := func(s *State, v View, b Budgets) (names string) {
+		for _, c := range s.Plan(v.At, v, b) {
+			calls(t, s, v.At, "", c)
+		}
+		for _, x := range s.Shuts() {
+			names += x.Name + " "
+		}
+		return names
+	}
+	zonal, tight, over := b, b, b
+	zonal.Relays.Zone, tight.Headroom, over.Relays.Whole = Part{Count: 2}, 0.7, Part{Count: 9}
+	for want, budgets := range map[string]Budgets{"n6 n2 n0 ": b, "n6 n2 ": zonal, "n6 ": tight, "n6 n2 n0 n4 ": over} {
+		s := New()
+		if got := plan(s, fleet(), budgets); got != want {
+			t.Errorf("%+v: %s, not %s", budgets, got, want)
+		}
+		if got := plan(s, fleet(), budgets); got != want {
+			t.Errorf("%+v, once more: %s, not %s", budgets, got, want)
+		}
+	}
+
+	s, v := New(), fleet()
+	plan(s, v, b)
+	if o := s.Orders("n6").Shut; o == nil || o.Why != "late" || o.Start != 5 || s.Orders("n1").Shut != nil {
+		t.Errorf("%+v", o)
+	}
+	back, err := Decode(s.Encode())
+	if err != nil || !bytes.Equal(back.Encode(), s.Encode()) {
+		t.Error(err)
+	}
+	if old, err := Decode([]byte(`{"version":3,"at":9,"number":1}`)); err != nil || len(old.Shuts()) > 0 {
+		t.Error("a state of before", err)
+	}
+	// What was reckoned from an old state, or by who saw less, gives nothing out.
+	c := Command{Kind: Shut, Name: "n4", Zone: "z0", Start: 5, Base: s.Version(), Sight: &Sight{At: v.At, Budgets: b,
+		Relays: s.d.relays(&v, b), Members: s.d.members(&v)}}
+	calls(t, s, v.At, "3 of 3", c)
+	calls(t, s, v.At+101, "ms old", c)
+	c.Base--
+	calls(t, s, v.At, "version", c)
+
+	// A release takes those that are shut though the budget is full, and no other.
+	calls(t, s, v.At, Queued, Command{Kind: Open, Name: "r", Release: &Wish{Kind: KindRelay, All: true}})
+	plan(s, v, b)
+	plan(s, v, b)
+	for i := range 8 {
+		name := "n" + strconv.Itoa(i)
+		if o := s.Orders(name); (o.Leave != nil) != (o.Shut != nil) {
+			t.Errorf("%s: %+v", name, o)
+		}
+	}
+	// One comes back: it is admitted, and counts until it is seen to serve by that.
+	v.Relays[6].Start, v.Relays[6].Phase, v.Relays[6].Full = 6, "shut", false
+	delete(v.Unfit, "n6")
+	plan(s, v, b)
+	if o := s.Orders("n6"); o.Shut != nil || len(s.d.planned(KindRelay)) != 6 {
+		t.Errorf("%+v, out: %v", o, s.d.planned(KindRelay))
+	}
+	v.Relays[6].Phase, v.Relays[6].Full = "serving", true
+	plan(s, v, b)
+	if s.d.shutting("n6") == nil {
+		t.Error("it was not awaited")
+	}
+	v.Relays[6].Applied = s.Version()
+	if got := plan(s, v, b); got != "n2 n0 n4 " { // what it leaves is for the next
+		t.Error(got)
+	}
+
+	// One that is not unfit any more is admitted, but not at each look; and not while it is silent.
+	delete(v.Unfit, "n4")
+	if got := plan(s, v, b); got != "n2 n0 n4 " {
+		t.Error(got)
+	}
+	v.At += b.Silent
+	v.Relays[4].HeardMS = b.Silent + 1
+	if got := plan(s, v, b); got != "n2 n0 n4 " {
+		t.Error(got)
+	}
+	v.Relays[4].HeardMS = 0
+	if got := plan(s, v, b); got != "n2 n0 " {
+		t.Error(got)
+	}
+
+	// An operator's word stands above the drift, until it starts anew.
+	s, v = New(), fleet()
+	plan(s, v, b)
+	calls(t, s, v.At, Admit, Command{Kind: Admit, Name: "n6"})
+	calls(t, s, v.At, "not shut", Command{Kind: Admit, Name: "n6"})
+	for range 3 {
+		v.Relays[6].Applied = s.Version()
+		if got := plan(s, v, b); strings.Contains(got, "n6") {
+			t.Error(got)
+		}
+	}
+	if got := plan(s, v, b); got != "n2 n0 n4 " {
+		t.Error(got)
+	}
+	v.Relays[6].Start = 6
+	plan(s, v, b)
+	if s.d.shutting("n6") != nil {
+		t.Error("it started anew, and is still admitted by an operator")
+	}
+	// One that is there no more is nothing to speak of.
+	v.Relays = slices.DeleteFunc(v.Relays, func(r Relay) bool { return r.Name == "n2" })
+	plan(s, v, b)
+	plan(s, v, b)
+	if s.d.shutting("n2") != nil {
+		t.Error("it is gone, and still counts")
+	}
+}
--- a/internal/rollout/state.go
+++ b/internal/rollout/state.go
@@ -14,14 +14,15 @@
 type State struct{ d data }
 
 type data struct {
-	Version  uint64    `json:"version"` // rises with every change of what is out or ordered
-	At       int64     `json:"at"`
-	Number   uint64    `json:"number"` // the last given to an order, a ban or a permit
-	Releases []release `json:"releases,omitempty"`
-	Permits  []Pass    `json:"permits,omitempty"`
-	Bans     []Banned  `json:"bans,omitempty"`   // by name
-	Relays   []int64   `json:"relays,omitempty"` // ms that the last units took until they were back
-	Members  []int64   `json:"members,omitempty"`
+	Version  uint64     `json:"version"` // rises with every change of what is out or ordered
+	At       int64      `json:"at"`
+	Number   uint64     `json:"number"` // the last given to an order, a ban or a permit
+	Releases []release  `json:"releases,omitempty"`
+	Permits  []Pass     `json:"permits,omitempty"`
+	Bans     []Banned   `json:"bans,omitempty"` // by name
+	Shuts    []Shutting `json:"shuts,omitempty"`
+	Relays   []int64    `json:"relays,omitempty"` // ms that the last units took until they were back
+	Members  []int64    `json:"members,omitempty"`
 }
 
 const tookMost = 32
@@ -63,7 +64,7 @@
 	for _, r := range s.d.Releases {
 		units += len(r.Units)
 	}
-	if len(s.d.Releases) > ReleasesMost || units > UnitsMost || len(s.d.Permits) > PermitsMost || len(s.d.Bans) > BansMost {
+	if len(s.d.Releases) > ReleasesMost || units > UnitsMost || len(s.d.Permits) > PermitsMost || len(s.d.Bans) > BansMost || len(s.d.Shuts) > ShutsMost {
 		return nil, fmt.Errorf("rollout: a state beyond its bounds")
 	}
 	return s, nil
@@ -94,6 +95,9 @@
 	for _, b := range s.d.Bans {
 		out(b.Name, Out{Why: "ban", Number: b.Number, Since: b.Since})
 	}
+	if x := s.d.shutting(relay); x != nil && x.Opened == 0 {
+		o.Shut = &Closed{Number: x.Number, Since: x.Since, Why: x.Why, Start: x.Start}
+	}
 	return o
 }
 
@@ -120,10 +124,16 @@
 // Bans are all that stand, by name.
 func (s *State) Bans() []Banned { return slices.Clone(s.d.Bans) }
 
+// Shuts are the relays that are shut.
+func (s *State) Shuts() []Shutting {
+	return slices.DeleteFunc(slices.Clone(s.d.Shuts), func(x Shutting) bool { return x.Opened != 0 })
+}
+
 // clone shares nothing that a command changes.
 func (d *data) clone() data {
 	c := *d
 	c.Releases, c.Permits, c.Bans = slices.Clone(d.Releases), slices.Clone(d.Permits), slices.Clone(d.Bans)
+	c.Shuts = slices.Clone(d.Shuts)
 	c.Relays, c.Members = slices.Clone(d.Relays), slices.Clone(d.Members)
 	for i := range c.Releases {
 		r := &c.Releases[i]
@@ -180,6 +190,15 @@
 	return nil
 }
 
+func (d *data) shutting(name string) *Shutting {
+	for i := range d.Shuts {
+		if d.Shuts[i].Name == name {
+			return &d.Shuts[i]
+		}
+	}
+	return nil
+}
+
 func (d *data) permit(number uint64) *Pass {
 	for i := range d.Permits {
 		if d.Permits[i].Number == number {
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -37,6 +37,8 @@
 	service   []Count
 	history   *[]op
 	drift     int64
+	half      int64 // when half of the relays drift
+	shuts     int
 }
 
 const cold = 0.3 // of its capacity that a cold member bears
@@ -45,6 +47,7 @@
 	at      int64
 	version uint64
 	leave   map[string]*Leave
+	shut    map[string]*Closed
 	out     map[string]Out
 }
 
@@ -73,6 +76,8 @@
 	wordAt                   int64
 	held                     map[string]int64 // members: until when it holds flows there; 0 as long as they are not out
 	lostSince                int64
+	unfit                    int64 // until when it drifts by itself; a restart may mend it
+	literal                  bool  // it stays shut until the record says otherwise, also with a later start
 }
 
 // slot is a member and its owner's hand.
@@ -113,7 +118,8 @@
 	sum := 0.0
 	for i := range n {
 		w.relays = append(w.relays, &host{name: fmt.Sprintf("n%d", i), zone: fmt.Sprintf("z%d", i%zones), program: "p1", was: "p1", up: true,
-			start: 1, said: w.now - int64(w.rng.IntN(500)), capacity: 100 + float64(w.rng.IntN(100)), held: map[string]int64{}})
+			start: 1, said: w.now - int64(w.rng.IntN(500)), capacity: 100 + float64(w.rng.IntN(100)), held: map[string]int64{},
+			literal: w.rng.IntN(2) == 0})
 	}
 	for i := range m {
 		x := &slot{name: fmt.Sprintf("m%d", i), zone: fmt.Sprintf("z%d", i%zones), program: "b1", was: "b1", up: true, started: w.now - 1e5,
@@ -185,7 +191,10 @@
 }
 
 func (w *world) remember() {
-	a := agreed{at: w.now, version: w.s.Version(), leave: map[string]*Leave{}, out: w.s.Orders("").Out}
+	a := agreed{at: w.now, version: w.s.Version(), leave: map[string]*Leave{}, shut: map[string]*Closed{}, out: w.s.Orders("").Out}
+	for _, x := range w.s.Shuts() {
+		a.shut[x.Name] = w.s.Orders(x.Name).Shut
+	}
 	for _, r := range w.s.d.Releases {
 		for _, u := range r.Units {
 			if u.Kind == KindRelay && u.Phase == Told {
@@ -197,7 +206,9 @@
 }
 
 func (w *world) kill() {
-	switch w.rng.IntN(6) {
+	switch w.rng.IntN(7) {
+	case 6:
+		w.relays[w.rng.IntN(len(w.relays))].unfit = w.now + w.rnd(1000, 12000)
 	case 0:
 		h := w.relays[w.rng.IntN(len(w.relays))]
 		h.die(w, w.rnd(500, 4000))
@@ -228,12 +239,21 @@
 	}
 }
 
-func (h *host) serves(now int64) bool { return h.up && !h.stopped && h.serveAt <= now && h.endAt == 0 }
+// serves says whether clients get through, as others see it.
+func (w *world) serves(h *host) bool {
+	return h.up && !h.stopped && h.serveAt <= w.now && h.endAt == 0 && !h.shutBy(w.log[h.applied])
+}
+
+// shutBy says whether what was agreed then shuts the process that runs.
+func (h *host) shutBy(a agreed) bool {
+	c := a.shut[h.name]
+	return c != nil && (h.literal || h.start <= c.Start)
+}
 
-// pendingLeave says whether the process that runs may still be told to leave by what it has not applied yet.
-func (w *world) pendingLeave(h *host) bool {
+// mayLeave says whether the process that runs may still be told to leave, or is shut, by what it has not applied yet.
+func (w *world) mayLeave(h *host) bool {
 	for _, a := range w.log[h.applied:] {
-		if l := a.leave[h.name]; l != nil && h.start <= l.Start {
+		if l := a.leave[h.name]; l != nil && h.start <= l.Start || h.shutBy(a) {
 			return true
 		}
 	}
@@ -279,7 +299,7 @@
 	if w.now%1000 == 0 {
 		asked, out := 5000.0, 0.0
 		for _, h := range w.relays {
-			if !h.serves(w.now) {
+			if !w.serves(h) {
 				out++
 			}
 		}
@@ -296,6 +316,15 @@
 	if !w.calm && w.rng.IntN(400) == 0 {
 		w.kill()
 	}
+	if w.now >= w.half && w.half > 0 { // half of the fleet drifts at once
+		w.half = 0
+		for _, i := range w.rng.Perm(len(w.relays))[:(len(w.relays)+1)/2] {
+			w.relays[i].unfit = w.now + w.rnd(3000, 15000)
+		}
+	}
+	if list := w.s.Shuts(); len(list) > 0 && !w.calm && w.rng.IntN(200) == 0 {
+		w.propose("operator", Command{Kind: Admit, Name: list[w.rng.IntN(len(list))].Name}, func(Answer) {})
+	}
 }
 
 func (w *world) host(h *host) {
@@ -316,8 +345,11 @@
 			h.applied = max(0, h.applied-w.rng.IntN(5)) // an older directory
 		}
 		clear(h.held)
+		if w.rng.IntN(4) > 0 {
+			h.unfit = 0
+		}
 	}
-	if !h.serves(w.now) {
+	if !w.serves(h) {
 		if h.lostSince == 0 {
 			h.lostSince = w.now
 		}
@@ -349,6 +381,8 @@
 		phase := "serving" // it says so before others see it
 		if h.endAt > 0 {
 			phase = "draining"
+		} else if h.shutBy(w.log[h.applied]) {
+			phase = "shut"
 		}
 		h.word = Relay{Name: h.name, Zone: h.zone, Start: h.start, Phase: phase, Program: h.program, Applied: w.log[h.applied].version,
 			Flows: int(h.capacity / 2), Capacity: h.capacity}
@@ -463,7 +497,7 @@
 
 // view is what the leader knows: words that are late or lost, what peers say.
 func (w *world) view() View {
-	v := View{At: w.now + w.skew, Load: w.load, Service: w.service}
+	v := View{At: w.now + w.skew, Load: w.load, Service: w.service, Unfit: map[string]string{}}
 	if w.drift > w.now {
 		v.Drift, v.DriftMS = "n0 is late", 500
 	}
@@ -474,8 +508,12 @@
 			r = Relay{Name: h.name, Zone: h.zone, HeardMS: w.now - w.leader, Start: h.word.Start, Capacity: h.capacity}
 		}
 		r.Gone = !h.up
-		r.Full = h.serves(w.now) && h.start == r.Start
+		r.Full = w.serves(h) && h.start == r.Start
 		v.Relays = append(v.Relays, r)
+		if was := w.s.d.shutting(h.name); h.wordAt >= w.leader && w.now < h.unfit || h.wordAt < w.leader && was != nil && was.Opened == 0 {
+			v.Unfit[h.name] = "it does not do what was agreed"
+			v.UnfitOrder = append(v.UnfitOrder, h.name)
+		}
 	}
 	for _, x := range w.members {
 		bears := x.capacity
@@ -545,10 +583,16 @@
 		}
 	}
 	w.forget()
-	if c.Kind != Step {
+	fresh := map[string]bool{}
+	switch c.Kind {
+	case Shut:
+		w.shuts++
+		fresh[KindRelay+" "+c.Name] = true
+		w.give(KindRelay, c.Name, 0)
+	case Step:
+	default:
 		return
 	}
-	fresh := map[string]bool{}
 	for _, g := range c.Gives {
 		var kind, name string
 		if p := w.s.d.permit(g.Permit); p != nil {
@@ -642,7 +686,7 @@
 	var truth func() bool
 	if kind == KindRelay {
 		h := w.relays[slices.IndexFunc(w.relays, func(h *host) bool { return h.name == name })]
-		truth = func() bool { return !h.serves(w.now) || w.pendingLeave(h) }
+		truth = func() bool { return !w.serves(h) || w.mayLeave(h) }
 	} else {
 		i := slices.IndexFunc(w.members, func(x *slot) bool { return x.name == name })
 		if i < 0 {
@@ -678,7 +722,7 @@
 		return // no flow outlives it
 	}
 	for _, h := range w.relays {
-		if !h.serves(w.now) || max(h.serveAt, h.heal, h.thaw) > w.now-5000 || w.now-h.contact > w.letsGo() {
+		if !w.serves(h) || max(h.serveAt, h.heal, h.thaw) > w.now-5000 || w.now-h.contact > w.letsGo() {
 			continue // it may have come back since it was seen: such a relay catches up before it serves
 		}
 		until, moving := h.held[name]
