A relay that the fleet shuts for drift takes no clients; each reason to drain stands alone

Orders.Shut was not heeded. Seen beside it: an order to leave that was revoked resumed a relay that its own operator had drained (fleet.go, order(false)), since a drain was one bit for all who asked. Operator, order and drift are kept apart now; a relay is drained while any of them holds.

--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -151,12 +151,25 @@
 	case mine && r.leaving == nil:
 		r.log.WithFields(logrus.Fields{"release": o.Leave.Release, "number": o.Leave.Number}).Info("fleet: told to leave")
 		r.leaving = &leaving{o.Leave.Number, r.loop.Now()}
-		r.order(true)
+		r.settle()
 		r.depart()
 	case !mine && r.leaving != nil && !r.ending:
 		r.log.Info("fleet: may stay")
 		r.leaving = nil
-		r.order(false)
+		r.settle()
+	}
+	shut := uint64(0)
+	if o.Shut != nil && o.Shut.Start >= r.peers.Start() {
+		shut = o.Shut.Number
+	}
+	if shut != r.shut && !r.ending {
+		if shut != 0 {
+			r.log.WithFields(logrus.Fields{"number": shut, "why": o.Shut.Why}).Warn("fleet: shut")
+		} else {
+			r.log.Info("fleet: admitted")
+		}
+		r.shut = shut
+		r.settle()
 	}
 }
 
--- a/cmd/dahliarudder/operate.go
+++ b/cmd/dahliarudder/operate.go
@@ -81,13 +81,15 @@
 }
 
 // Drain empties the relay.
-func (r *relay) Drain() { r.order(true) }
+func (r *relay) Drain() { r.drained = true; r.settle() }
 
-// Resume ends that.
-func (r *relay) Resume() { r.order(false) }
+// Resume ends that. What the fleet has ordered holds on.
+func (r *relay) Resume() { r.drained = false; r.settle() }
 
-// order drains or resumes both processes of the relay.
-func (r *relay) order(drain bool) {
+// settle drains or resumes both processes of the relay. An operator, an order to leave and one for drift each keep it drained, so that the end of one
+// does not end another.
+func (r *relay) settle() {
+	drain := r.drained || r.leaving != nil || r.shut != 0
 	r.drain(drain)
 	r.tell(handover.Note{Drain: &drain})
 }
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -158,6 +158,7 @@
 	sections  map[string]string // digests of the configuration that it runs
 	refused   string            // why it did not take the file that it last read; "" if it did
 	trial     *trial            // of canaries; nil without a fleet
+	drained   bool              // by an operator
 	leaving   *leaving          // it was told to leave; nil if not
 	ordered   bool              // it ends because it was told to
 	ending    bool
--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -91,6 +91,7 @@
 	case n.Bans:
 		r.follow("", false, func(error) {})
 	case n.Drain != nil:
+		r.drained = *n.Drain
 		r.drain(*n.Drain)
 	case n.Open != nil:
 		r.share(n.Open.Limit)
