A release carries its canary: both are opened, or neither

Between the call that opened a release and the one that opened its canary the first members could be out before anything held the others back. One command opens both now; a refused canary leaves no release.

--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -92,10 +92,26 @@
 			Name string `json:"name"`
 			Who  string `json:"who"`
 			rollout.Wish
+			Canary *canary.Spec `json:"canary"`
 		}
-		if take(w, r, &c) {
-			s.agree(w, r, rollout.Command{Kind: rollout.Open, Name: c.Name, Who: c.Who, Release: &c.Wish})
+		if !take(w, r, &c) {
+			return
+		}
+		open := rollout.Command{Kind: rollout.Open, Name: c.Name, Who: c.Who, Release: &c.Wish}
+		if c.Canary == nil {
+			s.agree(w, r, open)
+			return
+		}
+		salt(c.Canary)
+		body, err := json.Marshal(opening{open.Encode(), *c.Canary})
+		if err != nil {
+			say(w, http.StatusBadRequest, rollout.Answer{Error: err.Error()})
+			return
 		}
+		ctx, cancel := context.WithTimeout(r.Context(), callWithin)
+		defer cancel()
+		a, err := s.agreed(ctx, partBoth, body)
+		s.answer(w, a, err)
 	})
 	m.HandleFunc("PUT /-/releases/{name}/{verb}", func(w http.ResponseWriter, r *http.Request) {
 		c := rollout.Command{Kind: r.PathValue("verb"), Name: r.PathValue("name"), Who: r.RemoteAddr, Why: r.URL.Query().Get("why")}
@@ -160,11 +176,7 @@
 				spec.Arm.Since = a.Opened
 			})
 		}
-		for spec.Salt == 0 {
-			var b [8]byte
-			rand.Read(b[:])
-			spec.Salt = binary.LittleEndian.Uint64(b[:])
-		}
+		salt(&spec)
 		s.agreeTrial(w, r, canary.Command{Do: "open", Release: spec.Release, Spec: &spec})
 	})
 	m.HandleFunc("PUT /-/canaries/{name}/{verb}", func(w http.ResponseWriter, r *http.Request) {
@@ -205,6 +217,15 @@
 	return true
 }
 
+// salt draws what a canary's groups are drawn by, if the caller has not.
+func salt(spec *canary.Spec) {
+	for spec.Salt == 0 {
+		var b [8]byte
+		rand.Read(b[:])
+		spec.Salt = binary.LittleEndian.Uint64(b[:])
+	}
+}
+
 func (s *Service) agree(w http.ResponseWriter, r *http.Request, c rollout.Command) {
 	a, err := s.propose(r.Context(), c)
 	switch {
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -81,6 +81,8 @@
 			return refusal(why)
 		}
 		answer = r.canary.Apply(r.held.At, c.By, c.Body)
+	case partBoth:
+		answer = r.openBoth(r.held.At, c.By, c.Body)
 	case partIntent:
 		var a rollout.Answer
 		r.intent, a = r.intent.apply(r.held.At, c.By, c.Body, r.rollout)
