fleet: the leader answers words, GET /-/drift shows all of it, /-/intent

A relay asked itself for all groups when the leader changed, and was told nothing. Now the answer to a word carries what is wanted in detail, and what is to be taken from the record anew: the loop follows it again. GET /-/drift says who, what, meant and run, since, why, evidence, bounds by group. PUT /-/intent?as=RELAY means what that relay runs.

--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -57,6 +58,15 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /-/fleet", func(w http.ResponseWriter, _ *http.Request) { say(w, http.StatusOK, s.account()) })
 	m.HandleFunc("GET /-/drift", func(w http.ResponseWriter, r *http.Request) { s.tellDrift(w) })
+	m.HandleFunc("GET /-/intent", func(w http.ResponseWriter, r *http.Request) {
+		if s.current(w, r) {
+			s.record.mu.RLock()
+			meant := s.record.intent // it never changes: a command makes another one
+			s.record.mu.RUnlock()
+			say(w, http.StatusOK, meant)
+		}
+	})
+	m.HandleFunc("PUT /-/intent", func(w http.ResponseWriter, r *http.Request) { s.mean(w, r) })
 	m.HandleFunc("GET /-/releases", func(w http.ResponseWriter, r *http.Request) {
 		if !s.current(w, r) {
 			return
@@ -207,6 +217,10 @@
 
 func (s *Service) agree(w http.ResponseWriter, r *http.Request, c rollout.Command) {
 	a, err := s.propose(r.Context(), c)
+	s.answer(w, a, err)
+}
+
+func (s *Service) answer(w http.ResponseWriter, a rollout.Answer, err error) {
 	switch {
 	case err != nil:
 		say(w, status(err), rollout.Answer{Error: err.Error()})
@@ -258,6 +272,25 @@
 	e.Encode(what)
 }
 
+// mean has agreed that what a relay runs is meant. The leader alone has heard it.
+func (s *Service) mean(w http.ResponseWriter, r *http.Request) {
+	st := s.node.Status()
+	s.mu.Lock()
+	leads := s.ledAt != 0
+	c, err := s.helm.as(r.URL.Query().Get("as"), r.URL.Query().Get("item"), cmp.Or(r.URL.Query().Get("who"), r.RemoteAddr))
+	s.mu.Unlock()
+	switch {
+	case !leads:
+		w.Header().Set("Leader", st.Leader)
+		say(w, http.StatusMisdirectedRequest, rollout.Answer{Error: "ask the leader", Name: st.Leader})
+	case err != nil:
+		say(w, http.StatusNotFound, rollout.Answer{Error: err.Error()})
+	default:
+		a, err := s.proposeMeaning(r.Context(), c)
+		s.answer(w, a, err)
+	}
+}
+
 // tellDrift answers at the leader, which alone has heard all relays; another one says who leads.
 func (s *Service) tellDrift(w http.ResponseWriter) {
 	st := s.node.Status()
@@ -268,25 +301,7 @@
 		say(w, http.StatusMisdirectedRequest, rollout.Answer{Error: "ask the leader", Name: st.Leader})
 		return
 	}
-	type row struct {
-		Relay    string   `json:"relay"`
-		Item     string   `json:"item"`
-		State    string   `json:"state"`
-		Since    int64    `json:"since_ms"`
-		Intent   uint64   `json:"intent"`
-		Applied  uint64   `json:"applied"`
-		Why      string   `json:"why,omitempty"`
-		Evidence []string `json:"evidence,omitempty"`
-	}
-	all := struct {
-		Rows    []row  `json:"rows"`
-		Blocked string `json:"blocks,omitempty"`
-	}{Rows: []row{}}
-	now := s.now()
-	for _, r := range s.helm.watch.Rows() {
-		all.Rows = append(all.Rows, row{r.Relay, r.Intent.Name, r.State.String(), now - r.Since, r.Intent.Version, r.Applied.Version, r.Why, r.Evidence})
-	}
-	say(w, http.StatusOK, all)
+	say(w, http.StatusOK, s.helm.page(s.now()))
 }
 
 // account is what this relay says of its part.
--- a/internal/fleet/helm.go
+++ b/internal/fleet/helm.go
@@ -26,7 +26,8 @@
 	shuts   map[string]string // why
 
 	sections map[string]map[string]string // by release: the new configuration, from the relays that run it
-	blocked  map[string]string            // by release: why it must not step on, where others may
+	blocks   string                       // why no release may step on, but one that mends it
+	blocked  map[string]string            // by release, where one mends what holds up others; "" is for all that mend nothing
 	runs     map[string]run               // by item that nobody agreed on
 }
 
@@ -236,8 +237,8 @@
 		v.DriftMS = now - since
 	}
 	h.blocked = map[string]string{}
-	if all, _ := h.watch.Blocks(count, nil); all != v.Drift {
-		h.blocked[""] = all // no release of relays mends anything
+	if h.blocks, _ = h.watch.Blocks(count, nil); h.blocks != v.Drift {
+		h.blocked[""] = h.blocks
 		for _, u := range h.under {
 			if _, ok := h.blocked[u.release.Name]; !ok {
 				h.blocked[u.release.Name], _ = h.watch.Blocks(count, h.mends(u.release.Name))
@@ -285,6 +286,24 @@
 	return a.Backing
 }
 
+// unfit is who is to take no clients, the worst first. Who is shut stays so until it is heard and in step with all: a new leader knows nothing of it
+// yet, and a silent one has not mended. One whose list alone is newer than others' is not, since it may be the one that is right.
+func (h *helm) unfit() (order []string, why map[string]string) {
+	list := h.watch.TakeOut(drift.RelaysMost, slices.Sorted(maps.Keys(h.shuts)), func(relay, item string) bool {
+		return item == drift.List && h.watch.State(relay, item) == drift.Ahead
+	})
+	why = map[string]string{}
+	for _, u := range list {
+		order, why[u.Relay] = append(order, u.Relay), u.Why
+	}
+	for _, relay := range slices.Sorted(maps.Keys(h.shuts)) {
+		if why[relay] == "" && !h.watch.Clear(relay) {
+			order, why[relay] = append(order, relay), h.shuts[relay]
+		}
+	}
+	return order, why
+}
+
 // ---- What is to be meant ----
 
 // meaning is what to have agreed on next.
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -90,7 +90,7 @@
 	}
 	var err error
 	s.node, err = accord.Start(accord.Options{Name: o.Name, Voters: o.Voters, Reach: o.Reach, Listen: o.Listen, Dir: o.Dir, Keys: o.Keys,
-		Machine: s.record, Heard: s.heard, Led: s.led, Log: o.Log})
+		Machine: s.record, Heard: s.heard, Told: s.told, Led: s.led, Log: o.Log})
 	if err != nil {
 		return nil, err
 	}
@@ -264,8 +264,8 @@
 
 // ---- The leader ----
 
-// heard takes a word at the leader.
-func (s *Service) heard(from string, text []byte) []byte {
+// heard takes a word at the leader, and says what the drift module wants of that relay.
+func (s *Service) heard(from string, text []byte) (answer []byte) {
 	w, err := decodeWord(text)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -274,7 +274,7 @@
 		return nil
 	}
 	now := s.now()
-	s.helm.hear(now, from, w)
+	answer = s.helm.hear(now, from, w)
 	if len(w.Counts) > 0 && s.judge != nil {
 		if c, err := canary.DecodeCounts(w.Counts); err == nil {
 			s.judge.Hear(now, from, w.Zone, c)
@@ -282,7 +282,21 @@
 			s.bad++
 		}
 	}
-	return nil
+	return answer
+}
+
+// told takes what the leader wants: details come with the next words, and what this relay lacks is posted anew.
+func (s *Service) told(_ string, answer []byte) {
+	r, err := drift.DecodeReply(answer)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.bad++
+		return
+	}
+	if len(s.ledger.book.Hear(r)) > 0 {
+		s.record.tell()
+	}
 }
 
 // led is told when this relay begins or ends to lead. Who begins has heard nothing: what an earlier time left is no sight of now.
