accord: Status.VotersAt, the same at voters and followers

Need: drift compares the item voters between relays, so each has to say at which index the voters in force were agreed. Measured: TestReplace has it at leader, voters and followers.

--- a/internal/accord/api.go
+++ b/internal/accord/api.go
@@ -96,6 +96,7 @@
 	Since              time.Time // when Majority last changed
 	Follows            string    // the voter whose stream is read, if any
 	Voters             map[string]string
+	VotersAt           uint64 // the index at which these voters were agreed; 0 as founded
 	BytesIn, BytesOut  uint64 // of HTTP connections, headers included
 	Dropped            map[string]uint64
 	Refused            map[string]uint64 // requests refused by the envelope, by reason
--- a/internal/accord/apply.go
+++ b/internal/accord/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"sync"
 
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -73,6 +74,9 @@
 		answer = answer[:min(len(answer), ResultMost)]
 	}
 	if it.kind == entryVoters {
+		if !maps.Equal(it.members, a.now.members) { // the end of a change has an entry too
+			a.now.votersAt = it.index
+		}
 		a.now.members, a.now.conf = it.members, it.conf
 	}
 	a.now.index, a.now.term = it.index, it.term
@@ -118,9 +122,15 @@
 }
 
 func (a *applier) membersNow() members {
+	ms, _ := a.votersNow()
+	return ms
+}
+
+// votersNow is who votes, and the index at which that was agreed.
+func (a *applier) votersNow() (members, uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.now.members
+	return a.now.members, a.now.votersAt
 }
 
 // after is what a follower gets that has applied index of record: entries, or the whole snapshot first.
--- a/internal/accord/fault_test.go
+++ b/internal/accord/fault_test.go
@@ -333,14 +333,26 @@
 	f.allUp()
 	f.dirs["r0"] = t.TempDir()
 	f.up("r0")
+	f.up("r1")
 	f.propose("r0", "a")
 	f.same()
+	votersAt := func() (at uint64, same bool) {
+		at, same = f.nodes["r1"].Status().VotersAt, true
+		for _, n := range f.nodes {
+			same = same && n.Status().VotersAt == at
+		}
+		return at, same
+	}
+	if at, same := votersAt(); at != 0 || !same {
+		t.Fatal("as founded, and voters at ", at)
+	}
 	for _, old := range []string{f.leader()} { // the leader itself
 		if err := f.nodes["v1"].Replace(context.Background(), old, "r0", f.addrs["r0"]); err != nil {
 			t.Fatal(err)
 		}
 		f.wait("the new one votes", func() bool { s := f.nodes["r0"].Status().Role; return s == RoleVoter || s == RoleLeader })
 		f.wait("the old one follows", func() bool { return f.nodes[old].Status().Role == RoleFollower })
+		f.wait("all know since when", func() bool { at, same := votersAt(); return at > 1 && same })
 		f.propose(old, "b")
 		f.same()
 		for name := range f.voters {
--- a/internal/accord/model_test.go
+++ b/internal/accord/model_test.go
@@ -100,7 +100,7 @@
 	loss   float64
 	delay  time.Duration
 	trace  uint64
-	agreed map[uint64]uint64 // by index: the machine's hash after it
+	agreed map[uint64]uint64 // by index: the machine's hash after it, and since when these vote
 	log    map[[16]byte]uint64
 	acked  map[[16]byte]uint64
 	never  map[[16]byte]bool // refused for good
@@ -251,10 +251,12 @@
 // check holds what a node has applied against what any other had at that index.
 func (w *world) check(n *vnode) {
 	_, index, _ := n.ap.at()
-	if h, ok := w.agreed[index]; ok && h != n.g.hash {
+	_, voters := n.ap.votersNow()
+	hash := n.g.hash ^ voters<<32
+	if h, ok := w.agreed[index]; ok && h != hash {
 		w.fail("%s differs at %d", n.name, index)
 	}
-	w.agreed[index] = n.g.hash
+	w.agreed[index] = hash
 }
 
 func (w *world) apply(n *vnode, it item) {
--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -836,7 +836,9 @@
 	s := Status{Name: n.o.Name, Voters: map[string]string{}, BytesIn: n.bytesIn.Load(), BytesOut: n.bytesOut.Load(),
 		Dropped: map[string]uint64{}, Refused: map[string]uint64{}}
 	s.Record, s.Applied, _ = n.ap.at()
-	for _, m := range n.ap.membersNow() {
+	ms, at := n.ap.votersNow()
+	s.VotersAt = at
+	for _, m := range ms {
 		s.Voters[m.Name] = m.Addr
 	}
 	if m, _, ok := n.leaderNow(); ok {
--- a/internal/accord/wire.go
+++ b/internal/accord/wire.go
@@ -238,16 +238,20 @@
 	conf        []byte
 	members     members
 	machine     []byte
+	votersAt    uint64 // the index at which members were agreed; 0 as founded
 }
 
 func (s state) encode() []byte {
 	b := put(nil, s.record, s.index, s.term)
-	return putBytes(putMembers(putBytes(b, s.conf), s.members), s.machine)
+	return put(putBytes(putMembers(putBytes(b, s.conf), s.members), s.machine), s.votersAt)
 }
 
 func decodeState(b []byte) (state, error) {
 	r := reader{b: b}
 	s := state{record: r.uint(), index: r.uint(), term: r.uint(), conf: r.bytes(), members: r.members(), machine: r.bytes()}
+	if r.err == nil && len(r.b) > 0 { // files of the first builds end before it
+		s.votersAt = r.uint()
+	}
 	if err := r.end(); err != nil {
 		return s, err
 	}
