--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -190,8 +190,19 @@
 	}
 }
 
-// votersOf is the item of who votes. Not told yet: the engine does not say when they were agreed.
-func votersOf(accord.Status) drift.Item { return drift.Item{Name: drift.Voters} }
+// votersOf is who votes, as this relay's engine has it; nothing before it knows of a record.
+func votersOf(st accord.Status) drift.Item {
+	it := drift.Item{Name: drift.Voters}
+	if st.Record == 0 {
+		return it
+	}
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(st.Voters)) {
+		names = append(names, name+" "+st.Voters[name])
+	}
+	it.Version, it.Digest = st.VotersAt, digestOf(names)
+	return it
+}
 
 func (s *Service) failed(what string, err error) {
 	s.mu.Lock()
