fleet: relays that drift are shut where the setting take_out says so

Drift was only shown. What the watch would take out goes into the view, worst first; who is shut stays so until it is heard and in step with all, or starts anew, so a new leader lets nobody in. Who is shut does not hold up the release that mends it.

--- a/internal/fleet/helm.go
+++ b/internal/fleet/helm.go
@@ -23,7 +23,7 @@
 	intent  *intent
 	under   map[string]under
 	over    []rollout.Account // releases that are over, and what is meant does not follow them yet
-	shuts   map[string]string // why
+	shuts   map[string]rollout.Shutting
 
 	sections map[string]map[string]string // by release: the new configuration, from the relays that run it
 	blocks   string                       // why no release may step on, but one that mends it
@@ -52,7 +52,10 @@
 	}
 	h.changes, h.held, h.intent = r.changes, r.held, r.intent
 	all := r.rollout.Releases()
-	h.under, h.over, h.shuts = underOf(all, r.intent), nil, map[string]string{}
+	h.under, h.over, h.shuts = underOf(all, r.intent), nil, map[string]rollout.Shutting{}
+	for _, x := range r.rollout.Shuts() {
+		h.shuts[x.Name] = x
+	}
 	for _, a := range all {
 		if _, settled := r.intent.follows(&a); !settled && a.Wish.Kind == rollout.KindRelay && a.Wish.Program+a.Wish.Config != "" &&
 			(a.State == rollout.Ended || a.State == rollout.Undone) {
@@ -254,7 +257,9 @@
 			h.watch.Alive(now, r.Name, drift.Restarting)
 		default:
 			h.watch.Alive(now, r.Name, drift.Live)
-			count = append(count, r.Name)
+			if _, shut := h.shuts[r.Name]; !shut { // it is out, and counts as that
+				count = append(count, r.Name)
+			}
 		}
 	}
 	changes := h.watch.Tick(now)
@@ -312,22 +317,21 @@
 	return a.Backing
 }
 
-// unfit is who is to take no clients, the worst first. Who is shut stays so until it is heard and in step with all: a new leader knows nothing of it
-// yet, and a silent one has not mended. One whose list alone is newer than others' is not, since it may be the one that is right.
-func (h *helm) unfit() (order []string, why map[string]string) {
-	list := h.watch.TakeOut(drift.RelaysMost, slices.Sorted(maps.Keys(h.shuts)), func(relay, item string) bool {
+// unfit puts into the view who is to take no clients, the worst first. Who is shut stays so until it is heard and in step with all, or has started anew: a
+// new leader knows nothing of it yet, and a silent one has not mended. One whose list alone is newer than others' is not unfit: it may be right.
+func (h *helm) unfit(v *rollout.View) {
+	v.UnfitOrder, v.Unfit = nil, map[string]string{}
+	for _, u := range h.watch.TakeOut(drift.RelaysMost, slices.Sorted(maps.Keys(h.shuts)), func(relay, item string) bool {
 		return item == drift.List && h.watch.State(relay, item) == drift.Ahead
-	})
-	why = map[string]string{}
-	for _, u := range list {
-		order, why[u.Relay] = append(order, u.Relay), u.Why
+	}) {
+		v.UnfitOrder, v.Unfit[u.Relay] = append(v.UnfitOrder, u.Relay), u.Why
 	}
 	for _, relay := range slices.Sorted(maps.Keys(h.shuts)) {
-		if why[relay] == "" && !h.watch.Clear(relay) {
-			order, why[relay] = append(order, relay), h.shuts[relay]
+		x := h.scene.words[relay]
+		if v.Unfit[relay] == "" && !h.watch.Clear(relay) && (x == nil || x.Start <= h.shuts[relay].Start) {
+			v.UnfitOrder, v.Unfit[relay] = append(v.UnfitOrder, relay), h.shuts[relay].Why
 		}
 	}
-	return order, why
 }
 
 // ---- What is to be meant ----
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -114,6 +114,12 @@
 		if r.frozen[drift.Weights] {
 			r.look.Weighs = keep.Weighs
 		}
+		if r.look.Shut = 0; o.Shut != nil && o.Shut.Start >= r.start {
+			r.look.Shut = o.Shut.Number
+		}
+		if !r.leaving {
+			r.look.Phase = map[bool]string{false: "serving", true: "draining"}[r.look.Shut != 0]
+		}
 		if o.Leave != nil && o.Leave.Start >= r.start && !r.leaving {
 			r.leaving, r.look.Phase = true, "leaving"
 			program, config := o.Leave.Program, o.Leave.Config
@@ -218,6 +224,9 @@
 	m.view = m.helm.scene.view(m.now, m.led, m.budgets.Hold, m.lead.name, m.own, warmth{})
 	m.helm.voters = drift.Item{Name: drift.Voters, Version: 7, Digest: 1}
 	m.helm.look(m.now, &m.view)
+	if m.takeOut {
+		m.helm.unfit(&m.view)
+	}
 	m.check()
 	if m.view.Drift != "" {
 		m.blocks++
@@ -481,8 +490,8 @@
 		if m.sound("a high claim"); !m.found["n4 list"] {
 			t.Fatalf("%+v", m.helm.watch.Rows())
 		}
-		if order, _ := m.helm.unfit(); len(order) > 0 {
-			t.Fatalf("%v would be shut", order)
+		if m.helm.unfit(&m.view); len(m.view.Unfit) > 0 {
+			t.Fatalf("%v would be shut", m.view.Unfit)
 		}
 	}
 }
@@ -527,3 +536,73 @@
 		}
 	}
 }
+
+// TestModelTakeOut: half of the fleet drifts, and two may be out. Never are more, by what the relays do, under two leaders and while a release restarts
+// all of them, which mends them; who is mended takes clients again, and all do once the setting is gone.
+func TestModelTakeOut(t *testing.T) {
+	for seed := range uint64(4) {
+		m := settled(t, seed, 8)
+		m.takeOut = true
+		most, sum := 0, 0
+		out := func() (n int) {
+			for _, r := range m.relays {
+				if r.look.Phase != "serving" || r.upAt != 0 {
+					n++
+				}
+			}
+			most, sum = max(most, n), sum+n
+			return n
+		}
+		for _, r := range m.relays[4:] {
+			m.planted[r.name+" config.limits"] = drift.Ahead
+			r.own["limits"] = "mine"
+		}
+		if !m.play(120_000, func() bool { return out() == 2 }) {
+			t.Fatalf("seed %d: %+v", seed, m.helm.watch.Rows())
+		}
+		m.leads(m.relays[1])
+		shut := len(m.lead.record.rollout.Shuts())
+		m.play(90_000, func() bool { return out() < 2 })
+		if shut != 2 || out() != 2 {
+			t.Fatalf("seed %d: a new leader let %d of %d in: %+v", seed, 2-out(), shut, m.view.Unfit)
+		}
+		first := m.lead.record.rollout.Shuts()[0].Name
+		for _, r := range m.relays {
+			if r.name == first {
+				r.own = map[string]string{}
+			}
+		}
+		if !m.play(120_000, func() bool {
+			return out() == 2 && !slices.ContainsFunc(m.lead.record.rollout.Shuts(), func(x rollout.Shutting) bool { return x.Name == first })
+		}) {
+			t.Fatalf("seed %d: the next one is not shut: %+v", seed, m.lead.record.rollout.Shuts())
+		}
+		m.release("mend", rollout.Wish{Kind: rollout.KindRelay, All: true})
+		if !m.play(600_000, func() bool {
+			out()
+			for _, r := range m.relays {
+				if r.upAt != 0 { // its host puts the right file there
+					r.own = map[string]string{}
+				}
+			}
+			return m.state("mend") == rollout.Ended
+		}) {
+			a, _ := m.lead.record.rollout.Release("mend")
+			t.Fatalf("seed %d: %+v, %+v, %s", seed, a, m.helm.watch.Rows(), m.view.Drift)
+		}
+		if !m.play(60_000, func() bool { return out() == 0 }) {
+			t.Fatalf("seed %d: mended, and out are %+v", seed, m.lead.record.rollout.Shuts())
+		}
+		m.relays[5].own["limits"] = "mine"
+		if !m.play(120_000, func() bool { return out() == 1 }) {
+			t.Fatalf("seed %d: not shut", seed)
+		}
+		m.takeOut = false
+		if !m.play(60_000, func() bool { return out() == 0 }) {
+			t.Fatalf("seed %d: still shut", seed)
+		}
+		if m.sound("taken out"); most > 2 {
+			t.Fatalf("seed %d: %d were out", seed, most)
+		}
+	}
+}
--- a/internal/fleet/page.go
+++ b/internal/fleet/page.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"dahliarudder/internal/drift"
@@ -53,6 +55,10 @@
 	for _, group := range []string{drift.Program, drift.Config, drift.List, drift.Bans, drift.Drains, drift.Weights, drift.Voters, drift.Permits} {
 		p.Bounds[group] = h.watch.Bound(group)
 	}
+	for _, name := range slices.Sorted(maps.Keys(h.shuts)) {
+		x, w := h.shuts[name], h.scene.words[name]
+		p.Shut = append(p.Shut, driftShut{name, x.Why, now - x.Since, w != nil && w.Shut == x.Number})
+	}
 	return p
 }
 
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -376,6 +376,9 @@
 	for _, c := range s.helm.look(now, v) {
 		s.Log.WithFields(logrus.Fields{"relay": c.Relay, "item": c.Item, "from": c.From.String(), "to": c.To.String(), "why": c.Why}).Warn("fleet: drift")
 	}
+	if s.TakeOut { // else nobody is unfit, and who is shut is admitted
+		s.helm.unfit(v)
+	}
 }
 
 // ---- Having something agreed ----
