--- a/internal/fleet/helm.go
+++ b/internal/fleet/helm.go
@@ -23,11 +23,13 @@
 	intent  *intent
 	under   map[string]under
 	over    []rollout.Account // releases that are over, and what is meant does not follow them yet
-	shuts   map[string]string // why
+	shuts   map[string]rollout.Shutting
 
 	sections map[string]map[string]string // by release: the new configuration, from the relays that run it
-	blocked  map[string]string            // by release: why it must not step on, where others may
+	blocks   string                       // why no release may step on, but one that mends it
+	blocked  map[string]string            // by release, where one mends what holds up others; "" is for all that mend nothing
 	runs     map[string]run               // by item that nobody agreed on
+	split    map[string]bool              // sections that nobody agreed on, and half of the relays have: any will do. A rarer one is too much
 }
 
 // run is what most relays run of an item, and since when.
@@ -50,7 +52,10 @@
 	}
 	h.changes, h.held, h.intent = r.changes, r.held, r.intent
 	all := r.rollout.Releases()
-	h.under, h.over, h.shuts = underOf(all, r.intent), nil, map[string]string{}
+	h.under, h.over, h.shuts = underOf(all, r.intent), nil, map[string]rollout.Shutting{}
+	for _, x := range r.rollout.Shuts() {
+		h.shuts[x.Name] = x
+	}
 	for _, a := range all {
 		if _, settled := r.intent.follows(&a); !settled && a.Wish.Kind == rollout.KindRelay && a.Wish.Program+a.Wish.Config != "" &&
 			(a.State == rollout.Ended || a.State == rollout.Undone) {
@@ -62,18 +67,13 @@
 // hear takes a relay's word. What it answers is encoded; nil: nothing.
 func (h *helm) hear(now int64, from string, w word) []byte {
 	h.read()
-	fell := h.scene.hear(now, from, w)
+	h.scene.hear(now, from, w)
 	d, ok := w.decodeDrift(from)
 	if !ok || h.scene.words[from] == nil {
 		return nil
 	}
 	h.scene.relist(now)
-	items := h.items(now, from)
-	if fell && h.watch.State(from, drift.List) < drift.Late {
-		// Not taken for a relay that goes back: discovery may have begun anew. It has the bound from here on.
-		h.watch.Intend(now, from, slices.DeleteFunc(slices.Clone(items), func(i drift.Item) bool { return i.Name == drift.List }))
-	}
-	h.watch.Intend(now, from, items)
+	h.intend(now, from)
 	h.watch.Hear(now, d)
 	if reply, ok := h.watch.Reply(from); ok {
 		return reply.Encode()
@@ -83,6 +83,17 @@
 
 // ---- What is agreed for a relay ----
 
+// intend tells the watch what is agreed for a relay.
+func (h *helm) intend(now int64, relay string) {
+	items := h.items(now, relay)
+	if x := h.scene.words[relay]; x != nil && x.list.anew {
+		if x.list.anew = false; h.watch.State(relay, drift.List) < drift.Late {
+			h.watch.Intend(now, relay, slices.DeleteFunc(slices.Clone(items), func(i drift.Item) bool { return i.Name == drift.List }))
+		}
+	}
+	h.watch.Intend(now, relay, items)
+}
+
 // items are those that a relay is held to: what the record says, of what it tells anything of. One that is of an older program tells less.
 func (h *helm) items(now int64, relay string) []drift.Item {
 	items := []drift.Item{h.held.Bans, h.held.Drains}
@@ -97,6 +108,12 @@
 	}
 	if x.tells(drift.Config) {
 		all := h.config(relay, x)
+		for section, value := range x.Sections {
+			if name := drift.Config + "." + section; h.split[name] && len(all) > 0 && all[name] == "" {
+				all = maps.Clone(all)
+				all[name] = value
+			}
+		}
 		for _, name := range slices.Sorted(maps.Keys(all)) {
 			items = append(items, h.intent.item(relay, name, all[name]))
 		}
@@ -175,7 +192,7 @@
 	return old
 }
 
-// learn takes the sections of new configurations from the units that have them, as most of them say.
+// learn takes the sections of new configurations from the units that have them, as most of them say, and which ones nobody agreed on.
 func (h *helm) learn() {
 	h.sections = map[string]map[string]string{}
 	count := map[string]map[string]int{}
@@ -191,6 +208,19 @@
 		}
 		count[u.release.Name][string(text)]++
 	}
+	has, tell := map[string]int{}, 0
+	for _, x := range h.scene.words {
+		if x.tells(drift.Config) {
+			tell++
+			for section := range x.Sections {
+				has[drift.Config+"."+section]++
+			}
+		}
+	}
+	h.split = map[string]bool{}
+	for name, n := range has {
+		h.split[name] = 2*n >= tell && len(h.intent.Items[name]) == 0
+	}
 	for name, by := range count {
 		best := ""
 		for text, n := range by {
@@ -217,7 +247,7 @@
 	var count []string
 	for _, r := range v.Relays {
 		x, u := h.scene.words[r.Name], h.under[r.Name]
-		h.watch.Intend(now, r.Name, h.items(now, r.Name))
+		h.intend(now, r.Name)
 		switch {
 		case r.Gone:
 			h.watch.Alive(now, r.Name, drift.Gone)
@@ -227,7 +257,9 @@
 			h.watch.Alive(now, r.Name, drift.Restarting)
 		default:
 			h.watch.Alive(now, r.Name, drift.Live)
-			count = append(count, r.Name)
+			if _, shut := h.shuts[r.Name]; !shut { // it is out, and counts as that
+				count = append(count, r.Name)
+			}
 		}
 	}
 	changes := h.watch.Tick(now)
@@ -236,8 +268,8 @@
 		v.DriftMS = now - since
 	}
 	h.blocked = map[string]string{}
-	if all, _ := h.watch.Blocks(count, nil); all != v.Drift {
-		h.blocked[""] = all // no release of relays mends anything
+	if h.blocks, _ = h.watch.Blocks(count, nil); h.blocks != v.Drift {
+		h.blocked[""] = h.blocks
 		for _, u := range h.under {
 			if _, ok := h.blocked[u.release.Name]; !ok {
 				h.blocked[u.release.Name], _ = h.watch.Blocks(count, h.mends(u.release.Name))
@@ -285,6 +317,23 @@
 	return a.Backing
 }
 
+// unfit puts into the view who is to take no clients, the worst first. Who is shut stays so until it is heard and in step with all, or has started anew: a
+// new leader knows nothing of it yet, and a silent one has not mended. One whose list alone is newer than others' is not unfit: it may be right.
+func (h *helm) unfit(v *rollout.View) {
+	v.UnfitOrder, v.Unfit = nil, map[string]string{}
+	for _, u := range h.watch.TakeOut(drift.RelaysMost, slices.Sorted(maps.Keys(h.shuts)), func(relay, item string) bool {
+		return item == drift.List && h.watch.State(relay, item) == drift.Ahead
+	}) {
+		v.UnfitOrder, v.Unfit[u.Relay] = append(v.UnfitOrder, u.Relay), u.Why
+	}
+	for _, relay := range slices.Sorted(maps.Keys(h.shuts)) {
+		x := h.scene.words[relay]
+		if v.Unfit[relay] == "" && !h.watch.Clear(relay) && (x == nil || x.Start <= h.shuts[relay].Start) {
+			v.UnfitOrder, v.Unfit[relay] = append(v.UnfitOrder, relay), h.shuts[relay].Why
+		}
+	}
+}
+
 // ---- What is to be meant ----
 
 // meaning is what to have agreed on next.
