--- /dev/null
+++ b/internal/fleet/open_test.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"dahliarudder/internal/canary"
+	"dahliarudder/internal/rollout"
+)
+
+// TestOpenBoth: a release and its canary are opened together, and a refusal of either leaves neither.
+func TestOpenBoth(t *testing.T) {
+	spec := canary.Spec{Salt: 7, Ladder: []int{10, 1000}, Floor: 100, Longest: 600_000, Error: 0.01, Guards: []canary.Guard{{Metric: canary.Failures, Points: 20}}}
+	wish := rollout.Wish{Kind: rollout.KindMember, All: true}
+	for _, c := range []struct {
+		what string
+		edit func(*opening, *rollout.Wish)
+		want string // of the refusal; "" if it is agreed
+	}{
+		{"sound", func(*opening, *rollout.Wish) {}, ""},
+		{"a ladder that falls", func(o *opening, _ *rollout.Wish) { o.Canary.Ladder = []int{50, 10} }, "rise"},
+		{"of relays", func(_ *opening, w *rollout.Wish) { w.Kind = rollout.KindRelay }, "members"},
+		{"of nothing", func(_ *opening, w *rollout.Wish) { w.All = false }, ""},
+	} {
+		r := NewRecord()
+		w := wish
+		o := opening{Canary: spec}
+		c.edit(&o, &w)
+		o.Release = rollout.Command{Kind: rollout.Open, Name: "b", Who: "anna", Release: &w}.Encode()
+		body, _ := json.Marshal(o)
+		text, _ := json.Marshal(command{Part: partBoth, At: 5000, By: "n1", Body: body})
+		answer := r.Apply(1, text)
+		_, release := r.rollout.Release("b")
+		k, trial := r.canary.Canary("b")
+		sound := c.what == "sound"
+		if refused(answer) == sound || release != sound || trial != sound || !strings.Contains(string(answer), c.want) {
+			t.Errorf("%s: %s; release %v, canary %v", c.what, answer, release, trial)
+		}
+		if sound && k.Arm.Since != 5000 {
+			t.Errorf("the arm is %+v, not all that start from now on", k.Arm)
+		}
+	}
+}
