--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -57,6 +58,15 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /-/fleet", func(w http.ResponseWriter, _ *http.Request) { say(w, http.StatusOK, s.account()) })
 	m.HandleFunc("GET /-/drift", func(w http.ResponseWriter, r *http.Request) { s.tellDrift(w) })
+	m.HandleFunc("GET /-/intent", func(w http.ResponseWriter, r *http.Request) {
+		if s.current(w, r) {
+			s.record.mu.RLock()
+			meant := s.record.intent // it never changes: a command makes another one
+			s.record.mu.RUnlock()
+			say(w, http.StatusOK, meant)
+		}
+	})
+	m.HandleFunc("PUT /-/intent", func(w http.ResponseWriter, r *http.Request) { s.mean(w, r) })
 	m.HandleFunc("GET /-/releases", func(w http.ResponseWriter, r *http.Request) {
 		if !s.current(w, r) {
 			return
@@ -92,10 +102,26 @@
 			Name string `json:"name"`
 			Who  string `json:"who"`
 			rollout.Wish
+			Canary *canary.Spec `json:"canary"`
 		}
-		if take(w, r, &c) {
-			s.agree(w, r, rollout.Command{Kind: rollout.Open, Name: c.Name, Who: c.Who, Release: &c.Wish})
+		if !take(w, r, &c) {
+			return
+		}
+		open := rollout.Command{Kind: rollout.Open, Name: c.Name, Who: c.Who, Release: &c.Wish}
+		if c.Canary == nil {
+			s.agree(w, r, open)
+			return
+		}
+		salt(c.Canary)
+		body, err := json.Marshal(opening{open.Encode(), *c.Canary})
+		if err != nil {
+			say(w, http.StatusBadRequest, rollout.Answer{Error: err.Error()})
+			return
 		}
+		ctx, cancel := context.WithTimeout(r.Context(), callWithin)
+		defer cancel()
+		a, err := s.agreed(ctx, partBoth, body)
+		s.answer(w, a, err)
 	})
 	m.HandleFunc("PUT /-/releases/{name}/{verb}", func(w http.ResponseWriter, r *http.Request) {
 		c := rollout.Command{Kind: r.PathValue("verb"), Name: r.PathValue("name"), Who: r.RemoteAddr, Why: r.URL.Query().Get("why")}
@@ -160,11 +186,7 @@
 				spec.Arm.Since = a.Opened
 			})
 		}
-		for spec.Salt == 0 {
-			var b [8]byte
-			rand.Read(b[:])
-			spec.Salt = binary.LittleEndian.Uint64(b[:])
-		}
+		salt(&spec)
 		s.agreeTrial(w, r, canary.Command{Do: "open", Release: spec.Release, Spec: &spec})
 	})
 	m.HandleFunc("PUT /-/canaries/{name}/{verb}", func(w http.ResponseWriter, r *http.Request) {
@@ -205,8 +227,21 @@
 	return true
 }
 
+// salt draws what a canary's groups are drawn by, if the caller has not.
+func salt(spec *canary.Spec) {
+	for spec.Salt == 0 {
+		var b [8]byte
+		rand.Read(b[:])
+		spec.Salt = binary.LittleEndian.Uint64(b[:])
+	}
+}
+
 func (s *Service) agree(w http.ResponseWriter, r *http.Request, c rollout.Command) {
 	a, err := s.propose(r.Context(), c)
+	s.answer(w, a, err)
+}
+
+func (s *Service) answer(w http.ResponseWriter, a rollout.Answer, err error) {
 	switch {
 	case err != nil:
 		say(w, status(err), rollout.Answer{Error: err.Error()})
@@ -258,6 +293,25 @@
 	e.Encode(what)
 }
 
+// mean has agreed that what a relay runs is meant. The leader alone has heard it.
+func (s *Service) mean(w http.ResponseWriter, r *http.Request) {
+	st := s.node.Status()
+	s.mu.Lock()
+	leads := s.ledAt != 0
+	c, err := s.helm.as(r.URL.Query().Get("as"), r.URL.Query().Get("item"), cmp.Or(r.URL.Query().Get("who"), r.RemoteAddr))
+	s.mu.Unlock()
+	switch {
+	case !leads:
+		w.Header().Set("Leader", st.Leader)
+		say(w, http.StatusMisdirectedRequest, rollout.Answer{Error: "ask the leader", Name: st.Leader})
+	case err != nil:
+		say(w, http.StatusNotFound, rollout.Answer{Error: err.Error()})
+	default:
+		a, err := s.proposeMeaning(r.Context(), c)
+		s.answer(w, a, err)
+	}
+}
+
 // tellDrift answers at the leader, which alone has heard all relays; another one says who leads.
 func (s *Service) tellDrift(w http.ResponseWriter) {
 	st := s.node.Status()
@@ -268,25 +322,7 @@
 		say(w, http.StatusMisdirectedRequest, rollout.Answer{Error: "ask the leader", Name: st.Leader})
 		return
 	}
-	type row struct {
-		Relay    string   `json:"relay"`
-		Item     string   `json:"item"`
-		State    string   `json:"state"`
-		Since    int64    `json:"since_ms"`
-		Intent   uint64   `json:"intent"`
-		Applied  uint64   `json:"applied"`
-		Why      string   `json:"why,omitempty"`
-		Evidence []string `json:"evidence,omitempty"`
-	}
-	all := struct {
-		Rows    []row  `json:"rows"`
-		Blocked string `json:"blocks,omitempty"`
-	}{Rows: []row{}}
-	now := s.now()
-	for _, r := range s.drift.Rows() {
-		all.Rows = append(all.Rows, row{r.Relay, r.Intent.Name, r.State.String(), now - r.Since, r.Intent.Version, r.Applied.Version, r.Why, r.Evidence})
-	}
-	say(w, http.StatusOK, all)
+	say(w, http.StatusOK, s.helm.page(s.now()))
 }
 
 // account is what this relay says of its part.
@@ -298,7 +334,7 @@
 	s.record.read(func(r *rollout.State, _ held) { out["version"], out["orders"] = r.Version(), r.Orders(s.Name) })
 	relays := map[string]any{}
 	now := s.now()
-	for name, h := range s.scene.words {
+	for name, h := range s.helm.scene.words {
 		relays[name] = map[string]any{"heard_ms": now - h.at, "phase": h.Phase, "program": h.Program, "config": h.Config, "follows": h.Follows, "flows": h.Flows, "zone": h.Zone}
 	}
 	for k, v := range map[string]any{"name": s.Name, "program": s.Program, "config": s.Settings, "engine": st, "follows": s.look.Follows,
