A relay that starts right after its predecessor was killed asks it again, and starts

TestPeersOneName failed once beside heavy load: a process ended at its start with "handover: connection reset by peer". The one before had been killed just then: it still took the connection in and reset it (handover.go, Find gave up at the first reset). A host that restarts a killed relay at once could lose it so. Ruled out: ports, peers. Find asks again for as long as it would wait for an answer; the test resets three times and fails without it.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -75,9 +75,22 @@
 	last = '.'
 )
 
+// again is how long after a reset the first process is asked anew.
+const again = 20 * time.Millisecond
+
 // Find asks the process that serves in this directory for its state. Without one all
-// results are zero. The descriptors are in the order of State.Fronts.
+// results are zero. The descriptors are in the order of State.Fronts. A process that was killed just now
+// may still take a connection in and reset it: it is asked again, or its successor would not start.
 func Find(dir string) (fd int, state *State, fds []int, err error) {
+	for end := time.Now().Add(within); ; time.Sleep(again) {
+		fd, state, fds, err = ask(dir)
+		if !errors.Is(err, unix.ECONNRESET) && !errors.Is(err, unix.EPIPE) || time.Now().After(end) {
+			return fd, state, fds, err
+		}
+	}
+}
+
+func ask(dir string) (fd int, state *State, fds []int, err error) {
 	fd, err = netloop.DialChannel(Path(dir), within)
 	switch {
 	case errors.Is(err, fs.ErrNotExist), errors.Is(err, unix.ECONNREFUSED): // none, or one that is dead
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop"
 	"dahliarudder/internal/netloop/looptest"
 	"dahliarudder/internal/pool"
 )
@@ -52,6 +53,26 @@
 	return fd, state, fds, err
 }
 
+// TestFindDying: a process that is being killed resets who asks it, and then is gone: the next one starts like any other.
+func TestFindDying(t *testing.T) {
+	b := looptest.New(t, 16)
+	dir := t.TempDir()
+	asked := 0
+	var l *netloop.Listener
+	l, err := b.ListenChannel(Path(dir), func(fd int) {
+		unix.Close(fd) // what it said is unread: a reset
+		if asked++; asked == 3 {
+			l.Close()
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if fd, state, _, err := find(b, dir); fd >= 0 || state != nil || err != nil || asked != 3 {
+		t.Errorf("%d, %v, %v after %d", fd, state, err, asked)
+	}
+}
+
 // TestFind: a start without another process, or with one that died, is a start like
 // any other. Guards against a relay that a leftover socket keeps from starting.
 func TestFind(t *testing.T) {
