--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -50,7 +50,14 @@
 	}
 	w.roundtrip, w.history = roundtrip, history
 	w.calm = seed%5 == 0 // some without faults
-	w.faulty, w.two = !w.calm, planted == "no fencing"
+	w.faulty = !w.calm
+	if w.two = planted == "no fencing"; w.two { // what is left is what a step from an old state overdraws
+		w.load = 0
+		for _, x := range w.members {
+			w.load += x.capacity
+		}
+		w.load = (w.load - 300) / 1.06
+	}
 	for i := range pick.IntN(4) {
 		a := &asker{kind: []string{KindRelay, KindMember}[i%2], who: "asker" + strconv.Itoa(i), rate: 1 + (pick.Float64()-0.5)/50}
 		a.name = map[string]string{KindRelay: w.relays[pick.IntN(n)].name, KindMember: w.members[pick.IntN(m)].name}[a.kind]
@@ -291,8 +298,8 @@
 		if len(wrong) == 0 {
 			t.Errorf("%s: not found", defect)
 		}
-		for seed, faults := range wrong {
-			t.Logf("%s: seed %d: %s", defect, seed, faults[0])
+		for _, seed := range slices.Sorted(maps.Keys(wrong))[:min(1, len(wrong))] {
+			t.Logf("%s: seed %d: %s", defect, seed, wrong[seed][0])
 		}
 	}
 }
