accord: a damaged file is found at start, whichever bit turned

Cause: values had checksums, the library's own pages did not. A turned bit could drop the end of the log or the vote unseen, put the library back to the transaction before, or have it walk a page in circles until memory is gone. Change: who starts reads the file by itself (pages.go, each page once), holds it against a sum over all pairs, and writes it anew, so the library never opens a file of an earlier process. What does not add up is set aside as before. A lock file keeps two processes apart; the bounded opening and the check of the length are gone.

--- a/internal/accord/disk.go
+++ b/internal/accord/disk.go
@@ -1,11 +1,13 @@
 package accord
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
 	"hash/fnv"
+	"math"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -14,13 +16,16 @@
 	"go.etcd.io/bbolt"
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
+	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/proto"
 )
 
-// One file, accord.db. Every value has a checksum; what does not add up when it is opened is set aside, and the relay comes back
-// under a new identity, since nobody can say what it may have voted for.
+// One file, accord.db. Every value has a checksum, and a sum over all of them stands beside them. Who starts reads the file by itself (pages.go)
+// and then writes it anew, so that the library never meets a page that was damaged since: it would walk in circles, or end the process. What
+// does not add up is set aside, and the relay comes back under a new identity, since nobody can say what it may have voted for.
 const (
 	dbName   = "accord.db"
+	lockName = "accord.lock" // held while a process uses the directory
 	lockWait = time.Second
 )
 
@@ -31,9 +36,11 @@
 	keyHard    = []byte("hard")
 	keyState   = []byte("state")
 	keyMarks   = []byte("marks")
+	keySum     = []byte("sum")
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 	errDamaged = errors.New("damaged")
+	errInUse   = errors.New("another process has this directory")
 )
 
 // held is what a directory held.
@@ -49,6 +56,7 @@
 type disk struct {
 	dir   string
 	db    *bbolt.DB
+	lock  *os.File
 	fault func(op string) error // tests plant failures here: open, write, sync, rename
 }
 
@@ -83,193 +91,154 @@
 	return f()
 }
 
-// openDB opens the file. In a goroutine of its own with a bound: a damaged file may make a library walk in circles.
-func openDB(path string) (*bbolt.DB, error) {
-	type opened struct {
-		db  *bbolt.DB
-		err error
-	}
-	done := make(chan opened, 1)
-	go func() {
-		var o opened
-		o.err = guarded(func() (err error) {
-			o.db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType})
-			return err
-		})
-		done <- o
-	}()
-	select {
-	case o := <-done:
-		return o.db, o.err
-	case <-time.After(10 * lockWait):
-		return nil, fmt.Errorf("%w: not open in time", errDamaged)
-	}
-}
-
-// whole says whether the file is as long as its newest sound meta page claims: one that was cut off is found before anything is mapped, since
-// the library looks at pages on goroutines of its own too, where a missing one would end the process.
-func whole(path string) error {
-	f, err := os.Open(path)
-	if err != nil {
-		return err
+// take locks the directory, so that no two processes write it.
+func (d *disk) take() error {
+	if d.lock != nil {
+		return nil
 	}
-	defer f.Close()
-	info, err := f.Stat()
+	f, err := os.OpenFile(filepath.Join(d.dir, lockName), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return err
 	}
-	const head, size = 16, 64 // of a page; of what follows on a meta page: magic, version, page size, flags, root, sequence, freelist, pages, number, sum
-	var newest, need uint64
-	for _, at := range []int64{0, int64(os.Getpagesize())} {
-		b := make([]byte, head+size)
-		if _, err := f.ReadAt(b, at); err != nil {
-			return fmt.Errorf("%w: %d bytes", errDamaged, info.Size())
-		}
-		m := b[head:]
-		sum := fnv.New64a()
-		sum.Write(m[:size-8])
-		order := binary.NativeEndian
-		if order.Uint32(m) != 0xED0CDAED || order.Uint64(m[56:]) != sum.Sum64() {
-			continue
+	for end := time.Now().Add(lockWait); ; time.Sleep(lockWait / 20) {
+		if err = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err == nil {
+			d.lock = f
+			return nil
 		}
-		if number := order.Uint64(m[48:]); number >= newest {
-			newest, need = number, order.Uint64(m[40:])*uint64(order.Uint32(m[8:]))
+		if time.Now().After(end) {
+			return errors.Join(errInUse, err, f.Close())
 		}
 	}
-	if need == 0 || uint64(info.Size()) < need {
-		return fmt.Errorf("%w: %d of %d bytes", errDamaged, info.Size(), need)
-	}
-	return nil
 }
 
-// open reads what the directory holds. With no file, or one that is set aside as damaged, it makes one with the identity fresh.
+// open reads what the directory holds, and writes it anew. With no file, or one that is set aside as damaged, it makes one with the identity fresh.
 func (d *disk) open(fresh uint64) (h held, note string, err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Join(err, d.close())
+		}
+	}()
 	if err := d.failing("open"); err != nil {
 		return h, "", err
 	}
 	if err := os.MkdirAll(d.dir, 0o700); err != nil {
 		return h, "", err
 	}
-	path := filepath.Join(d.dir, dbName)
-	_, missing := os.Stat(path)
-	err = whole(path)
-	if missing == nil && err == nil {
-		if d.db, err = openDB(path); err == nil {
-			err = guarded(func() error { return d.load(&h) })
-		}
+	if err := d.take(); err != nil {
+		return h, "", err
 	}
+	path := filepath.Join(d.dir, dbName)
+	b, err := os.ReadFile(path)
 	switch {
-	case missing == nil && err == nil:
-		return h, "", nil
-	case missing == nil && (errors.Is(err, bbolt.ErrTimeout) || os.IsPermission(err)):
-		return h, "", err // another process has it, or nobody may: nothing is wrong with what it holds
-	case missing == nil:
-		note = "the directory's file was damaged and set aside: " + err.Error()
-		if d.db != nil {
-			_ = guarded(d.db.Close)
-			d.db = nil
-		}
-		if err := os.Rename(path, path+".bad"); err != nil {
-			return h, note, err
+	case err == nil:
+		if h, err = load(b); err != nil {
+			note = "the directory's file was damaged and set aside: " + err.Error()
+			if err := os.Rename(path, path+".bad"); err != nil {
+				return h, note, err
+			}
+			h = held{identity: fresh}
 		}
-	case !os.IsNotExist(missing):
-		return h, "", missing
+	case os.IsNotExist(err):
+		h = held{identity: fresh}
+	default: // nobody may read it, or it cannot be read now: nothing says that what it holds is wrong
+		return h, "", err
 	}
-	return held{identity: fresh}, note, d.rewrite(held{identity: fresh}, nil)
+	return h, note, d.rewrite(h, nil)
 }
 
-func (d *disk) load(h *held) error {
-	return d.db.View(func(tx *bbolt.Tx) error {
-		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
-		if meta == nil || log == nil {
-			return errDamaged
-		}
-		get := func(key []byte) ([]byte, error) {
-			b := meta.Get(key)
-			if b == nil {
-				return nil, nil
-			}
-			return unsealed(b)
-		}
-		ident, err := get(keyIdent)
-		if err != nil || len(ident) != 8 {
-			return errDamaged
-		}
-		h.identity = binary.BigEndian.Uint64(ident)
-		if h.state, err = get(keyState); err != nil {
-			return err
-		}
-		b, err := get(keyHard)
+// pairSum is a pair's part of the sum over all; a value begins with its own checksum.
+func pairSum(k, v []byte) uint64 {
+	if len(v) < 4 {
+		return 0
+	}
+	h := fnv.New64a()
+	h.Write(k)
+	h.Write(v[:4])
+	return h.Sum64()
+}
+
+// load takes a file apart and holds it against its sums: it is whole, or an error.
+func load(b []byte) (h held, err error) {
+	meta, log, err := readPages(b)
+	if err != nil {
+		return h, err
+	}
+	values, sum := map[string][]byte{}, uint64(0)
+	for _, p := range meta {
+		v, err := unsealed(p.value)
 		if err != nil {
-			return err
-		}
-		if h.hard = (&pb.HardState{}); b != nil {
-			if err := proto.Unmarshal(b, h.hard); err != nil {
-				return err
-			}
-		}
-		if b, err = get(keyMarks); err != nil {
-			return err
-		}
-		h.marks = map[uint64]mark{}
-		r := reader{b: b}
-		for b != nil && len(r.b) > 0 && r.err == nil {
-			h.marks[r.uint()] = mark{r.uint(), r.uint()}
+			return h, err
 		}
-		if r.err != nil {
-			return r.err
-		}
-		if h.state == nil {
-			return nil
+		values[string(p.key)] = v
+		if !bytes.Equal(p.key, keySum) {
+			sum ^= pairSum(p.key, p.value)
 		}
-		s, err := decodeState(h.state)
+	}
+	for _, p := range log {
+		raw, err := unsealed(p.value)
 		if err != nil {
-			return err
+			return h, err
 		}
-		c := log.Cursor()
-		for k, v := c.First(); k != nil; k, v = c.Next() {
-			raw, err := unsealed(v)
-			if err != nil || len(k) != 8 {
-				return errDamaged
-			}
-			e := &pb.Entry{}
-			if err := proto.Unmarshal(raw, e); err != nil {
-				return err
-			}
-			if e.GetIndex() != binary.BigEndian.Uint64(k) || len(h.entries) > 0 && h.entries[len(h.entries)-1].GetIndex()+1 != e.GetIndex() {
-				return errDamaged
-			}
-			h.entries = append(h.entries, e)
-		}
-		// The log holds some entries that the snapshot has too, for those who are a little behind; the engine begins after it.
-		for len(h.entries) > 0 && h.entries[0].GetIndex() <= s.index {
-			h.entries = h.entries[1:]
+		sum ^= pairSum(p.key, p.value)
+		e := &pb.Entry{}
+		if err := proto.Unmarshal(raw, e); err != nil {
+			return h, err
 		}
-		last := s.index
-		if n := len(h.entries); n > 0 {
-			if h.entries[0].GetIndex() != s.index+1 {
-				return errDamaged
-			}
-			last = h.entries[n-1].GetIndex()
+		if n := len(h.entries); !bytes.Equal(p.key, logKey(e.GetIndex())) || n > 0 && h.entries[n-1].GetIndex()+1 != e.GetIndex() {
+			return h, errDamaged
 		}
-		if h.hard.GetCommit() > last || h.hard.GetTerm() < s.term {
-			return errDamaged
-		}
-		if h.hard.GetCommit() < s.index {
-			h.hard.Commit = new(s.index)
+		h.entries = append(h.entries, e)
+	}
+	ident := values[string(keyIdent)]
+	if len(ident) != 8 || !bytes.Equal(values[string(keySum)], logKey(sum)) {
+		return h, errDamaged
+	}
+	h.identity, h.state = binary.BigEndian.Uint64(ident), values[string(keyState)]
+	h.hard = &pb.HardState{}
+	if err := proto.Unmarshal(values[string(keyHard)], h.hard); err != nil {
+		return h, err
+	}
+	h.marks = map[uint64]mark{}
+	r := reader{b: values[string(keyMarks)]}
+	for len(r.b) > 0 && r.err == nil {
+		h.marks[r.uint()] = mark{r.uint(), r.uint()}
+	}
+	if r.err != nil || h.state == nil {
+		return h, r.err
+	}
+	s, err := decodeState(h.state)
+	if err != nil {
+		return h, err
+	}
+	// The log holds some entries that the snapshot has too, for those who are a little behind; the engine begins after it.
+	for len(h.entries) > 0 && h.entries[0].GetIndex() <= s.index {
+		h.entries = h.entries[1:]
+	}
+	last := s.index
+	if n := len(h.entries); n > 0 {
+		if h.entries[0].GetIndex() != s.index+1 {
+			return h, errDamaged
 		}
-		return nil
-	})
+		last = h.entries[n-1].GetIndex()
+	}
+	if h.hard.GetCommit() > last || h.hard.GetTerm() < s.term {
+		return h, errDamaged
+	}
+	if h.hard.GetCommit() < s.index {
+		h.hard.Commit = new(s.index)
+	}
+	return h, nil
 }
 
 // put is one write: whatever is not nil.
 type diskWrite struct {
-	state   []byte // a snapshot that replaces the log
-	compact []byte // a snapshot of this voter's own; entries up to drop are dropped
-	drop    uint64
-	hard    *pb.HardState
-	entries []*pb.Entry
-	marks   map[uint64]mark
+	identity uint64
+	state    []byte // a snapshot that replaces the log
+	compact  []byte // a snapshot of this voter's own; entries up to drop are dropped
+	drop     uint64
+	hard     *pb.HardState
+	entries  []*pb.Entry
+	marks    map[uint64]mark
 }
 
 func (d *disk) write(w diskWrite) error {
@@ -299,36 +268,47 @@
 	if meta == nil || log == nil {
 		return errDamaged
 	}
-	log.FillPercent = 0.95 // it is written in order
-	if w.state != nil {
-		if err := tx.DeleteBucket(bucketLog); err != nil {
-			return err
+	var sum uint64
+	if b := meta.Get(keySum); len(b) == 12 {
+		sum = binary.BigEndian.Uint64(b[4:])
+	}
+	set := func(b *bbolt.Bucket, k, v []byte) error {
+		v = sealed(v)
+		sum ^= pairSum(k, b.Get(k)) ^ pairSum(k, v)
+		return b.Put(k, v)
+	}
+	drop := func(from, to uint64) error {
+		c := log.Cursor()
+		for k, v := c.Seek(logKey(from)); len(k) == 8 && binary.BigEndian.Uint64(k) <= to; k, v = c.Seek(logKey(from)) {
+			sum ^= pairSum(k, v)
+			if err := c.Delete(); err != nil {
+				return err
+			}
 		}
-		var err error
-		if log, err = tx.CreateBucket(bucketLog); err != nil {
+		return nil
+	}
+	log.FillPercent = 0.95 // it is written in order
+	if w.identity != 0 {
+		if err := set(meta, keyIdent, logKey(w.identity)); err != nil {
 			return err
 		}
-		if err := meta.Put(keyState, sealed(w.state)); err != nil {
+	}
+	if w.state != nil {
+		if err := errors.Join(drop(0, math.MaxUint64), set(meta, keyState, w.state)); err != nil {
 			return err
 		}
 	}
 	if w.compact != nil {
-		if err := meta.Put(keyState, sealed(w.compact)); err != nil {
+		if err := errors.Join(drop(0, w.drop), set(meta, keyState, w.compact)); err != nil {
 			return err
 		}
-		c := log.Cursor()
-		for k, _ := c.First(); k != nil && len(k) == 8 && binary.BigEndian.Uint64(k) <= w.drop; k, _ = c.Next() {
-			if err := c.Delete(); err != nil {
-				return err
-			}
-		}
 	}
 	if w.hard != nil {
 		b, err := proto.Marshal(w.hard)
 		if err != nil {
 			return err
 		}
-		if err := meta.Put(keyHard, sealed(b)); err != nil {
+		if err := set(meta, keyHard, b); err != nil {
 			return err
 		}
 	}
@@ -337,7 +317,7 @@
 		for _, id := range sortedKeys(w.marks) {
 			b = put(b, id, w.marks[id].term, w.marks[id].index)
 		}
-		if err := meta.Put(keyMarks, sealed(b)); err != nil {
+		if err := set(meta, keyMarks, b); err != nil {
 			return err
 		}
 	}
@@ -347,18 +327,15 @@
 			return err
 		}
 		if i == 0 { // what stood behind it was another leader's
-			c := log.Cursor()
-			for k, _ := c.Seek(logKey(e.GetIndex())); k != nil; k, _ = c.Seek(logKey(e.GetIndex())) {
-				if err := c.Delete(); err != nil {
-					return err
-				}
+			if err := drop(e.GetIndex(), math.MaxUint64); err != nil {
+				return err
 			}
 		}
-		if err := log.Put(logKey(e.GetIndex()), sealed(b)); err != nil {
+		if err := set(log, logKey(e.GetIndex()), b); err != nil {
 			return err
 		}
 	}
-	return nil
+	return meta.Put(keySum, sealed(logKey(sum)))
 }
 
 // rewrite makes the file anew with all that is held, and puts it in the place of the old one. It is how a voter comes back after a failed
@@ -376,24 +353,19 @@
 	if err := os.Remove(path + ".new"); err != nil && !os.IsNotExist(err) {
 		return err
 	}
-	db, err := openDB(path + ".new")
+	db, err := bbolt.Open(path+".new", 0o600, &bbolt.Options{Timeout: lockWait, FreelistType: bbolt.FreelistMapType})
 	if err != nil {
 		return err
 	}
 	d.db = db
 	err = guarded(func() error {
 		return db.Update(func(tx *bbolt.Tx) error {
-			meta, err := tx.CreateBucketIfNotExists(bucketMeta)
-			if err != nil {
-				return err
-			}
-			if _, err := tx.CreateBucketIfNotExists(bucketLog); err != nil {
-				return err
-			}
-			if err := meta.Put(keyIdent, sealed(binary.BigEndian.AppendUint64(nil, h.identity))); err != nil {
-				return err
+			for _, b := range [][]byte{bucketMeta, bucketLog} {
+				if _, err := tx.CreateBucket(b); err != nil {
+					return err
+				}
 			}
-			return fill(tx, diskWrite{compact: h.state, hard: h.hard, entries: h.entries, marks: h.marks})
+			return fill(tx, diskWrite{identity: h.identity, compact: h.state, hard: h.hard, entries: h.entries, marks: h.marks})
 		})
 	})
 	if err == nil && more != nil {
@@ -426,12 +398,16 @@
 }
 
 func (d *disk) close() error {
-	if d.db == nil {
-		return nil
+	db, lock := d.db, d.lock
+	d.db, d.lock = nil, nil
+	var err error
+	if db != nil {
+		err = guarded(db.Close)
+	}
+	if lock != nil {
+		err = errors.Join(err, lock.Close())
 	}
-	db := d.db
-	d.db = nil
-	return guarded(db.Close)
+	return err
 }
 
 // heldBy is what a voter's storage holds, to be written anew.
--- a/internal/accord/fault_test.go
+++ b/internal/accord/fault_test.go
@@ -1,12 +1,16 @@
 package accord
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -473,11 +477,9 @@
 	}
 }
 
-// TestFileCutAnywhere cuts the file at many lengths, and turns bytes over: what is left is refused or read, and never ends the process.
-func TestFileCutAnywhere(t *testing.T) {
-	t.Parallel()
-	dir := t.TempDir()
-	d := &disk{dir: dir}
+// filled is a voter's file of that many entries, as the library wrote it, and what it holds.
+func filled(t *testing.T, entries int) (file []byte, h held) {
+	d := &disk{dir: t.TempDir()}
 	if _, _, err := d.open(5); err != nil {
 		t.Fatal(err)
 	}
@@ -485,58 +487,167 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := d.write(diskWrite{state: s.encode(), hard: &pb.HardState{Term: new(uint64(1)), Commit: new(uint64(1))}}); err != nil {
-		t.Fatal(err)
-	}
-	for i := uint64(2); i < 60; i++ {
-		e := &pb.Entry{Index: new(i), Term: new(uint64(1)), Data: []byte(strings.Repeat("d", 300))}
-		if err := d.write(diskWrite{entries: []*pb.Entry{e}, hard: &pb.HardState{Term: new(uint64(1)), Vote: new(uint64(5)), Commit: new(i)}}); err != nil {
+	must := func(err error) {
+		if err != nil {
 			t.Fatal(err)
 		}
 	}
-	if err := d.close(); err != nil {
+	must(d.write(diskWrite{state: s.encode(), hard: &pb.HardState{Term: new(uint64(1)), Commit: new(uint64(1))}}))
+	entry := func(i, term uint64, size int) diskWrite {
+		return diskWrite{entries: []*pb.Entry{{Index: new(i), Term: new(term), Data: bytes.Repeat([]byte("d"), size)}}, hard: &pb.HardState{Term: new(term), Vote: new(uint64(5)), Commit: new(i)},
+			marks: map[uint64]mark{7: {term, i}}}
+	}
+	for i := range uint64(entries) {
+		must(d.write(entry(i+2, 1, 300+int(i%7)*40)))
+	}
+	must(d.write(entry(uint64(entries)/2, 2, 9000))) // more than a page; what stood behind it is gone
+	s.index, s.machine = uint64(entries)/4, bytes.Repeat([]byte("m"), 6000)
+	must(d.write(diskWrite{compact: s.encode(), drop: s.index - 3}))
+	must(d.close())
+	file, err = os.ReadFile(filepath.Join(d.dir, dbName))
+	must(err)
+	h, err = load(file)
+	must(err)
+	if n := len(h.entries); h.identity != 5 || n == 0 || h.entries[0].GetIndex() != s.index+1 || h.entries[n-1].GetTerm() != 2 || h.hard.GetVote() != 5 || h.marks[7].term != 2 {
+		t.Fatalf("not read as written: %+v", h)
+	}
+	return file, h
+}
+
+// TestFileHoldsWhatWasWritten holds the file, as it is read without the library, against the model's.
+func TestFileHoldsWhatWasWritten(t *testing.T) {
+	t.Parallel()
+	rng := rand.New(rand.NewPCG(3, 1))
+	d, n, w := &disk{dir: t.TempDir()}, &vnode{disk: held{identity: 5}}, &world{}
+	if _, _, err := d.open(5); err != nil {
 		t.Fatal(err)
 	}
-	good, err := os.ReadFile(filepath.Join(dir, dbName))
+	s, err := foundation(9, members{5: {"v0", "a"}}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	step := max(1, len(good)/150)
-	if os.Getenv("ACCORD_SEEDS") != "" {
-		step = 97
-	}
-	read, fresh := 0, 0
-	try := func(b []byte) {
-		sub := filepath.Join(dir, "sub")
-		os.RemoveAll(sub)
-		os.MkdirAll(sub, 0o700)
-		if err := os.WriteFile(filepath.Join(sub, dbName), b, 0o600); err != nil {
+	last, term := uint64(1), uint64(1)
+	for i := range 120 {
+		dw := diskWrite{marks: map[uint64]mark{7: {term, last}}}
+		kind := rng.IntN(8)
+		if i == 0 {
+			kind = 0
+		}
+		switch kind {
+		case 0: // another's snapshot
+			last += uint64(rng.IntN(3))
+			s.index, s.term, s.machine = last, term, make([]byte, rng.IntN(20000))
+			dw.state = s.encode()
+		case 1: // its own
+			s.index += uint64(rng.IntN(int(last-s.index) + 1))
+			s.machine = make([]byte, rng.IntN(20000))
+			dw.compact, dw.drop = s.encode(), s.index-min(s.index, uint64(rng.IntN(10)))
+		default: // entries, over some that were there
+			if rng.IntN(3) == 0 && last > s.index {
+				term++
+				last -= uint64(rng.IntN(int(last - s.index)))
+			}
+			for range rng.IntN(12) {
+				last++
+				dw.entries = append(dw.entries, &pb.Entry{Index: new(last), Term: new(term), Data: make([]byte, rng.IntN(200)*rng.IntN(40))})
+			}
+		}
+		dw.hard = &pb.HardState{Term: new(term), Vote: new(uint64(5)), Commit: new(s.index)}
+		if err := d.write(dw); err != nil {
 			t.Fatal(err)
 		}
-		d := &disk{dir: sub}
-		h, note, err := d.open(6)
-		switch {
+		n.writing = &dw
+		w.store(n)
+		file, err := os.ReadFile(filepath.Join(d.dir, dbName))
+		if err != nil {
+			t.Fatal(err)
+		}
+		h, err := load(file)
+		if err != nil {
+			t.Fatalf("write %d: %v", i, err)
+		}
+		want := n.disk
+		for len(want.entries) > 0 && want.entries[0].GetIndex() <= s.index {
+			want.entries = want.entries[1:]
+		}
+		show := func(h held) string { return fmt.Sprint(h.identity, h.state, h.hard, h.entries, h.marks) }
+		if show(h) != show(want) {
+			t.Fatalf("write %d: %d entries are read, %d were written", i, len(h.entries), len(want.entries))
+		}
+		if i%20 == 19 {
+			if err := d.close(); err != nil {
+				t.Fatal(err)
+			}
+			if _, note, err := d.open(6); note != "" || err != nil {
+				t.Fatal(note, err)
+			}
+			n.disk.entries = h.entries
+		}
+	}
+	if err := d.close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestDamagedFile cuts the file at each length and turns bits: what is left is refused, or the very same. The directory is then a new voter's.
+func TestDamagedFile(t *testing.T) {
+	t.Parallel()
+	good, whole := filled(t, 60)
+	step := 199 // none of 8 or a page: each bit of a byte, each byte of a page has its turn
+	if os.Getenv("ACCORD_SEEDS") != "" {
+		step = 1
+	}
+	for n := 0; n < len(good); n += step {
+		if h, err := load(good[:n]); err == nil && !reflect.DeepEqual(h, whole) { // the file is longer than what it has in use
+			t.Fatalf("cut at %d, and something else is read", n)
+		}
+	}
+	same, refused := 0, 0
+	b := bytes.Clone(good)
+	for bit := 0; bit < 8*len(b); bit += step {
+		b[bit/8] ^= 1 << (bit % 8)
+		switch h, err := load(b); {
 		case err != nil:
-			t.Fatalf("%d bytes: %v", len(b), err)
-		case note == "" && h.identity == 5 && len(h.entries) == 58 && h.hard.GetVote() == 5:
-			read++
-		case note != "" && h.identity == 6 && h.state == nil:
-			fresh++
+			refused++
+		case reflect.DeepEqual(h, whole): // in a page that is free, or where nothing is
+			same++
 		default:
-			t.Fatalf("%d bytes: neither whole nor fresh: %q %d entries, identity %d", len(b), note, len(h.entries), h.identity)
-		}
-		if err := d.close(); err != nil {
-			t.Fatal(err)
+			t.Fatalf("bit %d turned, and something else is read", bit)
 		}
+		b[bit/8] ^= 1 << (bit % 8)
 	}
-	for n := 0; n <= len(good); n += step {
-		try(good[:n])
+	for id := 0; id < len(b)/os.Getpagesize(); id++ { // a page that is its own child: who walks in circles does not end
+		if p := b[id*os.Getpagesize():]; binary.NativeEndian.Uint16(p[8:]) == pageBranch {
+			binary.NativeEndian.PutUint64(p[pageHead+8:], uint64(id))
+			if h, err := load(b); err == nil && !reflect.DeepEqual(h, whole) {
+				t.Fatalf("page %d is its own child, and let in", id)
+			}
+		}
 	}
-	for _, n := range []int{0, 1, 15, 16, 80, os.Getpagesize() - 1, os.Getpagesize(), 2 * os.Getpagesize(), len(good) - 1, len(good)} {
-		try(good[:n])
+	t.Log(same, refused)
+	if same == 0 || refused == 0 {
+		t.Error("nothing was tried")
 	}
-	if read == 0 || fresh == 0 {
-		t.Fatal(read, fresh)
+	dir := t.TempDir()
+	for i, c := range []struct {
+		file []byte
+		id   uint64
+	}{{nil, 6}, {good[:os.Getpagesize()], 6}, {good, 5}, {good, 5}, {good[:3*os.Getpagesize()], 6}} {
+		if err := os.WriteFile(filepath.Join(dir, dbName), c.file, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		d := &disk{dir: dir}
+		h, note, err := d.open(6)
+		if err != nil || h.identity != c.id || (note == "") != (c.id == 5) || (h.state == nil) != (c.id == 6) {
+			t.Fatalf("%d: %v %q, identity %d", i, err, note, h.identity)
+		}
+		if i == 2 {
+			if _, _, err := (&disk{dir: dir}).open(7); !errors.Is(err, errInUse) {
+				t.Errorf("opened twice: %v", err)
+			}
+		}
+		if err := d.close(); err != nil {
+			t.Fatal(err)
+		}
 	}
-	t.Log(read, fresh)
 }
