accord: two relays of one name are named

Cause: two relays of one name refused each other's numbers for ever and nothing said why; two that started in the same millisecond shared numbers unseen, and about half of what they sent was lost. A refusal of an older start could also raise a start that was raised already. Change: a name that begins to send anew three times within 5 s is named in Status.Twins and the log, by who hears it and by itself; a start has random low bits and is raised once for each refusal. A voter whose place is still held says so in Status.Engine.

--- a/internal/accord/api.go
+++ b/internal/accord/api.go
@@ -102,6 +102,8 @@
 	Refused            map[string]uint64 // requests refused by the envelope, by reason
 	Disk               string            // what the disk last said; "" if it is well
 	Engine             string            // what the engine gave up with; "" if it is well
+	// Twins are names under which two relays seem to send, or one that starts over and over, as this relay saw in the last seconds: its own too.
+	Twins []string
 	// Taken says how this voter came to its identity if that was not its first: such as after an emptied directory.
 	Taken string
 }
--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -28,6 +28,7 @@
 	errUnsound  = errors.New("not all other voters are sound")
 	errPending  = errors.New("another change of voters is under way")
 	errNoLeader = errors.New("no leader")
+	errAlive    = errors.New("the one in its place still answers: are there two relays of this name?")
 	errNoVoter  = errors.New("no such voter")
 )
 
@@ -268,7 +269,7 @@
 		case id == c.id:
 		case id == old:
 			if c.ticks-c.heard[id] < electionTicks && !w.ordered {
-				err = errUnsound // it still lives: two relays of one name
+				err = errAlive
 			}
 		case c.ticks-c.heard[id] > soundTicks || p.Match+behindMost < committed:
 			err = errUnsound
--- a/internal/accord/fault_test.go
+++ b/internal/accord/fault_test.go
@@ -380,33 +380,33 @@
 func TestSay(t *testing.T) {
 	t.Parallel()
 	var mu sync.Mutex
-	got, back := map[string]string{}, map[string]string{}
-	has := func(m map[string]string, key, value string) bool {
+	got := map[string]bool{}
+	note := func(what ...string) {
 		mu.Lock()
 		defer mu.Unlock()
-		return m[key] == value
+		got[strings.Join(what, " ")] = true
+	}
+	has := func(what ...string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return got[strings.Join(what, " ")]
 	}
 	slow, deaf := make(chan struct{}), make(chan struct{})
 	f := newFleet(t, 3, false)
 	f.heard = func(from string, word []byte) []byte {
-		mu.Lock()
-		got[from] = string(word)
-		mu.Unlock()
+		note(from, "said", string(word))
 		switch string(word) {
-		case "nothing":
-			return nil
 		case "large":
 			return make([]byte, AnswerMost+1)
 		case "slow":
 			<-slow
 		}
-		return []byte("to " + from + ": " + string(word))
+		return word
 	}
 	f.told = func(at, from, answer string) {
-		mu.Lock()
-		back[at] = from + " " + answer
-		mu.Unlock()
-		if strings.HasSuffix(answer, "deaf") {
+		note(at, "told", answer)
+		note(at, "told", answer, "by", from)
+		if answer == "deaf" {
 			<-deaf
 		}
 	}
@@ -415,7 +415,6 @@
 	l := f.leader()
 	f.reach["r0"] = map[string]string{l: freeAddr(t)} // nobody is there: all that it says goes by another voter
 	f.up("r0")
-	f.propose("r0", "b")
 	say := func(name, word string) {
 		if err := f.nodes[name].Say([]byte(word)); err != nil && !errors.Is(err, ErrFull) {
 			t.Fatal(err)
@@ -424,14 +423,6 @@
 	until := func(what, word string, ok func() bool) {
 		f.wait(what, func() bool { say("r0", word); return ok() })
 	}
-	f.wait("all are heard and told", func() bool {
-		done := true
-		for name := range f.nodes {
-			say(name, "I am "+name)
-			done = done && has(got, name, "I am "+name) && has(back, name, f.leader()+" to "+name+": I am "+name)
-		}
-		return done
-	})
 	dropped := func(what string) bool { // at any of them: the leader may change under load
 		for _, n := range f.nodes {
 			if n.Status().Dropped[what] > 0 {
@@ -440,12 +431,15 @@
 		}
 		return false
 	}
-	told := func(word string) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		return strings.HasSuffix(back["r0"], " to r0: "+word)
-	}
-	until("one that is too large is dropped", "large", func() bool { return dropped("answersize") })
+	f.wait("all are heard and told, but for what is too large", func() bool {
+		done := dropped("answersize")
+		for name := range f.nodes {
+			say(name, "I am "+name)
+			say(name, "large")
+			done = done && has(name, "said", "I am "+name) && has(name, "told", "I am "+name, "by", f.leader())
+		}
+		return done
+	})
 	until("one that waits is given up, the next ones count", "slow", func() bool {
 		for name := range f.voters {
 			f.nodes[name].hear(f.nodes[name].ctx, "r0", make([][]byte, heardMost/8))
@@ -453,30 +447,58 @@
 		return dropped("unanswered") && dropped("heard")
 	})
 	close(slow)
-	until("a relay that tells nobody", "deaf", func() bool { return told("deaf") })
+	until("a relay that tells nobody", "deaf", func() bool { say("r0", "after it"); return has("r0", "told", "deaf") })
 	f.nodes["r0"].tell(l, make([][]byte, toldMost+1))
 	if !dropped("told") {
 		t.Error("the ring of answers has no bound")
 	}
 	close(deaf)
-	until("it is told again", "end", func() bool { return told("end") })
+	until("it is told again", "after it", func() bool { return has("r0", "told", "after it") })
 	for name := range f.voters { // as if so many waited
 		for range awaitMost {
 			f.nodes[name].await <- struct{}{}
 		}
 	}
-	until("words count without a place to wait", "alone", func() bool { return has(got, "r0", "alone") })
-	if told("alone") {
-		t.Error("an answer that nobody could wait for")
-	}
+	until("words count without a place to wait", "alone", func() bool { return has("r0", "said", "alone") })
 	for range saidMost + 1 {
 		say("r0", "x")
 	}
+	if has("r0", "told", "alone") || has("r0", "told", string(make([]byte, AnswerMost+1))) {
+		t.Error("an answer that nobody could wait for, or that is too large")
+	}
 	if !dropped("said") {
 		t.Error("what is said has no bound")
 	}
 }
 
+// TestTwins: two relays of one name are named, by who hears them and by themselves; one that starts again is not.
+func TestTwins(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3, false)
+	f.allUp()
+	f.up("r1")
+	f.nodes["its twin"], f.addrs["r0"] = f.up("r0"), freeAddr(t)
+	f.up("r0")
+	f.propose("r1", "a")
+	f.down("r1")
+	f.up("r1")
+	named := map[string]bool{}
+	f.wait("they are named", func() bool {
+		for name, n := range f.nodes {
+			if err := n.Say([]byte("x")); err != nil && !errors.Is(err, ErrFull) {
+				t.Fatal(err)
+			}
+			for _, twin := range n.Status().Twins {
+				if twin != "r0" {
+					t.Fatalf("%s names %s", name, twin)
+				}
+				named[name] = true
+			}
+		}
+		return named["r0"] && named["its twin"] && (named["v0"] || named["v1"] || named["v2"])
+	})
+}
+
 // filled is a voter's file of that many entries, as the library wrote it, and what it holds.
 func filled(t *testing.T, entries int) (file []byte, h held) {
 	d := &disk{dir: t.TempDir()}
--- a/internal/accord/follow.go
+++ b/internal/accord/follow.go
@@ -196,12 +196,11 @@
 	defer cancel()
 	alive := time.AfterFunc(silence, cancel)
 	defer alive.Stop()
-	var rc io.ReadCloser
-	var tag []byte
+	var rc *sent
 	for try := 0; ; try++ {
 		record, index, _ := n.ap.at()
 		var err error
-		if rc, tag, err = n.caller.open(ctx, m.Name, m.Addr, kindFollow, put(nil, record, index)); err != nil {
+		if rc, err = n.caller.open(ctx, m.Name, m.Addr, kindFollow, put(nil, record, index)); err != nil {
 			return err
 		}
 		// A refusal is sealed as a whole answer, a stream as frames: the first four bytes of a frame are its length.
@@ -211,10 +210,10 @@
 			return err
 		}
 		if size := binary.BigEndian.Uint32(head[:]); size >= tagSize+1 && size <= frameMost {
-			rc = struct {
+			rc.ReadCloser = struct {
 				io.Reader
 				io.Closer
-			}{io.MultiReader(bytes.NewReader(head[:]), rc), rc}
+			}{io.MultiReader(bytes.NewReader(head[:]), rc.ReadCloser), rc.ReadCloser}
 			break
 		}
 		b, err := io.ReadAll(io.LimitReader(rc, 1<<10))
@@ -222,10 +221,10 @@
 		if err != nil {
 			return err
 		}
-		if b, err = openAnswer(n.o.Keys[0], tag, 0, append(head[:], b...)); err != nil {
+		if b, err = openAnswer(n.o.Keys[0], rc.tag, 0, append(head[:], b...)); err != nil {
 			return err
 		}
-		if !n.caller.learn(m.Name, b) || try > 2 {
+		if !n.caller.learn(m.Name, rc, b) || try > 2 {
 			return fmt.Errorf("refused")
 		}
 	}
@@ -247,7 +246,7 @@
 		if err != nil {
 			return err
 		}
-		if b, err = openAnswer(n.o.Keys[0], tag, part, b); err != nil || len(b) == 0 {
+		if b, err = openAnswer(n.o.Keys[0], rc.tag, part, b); err != nil || len(b) == 0 {
 			return errTag
 		}
 		alive.Reset(silence)
--- a/internal/accord/http.go
+++ b/internal/accord/http.go
@@ -95,7 +95,7 @@
 	n      *Node
 	client *http.Client
 	mu     sync.Mutex
-	start  uint64
+	start  uint64 // with random low bits: two relays of one name never have the same, or they would share numbers unseen
 	seq    uint64
 	epochs map[string]uint64 // by name; as many as relays are asked
 }
@@ -110,42 +110,51 @@
 			}
 			return &counted{c, &n.bytesIn, &n.bytesOut}, nil
 		}}
-	return &caller{n: n, client: &http.Client{Transport: t}, start: uint64(time.Now().UnixMilli()), epochs: map[string]uint64{}}
+	return &caller{n: n, client: &http.Client{Transport: t}, start: uint64(time.Now().UnixMilli())<<20 + random()>>42, epochs: map[string]uint64{}}
 }
 
-// open sends a request and returns the answer's body, unread. An error that is errUnsent says that nobody acted on it.
-func (c *caller) open(ctx context.Context, name, addr string, kind byte, body []byte) (io.ReadCloser, []byte, error) {
+// sent is a request that was answered; the answer is unread.
+type sent struct {
+	io.ReadCloser
+	tag   []byte
+	start uint64
+}
+
+// open sends a request. An error that is errUnsent says that nobody acted on it.
+func (c *caller) open(ctx context.Context, name, addr string, kind byte, body []byte) (*sent, error) {
 	if reach, ok := c.n.o.Reach[name]; ok {
 		addr = reach
 	}
 	c.mu.Lock()
 	c.seq++
+	s := &sent{start: c.start}
 	b, tag := sealRequest(c.n.o.Keys[0], c.epochs[name], c.start, c.seq, kind, c.n.o.Name, name, body)
 	c.mu.Unlock()
-	sent := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(b))
 	if err != nil {
-		return nil, nil, errors.Join(errUnsent, err)
+		return nil, errors.Join(errUnsent, err)
 	}
 	req.Header["User-Agent"] = nil
 	resp, err := c.client.Do(req)
 	if err != nil {
-		if !sent {
+		if !connected {
 			err = errors.Join(errUnsent, err)
 		}
-		return nil, nil, err
+		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
 		resp.Body.Close()
 		// Not sealed, so it may be anyone's word: it does not prove that nobody acted.
-		return nil, nil, fmt.Errorf("status %d", resp.StatusCode)
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	return resp.Body, tag, nil
+	s.ReadCloser, s.tag = resp.Body, tag
+	return s, nil
 }
 
 // learn takes an answer that refuses an epoch or a start; the request may then be sent again, since it was not read.
-func (c *caller) learn(name string, answer []byte) bool {
+func (c *caller) learn(name string, s *sent, answer []byte) bool {
 	if len(answer) != 9 || answer[0] != codeEpoch && answer[0] != codeOld {
 		return false
 	}
@@ -157,8 +166,9 @@
 			clear(c.epochs)
 		}
 		c.epochs[name] = v
-	} else if v >= c.start {
-		c.start, c.seq = v+1, 0
+	} else if v >= c.start && s.start == c.start { // else it was raised since
+		c.start, c.seq = v+1+random()>>42, 0
+		c.n.fresh.raiseOwn(c.n.o.Name)
 	}
 	return true
 }
@@ -166,20 +176,20 @@
 // ask sends a request and returns its answer, from the code on.
 func (c *caller) ask(ctx context.Context, name, addr string, kind byte, body []byte) ([]byte, error) {
 	for range 4 {
-		rc, tag, err := c.open(ctx, name, addr, kind, body)
+		s, err := c.open(ctx, name, addr, kind, body)
 		if err != nil {
 			return nil, err
 		}
-		b, err := io.ReadAll(io.LimitReader(rc, smallMost))
-		rc.Close()
+		b, err := io.ReadAll(io.LimitReader(s, smallMost))
+		s.Close()
 		if err != nil {
 			return nil, err
 		}
-		b, err = openAnswer(c.n.o.Keys[0], tag, 0, b)
+		b, err = openAnswer(c.n.o.Keys[0], s.tag, 0, b)
 		if err != nil || len(b) == 0 {
 			return nil, fmt.Errorf("answer of %s: %w", name, errTag)
 		}
-		if !c.learn(name, b) {
+		if !c.learn(name, s, b) {
 			return b, nil
 		}
 	}
--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	twinEvery  = 5 * time.Second
 	lookEvery  = 200 * time.Millisecond // the supervisor's
 	wishEvery  = time.Second
 	sayEvery   = time.Second
@@ -70,6 +71,7 @@
 	diskSays  string
 	engSays   string
 	taken     string
+	twins     []string
 	role      string
 	bound     uint64 // the record that a founder is about to begin with this relay
 	boundAt   time.Time
@@ -352,6 +354,7 @@
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	var wished, opened time.Time
+	twinsAt := time.Now()
 	for {
 		e := n.engine()
 		var ended <-chan struct{}
@@ -367,6 +370,9 @@
 		case <-look.C:
 		}
 		n.watchMajority()
+		if n.watchTwins(time.Since(twinsAt) > twinEvery) {
+			twinsAt = time.Now()
+		}
 		if e != nil {
 			continue
 		}
@@ -831,6 +837,23 @@
 	}
 }
 
+// watchTwins notes which names two relays seem to send under, at once; at the end of a while, which do no longer.
+func (n *Node) watchTwins(ends bool) bool {
+	names := n.fresh.twins(ends)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range names {
+		if !slices.Contains(n.twins, name) {
+			n.twins = append(n.twins, name)
+			n.log().WithField("relay", name).Error("accord: two relays seem to have this name, or one starts over and over")
+		}
+	}
+	if ends {
+		n.twins = names
+	}
+	return ends
+}
+
 func (n *Node) status() Status {
 	n.watchMajority()
 	s := Status{Name: n.o.Name, Voters: map[string]string{}, BytesIn: n.bytesIn.Load(), BytesOut: n.bytesOut.Load(),
@@ -849,7 +872,7 @@
 	defer n.mu.Unlock()
 	s.Role, s.Identity, s.Majority, s.Since, s.Disk, s.Engine, s.Taken = n.role, n.identity, n.majority, n.since, n.diskSays, n.engSays, n.taken
 	s.Committed = n.followed.committed
-	s.Follows = n.followed.voter
+	s.Follows, s.Twins = n.followed.voter, slices.Clone(n.twins)
 	if e != nil {
 		v := e.view.Load()
 		s.Term, s.Committed, s.LogFirst, s.LogLast, s.SnapshotIndex, s.SnapshotBytes = v.term, v.committed, v.first, v.last, v.snapIndex, v.snapBytes
--- a/internal/accord/seal.go
+++ b/internal/accord/seal.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
+	"slices"
 	"sync"
 
 	"dahliarudder/internal/peers"
@@ -24,6 +25,7 @@
 	numbersKept = 4096 // how far behind the newest number a request may come; at most requestsMost run at a time
 	sendersMost = 1024
 	nameMost    = 255
+	twinTimes   = 3 // as often a name begins to send anew within twinEvery, if two relays have it
 )
 
 var (
@@ -126,6 +128,7 @@
 	mu      sync.Mutex
 	epoch   uint64
 	senders map[string]*numbers
+	raised  map[string]int // how often a start went up, by name, since twins forgot
 }
 
 type numbers struct {
@@ -148,6 +151,9 @@
 		if f.senders == nil {
 			f.senders = map[string]*numbers{}
 		}
+		if n != nil {
+			f.raise(r.from)
+		}
 		n = &numbers{start: r.start}
 		f.senders[r.from] = n
 	}
@@ -173,6 +179,37 @@
 	return 0, nil
 }
 
+// raise notes that a name began to send anew. Names are those of senders, and the own one.
+func (f *fresh) raise(name string) {
+	if f.raised == nil {
+		f.raised = map[string]int{}
+	}
+	f.raised[name]++
+}
+
+func (f *fresh) raiseOwn(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.raise(name)
+}
+
+// twins are the names under which two relays seem to send: each refuses the other's numbers, so that both begin anew again and again. One that
+// starts again does so once.
+func (f *fresh) twins(forget bool) (names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, times := range f.raised {
+		if times >= twinTimes {
+			names = append(names, name)
+		}
+	}
+	if forget {
+		f.raised = nil
+	}
+	slices.Sort(names)
+	return names
+}
+
 // sealAnswer seals part number part of an answer to the request with that tag; openAnswer takes it apart.
 func sealAnswer(key, requestTag []byte, part uint64, body []byte) []byte {
 	return append(tagOf(key, []byte("answer"), requestTag, binary.BigEndian.AppendUint64(nil, part), body), body...)
--- a/internal/accord/wire.go
+++ b/internal/accord/wire.go
@@ -248,10 +248,7 @@
 
 func decodeState(b []byte) (state, error) {
 	r := reader{b: b}
-	s := state{record: r.uint(), index: r.uint(), term: r.uint(), conf: r.bytes(), members: r.members(), machine: r.bytes()}
-	if r.err == nil && len(r.b) > 0 { // files of the first builds end before it
-		s.votersAt = r.uint()
-	}
+	s := state{record: r.uint(), index: r.uint(), term: r.uint(), conf: r.bytes(), members: r.members(), machine: r.bytes(), votersAt: r.uint()}
 	if err := r.end(); err != nil {
 		return s, err
 	}
