accord: one way to the leader for words, wishes and replacements

Need: three requests passed themselves on to the leader in three ways, a stream's refusal had a form of its own, three threads were alike. Change: atLeader passes a request on once, whatever it asks for; Replace is a newcomer's wish that was ordered; a refusal comes as a stream's first frame; each runs a ring's thread; the engine's log is the given one but for what ends the process or is too loud.

--- a/internal/accord/apply.go
+++ b/internal/accord/apply.go
@@ -267,3 +267,11 @@
 	}
 	w.done <- r
 }
+
+func (p *pending) failAll(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.byID {
+		p.end(w, result{err: err})
+	}
+}
--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -46,6 +46,10 @@
 	ordered         bool
 }
 
+func (w wish) encode() []byte {
+	return putBytes(putBytes(putBytes(put(nil, flag(w.ordered), w.id), w.old), w.name), w.addr)
+}
+
 // core is the engine of one voter: it takes messages, ticks, and that its work was written. It does no I/O and reads no clock.
 type core struct {
 	id        uint64
--- a/internal/accord/follow.go
+++ b/internal/accord/follow.go
@@ -166,7 +166,7 @@
 		n.mu.Lock()
 		n.followed = followed{}
 		n.mu.Unlock()
-		if errors.Is(err, errIdle) {
+		if errors.Is(err, errIdle) || errors.Is(err, errAgain) {
 			continue
 		}
 		if errors.Is(err, errHome) {
@@ -184,6 +184,7 @@
 
 var (
 	errIdle  = errors.New("not needed any more")
+	errAgain = errors.New("refused unread: it is sent again with the right numbers")
 	errHome  = errors.New("the voter that is this relay's by name is well again")
 	errAlone = errors.New("it hears no leader")
 )
@@ -196,43 +197,16 @@
 	defer cancel()
 	alive := time.AfterFunc(silence, cancel)
 	defer alive.Stop()
-	var rc *sent
-	for try := 0; ; try++ {
-		record, index, _ := n.ap.at()
-		var err error
-		if rc, err = n.caller.open(ctx, m.Name, m.Addr, kindFollow, put(nil, record, index)); err != nil {
-			return err
-		}
-		// A refusal is sealed as a whole answer, a stream as frames: the first four bytes of a frame are its length.
-		var head [4]byte
-		if _, err := io.ReadFull(rc, head[:]); err != nil {
-			rc.Close()
-			return err
-		}
-		if size := binary.BigEndian.Uint32(head[:]); size >= tagSize+1 && size <= frameMost {
-			rc.ReadCloser = struct {
-				io.Reader
-				io.Closer
-			}{io.MultiReader(bytes.NewReader(head[:]), rc.ReadCloser), rc.ReadCloser}
-			break
-		}
-		b, err := io.ReadAll(io.LimitReader(rc, 1<<10))
-		rc.Close()
-		if err != nil {
-			return err
-		}
-		if b, err = openAnswer(n.o.Keys[0], rc.tag, 0, append(head[:], b...)); err != nil {
-			return err
-		}
-		if !n.caller.learn(m.Name, rc, b) || try > 2 {
-			return fmt.Errorf("refused")
-		}
+	record, index, _ := n.ap.at()
+	s, err := n.caller.open(ctx, m.Name, m.Addr, kindFollow, put(nil, record, index))
+	if err != nil {
+		return err
 	}
-	defer rc.Close()
+	defer s.Close()
 	var alone time.Time
 	for part := uint64(0); ; part++ {
 		var head [4]byte
-		if _, err := io.ReadFull(rc, head[:]); err != nil {
+		if _, err := io.ReadFull(s, head[:]); err != nil {
 			return err
 		}
 		size := binary.BigEndian.Uint32(head[:])
@@ -242,13 +216,16 @@
 		if size > smallMost {
 			alive.Reset(snapMost)
 		}
-		b, err := readN(rc, int(size))
+		b, err := readN(s, int(size))
 		if err != nil {
 			return err
 		}
-		if b, err = openAnswer(n.o.Keys[0], rc.tag, part, b); err != nil || len(b) == 0 {
+		if b, err = openAnswer(n.o.Keys[0], s.tag, part, b); err != nil || len(b) == 0 {
 			return errTag
 		}
+		if part == 0 && n.caller.learn(m.Name, s, b) {
+			return errAgain
+		}
 		alive.Reset(silence)
 		n.mu.Lock()
 		n.followed.voter, n.followed.at = m.Name, time.Now()
@@ -489,19 +466,6 @@
 	}
 }
 
-// wish has the leader know that this relay is to be taken in.
-func (n *Node) wish(c change) {
-	body := append(c.encode(), 0)
-	for _, m := range n.toLeader() {
-		ctx, cancel := context.WithTimeout(n.ctx, time.Second)
-		b, err := n.caller.ask(ctx, m.Name, m.Addr, kindWish, body)
-		cancel()
-		if err == nil && b[0] == codeOK {
-			return
-		}
-	}
-}
-
 // toLeader is whom to ask for the leader: itself if it is known, then the voters.
 func (n *Node) toLeader() []member {
 	list := n.others()
@@ -510,38 +474,3 @@
 	}
 	return list
 }
-
-// hearWish takes a wish at the leader, or passes it on. Its last byte says how often that was done.
-func (n *Node) hearWish(ctx context.Context, body []byte) []byte {
-	if len(body) == 0 {
-		return refused(errShort)
-	}
-	hops := body[len(body)-1]
-	c, err := decodeChange(body[:len(body)-1])
-	if err != nil || c.name == "" || c.new == 0 {
-		return refused(errShort)
-	}
-	m, here, ok := n.leaderNow()
-	switch {
-	case here:
-		n.soon(func(e *engine) { e.c.wants(wish{old: c.name, name: c.name, addr: c.addr, id: c.new}) })
-		return []byte{codeOK}
-	case !ok || hops > 0:
-		return []byte{codeNoLeader}
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	b, err := n.caller.ask(ctx, m.Name, m.Addr, kindWish, append(bytes.Clone(body[:len(body)-1]), 1))
-	if err != nil {
-		return []byte{codeNoLeader}
-	}
-	return b
-}
-
-func (p *pending) failAll(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, w := range p.byID {
-		p.end(w, result{err: err})
-	}
-}
--- a/internal/accord/http.go
+++ b/internal/accord/http.go
@@ -28,7 +28,6 @@
 	kindHello   = 'h'
 	kindWish    = 'w'
 	kindFollow  = 'f'
-	kindReplace = 'c'
 )
 
 // How an answer begins.
@@ -50,6 +49,7 @@
 	requestsMost = 512 // served at a time, beside streams
 	streamsMost  = 1024
 	dialMost     = time.Second
+	passMost     = time.Second // of what is passed on to the leader and may be lost
 	readMost     = 10 * time.Second
 	batchMost    = 800 * time.Millisecond // for messages of the engine: what is late is worth nothing
 	snapMost     = 30 * time.Second
@@ -385,6 +385,9 @@
 	}
 	answer := func(b []byte) {
 		out := sealAnswer(req.key, req.tag, 0, b)
+		if req.kind == kindFollow { // its answer is frames
+			out = append(binary.BigEndian.AppendUint32(nil, uint32(len(out))), out...)
+		}
 		w.Header()["Date"] = nil
 		if _, err := w.Write(out); err != nil {
 			n.drop("answers")
@@ -457,8 +460,6 @@
 		return n.answerHello(req.from, req.body)
 	case kindWish:
 		return n.hearWish(ctx, req.body)
-	case kindReplace:
-		return n.hearOrder(ctx, req.body)
 	}
 	return refused(errShort)
 }
--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -164,9 +164,17 @@
 	n.wg.Go(n.supervise)
 	n.wg.Go(n.followThread)
 	n.wg.Go(n.sayThread)
-	n.wg.Go(n.heardThread)
-	n.wg.Go(n.toldThread)
-	n.wg.Go(n.ledThread)
+	each(n, n.heard, n.answer)
+	each(n, n.told, func(s saidWord) {
+		if o.Told != nil {
+			o.Told(s.from, s.word)
+		}
+	})
+	each(n, n.led, func(l ledNews) {
+		if o.Led != nil {
+			o.Led(l.leading, l.term)
+		}
+	})
 	n.wg.Go(func() {
 		if err := n.srv.Serve(&countedListener{ln, &n.bytesIn, &n.bytesOut}); !errors.Is(err, http.ErrServerClosed) {
 			n.log().WithField("error", err.Error()).Error("accord: the listener ended")
@@ -233,49 +241,31 @@
 	}
 }
 
-func (n *Node) ledThread() {
-	for {
-		select {
-		case <-n.quit:
-			return
-		case l := <-n.led:
-			if n.o.Led != nil {
-				n.o.Led(l.leading, l.term)
+// each hands what a ring brings to f, on a goroutine of its own.
+func each[T any](n *Node, ring <-chan T, f func(T)) {
+	n.wg.Go(func() {
+		for {
+			select {
+			case <-n.quit:
+				return
+			case v := <-ring:
+				f(v)
 			}
 		}
-	}
+	})
 }
 
-func (n *Node) heardThread() {
-	for {
-		select {
-		case <-n.quit:
-			return
-		case s := <-n.heard:
-			var answer []byte
-			if n.o.Heard != nil {
-				answer = n.o.Heard(s.from, s.word)
-			}
-			if len(answer) > AnswerMost {
-				n.drop("answersize")
-				answer = nil
-			}
-			s.back <- answer
-		}
+// answer has a word heard, and gives the answer to who waits for it.
+func (n *Node) answer(s saidWord) {
+	var a []byte
+	if n.o.Heard != nil {
+		a = n.o.Heard(s.from, s.word)
 	}
-}
-
-func (n *Node) toldThread() {
-	for {
-		select {
-		case <-n.quit:
-			return
-		case s := <-n.told:
-			if n.o.Told != nil {
-				n.o.Told(s.from, s.word)
-			}
-		}
+	if len(a) > AnswerMost {
+		n.drop("answersize")
+		a = nil
 	}
+	s.back <- a
 }
 
 // applyThread is the only one that calls the machine.
@@ -410,7 +400,7 @@
 			n.setRole(RoleWaiting)
 			if time.Since(wished) > wishEvery {
 				wished = time.Now()
-				n.wish(change{old: 0, new: id, name: n.o.Name, addr: n.ownAddr(ms)})
+				n.wish(wish{old: n.o.Name, name: n.o.Name, addr: n.ownAddr(ms), id: id})
 			}
 		}
 	}
@@ -903,19 +893,12 @@
 }
 
 // raftLog is where the engine's library writes. What it panics with ends the engine, never the process.
-type raftLog struct{ l logrus.FieldLogger }
-
-func (r raftLog) Debug(v ...any)            { r.l.Debug(v...) }
-func (r raftLog) Debugf(f string, v ...any) { r.l.Debugf("accord: "+f, v...) }
-func (r raftLog) Error(v ...any)            { r.l.Error(v...) }
-func (r raftLog) Errorf(f string, v ...any) { r.l.Errorf("accord: "+f, v...) }
-func (r raftLog) Info(v ...any)             { r.l.Debug(v...) }
-func (r raftLog) Infof(f string, v ...any)  { r.l.Debugf("accord: "+f, v...) }
-func (r raftLog) Warning(v ...any)          { r.l.Warn(v...) }
-func (r raftLog) Warningf(f string, v ...any) {
-	r.l.Debugf("accord: "+f, v...)
-}
-func (r raftLog) Fatal(v ...any)            { panic(fmt.Sprint(v...)) }
-func (r raftLog) Fatalf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
-func (r raftLog) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
-func (r raftLog) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
+type raftLog struct{ logrus.FieldLogger }
+
+func (r raftLog) Info(v ...any)               { r.Debug(v...) }
+func (r raftLog) Infof(f string, v ...any)    { r.Debugf(f, v...) }
+func (r raftLog) Warningf(f string, v ...any) { r.Debugf(f, v...) }
+func (r raftLog) Fatal(v ...any)              { panic(fmt.Sprint(v...)) }
+func (r raftLog) Fatalf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
+func (r raftLog) Panic(v ...any)              { panic(fmt.Sprint(v...)) }
+func (r raftLog) Panicf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
--- a/internal/accord/say.go
+++ b/internal/accord/say.go
@@ -62,7 +62,7 @@
 		}
 	}
 	for _, m := range list {
-		ctx, cancel := context.WithTimeout(n.ctx, sayEvery)
+		ctx, cancel := context.WithTimeout(n.ctx, passMost)
 		a, err := n.caller.ask(ctx, m.Name, m.Addr, kindSay, b)
 		cancel()
 		if err == nil && a[0] == codeOK {
@@ -129,34 +129,37 @@
 }
 
 func (n *Node) hearSaid(ctx context.Context, body []byte) []byte {
+	return n.atLeader(ctx, kindSay, body, func(r reader) []byte {
+		from, words := r.string(), r.list(saidMost)
+		if err := r.end(); err != nil {
+			return refused(err)
+		}
+		return putList(putBytes([]byte{codeOK}, n.o.Name), n.hear(ctx, from, words))
+	})
+}
+
+// atLeader has the leader do what a request asks for: here, or by passing it on, once. A body begins with how often that was done.
+func (n *Node) atLeader(ctx context.Context, kind byte, body []byte, here func(reader) []byte) []byte {
 	r := reader{b: body}
-	hops, from, words := r.uint(), r.string(), r.list(saidMost)
-	if err := r.end(); err != nil {
-		return refused(err)
-	}
-	m, here, ok := n.leaderNow()
+	hops := r.uint()
+	m, leads, known := n.leaderNow()
 	switch {
-	case here:
-		return putList(putBytes([]byte{codeOK}, n.o.Name), n.hear(ctx, from, words))
-	case !ok || hops > 0:
+	case r.err != nil:
+		return refused(r.err)
+	case leads:
+		return here(r)
+	case !known || hops > 0:
 		return []byte{codeNoLeader}
 	}
-	ctx, cancel := context.WithTimeout(ctx, sayEvery)
+	ctx, cancel := context.WithTimeout(ctx, passMost)
 	defer cancel()
-	_, n0 := uvarint(body)
-	b, err := n.caller.ask(ctx, m.Name, m.Addr, kindSay, append(put(nil, hops+1), body[n0:]...))
+	b, err := n.caller.ask(ctx, m.Name, m.Addr, kind, append(put(nil, hops+1), r.b...))
 	if err != nil {
 		return []byte{codeNoLeader}
 	}
 	return b
 }
 
-func uvarint(b []byte) (uint64, int) {
-	r := reader{b: b}
-	v := r.uint()
-	return v, len(b) - len(r.b)
-}
-
 // replace asks the leader for a change of voters and waits until the record here has it.
 func (n *Node) replace(ctx context.Context, old, new, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, ProposeMost)
@@ -183,8 +186,8 @@
 			return fmt.Errorf("accord: %s has no identity yet", new)
 		}
 	}
-	body := putBytes(putBytes(putBytes(put(nil, 0, identity), old), new), address)
-	if err := n.order(ctx, body); err != nil {
+	w := wish{old: old, name: new, addr: address, id: identity, ordered: true}
+	if err := n.order(ctx, append(put(nil, 0), w.encode()...)); err != nil {
 		return err
 	}
 	for {
@@ -206,7 +209,7 @@
 	for {
 		var list []member
 		if m, here, ok := n.leaderNow(); here {
-			a := n.hearOrder(ctx, body)
+			a := n.hearWish(ctx, body)
 			if a[0] == codeOK {
 				return nil
 			}
@@ -215,7 +218,7 @@
 			list = append(list, m)
 		}
 		for _, m := range append(list, n.others()...) {
-			a, err := n.caller.ask(ctx, m.Name, m.Addr, kindReplace, body)
+			a, err := n.caller.ask(ctx, m.Name, m.Addr, kindWish, body)
 			switch {
 			case errors.Is(err, errUnsent):
 			case err != nil:
@@ -236,20 +239,31 @@
 	}
 }
 
-// hearOrder takes a change of voters at the leader, if it is allowed now, or passes it on.
-func (n *Node) hearOrder(ctx context.Context, body []byte) []byte {
-	r := reader{b: body}
-	hops := r.uint()
-	w := wish{ordered: true, id: r.uint(), old: r.string(), name: r.string(), addr: r.string()}
-	if err := r.end(); err != nil || w.id == 0 || w.name == "" {
-		return refused(errShort)
+// wish has the leader know that this relay is to be taken in.
+func (n *Node) wish(w wish) {
+	for _, m := range n.toLeader() {
+		ctx, cancel := context.WithTimeout(n.ctx, passMost)
+		b, err := n.caller.ask(ctx, m.Name, m.Addr, kindWish, append(put(nil, 0), w.encode()...))
+		cancel()
+		if err == nil && b[0] == codeOK {
+			return
+		}
 	}
-	m, here, ok := n.leaderNow()
-	switch {
-	case here:
+}
+
+// hearWish takes a change of voters at the leader. One that was ordered is refused if it is not allowed now; a newcomer's waits.
+func (n *Node) hearWish(ctx context.Context, body []byte) []byte {
+	return n.atLeader(ctx, kindWish, body, func(r reader) []byte {
+		w := wish{ordered: r.uint() == 1, id: r.uint(), old: r.string(), name: r.string(), addr: r.string()}
+		if r.end() != nil || w.id == 0 || w.name == "" {
+			return refused(errShort)
+		}
 		done := make(chan error, 1)
 		n.later(func(e *engine) {
-			_, err := e.c.allowed(w)
+			var err error
+			if w.ordered {
+				_, err = e.c.allowed(w)
+			}
 			if err == nil {
 				e.c.wants(w)
 			}
@@ -265,13 +279,5 @@
 		case <-n.quit:
 		}
 		return []byte{codeNoLeader}
-	case !ok || hops > 0:
-		return []byte{codeNoLeader}
-	}
-	_, n0 := uvarint(body)
-	b, err := n.caller.ask(ctx, m.Name, m.Addr, kindReplace, append(put(nil, hops+1), body[n0:]...))
-	if err != nil {
-		return []byte{codeNoLeader}
-	}
-	return b
+	})
 }
