--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	twinEvery  = 5 * time.Second
 	lookEvery  = 200 * time.Millisecond // the supervisor's
 	wishEvery  = time.Second
 	sayEvery   = time.Second
@@ -70,6 +71,7 @@
 	diskSays  string
 	engSays   string
 	taken     string
+	twins     []string
 	role      string
 	bound     uint64 // the record that a founder is about to begin with this relay
 	boundAt   time.Time
@@ -162,9 +164,17 @@
 	n.wg.Go(n.supervise)
 	n.wg.Go(n.followThread)
 	n.wg.Go(n.sayThread)
-	n.wg.Go(n.heardThread)
-	n.wg.Go(n.toldThread)
-	n.wg.Go(n.ledThread)
+	each(n, n.heard, n.answer)
+	each(n, n.told, func(s saidWord) {
+		if o.Told != nil {
+			o.Told(s.from, s.word)
+		}
+	})
+	each(n, n.led, func(l ledNews) {
+		if o.Led != nil {
+			o.Led(l.leading, l.term)
+		}
+	})
 	n.wg.Go(func() {
 		if err := n.srv.Serve(&countedListener{ln, &n.bytesIn, &n.bytesOut}); !errors.Is(err, http.ErrServerClosed) {
 			n.log().WithField("error", err.Error()).Error("accord: the listener ended")
@@ -231,49 +241,31 @@
 	}
 }
 
-func (n *Node) ledThread() {
-	for {
-		select {
-		case <-n.quit:
-			return
-		case l := <-n.led:
-			if n.o.Led != nil {
-				n.o.Led(l.leading, l.term)
+// each hands what a ring brings to f, on a goroutine of its own.
+func each[T any](n *Node, ring <-chan T, f func(T)) {
+	n.wg.Go(func() {
+		for {
+			select {
+			case <-n.quit:
+				return
+			case v := <-ring:
+				f(v)
 			}
 		}
-	}
+	})
 }
 
-func (n *Node) heardThread() {
-	for {
-		select {
-		case <-n.quit:
-			return
-		case s := <-n.heard:
-			var answer []byte
-			if n.o.Heard != nil {
-				answer = n.o.Heard(s.from, s.word)
-			}
-			if len(answer) > AnswerMost {
-				n.drop("answersize")
-				answer = nil
-			}
-			s.back <- answer
-		}
+// answer has a word heard, and gives the answer to who waits for it.
+func (n *Node) answer(s saidWord) {
+	var a []byte
+	if n.o.Heard != nil {
+		a = n.o.Heard(s.from, s.word)
 	}
-}
-
-func (n *Node) toldThread() {
-	for {
-		select {
-		case <-n.quit:
-			return
-		case s := <-n.told:
-			if n.o.Told != nil {
-				n.o.Told(s.from, s.word)
-			}
-		}
+	if len(a) > AnswerMost {
+		n.drop("answersize")
+		a = nil
 	}
+	s.back <- a
 }
 
 // applyThread is the only one that calls the machine.
@@ -352,6 +344,7 @@
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	var wished, opened time.Time
+	twinsAt := time.Now()
 	for {
 		e := n.engine()
 		var ended <-chan struct{}
@@ -367,6 +360,9 @@
 		case <-look.C:
 		}
 		n.watchMajority()
+		if n.watchTwins(time.Since(twinsAt) > twinEvery) {
+			twinsAt = time.Now()
+		}
 		if e != nil {
 			continue
 		}
@@ -404,7 +400,7 @@
 			n.setRole(RoleWaiting)
 			if time.Since(wished) > wishEvery {
 				wished = time.Now()
-				n.wish(change{old: 0, new: id, name: n.o.Name, addr: n.ownAddr(ms)})
+				n.wish(wish{old: n.o.Name, name: n.o.Name, addr: n.ownAddr(ms), id: id})
 			}
 		}
 	}
@@ -831,6 +827,23 @@
 	}
 }
 
+// watchTwins notes which names two relays seem to send under, at once; at the end of a while, which do no longer.
+func (n *Node) watchTwins(ends bool) bool {
+	names := n.fresh.twins(ends)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range names {
+		if !slices.Contains(n.twins, name) {
+			n.twins = append(n.twins, name)
+			n.log().WithField("relay", name).Error("accord: two relays seem to have this name, or one starts over and over")
+		}
+	}
+	if ends {
+		n.twins = names
+	}
+	return ends
+}
+
 func (n *Node) status() Status {
 	n.watchMajority()
 	s := Status{Name: n.o.Name, Voters: map[string]string{}, BytesIn: n.bytesIn.Load(), BytesOut: n.bytesOut.Load(),
@@ -849,7 +862,7 @@
 	defer n.mu.Unlock()
 	s.Role, s.Identity, s.Majority, s.Since, s.Disk, s.Engine, s.Taken = n.role, n.identity, n.majority, n.since, n.diskSays, n.engSays, n.taken
 	s.Committed = n.followed.committed
-	s.Follows = n.followed.voter
+	s.Follows, s.Twins = n.followed.voter, slices.Clone(n.twins)
 	if e != nil {
 		v := e.view.Load()
 		s.Term, s.Committed, s.LogFirst, s.LogLast, s.SnapshotIndex, s.SnapshotBytes = v.term, v.committed, v.first, v.last, v.snapIndex, v.snapBytes
@@ -880,19 +893,12 @@
 }
 
 // raftLog is where the engine's library writes. What it panics with ends the engine, never the process.
-type raftLog struct{ l logrus.FieldLogger }
-
-func (r raftLog) Debug(v ...any)            { r.l.Debug(v...) }
-func (r raftLog) Debugf(f string, v ...any) { r.l.Debugf("accord: "+f, v...) }
-func (r raftLog) Error(v ...any)            { r.l.Error(v...) }
-func (r raftLog) Errorf(f string, v ...any) { r.l.Errorf("accord: "+f, v...) }
-func (r raftLog) Info(v ...any)             { r.l.Debug(v...) }
-func (r raftLog) Infof(f string, v ...any)  { r.l.Debugf("accord: "+f, v...) }
-func (r raftLog) Warning(v ...any)          { r.l.Warn(v...) }
-func (r raftLog) Warningf(f string, v ...any) {
-	r.l.Debugf("accord: "+f, v...)
-}
-func (r raftLog) Fatal(v ...any)            { panic(fmt.Sprint(v...)) }
-func (r raftLog) Fatalf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
-func (r raftLog) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
-func (r raftLog) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
+type raftLog struct{ logrus.FieldLogger }
+
+func (r raftLog) Info(v ...any)               { r.Debug(v...) }
+func (r raftLog) Infof(f string, v ...any)    { r.Debugf(f, v...) }
+func (r raftLog) Warningf(f string, v ...any) { r.Debugf(f, v...) }
+func (r raftLog) Fatal(v ...any)              { panic(fmt.Sprint(v...)) }
+func (r raftLog) Fatalf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
+func (r raftLog) Panic(v ...any)              { panic(fmt.Sprint(v...)) }
+func (r raftLog) Panicf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
