--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -13,6 +15,14 @@
 	"dahliarudder/internal/rollout"
 )
 
+// seeds is how many seeds a test plays: a few in CI, as many as FLEET_SEEDS says by hand.
+func seeds(few uint64) uint64 {
+	if n, err := strconv.ParseUint(os.Getenv("FLEET_SEEDS"), 10, 64); err == nil {
+		return n
+	}
+	return few
+}
+
 // model is a fleet in virtual time, without sockets: relays with a record, a loop and a ledger each, one that leads, words and answers that are late
 // and get lost. What is planted is in hands; everything else that is claimed is false.
 type model struct {
@@ -365,7 +375,7 @@
 	} {
 		t.Run(k.item+" "+k.state.String(), func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(3) {
+			for seed := range seeds(3) {
 				m := settled(t, seed, 5)
 				r := m.relays[3]
 				key := r.name + " " + k.item
@@ -373,6 +383,7 @@
 				k.plant(m, r)
 				m.play(3000, nil)
 				m.leads(m.relays[1])
+				clear(m.found)
 				from := m.now
 				found := m.play(180_000, func() bool { return m.found[key] })
 				m.sound("planted")
@@ -385,7 +396,7 @@
 					r.refuses, r.own["settings"] = false, "new"
 				}
 				m.begin(r)
-				if !m.play(120_000, func() bool { return m.helm.watch.Clear(r.name) }) {
+				if !m.play(120_000, func() bool { return m.helm.watch.Clear(r.name) && m.helm.watch.State(r.name, k.item) == drift.InStep }) {
 					t.Fatalf("seed %d: mended, yet %+v", seed, m.helm.watch.Rows())
 				}
 				delete(m.planted, key)
@@ -399,7 +410,7 @@
 // TestModelRelease: while a release of program and configuration runs over all relays, under two leaders and a list that changes twice a second, nothing
 // is found, nothing holds it up, and then the new thing is meant; on the way back what was before. Guards against a release that is taken for drift.
 func TestModelRelease(t *testing.T) {
-	for seed := range uint64(4) {
+	for seed := range seeds(4) {
 		m := settled(t, seed, 7)
 		m.blocks = 0
 		m.release("r", rollout.Wish{Kind: rollout.KindRelay, All: true, Program: "p2", Config: "c2"})
@@ -472,7 +483,7 @@
 
 // TestModelLists: discovery begins anew at a lower generation, and one relay alone claims a high one. Only that one is shown.
 func TestModelLists(t *testing.T) {
-	for seed := range uint64(4) {
+	for seed := range seeds(4) {
 		m := settled(t, seed, 6)
 		for i := range 60 {
 			m.discover([]uint64{3, m.list + 1}[min(i, 1)])
@@ -540,7 +551,7 @@
 // TestModelTakeOut: half of the fleet drifts, and two may be out. Never are more, by what the relays do, under two leaders and while a release restarts
 // all of them, which mends them; who is mended takes clients again, and all do once the setting is gone.
 func TestModelTakeOut(t *testing.T) {
-	for seed := range uint64(4) {
+	for seed := range seeds(4) {
 		m := settled(t, seed, 8)
 		m.takeOut = true
 		most, sum := 0, 0
