--- a/internal/fleet/helm.go
+++ b/internal/fleet/helm.go
@@ -86,12 +86,18 @@
 // intend tells the watch what is agreed for a relay.
 func (h *helm) intend(now int64, relay string) {
 	items := h.items(now, relay)
-	if x := h.scene.words[relay]; x != nil && x.list.anew {
+	x := h.scene.words[relay]
+	if x != nil && !x.list.anew && slices.Equal(items, x.intended) {
+		return
+	}
+	if x != nil && x.list.anew {
 		if x.list.anew = false; h.watch.State(relay, drift.List) < drift.Late {
 			h.watch.Intend(now, relay, slices.DeleteFunc(slices.Clone(items), func(i drift.Item) bool { return i.Name == drift.List }))
 		}
 	}
-	h.watch.Intend(now, relay, items)
+	if h.watch.Intend(now, relay, items); x != nil {
+		x.intended = items
+	}
 }
 
 // items are those that a relay is held to: what the record says, of what it tells anything of. One that is of an older program tells less.
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -26,7 +26,7 @@
 // model is a fleet in virtual time, without sockets: relays with a record, a loop and a ledger each, one that leads, words and answers that are late
 // and get lost. What is planted is in hands; everything else that is claimed is false.
 type model struct {
-	t       *testing.T
+	t       testing.TB
 	rng     *rand.Rand
 	now     int64
 	log     [][]byte
@@ -60,7 +60,7 @@
 	leaving                     bool
 }
 
-func newModel(t *testing.T, seed uint64, n int) *model {
+func newModel(t testing.TB, seed uint64, n int) *model {
 	m := &model{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1_700_000_000_000, wire: map[int64][]func(){}, list: 500, planted: map[string]drift.State{},
 		found: map[string]bool{}}
 	c := Config{Listen: "127.0.0.1:1", Calls: "127.0.0.1:2", Voters: map[string]string{"n0": "127.0.0.1:1"}}
@@ -617,3 +617,33 @@
 		}
 	}
 }
+
+// BenchmarkLook is the leader's look at 300 relays with ten sections each; every fifth of a second there is one. BenchmarkWord is one word heard.
+func BenchmarkLook(b *testing.B) { benchmark(b, func(m *model) { m.helm.look(m.now, &m.view) }) }
+
+func BenchmarkWord(b *testing.B) {
+	var text []byte
+	benchmark(b, func(m *model) {
+		r := m.relays[7]
+		if text == nil {
+			m.own.Members = nil
+			text, _ = json.Marshal(m.helm.scene.words[r.name].word)
+			b.ReportMetric(float64(len(text)), "bytes")
+		}
+		w, _ := decodeWord(text)
+		m.helm.hear(m.now, r.name, w)
+	})
+}
+
+func benchmark(b *testing.B, do func(*model)) {
+	m := newModel(b, 1, 300)
+	for _, r := range m.relays {
+		for i := range 8 {
+			r.own[fmt.Sprint("section", i)] = "1f2e3d4c"
+		}
+	}
+	m.play(20_000, nil)
+	for b.Loop() {
+		do(m)
+	}
+}
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"strconv"
 	"sync"
 
 	"dahliarudder/internal/canary"
@@ -170,8 +171,10 @@
 		return 0
 	}
 	h := fnv.New64a()
+	var b []byte
 	for _, n := range names {
-		fmt.Fprintf(h, "%d:%s", len(n), n)
+		b = append(append(strconv.AppendInt(b[:0], int64(len(n)), 10), ':'), n...)
+		h.Write(b)
 	}
 	return cmp.Or(h.Sum64(), 1)
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"dahliarudder/internal/drift"
 	"dahliarudder/internal/rollout"
 )
 
@@ -56,6 +57,8 @@
 	at    int64
 	tried map[string]*trial
 	list  listed
+
+	intended []drift.Item // what the watch holds it to
 }
 
 // trial counts how attempts at a member went lately, by one relay.
