--- a/internal/fleet/ledger.go
+++ b/internal/fleet/ledger.go
@@ -9,10 +9,13 @@
 	"dahliarudder/internal/rollout"
 )
 
-// ledger keeps this relay's book: what its loop really goes by, as its Look has it, not what it was told. No I/O.
+// ledger is what a relay says of itself, its book kept: what its loop really goes by, as its Look has it, not what it was told. No I/O.
 type ledger struct {
-	relay    string
+	relay, zone, program, settings string
+	start                          uint64
+
 	book     *drift.Book
+	before   Look // as last said
 	refused  map[string]refusedClaim
 	sections map[string]bool // in the book
 }
@@ -23,12 +26,35 @@
 	why     string
 }
 
-func newLedger(relay string, start uint64) *ledger {
-	g := &ledger{relay: relay, book: drift.NewBook(relay, start), refused: map[string]refusedClaim{}, sections: map[string]bool{}}
+func newLedger(o *Options) *ledger {
+	g := &ledger{relay: o.Name, zone: o.Zone, program: o.Program, settings: o.Settings, start: o.Start, book: drift.NewBook(o.Name, o.Start),
+		refused: map[string]refusedClaim{}, sections: map[string]bool{}}
 	g.book.Count(drift.Bans, drift.KindOut, 0, 0) // so that the first time is seen to be one
 	return g
 }
 
+// word is what to say now.
+func (g *ledger) word(now int64, l Look, r *Record, voters drift.Item) word {
+	w := word{Start: g.start, Zone: g.zone, Phase: l.Phase, Program: g.program, Config: g.settings, Follows: l.Follows, List: l.List,
+		Flows: l.Flows, Asked: l.Asked, Served: l.Served, Local: l.Local, Weighs: l.Weighs, Counts: l.Counts, Shut: l.Shut}
+	last := map[string]Pooled{}
+	for _, m := range g.before.Members {
+		last[m.Name] = m
+	}
+	for _, m := range l.Members {
+		if b, known := last[m.Name]; m.Flows > 0 || !known && m.Good+m.Bad > 0 || m.Good != b.Good || m.Bad != b.Bad {
+			w.Members = append(w.Members, sight{m.Name, m.Flows, m.Capacity, m.Good, m.Bad})
+		}
+	}
+	w.Sections, w.Refused = sectionsOf(l, g.settings), slices.Sorted(maps.Keys(l.Refused))
+	w.Refused = slices.DeleteFunc(w.Refused, func(n string) bool { return len(n) > drift.NameMost })
+	w.Refused = w.Refused[:min(len(w.Refused), meantMost)]
+	w.Tells = g.keep(now, l, r, w.Sections, voters)
+	w.Drift = g.book.Word(now).Encode()
+	g.before = l
+	return w
+}
+
 // sectionsOf are those of a look, as far as they can be told. Whole stands for all where they are not known apart.
 func sectionsOf(l Look, whole string) map[string]string {
 	all := l.Sections
@@ -45,7 +71,7 @@
 }
 
 // keep notes what the relay runs now. It returns the groups of which it tells anything: it is held to these alone.
-func (g *ledger) keep(now int64, l, before Look, r *Record, program string, sections map[string]string, voters drift.Item) (tells []string) {
+func (g *ledger) keep(now int64, l Look, r *Record, sections map[string]string, voters drift.Item) (tells []string) {
 	r.mu.RLock()
 	h, in := r.held, r.intent
 	bans, drains := split(r.rollout.Orders(g.relay).Out)
@@ -56,7 +82,7 @@
 	r.mu.RUnlock()
 
 	g.members(now, l, h, bans, drains)
-	if n := l.Astray - before.Astray; n > 0 {
+	if n := l.Astray - g.before.Astray; n > 0 {
 		g.book.Count(drift.Bans, drift.KindOut, n, n)
 	}
 	tells = []string{drift.Bans, drift.Drains}
@@ -66,8 +92,8 @@
 		}
 		return yes
 	}
-	if told(drift.Program, meanable(drift.Program, program) == "") {
-		g.runs(now, l, in, out, drift.Program, program)
+	if told(drift.Program, meanable(drift.Program, g.program) == "") {
+		g.runs(now, l, in, out, drift.Program, g.program)
 	}
 	told(drift.Config, true)
 	for name := range g.sections {
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -83,7 +83,7 @@
 
 // Start begins. What the engine cannot do with its directory is no error: it says so in its status.
 func Start(o Options) (*Service, error) {
-	s := &Service{Options: o, record: NewRecord(), quit: make(chan struct{}), ledger: newLedger(o.Name, o.Start), fails: map[string]int{}}
+	s := &Service{Options: o, record: NewRecord(), quit: make(chan struct{}), ledger: newLedger(&o), fails: map[string]int{}}
 	s.helm = newHelm(s.record)
 	if o.Dir == "" {
 		o.Log.Warn("fleet: what is agreed is kept in memory alone; if all voters end at once, releases, drains and bans are forgotten")
@@ -161,24 +161,8 @@
 func (s *Service) say(l Look) {
 	now := s.now()
 	s.mu.Lock()
-	before := s.look
 	s.look = l
-	w := word{Start: s.Start, Zone: s.Zone, Phase: l.Phase, Program: s.Program, Config: s.Settings, Follows: l.Follows, List: l.List,
-		Flows: l.Flows, Asked: l.Asked, Served: l.Served, Local: l.Local, Weighs: l.Weighs, Counts: l.Counts}
-	last := map[string]Pooled{}
-	for _, m := range before.Members {
-		last[m.Name] = m
-	}
-	for _, m := range l.Members {
-		if b, known := last[m.Name]; m.Flows > 0 || !known && m.Good+m.Bad > 0 || m.Good != b.Good || m.Bad != b.Bad {
-			w.Members = append(w.Members, sight{m.Name, m.Flows, m.Capacity, m.Good, m.Bad})
-		}
-	}
-	w.Sections, w.Refused, w.Shut = sectionsOf(l, s.Settings), slices.Sorted(maps.Keys(l.Refused)), l.Shut
-	w.Refused = slices.DeleteFunc(w.Refused, func(n string) bool { return len(n) > drift.NameMost })
-	w.Refused = w.Refused[:min(len(w.Refused), meantMost)]
-	w.Tells = s.ledger.keep(now, l, before, s.record, s.Program, w.Sections, votersOf(s.node.Status()))
-	w.Drift = s.ledger.book.Word(now).Encode()
+	w := s.ledger.word(now, l, s.record, votersOf(s.node.Status()))
 	text, err := json.Marshal(w)
 	s.said += len(text)
 	s.mu.Unlock()
