A relay whose peers' TCP port is taken still tells and hears by datagrams

Cause: the service gave its datagram socket back when the TCP door at the same address could not be had, and tried both again. Until then the relay served, was not known to any other, and heard no note, no pause of a canary either: in TestFleetMany the relay whose port was taken stayed at its weight; where it was the one that the pause was told to, all others did.

Change: the socket is kept, the door alone is tried again. Without the door a relay can be thought to be gone while it is silent, as before, but it is not silent.

--- a/integration/peers_test.go
+++ b/integration/peers_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -260,6 +261,29 @@
 	c.allAlive()
 }
 
+// TestPeersNoDoor: somebody else has a relay's TCP port, its datagrams are free. It is among the others all the same, and has its door once the port
+// is given back. Guards against a relay that serves and hears nothing, no pause of a canary either.
+func TestPeersNoDoor(t *testing.T) {
+	c := newCircle(t, 2, false)
+	c.allAlive()
+	c.relays[1].stop()
+	other, err := net.Listen("tcp", c.addrs[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	c.start(1)
+	c.allAlive()
+	other.Close()
+	until(t, "the door", func() bool {
+		d, err := net.Dial("tcp", c.addrs[1])
+		if err == nil {
+			d.Close()
+		}
+		return err == nil
+	})
+}
+
 // TestPeersSeen: what one relay sees of its members reaches the others.
 func TestPeersSeen(t *testing.T) {
 	c := newCircle(t, 2, false)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -89,24 +89,27 @@
 	}
 }
 
+// listen takes the address, and tries again what cannot be had. Datagrams do not wait for the door: without it, this relay can only be thought to
+// be gone while it is silent; without them it neither tells nor hears.
 func (s *Service) listen() {
+	if s.closed {
+		return
+	}
 	var err error
-	if s.sock, err = s.Loop.Datagrams(s.Listen, s.heard); err == nil {
+	if s.sock == nil {
+		if s.sock, err = s.Loop.Datagrams(s.Listen, s.heard); err == nil {
+			s.Log.WithField("listen", s.sock.Addr()).Info("peers")
+			s.say()
+			s.due()
+		}
+	}
+	if err == nil {
 		s.door, err = s.Loop.ListenApart(s.Listen, doorMost, func(c *netloop.Conn) { c.Handle(shut{}); c.Finish() })
 	}
 	if err != nil {
-		s.Log.WithError(err).Warn("peers: the address cannot be had yet")
-		s.sock.Close()
-		s.Loop.After(retryEvery, func() {
-			if !s.closed {
-				s.listen()
-			}
-		})
-		return
+		s.Log.WithError(err).WithField("datagrams", s.sock != nil).Warn("peers: the address cannot be had yet")
+		s.Loop.After(retryEvery, s.listen)
 	}
-	s.Log.WithField("listen", s.sock.Addr()).Info("peers")
-	s.say()
-	s.due()
 }
 
 // say tells of this relay, and the module of how many there are.
