A note that is too long leaves out the least, and never the pause

Need: a relay passed on all its notices or, above 400 bytes, none: it kept the note from before. Of a canary with a long name (128 bytes may be), a weight, a lower one and a pause are more than that (529 bytes), as are notices of releases that a relay does not know: the pause did not go round, without a word.

Change: Holder.Note puts pauses first and takes what fits. Characters that need no escape in JSON are not escaped.

Result: TestNotePauses, with 66 notices and a name of 128 bytes: within the bound, the pause first.

--- a/cmd/dahliarudder/trial.go
+++ b/cmd/dahliarudder/trial.go
@@ -84,13 +84,7 @@
 // weigh has the module go by the weights of now, and tells the other relays what was heard of pauses.
 func (t *trial) weigh() {
 	use := t.holder.Weights(t.now())
-	note := []byte(nil)
-	if list := t.holder.Notices(); len(list) > 0 {
-		note, _ = json.Marshal(list)
-	}
-	if len(note) <= peers.NoteMost {
-		t.r.peers.Carry(note)
-	}
+	t.r.peers.Carry(t.holder.Note(peers.NoteMost))
 	if reflect.DeepEqual(use, t.use) {
 		return
 	}
--- a/internal/canary/holder.go
+++ b/internal/canary/holder.go
@@ -1,7 +1,9 @@
 package canary
 
 import (
+	"bytes"
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 )
@@ -160,6 +162,39 @@
 	return list
 }
 
+// Note is as many of the notices as most bytes hold, as JSON: pauses first, then what is lower than others may know, then what is agreed,
+// which the record tells too. Empty without any. Whatever else there is to tell, and however long the names are, a pause goes round.
+func (h *Holder) Note(most int) []byte {
+	list := h.Notices()
+	rank := func(n Notice) int {
+		switch known := h.find(h.agreed, n.Release); {
+		case n.Pause && known != nil:
+			return 0
+		case n.Pause:
+			return 1
+		case known == nil || n.Epoch != known.Epoch || n.Number != known.Number:
+			return 2
+		}
+		return 3
+	}
+	slices.SortStableFunc(list, func(x, y Notice) int { return cmp.Compare(rank(x), rank(y)) })
+	note := []byte(nil)
+	for _, n := range list {
+		var one bytes.Buffer
+		e := json.NewEncoder(&one)
+		e.SetEscapeHTML(false)
+		if e.Encode(n) != nil || len(note)+one.Len()+1 > most { // with a bracket or a comma before it, and the last bracket for its newline
+			continue
+		}
+		note = append(append(note, ','), bytes.TrimSuffix(one.Bytes(), []byte("\n"))...)
+	}
+	if len(note) > 0 {
+		note[0] = '['
+		note = append(note, ']')
+	}
+	return note
+}
+
 // Weights is what this relay is to use now, by name of the release.
 func (h *Holder) Weights(now int64) []Weight {
 	list := slices.Clone(h.agreed)
--- a/internal/canary/holder_test.go
+++ b/internal/canary/holder_test.go
@@ -1,8 +1,10 @@
 package canary
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 )
 
@@ -223,3 +225,31 @@
 	}
 	t.Logf("the slowest of 100 took %d rounds of a tenth of a second", slowest)
 }
+
+// A pause has a place in what goes round, whatever else this relay has heard and however long the names are: a note that is too long is not
+// carried at all, and the canary goes on elsewhere.
+func TestNotePauses(t *testing.T) {
+	const most = 400 // a note's, as peers have it
+	name := strings.Repeat("<", 128)
+	h := NewHolder(cutMS)
+	h.Agreed(0, 1, []Weight{{Release: name, PerMille: 300, Epoch: 7, Number: 12}})
+	h.Heard(Notice{Release: name, PerMille: 100, Epoch: 7, Number: 13})
+	for i := range NoticesMost {
+		h.Heard(Notice{Release: fmt.Sprintf("a%d", i), Pause: i%2 == 0, Epoch: 8, Number: 1})
+	}
+	h.Pause(name)
+	if all, _ := json.Marshal(h.Notices()); len(all) <= most {
+		t.Fatalf("%d bytes: nothing is left out", len(all))
+	}
+	note := h.Note(most)
+	var list []Notice
+	if err := json.Unmarshal(note, &list); err != nil || len(note) > most {
+		t.Fatalf("%d bytes, %v: %s", len(note), err, note)
+	}
+	if len(list) < 2 || list[0] != (Notice{Release: name, Pause: true, Epoch: 7}) {
+		t.Errorf("%s", note)
+	}
+	if empty := NewHolder(cutMS).Note(most); empty != nil {
+		t.Errorf("nothing to tell is %q", empty)
+	}
+}
