--- a/integration/peers_test.go
+++ b/integration/peers_test.go
@@ -31,22 +31,12 @@
 
 const circleKey = "a key of this installation, 32 characters and more"
 
-// freePort is an address of the loopback that nobody listens at now.
-func freePort(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func newCircle(t testing.TB, n int, linked bool) *circle {
 	c := &circle{t: t}
 	d := newDiscovery(t)
 	c.d = d
 	for range n {
-		c.addrs = append(c.addrs, freePort(t))
+		c.addrs = append(c.addrs, ownPort(t))
 	}
 	for i := range n {
 		reach := map[string]string{}
@@ -255,7 +245,7 @@
 		t.Fatal(err)
 	}
 	path := filepath.Join(t.TempDir(), "config.json")
-	write(t, path, strings.Replace(string(text), c.addrs[2], freePort(t), 1))
+	write(t, path, strings.Replace(string(text), c.addrs[2], ownPort(t), 1))
 	write(t, filepath.Join(filepath.Dir(path), "key"), circleKey+"\n")
 	second := start(t, path, 2)
 	until(t, "the clash to be counted", func() bool {
@@ -271,6 +261,29 @@
 	c.allAlive()
 }
 
+// TestPeersNoDoor: somebody else has a relay's TCP port, its datagrams are free. It is among the others all the same, and has its door once the port
+// is given back. Guards against a relay that serves and hears nothing, no pause of a canary either.
+func TestPeersNoDoor(t *testing.T) {
+	c := newCircle(t, 2, false)
+	c.allAlive()
+	c.relays[1].stop()
+	other, err := net.Listen("tcp", c.addrs[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	c.start(1)
+	c.allAlive()
+	other.Close()
+	until(t, "the door", func() bool {
+		d, err := net.Dial("tcp", c.addrs[1])
+		if err == nil {
+			d.Close()
+		}
+		return err == nil
+	})
+}
+
 // TestPeersSeen: what one relay sees of its members reaches the others.
 func TestPeersSeen(t *testing.T) {
 	c := newCircle(t, 2, false)
