accord: the test of an emptied directory waits until the change of voters is over

It failed once beside heavy load: the leader was ended between the joint configuration and its end, when the emptied directory still counts as a voter that is lost, so two of three were. That is as the design says (two losses); the test did not wait for it.

--- a/internal/accord/fault_test.go
+++ b/internal/accord/fault_test.go
@@ -290,6 +290,15 @@
 			return s.Identity != id && (s.Role == RoleVoter || s.Role == RoleLeader)
 		})
 		f.wait("all know", func() bool { return f.nodes["v0"].ap.membersNow().named("v2") == f.nodes["v2"].Status().Identity })
+		// While the change is under way the emptied directory counts as lost, and one more would be a majority.
+		f.wait("it is over", func() bool {
+			for _, n := range f.nodes {
+				if e := n.engine(); e == nil || e.view.Load().joint {
+					return false
+				}
+			}
+			return true
+		})
 		f.down("v1")
 		f.propose("v2", "c") // its vote is needed
 		f.up("v1")
