--- a/internal/rollout/apply.go
+++ b/internal/rollout/apply.go
@@ -351,9 +351,13 @@
 			r := &d.Releases[i]
 			for j := range r.Units {
 				u := &r.Units[j]
-				if c.Kind == Allow && u.name() == n && u.takeBack(r, d.Version+1) {
+				switch {
+				case c.Kind != Allow || u.name() != n:
+				case u.takeBack(r, d.Version+1):
 					r.Backing, r.Resumed, r.Moved, r.Ended, r.Halt, changed = true, at, at, 0, nil, true
 					r.State = r.going()
+				case u.Stranded && u.Kind == KindMember && r.ended() && u.isOut(): // an operator takes it as it is: nothing else ever might
+					u.Phase, changed = Missing, true
 				}
 			}
 		}
@@ -570,7 +574,7 @@
 		if u.Phase == Told {
 			u.Phase, u.Order = Revoked, next
 		}
-	case s.Phase == Missing && (u.Phase == Waiting || u.Stranded && r.ended()):
+	case s.Phase == Missing && (u.Phase == Waiting || u.Stranded && u.isOut() && r.ended()):
 		u.Phase = Missing
 	case s.Phase == Empty && u.Kind == KindMember && (u.Phase == Told || u.Phase == Done && r.Wish.Drain):
 		u.Phase, u.Start = Empty, s.Start
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -157,7 +157,7 @@
 	if u.Phase == Done && u.Stranded {
 		return Saw{Phase: Waiting}, p.there(u) != nil && !p.rooms[side(u.Kind)].planned[u.name()]
 	}
-	if u.Stranded && r.ended() && p.there(u) == nil {
+	if u.Stranded && u.isOut() && r.ended() && p.there(u) == nil {
 		return Saw{Phase: Missing}, true // nobody knows of it any more
 	}
 	if u.Phase == Done && r.Wish.Drain && u.Kind == KindMember {
