--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -135,6 +135,16 @@
 		w.settleDown(1500, Back)
 	}
 	w.settleDown(1500, "")
+	for still, n := 0, 0; still < 50; n++ { // a fleet in which nothing happens is to agree on nothing
+		version := w.s.Version()
+		if w.tick(); w.s.Version() != version || len(w.pending) > 0 {
+			still = -1
+		}
+		if still++; n > 500 {
+			w.fault("it does not rest")
+			break
+		}
+	}
 	w.last()
 	return w
 }
