What a halt takes back of a relay that is shut may go again

A unit that was revoked counts until its relay serves. One that is shut never does: after a halt and a resume the release that was to mend it could not take it out again, and was overdue.

--- a/internal/rollout/api.go
+++ b/internal/rollout/api.go
@@ -229,7 +229,7 @@
 	HeardMS  int64   `json:"heard_ms"` // ago; -1 never
 	Gone     bool    `json:"gone"`     // no process, for certain
 	Start    uint64  `json:"start"`    // rises with every process
-	Phase    string  `json:"phase"`    // its own word
+	Phase    string  `json:"phase"`    // its own word: serving, or shut, or another
 	Program  string  `json:"program"`
 	Config   string  `json:"config"`
 	Applied  uint64  `json:"applied"` // the Version that it has applied
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -174,7 +174,18 @@
 
 func (p *planner) lookRelay(r *release, u *Unit) (Saw, bool) {
 	x := p.relays[u.Name]
-	if x == nil || !x.sound(p.b) && planted != "own word" || planted == "own word" && x.Phase != "serving" {
+	if x == nil {
+		return Saw{}, false
+	}
+	sound := x.sound(p.b)
+	if planted == "own word" {
+		sound = x.Phase == "serving"
+	}
+	// One that is shut serves nobody, and counts as shut: that it is not about to leave is enough.
+	if shut := p.d.shutting(u.Name); u.Phase == Revoked && shut != nil && !shut.Back {
+		sound = x.live(p.b) && (x.Phase == "serving" || x.Phase == "shut")
+	}
+	if !sound {
 		return Saw{}, false
 	}
 	program, config := r.wants(u, u.Undo)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -870,6 +870,21 @@
 			t.Errorf("%s: %+v", r.Name, o)
 		}
 	}
+	// What a halt takes back of it is as it was once it has heeded that, though it does not serve; so it may go again.
+	calls(t, s, v.At, Halted, Command{Kind: Halt, Name: "r"})
+	for i := range v.Relays {
+		if x := &v.Relays[i]; v.Unfit[x.Name] != "" && x.Name != "n4" {
+			x.Phase, x.Full = "shut", false
+			plan(b, "n6 n2 n0 ")
+			x.Applied = s.Version()
+		}
+	}
+	plan(b, "n6 n2 n0 ")
+	calls(t, s, v.At, Running, Command{Kind: Resume, Name: "r"})
+	plan(b, "n6 n2 n0 ")
+	if s.Orders("n2").Leave == nil {
+		t.Errorf("%+v", s.d.release("r").unit("n2"))
+	}
 	// One comes back: it is admitted, and counts until it is seen to serve by that; then the next is shut.
 	r := &v.Relays[6]
 	r.Start, r.Phase, r.Full = 6, "shut", false
