accord: tests wait until a change of voters is through

Cause: a test took a voter down while the change before was under way, which by rights needs a majority of the old voters too; seen once in eight runs with the race detector on a busy machine. Change: it waits for the end of the change at all voters.

--- a/internal/accord/fault_test.go
+++ b/internal/accord/fault_test.go
@@ -269,6 +269,24 @@
 	f.wait("it says so", func() bool { s := f.nodes["v0"].Status(); return s.Disk != "" && s.Role == RoleMute })
 }
 
+// changed waits until a change of voters is through: before that it takes a majority of the old ones too.
+func (f *fleet) changed(name string) {
+	f.t.Helper()
+	id := f.nodes[name].Status().Identity
+	f.wait("all voters know, and the change is through", func() bool {
+		n := 0
+		for _, node := range f.nodes {
+			if e := node.engine(); e != nil {
+				if v := e.view.Load(); v.members.named(name) != id || v.joint {
+					return false
+				}
+				n++
+			}
+		}
+		return n == len(f.voters)
+	})
+}
+
 // TestLostDirectoryIsANewVoter: whatever became of a voter's directory, it never votes under its old identity, and votes again under a new one.
 func TestLostDirectoryIsANewVoter(t *testing.T) {
 	t.Parallel()
@@ -311,7 +329,7 @@
 				s := f.nodes["v2"].Status()
 				return s.Identity != id && (s.Role == RoleVoter || s.Role == RoleLeader) && (strings.Contains(s.Taken, how) || how == "emptied" || how == "in memory")
 			})
-			f.wait("all know", func() bool { return f.nodes["v0"].ap.membersNow().named("v2") == f.nodes["v2"].Status().Identity })
+			f.changed("v2")
 			f.down("v1")
 			f.propose("v2", "c") // its vote is needed
 			f.up("v1")
@@ -347,6 +365,7 @@
 	f.wait("the new one votes", func() bool { s := f.nodes["r0"].Status().Role; return s == RoleVoter || s == RoleLeader })
 	f.wait("the old one follows", func() bool { return f.nodes[old].Status().Role == RoleFollower })
 	f.wait("all know since when", func() bool { at, same := votersAt(); return at > 1 && same })
+	f.changed("r0")
 	f.propose(old, "b")
 	f.same()
 	other := "v0"
