accord: smaller: maps and slices of the library, a stream begins with a beat

Change: they are gone. A stream asked for with a malformed request lowered the count of streams for ever, so its bound could be passed: it is counted before it is read.

--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
 	"go.etcd.io/raft/v3"
@@ -102,7 +103,7 @@
 	if err := proto.Unmarshal(s.conf, conf); err != nil {
 		return nil, err
 	}
-	return &core{id: id, rn: rn, st: st, members: s.members.clone(), conf: conf, record: s.record, unsure: unsure, snapIndex: s.index,
+	return &core{id: id, rn: rn, st: st, members: s.members, conf: conf, record: s.record, unsure: unsure, snapIndex: s.index,
 		marks: map[uint64]mark{}, wishes: map[string]wish{}, heard: map[uint64]int{}, tried: -electionTicks * 2}, nil
 }
 
@@ -135,8 +136,7 @@
 
 // older says whether what others remember of this voter is more than it has.
 func (c *core) older(m mark) bool {
-	own := c.own()
-	return m.term > own.term || m.term == own.term && m.index > own.index
+	return m.over(c.own())
 }
 
 func (c *core) tick() {
@@ -290,13 +290,8 @@
 	if c.ticks-c.tried < electionTicks {
 		return
 	}
-	names := make([]string, 0, len(c.wishes))
-	for name := range c.wishes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	c.said = ""
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(c.wishes)) {
 		w := c.wishes[name]
 		old, err := c.allowed(w)
 		if err != nil {
@@ -362,7 +357,7 @@
 			return nil, nil, err
 		}
 		c.snapIndex, c.snapBytes = s.index, len(w.snap.GetData())
-		c.members, c.conf, snap = s.members.clone(), w.snap.GetMetadata().GetConfState(), &s
+		c.members, c.conf, snap = s.members, w.snap.GetMetadata().GetConfState(), &s
 	}
 	if w.hard != nil {
 		if err := c.st.SetHardState(w.hard); err != nil {
--- a/internal/accord/disk.go
+++ b/internal/accord/disk.go
@@ -7,10 +7,12 @@
 	"fmt"
 	"hash/crc32"
 	"hash/fnv"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -314,7 +316,7 @@
 	}
 	if len(w.marks) > 0 {
 		var b []byte
-		for _, id := range sortedKeys(w.marks) {
+		for _, id := range slices.Sorted(maps.Keys(w.marks)) {
 			b = put(b, id, w.marks[id].term, w.marks[id].index)
 		}
 		if err := set(meta, keyMarks, b); err != nil {
--- a/internal/accord/engine.go
+++ b/internal/accord/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -211,7 +212,7 @@
 			e.finish()
 			continue
 		}
-		dw := diskWrite{hard: w.hard, entries: w.entries, marks: copyMarks(w.marks)}
+		dw := diskWrite{hard: w.hard, entries: w.entries, marks: maps.Clone(w.marks)}
 		if w.snap != nil {
 			dw.state = w.snap.GetData()
 		}
@@ -246,7 +247,7 @@
 
 // mend writes all that this voter has acknowledged into a new file, and what it was about to.
 func (e *engine) mend() {
-	h, err := heldBy(e.id, e.c.st, copyMarks(e.c.marks))
+	h, err := heldBy(e.id, e.c.st, maps.Clone(e.c.marks))
 	if err != nil {
 		e.why = err
 		return
@@ -281,7 +282,7 @@
 		copy(id[:], rs.RequestCtx)
 		e.n.pend.readAt(id, rs.Index)
 	}
-	if snap != nil || len(e.c.members) != len(was) || fmt.Sprint(was) != fmt.Sprint(e.c.members) {
+	if !maps.Equal(was, e.c.members) {
 		e.n.peers.know(e.c.members, e.id)
 	}
 	_, member := e.c.members[e.id]
@@ -313,18 +314,10 @@
 	}
 }
 
-func copyMarks(m map[uint64]mark) map[uint64]mark {
-	c := map[uint64]mark{}
-	for id, v := range m {
-		c[id] = v
-	}
-	return c
-}
-
 func (e *engine) show() {
 	b := e.c.basic()
 	v := &view{leads: b.RaftState == raft.StateLeader && e.mute == nil && e.c.ticks >= e.stale, unsure: e.c.unsure, joint: e.c.joint(), leader: b.Lead, term: b.GetTerm(), committed: b.GetCommit(),
-		members: e.c.members, marks: copyMarks(e.c.marks), held: e.c.said, mute: e.mute, at: time.Now()}
+		members: e.c.members, marks: maps.Clone(e.c.marks), held: e.c.said, mute: e.mute, at: time.Now()}
 	v.first, _ = e.c.st.FirstIndex()
 	v.last = e.c.lastIndex()
 	v.snapIndex, v.snapBytes = e.c.snapIndex, e.c.snapBytes
--- a/internal/accord/follow.go
+++ b/internal/accord/follow.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -56,13 +57,12 @@
 func (n *Node) serveStream(ctx context.Context, w http.ResponseWriter, rc *http.ResponseController, req request) {
 	r := reader{b: req.body}
 	record, index := r.uint(), r.uint()
-	if r.end() != nil || n.streams.Add(1) > streamsMost {
-		n.streams.Add(-1)
+	defer n.streams.Add(-1)
+	if n.streams.Add(1) > streamsMost || r.end() != nil {
 		n.drop("streams")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer n.streams.Add(-1)
 	w.Header()["Date"] = nil
 	part := uint64(0)
 	frame := func(kind byte, body []byte) bool {
@@ -85,7 +85,10 @@
 	}
 	beat := time.NewTicker(beatEvery)
 	defer beat.Stop()
-	for first := true; ; first = false {
+	if e := n.engine(); e == nil || !frame(frameBeat, n.beat(e)) {
+		return
+	}
+	for {
 		e := n.engine()
 		if e == nil { // no voter any more
 			return
@@ -108,14 +111,6 @@
 		}
 		if whole != nil || len(items) > 0 {
 			index = at
-			if !first {
-				continue
-			}
-		}
-		if first {
-			if !frame(frameBeat, n.beat(e)) {
-				return
-			}
 			continue
 		}
 		select {
@@ -385,11 +380,7 @@
 // found begins a record, if this relay is the first by name of the voters and all of them are up and hold nothing. Who holds a record, or
 // has a log, is told from who is new by the answers: so a voter that comes back with nothing never begins a second one.
 func (n *Node) found(identity uint64) {
-	names := make([]string, 0, len(n.o.Voters))
-	for name := range n.o.Voters {
-		names = append(names, name)
-	}
-	slices.Sort(names)
+	names := slices.Sorted(maps.Keys(n.o.Voters))
 	if names[0] != n.o.Name {
 		return
 	}
--- a/internal/accord/http.go
+++ b/internal/accord/http.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -241,7 +242,7 @@
 		}
 		if m.GetType() == pb.MsgHeartbeat {
 			if marks == nil {
-				marks = copyMarks(c.marks)
+				marks = maps.Clone(c.marks)
 				marks[c.id] = c.own()
 			}
 			la.marks.Store(&marks)
--- a/internal/accord/model_test.go
+++ b/internal/accord/model_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -307,7 +308,7 @@
 			w.finish(n, k)
 			continue
 		}
-		dw := diskWrite{hard: k.hard, entries: k.entries, marks: copyMarks(k.marks)}
+		dw := diskWrite{hard: k.hard, entries: k.entries, marks: maps.Clone(k.marks)}
 		if k.snap != nil {
 			dw.state = k.snap.GetData()
 		}
@@ -399,7 +400,7 @@
 		}
 		var marks map[uint64]mark
 		if m.GetType() == pb.MsgHeartbeat {
-			marks = copyMarks(n.c.marks)
+			marks = maps.Clone(n.c.marks)
 			marks[n.id] = n.c.own()
 		}
 		body := encodeBatch(n.id, marks, [][]byte{b})
--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -597,7 +598,6 @@
 // others are the voters to ask, the likeliest first: the leader, then from a place that differs by name, so that followers spread.
 func (n *Node) others() (list []member) {
 	ms := n.ap.membersNow()
-	var names []string
 	addr := map[string]string{}
 	for _, id := range ms.ids() {
 		addr[ms[id].Name] = ms[id].Addr
@@ -607,12 +607,8 @@
 			addr[name] = a
 		}
 	}
-	for name := range addr {
-		if name != n.o.Name {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
+	delete(addr, n.o.Name)
+	names := slices.Sorted(maps.Keys(addr))
 	h := fnv.New32a()
 	h.Write([]byte(n.o.Name))
 	for i := range names {
@@ -846,8 +842,7 @@
 
 func (n *Node) status() Status {
 	n.watchMajority()
-	s := Status{Name: n.o.Name, Voters: map[string]string{}, BytesIn: n.bytesIn.Load(), BytesOut: n.bytesOut.Load(),
-		Dropped: map[string]uint64{}, Refused: map[string]uint64{}}
+	s := Status{Name: n.o.Name, Voters: map[string]string{}, BytesIn: n.bytesIn.Load(), BytesOut: n.bytesOut.Load()}
 	s.Record, s.Applied, _ = n.ap.at()
 	ms, at := n.ap.votersNow()
 	s.VotersAt = at
@@ -871,12 +866,7 @@
 			s.Disk = v.mute.Error()
 		}
 	}
-	for k, v := range n.dropped {
-		s.Dropped[k] = v
-	}
-	for k, v := range n.refusals {
-		s.Refused[k] = v
-	}
+	s.Dropped, s.Refused = maps.Clone(n.dropped), maps.Clone(n.refusals)
 	s.LogBytes = n.ap.size()
 	return s
 }
--- a/internal/accord/wire.go
+++ b/internal/accord/wire.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"maps"
 	"slices"
 
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -101,14 +102,7 @@
 
 type members map[uint64]member
 
-func (m members) ids() []uint64 {
-	var ids []uint64
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
+func (m members) ids() []uint64 { return slices.Sorted(maps.Keys(m)) }
 
 // named is the identity under which the record has a name; 0 for none.
 func (m members) named(name string) uint64 {
@@ -120,14 +114,6 @@
 	return 0
 }
 
-func (m members) clone() members {
-	c := members{}
-	for id, v := range m {
-		c[id] = v
-	}
-	return c
-}
-
 func putMembers(b []byte, m members) []byte {
 	b = put(b, uint64(len(m)))
 	for _, id := range m.ids() {
@@ -160,7 +146,7 @@
 }
 
 func (m members) apply(c change) members {
-	n := m.clone()
+	n := maps.Clone(m)
 	delete(n, c.old)
 	n[c.new] = member{c.name, c.addr}
 	return n
@@ -259,7 +245,7 @@
 // batch is messages of the engine for one voter. The sender's identity goes with them: the name is in the envelope.
 func encodeBatch(from uint64, marks map[uint64]mark, ms [][]byte) []byte {
 	b := put(nil, from, uint64(len(marks)))
-	for _, id := range sortedKeys(marks) {
+	for _, id := range slices.Sorted(maps.Keys(marks)) {
 		b = put(b, id, marks[id].term, marks[id].index)
 	}
 	return putList(b, ms)
@@ -282,12 +268,3 @@
 	}
 	return from, marks, ms, r.end()
 }
-
-func sortedKeys[V any](m map[uint64]V) []uint64 {
-	var ks []uint64
-	for k := range m {
-		ks = append(ks, k)
-	}
-	slices.Sort(ks)
-	return ks
-}
