--- a/internal/accord/figures_test.go
+++ b/internal/accord/figures_test.go
@@ -1,23 +1,142 @@
 package accord
 
 import (
+	"bufio"
 	"context"
+	crand "crypto/rand"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"os"
+	"os/exec"
 	"runtime"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sys/unix"
 )
 
-// TestFigures measures, and judges nothing: ACCORD_FIGURES=1 go test -run TestFigures -v ./internal/accord
+// used is what a process says of its node and of itself.
+type used struct {
+	Status
+	Sound bool // it votes, and may be lost again
+	CPU   time.Duration
+	Heap  uint64
+}
+
+func usedBy(n *Node) (u used) {
+	u.Status = n.Status()
+	e := n.engine()
+	u.Sound = e != nil && !e.view.Load().unsure && u.Majority
+	var r unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &r); err == nil {
+		u.CPU = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	}
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	u.Heap = m.HeapInuse + m.StackInuse
+	return u
+}
+
+// TestRelayProcess is no test: TestFigures runs it as the process of a relay, which answers each line that it reads.
+func TestRelayProcess(t *testing.T) {
+	args := os.Getenv("ACCORD_RELAY")
+	if args == "" {
+		t.Skip("a process of TestFigures")
+	}
+	var o Options
+	if err := json.Unmarshal([]byte(args), &o); err != nil {
+		t.Fatal(err)
+	}
+	o.Machine, o.Heard = &sum{}, func(string, []byte) []byte { return make([]byte, 100) }
+	n, err := start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := json.NewEncoder(os.Stdout)
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		if in.Text() == "say" {
+			n.Say(make([]byte, 400))
+		} else if err := out.Encode(usedBy(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+type process struct {
+	cmd *exec.Cmd
+	in  io.Writer
+	out *json.Decoder
+}
+
+func (p *process) used() (u used) {
+	fmt.Fprintln(p.in)
+	p.out.Decode(&u)
+	return u
+}
+
+// processes are voters as processes of their own; the fleet has the followers, in this one.
+func processes(t *testing.T) (f *fleet, ps map[string]*process, up func(name string)) {
+	f, ps = newFleet(t, 3, true), map[string]*process{}
+	f.heard = func(string, []byte) []byte { return nil }
+	up = func(name string) {
+		args, err := json.Marshal(map[string]any{"Name": name, "Voters": f.voters, "Listen": f.addrs[name], "Dir": f.dirs[name], "Keys": f.keys})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := &process{cmd: exec.Command(os.Args[0], "-test.run=^TestRelayProcess$")}
+		p.cmd.Env = append(os.Environ(), "ACCORD_RELAY="+string(args))
+		out, err := p.cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.in, err = p.cmd.StdinPipe(); err != nil {
+			t.Fatal(err)
+		}
+		p.out = json.NewDecoder(out)
+		if err := p.cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		ps[name] = p
+	}
+	t.Cleanup(func() {
+		for _, p := range ps {
+			p.cmd.Process.Kill()
+			p.cmd.Wait()
+		}
+	})
+	for name := range f.voters {
+		up(name)
+	}
+	return f, ps, up
+}
+
+// until proposes at a follower until something is agreed. Each call is a new command: the operator's patience, not a repetition.
+func (f *fleet) until(name, command string) {
+	for i := 0; ; i++ {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, _, err := f.nodes[name].Propose(ctx, fmt.Appendf(nil, "%s %d", command, i))
+		cancel()
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, ErrDoubt) && !errors.Is(err, ErrNoMajority) {
+			f.t.Fatal(err)
+		}
+	}
+}
+
+// TestFigures measures, and judges nothing: ACCORD_FIGURES=1 go test -run TestFigures -v -timeout 30m ./internal/accord
 func TestFigures(t *testing.T) {
 	if os.Getenv("ACCORD_FIGURES") == "" {
 		t.Skip("measures: ACCORD_FIGURES=1")
 	}
+	load := func() string { b, _ := os.ReadFile("/proc/loadavg"); return string(b[:min(4, len(b))]) }
 	ms := func(h *hdrhistogram.Histogram, p float64) float64 { return float64(h.ValueAtQuantile(p)) / 1000 }
 	t.Run("commit", func(t *testing.T) {
 		f := newFleet(t, 3, true)
@@ -31,7 +150,7 @@
 				f.nodes[at].Propose(context.Background(), fmt.Appendf(nil, "c%d", i))
 				h.RecordValue(time.Since(begin).Microseconds())
 			}
-			t.Logf("commit at %s (r0 follows, v leads): p50 %.2f ms, p99 %.2f ms", at, ms(h, 50), ms(h, 99))
+			t.Logf("commit at %s (r0 follows, v leads): p50 %.2f ms, p99 %.2f ms; load %s", at, ms(h, 50), ms(h, 99), load())
 		}
 		var wg sync.WaitGroup
 		begin := time.Now()
@@ -48,91 +167,133 @@
 		wg.Wait()
 		t.Logf("%d orders at once: %.0f a second", workers, workers*each/time.Since(begin).Seconds())
 	})
-	t.Run("leader", func(t *testing.T) {
-		f := newFleet(t, 3, true)
-		f.allUp()
+	t.Run("killed", func(t *testing.T) {
+		f, ps, up := processes(t)
 		f.up("r0")
 		h := hdrhistogram.New(1, 60e6, 3)
 		for i := range 40 {
-			f.propose("r0", fmt.Sprint("a", i))
-			l := f.leader()
+			f.wait("all vote", func() bool {
+				n := 0
+				for _, p := range ps {
+					if p.used().Sound {
+						n++
+					}
+				}
+				return n == len(ps)
+			})
+			f.until("r0", "before")
+			l := ""
+			f.wait("a leader", func() bool { l = f.nodes["r0"].Status().Leader; return l != "" && ps[l].used().Role == RoleLeader })
 			begin := time.Now()
-			go f.nodes[l].Close()
-			for n := 0; ; n++ { // each call is a new command: the operator's patience, not a repetition
-				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-				_, _, err := f.nodes["r0"].Propose(ctx, fmt.Appendf(nil, "b%d.%d", i, n))
-				cancel()
-				if err == nil {
-					break
+			if err := ps[l].cmd.Process.Kill(); err != nil {
+				t.Fatal(err)
+			}
+			f.until("r0", fmt.Sprint("after ", i))
+			took := time.Since(begin)
+			h.RecordValue(took.Microseconds())
+			if took > 1300*time.Millisecond { // more than one election
+				t.Logf("kill %d: %v; load %s", i, took.Round(time.Millisecond), load())
+			}
+			ps[l].cmd.Wait()
+			up(l)
+		}
+		t.Logf("leader's process killed until the next commit (%d): p50 %.0f ms, p99 %.0f ms, most %.0f ms; load %s", h.TotalCount(), ms(h, 50), ms(h, 99), float64(h.Max())/1000, load())
+	})
+	t.Run("virtual", func(t *testing.T) { // the model: delays up to so much each way, disks up to 8 ms
+		defer func(r io.Reader) { crand.Reader = r }(crand.Reader)
+		for _, delay := range []time.Duration{2 * time.Millisecond, 10 * time.Millisecond, 40 * time.Millisecond} {
+			h := hdrhistogram.New(1, 60e6, 3)
+			for seed := range uint64(3000) {
+				crand.Reader = rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8)})
+				w := newModel(seed, 3, 0)
+				w.delay = delay
+				led := func() *vnode {
+					for _, n := range w.nodes {
+						if n.c != nil && n.c.leads() {
+							return n
+						}
+					}
+					return nil
 				}
-				if !errors.Is(err, ErrDoubt) && !errors.Is(err, ErrNoMajority) {
-					t.Fatal(err)
+				for w.run(4*time.Second + time.Duration(seed%100)*time.Millisecond); led() == nil; {
+					w.run(w.now + tickEvery)
 				}
+				w.kill(led())
+				begin := w.now
+				for led() == nil {
+					w.run(w.now + time.Millisecond)
+				}
+				h.RecordValue((w.now - begin).Microseconds())
 			}
-			h.RecordValue(time.Since(begin).Microseconds())
-			f.nodes[l].Close()
-			f.up(l)
-			f.wait("all vote", func() bool {
-				s := f.nodes[l].Status()
-				e := f.nodes[l].engine()
-				return s.Role == RoleVoter && s.Majority && e != nil && !e.view.Load().unsure
-			})
+			t.Logf("delays to %v, %d kills: a leader after p50 %.0f ms, p99 %.0f ms, most %.0f ms", delay, h.TotalCount(), ms(h, 50), ms(h, 99), ms(h, 100))
 		}
-		t.Logf("leader closed until the next commit: p50 %.0f ms, p99 %.0f ms, most %.0f ms", ms(h, 50), ms(h, 99), float64(h.Max())/1000)
 	})
-	for _, relays := range []int{12, 40} {
-		t.Run(fmt.Sprint("bytes", relays), func(t *testing.T) {
-			f := newFleet(t, 3, true)
-			f.allUp()
-			for i := range relays - 3 {
+	for _, followers := range []int{12, 40, 300} {
+		t.Run(fmt.Sprint("bytes", followers), func(t *testing.T) {
+			f, ps, _ := processes(t)
+			for i := range followers {
 				f.up(fmt.Sprintf("r%d", i))
 			}
-			f.propose("r0", "a")
+			f.until("r0", "a")
 			f.same()
-			time.Sleep(homeAfter + 2*time.Second)
-			for _, load := range []string{"idle", "10 orders of 500 B and a word of 400 B each a second"} {
+			time.Sleep(homeAfter + 3*time.Second)
+			for _, busy := range []bool{false, true} {
 				time.Sleep(2 * time.Second)
-				in, out := map[string]uint64{}, map[string]uint64{}
-				for name, n := range f.nodes {
-					s := n.Status()
-					in[name], out[name] = s.BytesIn, s.BytesOut
+				look := func() map[string]used {
+					m := map[string]used{}
+					for name, p := range ps {
+						m[name] = p.used()
+					}
+					for name, n := range f.nodes {
+						if name == "r1" {
+							m[name] = usedBy(n)
+						} else {
+							m[name] = used{Status: n.Status()}
+						}
+					}
+					return m
 				}
-				begin := time.Now()
-				for i := 0; time.Since(begin) < 6*time.Second; i++ {
-					if load != "idle" {
-						f.propose("r1", fmt.Sprintf("%0500d", i))
+				before, begin, proposed := look(), time.Now(), 0
+				for i := 0; time.Since(begin) < 10*time.Second; i++ {
+					if busy {
+						f.until("r1", fmt.Sprintf("%0500d", i))
+						proposed++
 						if i%10 == 0 {
 							for _, n := range f.nodes {
 								if err := n.Say(make([]byte, 400)); err != nil {
 									t.Error(err)
 								}
 							}
+							for _, p := range ps {
+								fmt.Fprintln(p.in, "say")
+							}
 						}
 					}
 					time.Sleep(100*time.Millisecond - time.Since(begin)%(100*time.Millisecond))
 				}
-				secs := time.Since(begin).Seconds()
-				l := f.leader()
-				sum := map[string]float64{}
-				count := map[string]float64{}
-				for name, n := range f.nodes {
-					s := n.Status()
-					role := s.Role
-					if name == l {
-						role = RoleLeader
-					}
-					sum[role+" in"] += float64(s.BytesIn-in[name]) / secs
-					sum[role+" out"] += float64(s.BytesOut-out[name]) / secs
-					count[role]++
+				after, secs := look(), time.Since(begin).Seconds()
+				type row struct{ n, in, out, cpu, heap float64 }
+				rows := map[string]row{}
+				streams := map[string]int{}
+				for name, u := range after {
+					role, b := u.Role, before[name]
+					k := rows[role]
+					k.n++
+					k.in += float64(u.BytesIn-b.BytesIn) / secs
+					k.out += float64(u.BytesOut-b.BytesOut) / secs
+					k.cpu += float64(u.CPU-b.CPU) / 1e6 / secs
+					k.heap += float64(u.Heap) / 1e6
+					rows[role] = k
+					streams[u.Follows]++
 				}
+				t.Logf("%d followers, busy %v: %.1f orders a second, streams %v, load %s", followers, busy, float64(proposed)/secs, streams, load())
 				for _, role := range []string{RoleLeader, RoleVoter, RoleFollower} {
-					t.Logf("%d relays, %s: %s %.0f in, %.0f out B/s", relays, load, role, sum[role+" in"]/count[role], sum[role+" out"]/count[role])
+					k := rows[role]
+					t.Logf("  %s: %.0f in, %.0f out B/s, %.2f ms a second, %.2f MB; of %v", role, k.in/k.n, k.out/k.n, k.cpu/k.n, k.heap/k.n, k.n)
 				}
+				t.Logf("  all voters: %.0f in, %.0f out B/s; all %.0f ms a second", rows[RoleLeader].in+rows[RoleVoter].in, rows[RoleLeader].out+rows[RoleVoter].out,
+					rows[RoleLeader].cpu+rows[RoleVoter].cpu+rows[RoleFollower].cpu)
 			}
-			runtime.GC()
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			t.Logf("%d relays in this process: heap %.1f MB, %.2f MB each, %d goroutines", relays, float64(m.HeapInuse)/1e6, float64(m.HeapInuse+m.StackInuse)/1e6/float64(relays), runtime.NumGoroutine())
 		})
 	}
 }
