accord: kills with writes under way are measured

Need: a leader that was killed had nothing to write, so its directory was not at risk. Change: 32 orders of 5 KB are asked for right before each kill, and a directory that came back damaged is an error.

--- a/internal/accord/figures_test.go
+++ b/internal/accord/figures_test.go
@@ -175,8 +175,11 @@
 			f.wait("all vote", func() bool {
 				n := 0
 				for _, p := range ps {
-					if p.used().Sound {
+					if u := p.used(); u.Sound {
 						n++
+						if u.Taken != "" {
+							t.Errorf("a killed process left its directory so that it %s", u.Taken)
+						}
 					}
 				}
 				return n == len(ps)
@@ -184,6 +187,10 @@
 			f.until("r0", "before")
 			l := ""
 			f.wait("a leader", func() bool { l = f.nodes["r0"].Status().Leader; return l != "" && ps[l].used().Role == RoleLeader })
+			for range 32 { // writes are under way
+				go f.nodes["r0"].Propose(context.Background(), make([]byte, 5000))
+			}
+			time.Sleep(time.Duration(i%8) * time.Millisecond)
 			begin := time.Now()
 			if err := ps[l].cmd.Process.Kill(); err != nil {
 				t.Fatal(err)
