Canary: a wide step needs each relay, and no zone in doubt

A step to 25% and beyond now needs besides that what is looked for is ruled out at 1 in 100, that each relay with enough flows has ruled out the largest harm by itself, that none with few flows is clearly harmed, and that no harm of any size is 20 times likelier than none in a zone. It pauses nothing, it only takes time.

The planted flaws are subtests, each can be played alone.

--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -19,11 +19,13 @@
 	illPoints = 100  // a relay is ill if its base fails by so many per mille more than the others'
 	illShift  = 4    // or is slower by so many buckets: 4 times
 	clear     = 3.0  // natural logarithm: one explanation is 20 times as likely as the other
-	missed    = 0.05 // a harm of sought times what is borne passes a rung so often; two rungs, as each begins anew: 1 in 400
+	missed    = 0.05 // a harm of sought times what is borne passes a rung so often; each rung begins anew
+	missedBy  = 0.01 // the same where a step is wide: the rung before it has more flows of the arm than the first one, so this costs little time. Both: 1 in 2,000
 	sought    = 4    // so five times what is borne in all: 5 points where 1 is borne
 	soughtBy  = 0.15 // times: so much more of the arm above what the slowest quarter of the base takes
 	few       = 1.25 // failures: an arm of few members may be so much worse by who is in it. Members alike differ by 0.3 in failing (a guess, as the model's): three beside three by 0.3 times the root of 2/3
-	smallZone = 4    // a zone with less than its part of what was compared, over this, is not waited for
+	smallPart = 4    // a zone or a relay with less than its part of what was compared, over this, is not waited for
+	wide      = 250  // per mille: a step to here and beyond needs each relay by itself
 )
 
 // Judge weighs what relays counted for one canary on one rung. Begin starts the next rung with no evidence; what is known of relays stays.
@@ -55,6 +57,7 @@
 	shift    int     // buckets
 	suspects []suspect
 	sought   int         // which of them must be ruled out before a step up
+	gross    int         // and which by each relay alone, where a step is wide
 	all      []float64   // evidence of the whole fleet, by suspect
 	zone     [][]float64 // by zone
 	needed   float64
@@ -69,6 +72,7 @@
 	sick       [][]float64 // by test: that the relay is ill
 	ill        string      // by which metric; "" if it is not
 	compared   uint64
+	heard      int // in which slice of the rung it was
 }
 
 type stratum struct {
@@ -98,13 +102,13 @@
 			if g.Metric == EarlyEnds {
 				t.delta /= 60 // of a second, not of a minute
 			}
-			t.sought = 2
+			t.sought, t.gross = 2, 3
 			for _, times := range []float64{1, 2, sought, 16} { // of what is borne
 				t.suspects = append(t.suspects, suspect{harm: min(t.delta*times, 0.5)})
 			}
 		default:
 			t.shift = int(math.Ceil(2*math.Log2(g.Factor) - 1e-9))
-			t.sought = 1
+			t.sought, t.gross = 1, 2
 			for _, part := range []float64{0.25, 0.05} { // slower all over, and in the tail
 				for _, harm := range []float64{0.05, soughtBy, 0.4} {
 					t.suspects = append(t.suspects, suspect{harm, part})
@@ -141,7 +145,7 @@
 }
 
 func (r *relay) clear(tests []*test) {
-	r.sum, r.raw, r.sick, r.ill, r.compared = nil, nil, nil, "", 0
+	r.sum, r.raw, r.sick, r.ill, r.compared, r.heard = nil, nil, nil, "", 0, 0
 	for _, t := range tests {
 		r.sum = append(r.sum, make([]float64, len(t.suspects)))
 		r.raw = append(r.raw, make([]float64, len(t.suspects)))
@@ -185,7 +189,7 @@
 			s.last.Base, s.last.Arm = Tally{}, Tally{}
 		}
 	}
-	r.zone, r.start, r.seq = zone, c.Start, c.Seq
+	r.zone, r.start, r.seq, r.heard = zone, c.Start, c.Seq, j.slices
 	for _, p := range c.Strata {
 		j.take(r, p)
 	}
@@ -528,18 +532,12 @@
 	t := j.tests[k]
 	everywhere, byZone, byRelay := math.Inf(-1), math.Inf(-1), math.Inf(-1)
 	for i := range t.suspects {
-		all, some, single := 0.0, 0.0, 0.0
-		sums := make([]float64, len(j.zones))
+		some, single := 0.0, 0.0
+		sums, all := j.byZone(k, i)
 		var names, named []string
 		price := math.Log(float64(len(j.relays) + 1))
 		for _, r := range j.relays {
-			if r.ill != "" {
-				continue
-			}
-			z, _ := slices.BinarySearch(j.zones, r.zone)
-			sums[z] += r.raw[k][i]
-			all += r.raw[k][i]
-			if r.raw[k][i] > price {
+			if r.ill == "" && r.raw[k][i] > price {
 				single += r.raw[k][i] - price
 				names = append(names, r.name)
 			}
@@ -581,10 +579,19 @@
 	return zones, relays, ahead
 }
 
+// widens says whether the next step is to a weight where the flows of one zone, or of single relays, would pay.
+func (j *Judge) widens() bool {
+	next := j.set.Rung + 1
+	return next < len(j.set.Ladder) && j.set.Ladder[next] >= wide
+}
+
 // ruledOut says whether the harm that is looked for is unlikely by now, by every guard, in each zone that counts. A number of attempts alone
 // would not do: what it shows depends on how often the base is bad.
 func (j *Judge) ruledOut() bool {
-	compared := make([]uint64, len(j.zones))
+	compared, least := make([]uint64, len(j.zones)), math.Log(missed)
+	if j.widens() {
+		least = math.Log(missedBy)
+	}
 	for _, r := range j.relays {
 		if r.ill == "" {
 			z, _ := slices.BinarySearch(j.zones, r.zone)
@@ -592,27 +599,56 @@
 		}
 	}
 	for k, t := range j.tests {
-		sums := make([]float64, len(j.zones))
-		for _, r := range j.relays {
-			if r.ill == "" {
-				z, _ := slices.BinarySearch(j.zones, r.zone)
-				sums[z] += r.raw[k][t.sought]
-			}
-		}
-		all := 0.0
+		sums, all := j.byZone(k, t.sought)
 		for z, sum := range sums {
-			all += sum
-			if compared[z]*uint64(len(j.zones))*smallZone >= j.compared && sum > math.Log(missed) {
+			if compared[z]*uint64(len(j.zones))*smallPart >= j.compared && sum > least {
 				return false
 			}
 		}
-		if all > math.Log(missed) {
+		if all > least {
 			return false
 		}
 	}
 	return true
 }
 
+// byZone is what the relays that are not ill have found on one harm, by zone and in all.
+func (j *Judge) byZone(k, suspect int) (sums []float64, all float64) {
+	sums = make([]float64, len(j.zones))
+	for _, r := range j.relays {
+		if r.ill == "" {
+			z, _ := slices.BinarySearch(j.zones, r.zone)
+			sums[z] += r.raw[k][suspect]
+			all += r.raw[k][suspect]
+		}
+	}
+	return sums, all
+}
+
+// eachRuledOut says whether a wide step has what it needs besides. Of one relay among many a zone's sum shows little: each
+// relay rules out the largest harm by itself (the smaller ones would take it as long as a zone), but those of few flows, unless what they have is clear. And
+// nothing is clear in any zone: a harm less than what is looked for is ruled out with it, and would be found only where it costs most.
+// Who is silent for longer than counts wait has no more to say, and none of its flows is counted.
+func (j *Judge) eachRuledOut() bool {
+	for k, t := range j.tests {
+		for i := range t.suspects {
+			if sums, _ := j.byZone(k, i); len(sums) > 0 && slices.Max(sums) > clear {
+				return false
+			}
+		}
+		for _, r := range j.relays {
+			least := math.Log(missed)
+			if r.compared*uint64(len(j.relays))*smallPart < j.compared {
+				least = clear
+			}
+			if r.ill == "" && j.slices-r.heard <= holdMost && r.raw[k][t.gross] > least {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // whole is the zones of named relays in which the others have not shown otherwise: it may be all of the zone.
 func (j *Judge) whole(named []string, k int) (zones []string) {
 	for _, z := range j.zones {
@@ -651,7 +687,7 @@
 		if j.armed >= j.set.Floor {
 			v.Kind = Sound
 		}
-	case j.compared >= j.set.Floor && j.ruledOut():
+	case j.compared >= j.set.Floor && j.ruledOut() && (!j.widens() || j.eachRuledOut()):
 		v.Kind = Sound
 	}
 	return v
--- a/internal/canary/model_test.go
+++ b/internal/canary/model_test.go
@@ -387,37 +387,40 @@
 		{"a third fails at a relay", flaw{points: 0.33, only: "n4", zone: "z1"}, Diverge},
 		{"5 points, 300 relays", flaw{points: 0.05, crowded: true}, Worse},
 	} {
-		n := max(many(12)/6, 2)
-		if c.crowded {
-			n = max(n/10, 1)
-		}
-		list := seeds(n, c.flaw, 0)
-		tell(t, c.name, list)
-		missed, late, named, undecided := 0, 0, 0, 0
-		for i, o := range list {
-			switch {
-			case o.Status != Done && o.Kind == Late && o.weight < 250: // stopped, neither shown nor ruled out
-				undecided++
-			case o.Status == Done || o.verdict.Kind != Worse && o.verdict.Kind != Diverge:
-				missed++
-				t.Logf("%s, seed %d, %d relays: %s, %s", c.name, i, o.relays, o.Status, o.Why)
-			case o.weight >= 250 && c.only == "": // one relay of forty has a flow of the arm every five seconds at 1%
-				late++
+		t.Run(c.name, func(t *testing.T) {
+			n := max(many(12)/6, 2)
+			if c.crowded {
+				n = max(n/10, 1)
 			}
-			if o.verdict.Kind == c.kind && (c.kind == Worse || slices.Equal(o.verdict.Zones, []string{c.zone}) || slices.Equal(o.verdict.Relays, []string{c.only})) {
-				named++
-			} else {
-				t.Logf("%s, seed %d, %d relays: %s %v %v", c.name, i, o.relays, o.verdict.Kind, o.verdict.Zones, o.verdict.Relays)
+			list := seeds(n, c.flaw, 0)
+			tell(t, c.name, list)
+			missed, late, named, undecided := 0, 0, 0, 0
+			for i, o := range list {
+				switch {
+				case o.Status != Done && o.Kind == Late && o.weight < 250: // stopped, neither shown nor ruled out
+					undecided++
+				case o.Status == Done || o.verdict.Kind != Worse && o.verdict.Kind != Diverge:
+					missed++
+					t.Logf("%s, seed %d, %d relays: %s, %s", c.name, from()+i, o.relays, o.Status, o.Why)
+				case o.weight >= 250:
+					late++
+					t.Logf("%s, seed %d, %d relays: paused at %d per mille", c.name, from()+i, o.relays, o.weight)
+				}
+				if o.verdict.Kind == c.kind && (c.kind == Worse || slices.Equal(o.verdict.Zones, []string{c.zone}) || slices.Equal(o.verdict.Relays, []string{c.only})) {
+					named++
+				} else {
+					t.Logf("%s, seed %d, %d relays: %s %v %v", c.name, from()+i, o.relays, o.verdict.Kind, o.verdict.Zones, o.verdict.Relays)
+				}
 			}
-		}
-		t.Logf("%s: of %d missed %d, at a quarter or later %d, no verdict in the longest time %d, named right %d", c.name, n, missed, late, undecided, named)
-		bound, names := 100, 10 // in so many one may be missed, and one named otherwise
-		if c.only != "" {
-			bound, names = 10, 3 // one relay of many is little harm, and little evidence
-		}
-		if (missed+late)*bound > n || (n-named)*names > max(n, 10) {
-			t.Errorf("%s: of %d missed %d, at a quarter or later %d, named right %d", c.name, n, missed, late, named)
-		}
+			t.Logf("%s: of %d missed %d, at a quarter or later %d, no verdict in the longest time %d, named right %d", c.name, n, missed, late, undecided, named)
+			bound, names := 100, 10 // in so many one may be missed, and one named otherwise
+			if c.only != "" {
+				bound, names = 10, 3 // one relay of many is little harm, and little evidence
+			}
+			if (missed+late)*bound > n || (n-named)*names > max(n, 10) {
+				t.Errorf("%s: of %d missed %d, at a quarter or later %d, named right %d", c.name, n, missed, late, named)
+			}
+		})
 	}
 }
 
