Canary: a rung's evidence is kept in the record for the next leader

A new leader began the rung's evidence anew: words count since a relay's start, and a block over several rungs is no evidence, since the arm's share of flows was not the same in all of it. With leaders that change often nothing could be found or ruled out.

The leader now has its sums agreed every 5 s, or as seldom as 1 kB a second for each relay allows (10 kB at 300 relays, 1.6 kB at 40): "keep", fenced by the canary's number, over with the next change, and no change of number or version, so that no relay waits for it. Who leads next goes on from there; the words that the sums are of are told with them, and counting begins after the first word of each relay. Planted: without that a word counts twice, found.

--- a/internal/canary/api.go
+++ b/internal/canary/api.go
@@ -88,16 +88,17 @@
 	Number   uint64
 }
 
-// Command is a body for State.Apply. Do is open, rung, pause, resume, back or close.
+// Command is a body for State.Apply. Do is open, rung, pause, resume, back, close or keep.
 type Command struct {
 	Do      string   `json:"do"`
 	Release string   `json:"release"`
 	Spec    *Spec    `json:"spec,omitempty"`   // open
-	Number  uint64   `json:"number,omitempty"` // rung, back: refused unless the canary is still at this number
+	Number  uint64   `json:"number,omitempty"` // rung, back, keep: refused unless the canary is still at this number
 	Epoch   uint64   `json:"epoch,omitempty"`  // pause: refused if a resume came after; 0: whatever it is. resume: above this one
 	Why     string   `json:"why,omitempty"`
 	Kind    Kind     `json:"kind,omitempty"`
 	Named   []string `json:"named,omitempty"`
+	Keep    []byte   `json:"keep,omitempty"`
 }
 
 // Body is the command as the record carries it.
@@ -144,6 +145,7 @@
 	Zones    []string  // where outcomes diverge
 	Relays   []string  // the same, single relays
 	Ill      []Illness // relays that are bad for both arms: left out
+	Keep     []byte    `json:"-"` // now and then: the evidence, for the record
 }
 
 // Illness is a relay that is itself bad.
@@ -152,18 +154,10 @@
 	Metric Metric
 }
 
-// Figure is what was counted on this rung, both arms, strata thrown together: for reading, never for a verdict.
-type Figure struct {
-	Metric      Metric
-	Base, Arm   float64 // part of all, or median in ms
-	Base99      float64 // ms, of times
-	Arm99       float64
-	BaseN, ArmN uint64
-}
-
 // Settings are what a Judge works for: a canary on one rung.
 type Settings struct {
 	Spec
 	Epoch uint64
 	Rung  int
+	Kept  []byte // State.Kept: what another leader of this rung had found
 }
--- a/internal/canary/counts.go
+++ b/internal/canary/counts.go
@@ -63,8 +63,6 @@
 	t[i]++
 }
 
-func upper(i int) float64 { return leastMS * math.Pow(2, float64(i)/2) }
-
 // above is how many took longer than bucket i.
 func (t *Times) above(i int) (n uint64) {
 	for _, k := range t[min(i+1, Buckets):] {
--- a/internal/canary/plan.go
+++ b/internal/canary/plan.go
@@ -23,6 +23,10 @@
 	if v.Epoch != c.Epoch || v.Rung != c.Rung {
 		v = Verdict{Release: v.Release, Kind: NotEnough} // of another rung: it says nothing here
 	}
+	var keep []Command
+	if v.Keep != nil {
+		keep = []Command{{Do: "keep", Release: c.Release, Number: c.Number, Keep: v.Keep}}
+	}
 	pause := Command{Do: "pause", Release: c.Release, Epoch: c.Epoch, Kind: v.Kind}
 	switch {
 	case v.Kind == Worse:
@@ -37,7 +41,7 @@
 		pause.Why = fmt.Sprintf("%s worse at some relays only, at %d per mille", v.Metric, c.PerMille)
 	case v.Kind == Sound && !v.Doubt:
 		if !applied {
-			return nil // a relay that is late is drift's to name
+			return keep // a relay that is late is drift's to name
 		}
 		return []Command{{Do: "rung", Release: c.Release, Number: c.Number, Why: fmt.Sprintf("sound after %d compared", v.Compared)}}
 	case now-c.RungAt > c.Longest:
@@ -47,7 +51,7 @@
 			pause.Why = fmt.Sprintf("%s in doubt for the longest time of a rung", v.Metric)
 		}
 	default:
-		return nil
+		return keep
 	}
 	return []Command{pause}
 }
--- a/internal/canary/state.go
+++ b/internal/canary/state.go
@@ -11,15 +11,21 @@
 // State is what the fleet has agreed on. It is changed by Apply alone, from the log, with the same result everywhere: it reads no
 // clock, and its canaries are a list in the order of their names.
 type State struct {
-	held   held
-	jumble func([]Canary) // a planted defect of the tests: an order that is not the same everywhere
+	held held
 }
 
 type held struct {
-	Version  uint64   `json:"version"` // commands that changed something
-	At       int64    `json:"at"`
-	Epochs   uint64   `json:"epochs"` // the last one given out
-	Canaries []Canary `json:"canaries,omitempty"`
+	Version  uint64          `json:"version"` // commands that changed something
+	At       int64           `json:"at"`
+	Epochs   uint64          `json:"epochs"` // the last one given out
+	Canaries []Canary        `json:"canaries,omitempty"`
+	Kept     map[string]kept `json:"kept,omitempty"` // by release; in the order of names, as JSON has it
+}
+
+// kept is what a leader had found on a rung.
+type kept struct {
+	Number   uint64 `json:"number"` // of the canary: with the next change it is over
+	Evidence []byte `json:"evidence"`
 }
 
 // epochsAhead bounds by how much a claimed epoch may be above the last agreed one: a false one must not use them up.
@@ -30,12 +36,7 @@
 
 // Encode is the state as a snapshot holds it.
 func (s *State) Encode() []byte {
-	h := s.held
-	if s.jumble != nil {
-		h.Canaries = slices.Clone(h.Canaries)
-		s.jumble(h.Canaries)
-	}
-	b, err := json.Marshal(h)
+	b, err := json.Marshal(s.held)
 	if err != nil {
 		panic(err) // Check keeps out what JSON cannot say
 	}
@@ -51,6 +52,11 @@
 	if len(s.held.Canaries) > CanariesMost {
 		return nil, fmt.Errorf("canary: snapshot: %d canaries, at most %d", len(s.held.Canaries), CanariesMost)
 	}
+	for name, k := range s.held.Kept {
+		if s.find(name) == nil || len(k.Evidence) > KeptMost {
+			return nil, errors.New("canary: snapshot: evidence of nothing, or too much")
+		}
+	}
 	for i, c := range s.held.Canaries {
 		if err := Check(c.Spec); err != nil {
 			return nil, fmt.Errorf("canary: snapshot: %s: %w", c.Release, err)
@@ -99,6 +105,14 @@
 	return list
 }
 
+// Kept is the evidence of the rung that a canary is on, nil if there is none.
+func (s *State) Kept(release string) []byte {
+	if c := s.find(release); c != nil && s.held.Kept[release].Number == c.Number {
+		return s.held.Kept[release].Evidence
+	}
+	return nil
+}
+
 // Apply takes one command of the log. What cannot be is answered with an error and changes nothing.
 func (s *State) Apply(at int64, by string, body []byte) []byte {
 	at = max(s.held.At, at) // time in the record never runs back
@@ -170,11 +184,21 @@
 			return nil
 		}
 		c.Status, c.PerMille = Back, 0
+	case "keep": // it changes no weight: neither a number nor a version
+		if cmd.Number == 0 || c.Status != Going || len(cmd.Keep) == 0 || len(cmd.Keep) > KeptMost {
+			return errors.New("no evidence of a rung that is going")
+		}
+		if s.held.Kept == nil {
+			s.held.Kept = map[string]kept{}
+		}
+		s.held.Kept[cmd.Release] = kept{c.Number, cmd.Keep}
+		return nil
 	case "close":
 		if c.Status != Back && c.Status != Done {
 			return fmt.Errorf("not over: it is %s", c.Status)
 		}
 		name := c.Release
+		delete(s.held.Kept, name)
 		s.held.Canaries = slices.DeleteFunc(s.held.Canaries, func(c Canary) bool { return c.Release == name })
 		s.held.Version++
 		return nil
@@ -184,6 +208,7 @@
 	c.By, c.Why = by, cmd.Why
 	c.Number++
 	s.held.Version++
+	delete(s.held.Kept, c.Release)
 	return nil
 }
 
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -26,7 +26,7 @@
 	c := all[0] // one at a time
 	switch {
 	case s.judge == nil || s.judged.Salt != c.Salt:
-		s.judge = canary.NewJudge(canary.Settings{Spec: c.Spec, Epoch: c.Epoch, Rung: c.Rung})
+		s.judge = canary.NewJudge(canary.Settings{Spec: c.Spec, Epoch: c.Epoch, Rung: c.Rung, Kept: s.record.canary.Kept(c.Release)})
 	case s.judged.Epoch != c.Epoch || s.judged.Rung != c.Rung:
 		s.judge.Begin(c.Epoch, c.Rung)
 	}
