--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"strings"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 const (
@@ -19,11 +17,13 @@
 	illPoints = 100  // a relay is ill if its base fails by so many per mille more than the others'
 	illShift  = 4    // or is slower by so many buckets: 4 times
 	clear     = 3.0  // natural logarithm: one explanation is 20 times as likely as the other
-	missed    = 0.05 // a harm of sought times what is borne passes a rung so often; two rungs, as each begins anew: 1 in 400
+	missed    = 0.05 // a harm of sought times what is borne passes a rung so often; each rung begins anew
+	missedBy  = 0.01 // the same where a step is wide: the rung before it has more flows of the arm than the first one, so this costs little time. Both: 1 in 2,000
 	sought    = 4    // so five times what is borne in all: 5 points where 1 is borne
 	soughtBy  = 0.15 // times: so much more of the arm above what the slowest quarter of the base takes
 	few       = 1.25 // failures: an arm of few members may be so much worse by who is in it. Members alike differ by 0.3 in failing (a guess, as the model's): three beside three by 0.3 times the root of 2/3
-	smallZone = 4    // a zone with less than its part of what was compared, over this, is not waited for
+	smallPart = 4    // a zone or a relay with less than its part of what was compared, over this, is not waited for
+	wide      = 250  // per mille: a step to here and beyond needs each relay by itself
 )
 
 // Judge weighs what relays counted for one canary on one rung. Begin starts the next rung with no evidence; what is known of relays stays.
@@ -36,15 +36,14 @@
 	end      int64    // of this slice
 	compared uint64
 	armed    uint64 // attempts of the arm, compared or not
-	total    [2]Tally
 	verdict  Verdict
 	decided  bool
 	slices   int // of this rung
 	due      int // slices left to find a name; 0 for no evidence yet
 	Refused  uint64
 	Old      uint64 // words that came again, or after a later one
-	Bad      uint64 // counts that ran back without a restart
-	watch    func(t int, n1, k1, n0, k0 uint64)
+	Bad      uint64 // counts that ran back without a restart, and kept evidence that is none
+	keepAt   int64  // when the evidence is next told to the record
 }
 
 // test is one guard, with the harms that it looks for.
@@ -55,6 +54,7 @@
 	shift    int     // buckets
 	suspects []suspect
 	sought   int         // which of them must be ruled out before a step up
+	gross    int         // and which by each relay alone, where a step is wide
 	all      []float64   // evidence of the whole fleet, by suspect
 	zone     [][]float64 // by zone
 	needed   float64
@@ -64,11 +64,11 @@
 	name, zone string
 	start, seq uint64
 	strata     []*stratum
-	sum        [][]float64 // by test and suspect, each slice bounded: for the verdict
-	raw        [][]float64 // the same, unbounded: for the name
+	sum        [][]float64 // by test and suspect
 	sick       [][]float64 // by test: that the relay is ill
 	ill        string      // by which metric; "" if it is not
 	compared   uint64
+	heard      int // in which slice of the rung it was
 }
 
 type stratum struct {
@@ -87,9 +87,19 @@
 	slice Tally // of this slice, not in it yet
 }
 
-// NewJudge begins with no evidence. The spec has passed Check.
+// NewJudge begins with the evidence that is kept in the record, or with none. The spec has passed Check.
 func NewJudge(s Settings) *Judge {
+	j := begun(s)
+	if len(s.Kept) > 0 && !j.restore(s.Kept) {
+		j = begun(s)
+		j.Bad++
+	}
+	return j
+}
+
+func begun(s Settings) *Judge {
 	j := &Judge{set: s}
+	j.set.Kept = nil
 	for _, g := range s.Guards {
 		t := &test{Guard: g, factor: 1}
 		switch g.Metric {
@@ -98,13 +108,13 @@
 			if g.Metric == EarlyEnds {
 				t.delta /= 60 // of a second, not of a minute
 			}
-			t.sought = 2
+			t.sought, t.gross = 2, 3
 			for _, times := range []float64{1, 2, sought, 16} { // of what is borne
 				t.suspects = append(t.suspects, suspect{harm: min(t.delta*times, 0.5)})
 			}
 		default:
 			t.shift = int(math.Ceil(2*math.Log2(g.Factor) - 1e-9))
-			t.sought = 1
+			t.sought, t.gross = 1, 2
 			for _, part := range []float64{0.25, 0.05} { // slower all over, and in the tail
 				for _, harm := range []float64{0.05, soughtBy, 0.4} {
 					t.suspects = append(t.suspects, suspect{harm, part})
@@ -123,7 +133,6 @@
 func (j *Judge) Begin(epoch uint64, rung int) {
 	j.set.Epoch, j.set.Rung = epoch, rung
 	j.decided, j.due, j.compared, j.armed, j.slices = false, 0, 0, 0, 0
-	j.total = [2]Tally{}
 	j.verdict = Verdict{}
 	for _, t := range j.tests {
 		t.all = make([]float64, len(t.suspects))
@@ -141,10 +150,9 @@
 }
 
 func (r *relay) clear(tests []*test) {
-	r.sum, r.raw, r.sick, r.ill, r.compared = nil, nil, nil, "", 0
+	r.sum, r.sick, r.ill, r.compared, r.heard = nil, nil, "", 0, 0
 	for _, t := range tests {
 		r.sum = append(r.sum, make([]float64, len(t.suspects)))
-		r.raw = append(r.raw, make([]float64, len(t.suspects)))
 		r.sick = append(r.sick, make([]float64, len(illHarms)))
 	}
 }
@@ -155,40 +163,57 @@
 	if c.Salt != j.set.Salt {
 		return // of another canary
 	}
-	if k, known := slices.BinarySearch(j.zones, zone); !known {
+	if _, ok := j.zoneOf(zone); !ok {
+		return
+	}
+	r, found := j.relayOf(name, zone)
+	if r == nil {
+		return
+	}
+	if found && (c.Start < r.start || c.Start == r.start && c.Seq <= r.seq) {
+		j.Old++
+		return
+	}
+	if found && c.Start > r.start { // it counts from nothing again
+		for _, s := range r.strata {
+			s.last.Base, s.last.Arm = Tally{}, Tally{}
+		}
+	}
+	r.zone, r.start, r.seq, r.heard = zone, c.Start, c.Seq, j.slices
+	for _, p := range c.Strata {
+		j.take(r, p)
+	}
+}
+
+// zoneOf is a zone's place, a new one's too; false if there is no room.
+func (j *Judge) zoneOf(name string) (int, bool) {
+	z, known := slices.BinarySearch(j.zones, name)
+	if !known {
 		if len(j.zones) >= RelaysMost {
 			j.Refused++
-			return
+			return 0, false
 		}
-		j.zones = slices.Insert(j.zones, k, zone)
+		j.zones = slices.Insert(j.zones, z, name)
 		for _, t := range j.tests {
-			t.zone = slices.Insert(t.zone, k, make([]float64, len(t.suspects)))
+			t.zone = slices.Insert(t.zone, z, make([]float64, len(t.suspects)))
 		}
 	}
+	return z, true
+}
+
+// relayOf is a relay, and whether it was known; nil if there is no room.
+func (j *Judge) relayOf(name, zone string) (*relay, bool) {
 	i, found := slices.BinarySearchFunc(j.relays, name, func(r *relay, n string) int { return strings.Compare(r.name, n) })
 	if !found {
 		if len(j.relays) >= RelaysMost {
 			j.Refused++
-			return
+			return nil, false
 		}
-		r := &relay{name: name, zone: zone, start: c.Start}
+		r := &relay{name: name, zone: zone}
 		r.clear(j.tests)
 		j.relays = slices.Insert(j.relays, i, r)
 	}
-	r := j.relays[i]
-	if c.Start < r.start || c.Start == r.start && found && c.Seq <= r.seq {
-		j.Old++
-		return
-	}
-	if found && c.Start > r.start { // it counts from nothing again
-		for _, s := range r.strata {
-			s.last.Base, s.last.Arm = Tally{}, Tally{}
-		}
-	}
-	r.zone, r.start, r.seq = zone, c.Start, c.Seq
-	for _, p := range c.Strata {
-		j.take(r, p)
-	}
+	return j.relays[i], found
 }
 
 func (j *Judge) take(r *relay, p Pair) {
@@ -215,8 +240,6 @@
 	add(&s.past.slice, &base)
 	add(&s.shared.slice, &base)
 	j.armed += arm.Attempts
-	add(&j.total[0], &base)
-	add(&j.total[1], &arm)
 }
 
 func (j *Judge) pastOf(s Stratum) *past {
@@ -318,7 +341,7 @@
 // tick closes slices that are over.
 func (j *Judge) tick(now int64) {
 	if j.end == 0 {
-		j.end = now + sliceMS
+		j.end, j.keepAt = now+sliceMS, now+keepMS
 	}
 	if now < j.end {
 		return
@@ -355,7 +378,6 @@
 			for k, t := range j.tests {
 				most := t.most(4 * len(j.relays))
 				for i, b := range brings[k] {
-					r.raw[k][i] += b
 					b = min(b, most)
 					r.sum[k][i] += b
 					zones[k][zone][i] += b
@@ -420,9 +442,6 @@
 		if n0 == 0 || n1 == 0 {
 			continue
 		}
-		if j.watch != nil && i == 0 {
-			j.watch(k, n1, k1, n0, k0)
-		}
 		brings[i] += bet(float64(n1), float64(k1), float64(n0), float64(k0), t.guess(&s.past.Tally, &s.shared.Tally, cut), t.factor, t.delta, su.harm)
 	}
 }
@@ -528,19 +547,13 @@
 	t := j.tests[k]
 	everywhere, byZone, byRelay := math.Inf(-1), math.Inf(-1), math.Inf(-1)
 	for i := range t.suspects {
-		all, some, single := 0.0, 0.0, 0.0
-		sums := make([]float64, len(j.zones))
+		some, single := 0.0, 0.0
+		sums, all := j.byZone(k, i)
 		var names, named []string
 		price := math.Log(float64(len(j.relays) + 1))
 		for _, r := range j.relays {
-			if r.ill != "" {
-				continue
-			}
-			z, _ := slices.BinarySearch(j.zones, r.zone)
-			sums[z] += r.raw[k][i]
-			all += r.raw[k][i]
-			if r.raw[k][i] > price {
-				single += r.raw[k][i] - price
+			if r.ill == "" && r.sum[k][i] > price {
+				single += r.sum[k][i] - price
 				names = append(names, r.name)
 			}
 		}
@@ -572,7 +585,7 @@
 	rest := 0.0
 	for _, r := range j.relays {
 		if r.ill == "" && !slices.Contains(zones, r.zone) && !slices.Contains(relays, r.name) {
-			rest += r.raw[k][t.sought]
+			rest += r.sum[k][t.sought]
 		}
 	}
 	if rest > -clear { // the others have not shown to be sound, and a weight may be kept there
@@ -581,10 +594,19 @@
 	return zones, relays, ahead
 }
 
+// widens says whether the next step is to a weight where the flows of one zone, or of single relays, would pay.
+func (j *Judge) widens() bool {
+	next := j.set.Rung + 1
+	return next < len(j.set.Ladder) && j.set.Ladder[next] >= wide
+}
+
 // ruledOut says whether the harm that is looked for is unlikely by now, by every guard, in each zone that counts. A number of attempts alone
 // would not do: what it shows depends on how often the base is bad.
 func (j *Judge) ruledOut() bool {
-	compared := make([]uint64, len(j.zones))
+	compared, least := make([]uint64, len(j.zones)), math.Log(missed)
+	if j.widens() {
+		least = math.Log(missedBy)
+	}
 	for _, r := range j.relays {
 		if r.ill == "" {
 			z, _ := slices.BinarySearch(j.zones, r.zone)
@@ -592,27 +614,56 @@
 		}
 	}
 	for k, t := range j.tests {
-		sums := make([]float64, len(j.zones))
-		for _, r := range j.relays {
-			if r.ill == "" {
-				z, _ := slices.BinarySearch(j.zones, r.zone)
-				sums[z] += r.raw[k][t.sought]
-			}
-		}
-		all := 0.0
+		sums, all := j.byZone(k, t.sought)
 		for z, sum := range sums {
-			all += sum
-			if compared[z]*uint64(len(j.zones))*smallZone >= j.compared && sum > math.Log(missed) {
+			if compared[z]*uint64(len(j.zones))*smallPart >= j.compared && sum > least {
 				return false
 			}
 		}
-		if all > math.Log(missed) {
+		if all > least {
 			return false
 		}
 	}
 	return true
 }
 
+// byZone is what the relays that are not ill have found on one harm, by zone and in all.
+func (j *Judge) byZone(k, suspect int) (sums []float64, all float64) {
+	sums = make([]float64, len(j.zones))
+	for _, r := range j.relays {
+		if r.ill == "" {
+			z, _ := slices.BinarySearch(j.zones, r.zone)
+			sums[z] += r.sum[k][suspect]
+			all += r.sum[k][suspect]
+		}
+	}
+	return sums, all
+}
+
+// eachRuledOut says whether a wide step has what it needs besides. Of one relay among many a zone's sum shows little: each
+// relay rules out the largest harm by itself (the smaller ones would take it as long as a zone), but those of few flows, unless what they have is clear. And
+// nothing is clear in any zone: a harm less than what is looked for is ruled out with it, and would be found only where it costs most.
+// Who is silent for longer than counts wait has no more to say, and none of its flows is counted.
+func (j *Judge) eachRuledOut() bool {
+	for k, t := range j.tests {
+		for i := range t.suspects {
+			if sums, _ := j.byZone(k, i); len(sums) > 0 && slices.Max(sums) > clear {
+				return false
+			}
+		}
+		for _, r := range j.relays {
+			least := math.Log(missed)
+			if r.compared*uint64(len(j.relays))*smallPart < j.compared {
+				least = clear
+			}
+			if r.ill == "" && j.slices-r.heard <= holdMost && r.sum[k][t.gross] > least {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // whole is the zones of named relays in which the others have not shown otherwise: it may be all of the zone.
 func (j *Judge) whole(named []string, k int) (zones []string) {
 	for _, z := range j.zones {
@@ -621,7 +672,7 @@
 			if r.zone == z && slices.Contains(named, r.name) {
 				some = true
 			} else if r.zone == z && r.ill == "" {
-				others += r.raw[k][j.tests[k].sought]
+				others += r.sum[k][j.tests[k].sought]
 			}
 		}
 		if some && others > -clear {
@@ -641,6 +692,12 @@
 			v.Ill = append(v.Ill, Illness{r.name, Metric(r.ill)})
 		}
 	}
+	if now >= j.keepAt {
+		if v.Keep = j.keep(); len(v.Keep) > KeptMost {
+			v.Keep = nil
+		}
+		j.keepAt = now + max(keepMS, int64(len(v.Keep))*1000/keepRate)
+	}
 	if j.decided {
 		return v
 	}
@@ -651,45 +708,8 @@
 		if j.armed >= j.set.Floor {
 			v.Kind = Sound
 		}
-	case j.compared >= j.set.Floor && j.ruledOut():
+	case j.compared >= j.set.Floor && j.ruledOut() && (!j.widens() || j.eachRuledOut()):
 		v.Kind = Sound
 	}
 	return v
 }
-
-// Figures are what was counted on this rung, for operators.
-func (j *Judge) Figures() []Figure {
-	var list []Figure
-	for _, t := range j.tests {
-		f := Figure{Metric: t.Metric}
-		if t.shift == 0 {
-			n0, k0 := t.trials(&j.total[0], 0)
-			n1, k1 := t.trials(&j.total[1], 0)
-			f.BaseN, f.ArmN = n0, n1
-			f.Base, f.Arm = float64(k0)/float64(max(n0, 1)), float64(k1)/float64(max(n1, 1))
-		} else {
-			f.Base, f.Base99, f.BaseN = quantiles(t.times(&j.total[0]))
-			f.Arm, f.Arm99, f.ArmN = quantiles(t.times(&j.total[1]))
-		}
-		list = append(list, f)
-	}
-	return list
-}
-
-// quantiles are the median and the 99th part of a hundred, in ms, as the upper ends of buckets.
-func quantiles(times *Times) (median, last float64, n uint64) {
-	h := hdrhistogram.New(1, int64(upper(Buckets)*1000)+1, 2) // microseconds
-	for i, k := range times {
-		if k == 0 {
-			continue
-		}
-		if err := h.RecordValues(int64(upper(i)*1000), int64(k)); err != nil {
-			continue // no bucket lies outside of its range
-		}
-		n += k
-	}
-	if n == 0 {
-		return 0, 0, 0
-	}
-	return float64(h.ValueAtQuantile(50)) / 1000, float64(h.ValueAtQuantile(99)) / 1000, n
-}
