A release no longer halts for the successor of a member that it has replaced

A newcomer that no unit stood for yet counted as a cold member beside the empty one it replaces: plan.go reckoned the halt before what others saw. It is reckoned after it now, as if that were agreed; the test fails without. The leader logs what becomes of releases with the cause of a halt, which nothing did, and rehearsals say it.

--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -308,6 +308,7 @@
 
 // pilot asks what is next, and has it agreed. Nothing is planned until all relays that are known have been heard, or have had the time.
 func (s *Service) pilot() {
+	var reported map[string]string
 	s.every(planEvery, func() {
 		s.mu.Lock()
 		now := s.now()
@@ -325,6 +326,7 @@
 		if now-led < silentAfter.Milliseconds() && unheard {
 			return
 		}
+		reported = s.report(reported)
 		for _, c := range trials {
 			if err := s.proposeTrial(context.Background(), c); err != nil {
 				s.failed("canary "+c.Do, err)
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -164,7 +164,11 @@
 			if ask("GET", n.calls, "/-/releases/"+a.Name+"?stale", nil, &whole) != http.StatusOK {
 				continue
 			}
-			r.with(func(at time.Duration) { r.out.release(at, whole) })
+			r.with(func(at time.Duration) {
+				if news := r.out.release(at, whole); news != "" {
+					r.Say("\r%7.1f s: release %s is %s%s\n", at.Seconds(), a.Name, news, strings.Repeat(" ", 40))
+				}
+			})
 			for _, u := range whole.Units {
 				name := cmp.Or(u.Now, u.Name) // on the way back it is the successor that is replaced, by the build of before
 				if u.Kind == rollout.KindMember && u.Phase == rollout.Empty && !replaced[name] {
@@ -209,13 +213,20 @@
 	ended           map[string]time.Duration // since the first call
 }
 
-func (o *outs) release(at time.Duration, a rollout.Account) {
+// release remembers how one stands, and says so if it is new.
+func (o *outs) release(at time.Duration, a rollout.Account) (news string) {
 	if o.states == nil {
 		o.states, o.ended = map[string]string{}, map[string]time.Duration{}
 	}
-	if o.states[a.Name] != a.State {
-		o.states[a.Name], o.ended[a.Name] = a.State, at
+	state := a.State
+	if a.Halt != nil && state == rollout.Halted {
+		state += ": " + a.Halt.Cause + ": " + a.Halt.Why
+	}
+	if o.states[a.Name] != state {
+		o.states[a.Name], o.ended[a.Name] = state, at
+		return state
 	}
+	return ""
 }
 
 // done is the time from the first call until all releases had ended, in seconds; nil if one has not.
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -20,15 +20,13 @@
 	rooms   map[string]*room
 }
 
-// Plan says what to propose next, in this order: a few commands, the same for the same state and view. Halts come first, then what others
-// saw, then who is admitted and who is shut, then what goes out. Each is reckoned as if those before it were agreed, and names the version that they make: if one of them is
+// Plan says what to propose next, in this order: a few commands, the same for the same state and view. What others saw comes first, then a halt
+// (a successor that is not yet known to be one would count as a cold member beside the empty one), then who is admitted and who is shut, then what goes out. Each is reckoned as if those before it were agreed, and names the version that they make: if one of them is
 // not, the rest is refused and the next look plans anew. A relay that was never heard is to have the age of the view as HeardMS, else
 // nothing of it is ever past its time.
 func (s *State) Plan(now int64, v View, b Budgets) []Command {
 	p := s.d.planner(now, v, b)
 	saw := p.seen()
-	_, stalled := p.step()
-	p.reset()
 	next := State{s.d.clone()}
 	var list []Command
 	add := func(c Command) {
@@ -37,11 +35,16 @@
 			list = append(list, c)
 		}
 	}
-	if c := p.halt(stalled); c != nil {
-		add(*c)
-	}
 	if len(saw) > 0 {
 		add(Command{Kind: Seen, Saw: saw})
+		gone := p.gone
+		p = next.d.planner(now, v, b)
+		p.gone = gone
+	}
+	_, stalled := p.step()
+	p.reset()
+	if c := p.halt(stalled); c != nil {
+		add(*c)
 	}
 	if numbers := p.void(); len(numbers) > 0 {
 		add(Command{Kind: Void, Numbers: numbers})
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -936,3 +936,18 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// A successor that has another name is no loss beside the member that it stands for: its release does not halt for it.
+func TestSuccessorIsNoLoss(t *testing.T) {
+	b := Budgets{Silent: 100, Fresh: 100, Drain: 1000, Start: 1000, Warm: 1000, Window: 100}
+	v := View{At: 1000, Relays: []Relay{{Name: "n", Full: true}}, Members: []Member{{Name: "a.1", Started: 990, Capacity: 1, Bears: 0.3}, {Name: "b", Capacity: 1, Bears: 1}}}
+	s := New()
+	s.d.Releases = []release{{Laid: true, Account: Account{Name: "r", State: Running, Wish: Wish{Kind: KindMember, All: true}, Units: []Unit{
+		{Name: "a", Kind: KindMember, Phase: Empty, Number: 1, At: 900, Start: 5}, {Name: "b", Kind: KindMember}}}}}
+	for _, c := range s.Plan(v.At, v, b) {
+		calls(t, s, v.At, "", c)
+	}
+	if a, _ := s.Release("r"); a.State != Running || a.Units[0].Phase != Coming || a.Units[0].Now != "a.1" {
+		t.Errorf("%+v, %+v", a, a.Halt)
+	}
+}
