accord: an older page in the place of a newer one is found too

Cause: a root page of an earlier transaction, under the number of the newest, was a whole older file by every sum. Two tests could fail by their own doing: one removed a directory that a node still wrote to, one asked a voter that had lost its leader meanwhile. Change: the sum holds the number of the transaction; the first pages hold transactions in turn; the tests' directories outlive their nodes, and a call waits until the voter's own engine knows the leader. Measured: each page in the place of each other, all bits one by one, 60,000 random scrambles: refused, or the very same.

--- a/internal/accord/disk.go
+++ b/internal/accord/disk.go
@@ -159,9 +159,12 @@
 	return h.Sum64()
 }
 
+// sumOf also holds the number of the transaction, so that an older page in the place of a newer one, with all that hangs on it, is found.
+func sumOf(sum, number uint64) []byte { return append(logKey(sum), logKey(number)...) }
+
 // load takes a file apart and holds it against its sums: it is whole, or an error.
 func load(b []byte) (h held, err error) {
-	meta, log, err := readPages(b)
+	number, meta, log, err := readPages(b)
 	if err != nil {
 		return h, err
 	}
@@ -192,7 +195,7 @@
 		h.entries = append(h.entries, e)
 	}
 	ident := values[string(keyIdent)]
-	if len(ident) != 8 || !bytes.Equal(values[string(keySum)], logKey(sum)) {
+	if len(ident) != 8 || !bytes.Equal(values[string(keySum)], sumOf(sum, number)) {
 		return h, errDamaged
 	}
 	h.identity, h.state = binary.BigEndian.Uint64(ident), values[string(keyState)]
@@ -271,7 +274,7 @@
 		return errDamaged
 	}
 	var sum uint64
-	if b := meta.Get(keySum); len(b) == 12 {
+	if b := meta.Get(keySum); len(b) > 12 {
 		sum = binary.BigEndian.Uint64(b[4:])
 	}
 	set := func(b *bbolt.Bucket, k, v []byte) error {
@@ -337,7 +340,7 @@
 			return err
 		}
 	}
-	return meta.Put(keySum, sealed(logKey(sum)))
+	return meta.Put(keySum, sealed(sumOf(sum, uint64(tx.ID()))))
 }
 
 // rewrite makes the file anew with all that is held, and puts it in the place of the old one. It is how a voter comes back after a failed
--- a/internal/accord/fault_test.go
+++ b/internal/accord/fault_test.go
@@ -260,7 +260,7 @@
 func TestUnusableDirectory(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 1, false)
-	file := filepath.Join(t.TempDir(), "file")
+	file := filepath.Join(f.temp, "file")
 	if err := os.WriteFile(file, []byte("x"), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -343,7 +343,7 @@
 	t.Parallel()
 	f := newFleet(t, 3, true)
 	f.allUp()
-	f.dirs["r0"] = t.TempDir()
+	f.dirs["r0"] = filepath.Join(f.temp, "r0")
 	f.up("r0")
 	f.up("r1")
 	f.propose("r0", "a")
@@ -650,8 +650,18 @@
 		}
 		b[bit/8] ^= 1 << (bit % 8)
 	}
-	for id := 0; id < len(b)/os.Getpagesize(); id++ { // a page that is its own child: who walks in circles does not end
-		if p := b[id*os.Getpagesize():]; binary.NativeEndian.Uint16(p[8:]) == pageBranch {
+	size := os.Getpagesize()
+	for from := 0; from < len(b); from += size { // each page in the place of each other, under its number: such as an older one
+		for to := 0; to < len(b); to += size {
+			copy(b[to+8:to+size], good[from+8:from+size])
+			if h, err := load(b); err == nil && !reflect.DeepEqual(h, whole) {
+				t.Fatalf("page at %d in the place of %d, and something else is read", from, to)
+			}
+			copy(b[to:to+size], good[to:to+size])
+		}
+	}
+	for id := 0; id < len(b)/size; id++ { // a page that is its own child: who walks in circles does not end
+		if p := b[id*size:]; binary.NativeEndian.Uint16(p[8:]) == pageBranch {
 			binary.NativeEndian.PutUint64(p[pageHead+8:], uint64(id))
 			if h, err := load(b); err == nil && !reflect.DeepEqual(h, whole) {
 				t.Fatalf("page %d is its own child, and let in", id)
@@ -666,7 +676,7 @@
 	for i, c := range []struct {
 		file []byte
 		id   uint64
-	}{{nil, 6}, {good[:os.Getpagesize()], 6}, {good, 5}, {good, 5}, {good[:3*os.Getpagesize()], 6}} {
+	}{{nil, 6}, {good[:size], 6}, {good, 5}, {good, 5}, {good[:3*size], 6}} {
 		if err := os.WriteFile(filepath.Join(dir, dbName), c.file, 0o600); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/accord/node_test.go
+++ b/internal/accord/node_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,6 +63,7 @@
 	voters map[string]string
 	nodes  map[string]*Node
 	ms     map[string]*sum
+	temp   string
 	dirs   map[string]string
 	addrs  map[string]string
 	reach  map[string]map[string]string
@@ -84,17 +86,17 @@
 }
 
 func newFleet(t testing.TB, voters int, disk bool) *fleet {
-	f := &fleet{t: t, keys: [][]byte{[]byte("a key of the installation, 32 or more")}, voters: map[string]string{}, nodes: map[string]*Node{}, ms: map[string]*sum{},
+	f := &fleet{t: t, temp: t.TempDir(), keys: [][]byte{[]byte("a key of the installation, 32 or more")}, voters: map[string]string{}, nodes: map[string]*Node{}, ms: map[string]*sum{},
 		dirs: map[string]string{}, addrs: map[string]string{}, reach: map[string]map[string]string{}, fault: map[string]func(string) error{}}
 	for i := range voters {
 		name := fmt.Sprintf("v%d", i)
 		f.voters[name] = freeAddr(t)
 		f.addrs[name] = f.voters[name]
 		if disk {
-			f.dirs[name] = t.TempDir()
+			f.dirs[name] = filepath.Join(f.temp, name)
 		}
 	}
-	t.Cleanup(func() {
+	t.Cleanup(func() { // before the directory above is removed: a node that still runs would write into it
 		var wg sync.WaitGroup
 		for _, n := range f.nodes {
 			wg.Go(func() { n.Close() })
@@ -145,9 +147,9 @@
 
 func (f *fleet) propose(name, command string) uint64 {
 	f.t.Helper()
-	f.wait("a leader that it knows", func() bool { // else a call may end in doubt, by rights
-		l := f.nodes[f.nodes[name].Status().Leader]
-		return l != nil && l.Status().Role == RoleLeader
+	f.wait("a leader that it knows", func() bool { // else a call may end in doubt, by rights: it asks all in turn, one that is down too
+		l, e := f.nodes[f.nodes[name].Status().Leader], f.nodes[name].engine()
+		return l != nil && l.Status().Role == RoleLeader && (e == nil || e.view.Load().leader != 0)
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
--- a/internal/accord/pages.go
+++ b/internal/accord/pages.go
@@ -36,37 +36,42 @@
 	bucket bool
 }
 
-// readPages reads the two buckets.
-func readPages(b []byte) (meta, log []pair, err error) {
+// readPages reads the two buckets, and the number of the transaction that wrote last.
+func readPages(b []byte) (newest uint64, meta, log []pair, err error) {
 	p := pages{b: b, size: uint64(os.Getpagesize()), seen: map[uint64]bool{0: true, 1: true}}
 	if uint64(len(b)) < 2*p.size {
-		return nil, nil, fmt.Errorf("%w: %d bytes", errDamaged, len(b))
+		return 0, nil, nil, fmt.Errorf("%w: %d bytes", errDamaged, len(b))
 	}
 	order := binary.NativeEndian
-	var root, newest uint64
+	var root uint64
 	for i := range uint64(2) {
 		m := b[i*p.size+pageHead:][:metaSize]
 		sum := fnv.New64a()
 		sum.Write(m[:metaSize-8])
-		// One that is damaged is no reason to go back to the other: what this voter acknowledged last would be forgotten.
+		// They hold the last two transactions in turn. One that is damaged is no reason to go back to the other: what this voter acknowledged
+		// last would be forgotten.
 		if order.Uint32(m) != boltMagic || order.Uint32(m[4:]) != boltFormat || uint64(order.Uint32(m[8:])) != p.size || order.Uint64(m[56:]) != sum.Sum64() {
-			return nil, nil, fmt.Errorf("%w: first page %d", errDamaged, i)
+			return 0, nil, nil, fmt.Errorf("%w: first page %d", errDamaged, i)
 		}
-		if number := order.Uint64(m[48:]); number >= newest {
+		number := order.Uint64(m[48:])
+		if number%2 != i {
+			return 0, nil, nil, fmt.Errorf("%w: first page %d is of transaction %d", errDamaged, i, number)
+		}
+		if number >= newest {
 			newest, root, p.n = number, order.Uint64(m[16:]), order.Uint64(m[40:])
 		}
 	}
 	if p.n > uint64(len(b))/p.size {
-		return nil, nil, fmt.Errorf("%w: %d bytes of %d pages", errDamaged, len(b), p.n)
+		return 0, nil, nil, fmt.Errorf("%w: %d bytes of %d pages", errDamaged, len(b), p.n)
 	}
 	top, err := p.tree(nil, root)
 	if err != nil {
-		return nil, nil, err
+		return 0, nil, nil, err
 	}
 	found := map[string][]pair{}
 	for _, e := range top {
 		if !e.bucket || len(e.value) < 16 {
-			return nil, nil, errDamaged
+			return 0, nil, nil, errDamaged
 		}
 		var es []element
 		if root := order.Uint64(e.value); root != 0 {
@@ -75,12 +80,12 @@
 			es, err = elements(e.value[16:])
 		}
 		if err != nil {
-			return nil, nil, err
+			return 0, nil, nil, err
 		}
 		l := []pair{}
 		for i, e := range es {
 			if e.bucket || i > 0 && bytes.Compare(es[i-1].key, e.key) >= 0 {
-				return nil, nil, errDamaged
+				return 0, nil, nil, errDamaged
 			}
 			l = append(l, e.pair)
 		}
@@ -88,9 +93,9 @@
 	}
 	meta, log = found[string(bucketMeta)], found[string(bucketLog)]
 	if meta == nil || log == nil {
-		return nil, nil, errDamaged
+		return 0, nil, nil, errDamaged
 	}
-	return meta, log, nil
+	return newest, meta, log, nil
 }
 
 // tree collects what the leaves under a page hold.
