--- a/internal/accord/core.go
+++ b/internal/accord/core.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 
 	"go.etcd.io/raft/v3"
@@ -28,6 +29,7 @@
 	errUnsound  = errors.New("not all other voters are sound")
 	errPending  = errors.New("another change of voters is under way")
 	errNoLeader = errors.New("no leader")
+	errAlive    = errors.New("the one in its place still answers: are there two relays of this name?")
 	errNoVoter  = errors.New("no such voter")
 )
 
@@ -45,6 +47,10 @@
 	ordered         bool
 }
 
+func (w wish) encode() []byte {
+	return putBytes(putBytes(putBytes(put(nil, flag(w.ordered), w.id), w.old), w.name), w.addr)
+}
+
 // core is the engine of one voter: it takes messages, ticks, and that its work was written. It does no I/O and reads no clock.
 type core struct {
 	id        uint64
@@ -97,7 +103,7 @@
 	if err := proto.Unmarshal(s.conf, conf); err != nil {
 		return nil, err
 	}
-	return &core{id: id, rn: rn, st: st, members: s.members.clone(), conf: conf, record: s.record, unsure: unsure, snapIndex: s.index,
+	return &core{id: id, rn: rn, st: st, members: s.members, conf: conf, record: s.record, unsure: unsure, snapIndex: s.index,
 		marks: map[uint64]mark{}, wishes: map[string]wish{}, heard: map[uint64]int{}, tried: -electionTicks * 2}, nil
 }
 
@@ -130,14 +136,16 @@
 
 // older says whether what others remember of this voter is more than it has.
 func (c *core) older(m mark) bool {
-	own := c.own()
-	return m.term > own.term || m.term == own.term && m.index > own.index
+	return m.over(c.own())
 }
 
 func (c *core) tick() {
 	c.ticks++
 	if !c.unsure {
 		c.rn.Tick()
+		if state := c.basic().RaftState; state == raft.StateCandidate || state == raft.StatePreCandidate {
+			c.rn.Tick() // a vote that was split is held again in half the time: else the next leader may take over 2 s
+		}
 	}
 	for name, w := range c.wishes {
 		if w.until < c.ticks {
@@ -268,7 +276,7 @@
 		case id == c.id:
 		case id == old:
 			if c.ticks-c.heard[id] < electionTicks && !w.ordered {
-				err = errUnsound // it still lives: two relays of one name
+				err = errAlive
 			}
 		case c.ticks-c.heard[id] > soundTicks || p.Match+behindMost < committed:
 			err = errUnsound
@@ -282,13 +290,8 @@
 	if c.ticks-c.tried < electionTicks {
 		return
 	}
-	names := make([]string, 0, len(c.wishes))
-	for name := range c.wishes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	c.said = ""
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(c.wishes)) {
 		w := c.wishes[name]
 		old, err := c.allowed(w)
 		if err != nil {
@@ -354,7 +357,7 @@
 			return nil, nil, err
 		}
 		c.snapIndex, c.snapBytes = s.index, len(w.snap.GetData())
-		c.members, c.conf, snap = s.members.clone(), w.snap.GetMetadata().GetConfState(), &s
+		c.members, c.conf, snap = s.members, w.snap.GetMetadata().GetConfState(), &s
 	}
 	if w.hard != nil {
 		if err := c.st.SetHardState(w.hard); err != nil {
--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -19,6 +20,7 @@
 )
 
 const (
+	twinEvery  = 5 * time.Second
 	lookEvery  = 200 * time.Millisecond // the supervisor's
 	wishEvery  = time.Second
 	sayEvery   = time.Second
@@ -70,6 +72,7 @@
 	diskSays  string
 	engSays   string
 	taken     string
+	twins     []string
 	role      string
 	bound     uint64 // the record that a founder is about to begin with this relay
 	boundAt   time.Time
@@ -162,9 +165,17 @@
 	n.wg.Go(n.supervise)
 	n.wg.Go(n.followThread)
 	n.wg.Go(n.sayThread)
-	n.wg.Go(n.heardThread)
-	n.wg.Go(n.toldThread)
-	n.wg.Go(n.ledThread)
+	each(n, n.heard, n.answer)
+	each(n, n.told, func(s saidWord) {
+		if o.Told != nil {
+			o.Told(s.from, s.word)
+		}
+	})
+	each(n, n.led, func(l ledNews) {
+		if o.Led != nil {
+			o.Led(l.leading, l.term)
+		}
+	})
 	n.wg.Go(func() {
 		if err := n.srv.Serve(&countedListener{ln, &n.bytesIn, &n.bytesOut}); !errors.Is(err, http.ErrServerClosed) {
 			n.log().WithField("error", err.Error()).Error("accord: the listener ended")
@@ -231,49 +242,31 @@
 	}
 }
 
-func (n *Node) ledThread() {
-	for {
-		select {
-		case <-n.quit:
-			return
-		case l := <-n.led:
-			if n.o.Led != nil {
-				n.o.Led(l.leading, l.term)
+// each hands what a ring brings to f, on a goroutine of its own.
+func each[T any](n *Node, ring <-chan T, f func(T)) {
+	n.wg.Go(func() {
+		for {
+			select {
+			case <-n.quit:
+				return
+			case v := <-ring:
+				f(v)
 			}
 		}
-	}
+	})
 }
 
-func (n *Node) heardThread() {
-	for {
-		select {
-		case <-n.quit:
-			return
-		case s := <-n.heard:
-			var answer []byte
-			if n.o.Heard != nil {
-				answer = n.o.Heard(s.from, s.word)
-			}
-			if len(answer) > AnswerMost {
-				n.drop("answersize")
-				answer = nil
-			}
-			s.back <- answer
-		}
+// answer has a word heard, and gives the answer to who waits for it.
+func (n *Node) answer(s saidWord) {
+	var a []byte
+	if n.o.Heard != nil {
+		a = n.o.Heard(s.from, s.word)
 	}
-}
-
-func (n *Node) toldThread() {
-	for {
-		select {
-		case <-n.quit:
-			return
-		case s := <-n.told:
-			if n.o.Told != nil {
-				n.o.Told(s.from, s.word)
-			}
-		}
+	if len(a) > AnswerMost {
+		n.drop("answersize")
+		a = nil
 	}
+	s.back <- a
 }
 
 // applyThread is the only one that calls the machine.
@@ -352,6 +345,7 @@
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	var wished, opened time.Time
+	twinsAt := time.Now()
 	for {
 		e := n.engine()
 		var ended <-chan struct{}
@@ -367,6 +361,9 @@
 		case <-look.C:
 		}
 		n.watchMajority()
+		if n.watchTwins(time.Since(twinsAt) > twinEvery) {
+			twinsAt = time.Now()
+		}
 		if e != nil {
 			continue
 		}
@@ -404,7 +401,7 @@
 			n.setRole(RoleWaiting)
 			if time.Since(wished) > wishEvery {
 				wished = time.Now()
-				n.wish(change{old: 0, new: id, name: n.o.Name, addr: n.ownAddr(ms)})
+				n.wish(wish{old: n.o.Name, name: n.o.Name, addr: n.ownAddr(ms), id: id})
 			}
 		}
 	}
@@ -601,7 +598,6 @@
 // others are the voters to ask, the likeliest first: the leader, then from a place that differs by name, so that followers spread.
 func (n *Node) others() (list []member) {
 	ms := n.ap.membersNow()
-	var names []string
 	addr := map[string]string{}
 	for _, id := range ms.ids() {
 		addr[ms[id].Name] = ms[id].Addr
@@ -611,12 +607,8 @@
 			addr[name] = a
 		}
 	}
-	for name := range addr {
-		if name != n.o.Name {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
+	delete(addr, n.o.Name)
+	names := slices.Sorted(maps.Keys(addr))
 	h := fnv.New32a()
 	h.Write([]byte(n.o.Name))
 	for i := range names {
@@ -831,10 +823,26 @@
 	}
 }
 
+// watchTwins notes which names two relays seem to send under, at once; at the end of a while, which do no longer.
+func (n *Node) watchTwins(ends bool) bool {
+	names := n.fresh.twins(ends)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range names {
+		if !slices.Contains(n.twins, name) {
+			n.twins = append(n.twins, name)
+			n.log().WithField("relay", name).Error("accord: two relays seem to have this name, or one starts over and over")
+		}
+	}
+	if ends {
+		n.twins = names
+	}
+	return ends
+}
+
 func (n *Node) status() Status {
 	n.watchMajority()
-	s := Status{Name: n.o.Name, Voters: map[string]string{}, BytesIn: n.bytesIn.Load(), BytesOut: n.bytesOut.Load(),
-		Dropped: map[string]uint64{}, Refused: map[string]uint64{}}
+	s := Status{Name: n.o.Name, Voters: map[string]string{}, BytesIn: n.bytesIn.Load(), BytesOut: n.bytesOut.Load()}
 	s.Record, s.Applied, _ = n.ap.at()
 	ms, at := n.ap.votersNow()
 	s.VotersAt = at
@@ -849,7 +857,7 @@
 	defer n.mu.Unlock()
 	s.Role, s.Identity, s.Majority, s.Since, s.Disk, s.Engine, s.Taken = n.role, n.identity, n.majority, n.since, n.diskSays, n.engSays, n.taken
 	s.Committed = n.followed.committed
-	s.Follows = n.followed.voter
+	s.Follows, s.Twins = n.followed.voter, slices.Clone(n.twins)
 	if e != nil {
 		v := e.view.Load()
 		s.Term, s.Committed, s.LogFirst, s.LogLast, s.SnapshotIndex, s.SnapshotBytes = v.term, v.committed, v.first, v.last, v.snapIndex, v.snapBytes
@@ -858,12 +866,7 @@
 			s.Disk = v.mute.Error()
 		}
 	}
-	for k, v := range n.dropped {
-		s.Dropped[k] = v
-	}
-	for k, v := range n.refusals {
-		s.Refused[k] = v
-	}
+	s.Dropped, s.Refused = maps.Clone(n.dropped), maps.Clone(n.refusals)
 	s.LogBytes = n.ap.size()
 	return s
 }
@@ -880,19 +883,12 @@
 }
 
 // raftLog is where the engine's library writes. What it panics with ends the engine, never the process.
-type raftLog struct{ l logrus.FieldLogger }
-
-func (r raftLog) Debug(v ...any)            { r.l.Debug(v...) }
-func (r raftLog) Debugf(f string, v ...any) { r.l.Debugf("accord: "+f, v...) }
-func (r raftLog) Error(v ...any)            { r.l.Error(v...) }
-func (r raftLog) Errorf(f string, v ...any) { r.l.Errorf("accord: "+f, v...) }
-func (r raftLog) Info(v ...any)             { r.l.Debug(v...) }
-func (r raftLog) Infof(f string, v ...any)  { r.l.Debugf("accord: "+f, v...) }
-func (r raftLog) Warning(v ...any)          { r.l.Warn(v...) }
-func (r raftLog) Warningf(f string, v ...any) {
-	r.l.Debugf("accord: "+f, v...)
-}
-func (r raftLog) Fatal(v ...any)            { panic(fmt.Sprint(v...)) }
-func (r raftLog) Fatalf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
-func (r raftLog) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
-func (r raftLog) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
+type raftLog struct{ logrus.FieldLogger }
+
+func (r raftLog) Info(v ...any)               { r.Debug(v...) }
+func (r raftLog) Infof(f string, v ...any)    { r.Debugf(f, v...) }
+func (r raftLog) Warningf(f string, v ...any) { r.Debugf(f, v...) }
+func (r raftLog) Fatal(v ...any)              { panic(fmt.Sprint(v...)) }
+func (r raftLog) Fatalf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
+func (r raftLog) Panic(v ...any)              { panic(fmt.Sprint(v...)) }
+func (r raftLog) Panicf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
