--- a/internal/canary/kept.go
+++ b/internal/canary/kept.go
@@ -12,7 +12,7 @@
 // stand the words it is of, and the first word after them is nobody's evidence, as ever.
 
 const (
-	KeptMost    = 128 << 10 // bytes; RelaysMost of them need half
+	KeptMost    = 128 << 10 // bytes; 1,024 relays need less, and in JSON, a third longer, it goes into one command of the record
 	keepMS      = 5000      // at the soonest: so much is lost with a leader
 	keepRate    = 1000      // bytes a second that this may cost each relay that follows the record: as much as two words
 	keptVersion = 1
