A pause goes round from a relay that has not applied the canary, or its resume

Cause: Holder.Pause took its epoch from what is applied at the relay that is asked. One that has started since the record was last in reach has applied nothing: the call did nothing there and told nobody, without a word. One that has missed a resume passed on a pause of the epoch before, which the others rightly hold for over. Both happen where there is no majority, which is what the notices are for.

Change: the epoch is the highest that is applied here or was told by others' notices; a canary that neither tells of is logged.

Result: TestPauseByNotices, both cases fail without this.

--- a/cmd/dahliarudder/trial.go
+++ b/cmd/dahliarudder/trial.go
@@ -78,6 +78,8 @@
 func (r *relay) pauseTrial(release string) {
 	if _, known := r.trial.holder.Pause(release); known {
 		r.trial.weigh()
+	} else {
+		r.log.WithField("release", release).Warn("fleet: a pause of a canary that is not known here: it goes round by the record alone")
 	}
 }
 
--- a/internal/canary/holder.go
+++ b/internal/canary/holder.go
@@ -133,13 +133,17 @@
 	return true
 }
 
-// Pause holds a release at zero here and now, and gives the notice that tells others. It needs no record; false if the release is unknown here.
+// Pause holds a release at zero here and now, and gives the notice that tells others. It needs no record: what others passed on tells which
+// epoch it is for, where that is newer than what is applied here. False if the release is unknown here.
 func (h *Holder) Pause(release string) (Notice, bool) {
-	w := h.find(h.agreed, release)
-	if w == nil {
+	k := h.heard[release]
+	n := Notice{Release: release, Pause: true, Epoch: max(k.pause, k.low.Epoch)}
+	if w := h.find(h.agreed, release); w != nil {
+		n.Epoch = max(n.Epoch, w.Epoch)
+	}
+	if n.Epoch == 0 {
 		return Notice{}, false
 	}
-	n := Notice{Release: release, Pause: true, Epoch: max(w.Epoch, h.heard[release].pause)}
 	h.Heard(n)
 	return n, true
 }
--- a/internal/canary/holder_test.go
+++ b/internal/canary/holder_test.go
@@ -253,3 +253,24 @@
 		t.Errorf("nothing to tell is %q", empty)
 	}
 }
+
+// A relay that has started since the record was last in reach, or has missed a resume, can be told to pause too: which epoch goes on elsewhere it
+// knows by what others pass on.
+func TestPauseByNotices(t *testing.T) {
+	for _, applied := range [][]Weight{nil, {{Release: "r", PerMille: 300, Epoch: 4, Number: 8}}} {
+		other, h := NewHolder(cutMS), NewHolder(cutMS)
+		other.Agreed(0, 9, []Weight{{Release: "r", PerMille: 300, Epoch: 5, Number: 9}})
+		other.Reached(0, 9)
+		h.Agreed(0, 1, applied)
+		for _, n := range other.Notices() {
+			h.Heard(n)
+		}
+		n, ok := h.Pause("r")
+		if !ok || !other.Heard(n) || other.Weights(0)[0].PerMille != 0 {
+			t.Errorf("applied %v: %+v, %v: the other one uses %+v", applied, n, ok, other.Weights(0))
+		}
+	}
+	if n, ok := NewHolder(cutMS).Pause("r"); ok {
+		t.Errorf("a pause of what nobody has told of: %+v", n)
+	}
+}
