--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -42,6 +42,7 @@
 	budgets rollout.Budgets
 	takeOut bool
 	list    uint64
+	epoch   int                    // of discovery
 	planted map[string]drift.State // by relay and item
 	found   map[string]bool
 	falsely []string
@@ -282,14 +283,17 @@
 
 // discover tells all relays but those that are stuck of a new list, one after another.
 func (m *model) discover(gen uint64) {
-	m.list = gen
+	if m.list = gen; gen == 3 {
+		m.epoch++
+	}
+	epoch := m.epoch
 	for _, r := range m.relays {
 		late := r.slow + m.rng.Int64N(1500)
 		if gen == 3 { // it has begun anew: relays come back to it one by one
 			late *= 6
 		}
 		m.at(late, func() {
-			if !r.frozen[drift.List] && (r.look.List < gen || gen == 3) {
+			if !r.frozen[drift.List] && epoch == m.epoch && (r.look.List < gen || gen == 3) {
 				r.look.List = gen
 			}
 		})
@@ -614,6 +618,7 @@
 		m.release("mend", rollout.Wish{Kind: rollout.KindRelay, All: true})
 		until("mended", 600_000, func() bool { return out() >= 0 && m.state("mend") == rollout.Ended })
 		until("let in", 60_000, func() bool { return out() == 0 })
+		first = ""
 		m.relays[5].own["limits"] = "mine"
 		until("shut again", 120_000, func() bool { return out() == 1 })
 		m.release("drain", rollout.Wish{Kind: rollout.KindMember, Drain: true, Names: []string{"m1"}}) // which one that is shut does not hold up
