Canary: nothing is weighed before the base is known a little

A judge that has just begun guesses the base's rate from nothing, at one half, and with such a guess every harm seems ruled out: it costs no error, but a step up goes by it.

--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -10,6 +10,7 @@
 	sliceMS   = 1000 // evidence is taken in slices of so long, as relays tell once a second
 	holdMost  = 10   // slices that one arm's counts of a stratum wait for the other's
 	pastMost  = 4000 // trials that a guess of the base goes by; then half are forgotten
+	known     = 50   // attempts of the base in a class before anything is weighed: a guess from none is one half, and with it every harm seems ruled out
 	priorOf   = 20   // trials that a relay's class counts for where it has few of its own
 	capParts  = 8    // no single slice brings more than this part of what a pause needs: a hiccup of seconds is no verdict
 	settle    = 8    // slices that are waited for a name after the evidence suffices, or as part of the slices that it took
@@ -414,6 +415,10 @@
 		s.base, s.waited = Tally{}, 0 // alone it says nothing of the arm
 		return
 	}
+	if s.shared.Attempts < known { // by the past alone: what is left out does not depend on what it was
+		s.base, s.arm, s.waited = Tally{}, Tally{}, 0
+		return
+	}
 	if s.arm.Attempts == 0 || s.base.Attempts == 0 {
 		if s.waited++; s.waited < holdMost {
 			return
--- a/internal/canary/model_test.go
+++ b/internal/canary/model_test.go
@@ -535,6 +535,9 @@
 				late.Strata[i].Base, late.Strata[i].Arm = Tally{}, Tally{}
 			}
 			j.Hear(1, p.name, p.zone, late)
+			for _, past := range j.shared {
+				past.Attempts = known
+			}
 			j.Hear(2, p.name, p.zone, now)
 		}
 		j.Verdict(5000)
