Canary: the base's past is kept with the evidence

Each leader guessed the base's rate from its own few seconds, and of a guess that is off every harm seems unlikelier than it is. The past of each class is now kept too, some hundred bytes each.

--- a/internal/canary/kept.go
+++ b/internal/canary/kept.go
@@ -33,7 +33,7 @@
 	if j.decided {
 		due = 1 // the next one says it at its first slice
 	}
-	for _, n := range []uint64{uint64(j.slices), uint64(due), j.compared, j.armed, uint64(len(j.zones)), uint64(len(j.relays))} {
+	for _, n := range []uint64{uint64(j.slices), uint64(due), j.compared, j.armed, uint64(len(j.zones)), uint64(len(j.shared)), uint64(len(j.relays))} {
 		number(n)
 	}
 	for z, name := range j.zones {
@@ -45,6 +45,9 @@
 	for _, t := range j.tests {
 		logs(t.all)
 	}
+	for _, p := range j.shared { // a guess from little makes harm seem ruled out
+		b = appendTally(append(b, p.Class, p.flags()), &p.Tally)
+	}
 	for _, r := range j.relays {
 		text(r.name)
 		text(r.zone)
@@ -87,7 +90,7 @@
 	}
 	j.slices, j.due = int(r.count()), int(r.count())
 	j.compared, j.armed = r.count(), r.count()
-	zones, relays := r.number(), r.number()
+	zones, pasts, relays := r.number(), r.number(), r.number()
 	for ; zones > 0 && !r.broken; zones-- {
 		z, ok := j.zoneOf(text())
 		if r.broken = r.broken || !ok; r.broken {
@@ -100,6 +103,16 @@
 	for _, t := range j.tests {
 		logs(t.all)
 	}
+	for ; pasts > 0 && !r.broken; pasts-- {
+		s := Stratum{Class: r.byte()}
+		flags := r.byte()
+		s.Cold, s.Load = flags&1 != 0, flags>>1&(Bands-1)
+		if r.broken || len(j.shared) >= RelaysMost {
+			return false
+		}
+		p := j.pastOf(s)
+		r.tally(&p.Tally)
+	}
 	for ; relays > 0 && !r.broken; relays-- {
 		name, zone, ill := text(), text(), text()
 		if _, ok := j.zoneOf(zone); !ok || r.broken {
