TestFleetVoterReplaced watches for a false majority for longer than elections take

Need: the calls that stood for this wait are answered at once where the way to a killed voter is a pipe that still accepts, so a wrong election had no time to show.

Change: three seconds in which neither of the two relays may have a leader.

--- a/integration/fleet_voters_test.go
+++ b/integration/fleet_voters_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"dahliarudder/internal/accord"
 )
@@ -67,12 +68,18 @@
 	f.start(old)
 	f.apart(old, false)
 	f.lost(a, old)
-	for _, i := range []int{old, a} { // each is tried for longer than elections take
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) { // elections take 1.2 s
+		for _, i := range []int{old, a} {
+			if e := f.engine(i); e.Majority || e.Leader != "" {
+				t.Fatalf("n%d has a majority with one of three voters there: %+v", i, e)
+			}
+		}
+	}
+	for _, i := range []int{old, a} {
 		if code := f.call(i, "POST", "/-/releases", map[string]any{"name": "x", "kind": "relay", "all": true}, nil); code == 200 {
 			t.Errorf("n%d has a call agreed with one of three voters there", i)
 		}
 	}
-	f.lost(a, old)
 	f.start(3) // its vote is needed, and that of the old one is not
 	f.banned(1, a, 3, old)
 	f.start(b)
