--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -108,6 +108,8 @@
 		l.Phase = "leaving"
 	case !r.open || !r.core.Usable():
 		l.Phase = "starting"
+	case r.shut != 0:
+		l.Phase = "shut"
 	case !r.core.Welcomes():
 		l.Phase = "draining"
 	}
--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -159,6 +159,9 @@
 		}
 		s.agree(w, r, c)
 	})
+	m.HandleFunc("PUT /-/relays/{name}/admit", func(w http.ResponseWriter, r *http.Request) {
+		s.agree(w, r, rollout.Command{Kind: rollout.Admit, Name: r.PathValue("name"), Who: r.RemoteAddr, Why: r.URL.Query().Get("why")})
+	})
 	m.HandleFunc("GET /-/canaries", func(w http.ResponseWriter, r *http.Request) {
 		if !s.current(w, r) {
 			return
