A start with the record out of reach holds to what it knew; service by clients' time

Bans: a relay that starts while no majority is reached knew neither bans nor canaries (seen: of 60 flows 19 to a banned member, 18 to an arm at 1%). What was agreed last is kept beside the record and held to until the record is heard; TestFleetStartApart fails without it. Service is the time of clients now: that in which flows stood, of that and what they were sent away for. What a release may cost of it is a setting, out.cost.

--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -60,6 +60,7 @@
 	}
 	// What was agreed while it was down is heard first: until then nothing new goes to a member, for catchUp at most.
 	r.core.Doubt()
+	r.core.Expect(true)
 	r.loop.After(catchUp, r.catchUp)
 	return nil
 }
@@ -70,6 +71,7 @@
 func (r *relay) catchUp() {
 	if !r.caught {
 		r.caught = true
+		r.core.Expect(false)
 		r.core.Sure()
 	}
 }
@@ -98,7 +100,12 @@
 func (r *relay) look() fleet.Look {
 	set, n := r.names.Settings, r.core.Counts
 	list, _ := r.watch.List()
-	l := fleet.Look{Phase: "serving", Flows: r.core.Held(), Asked: uint64(n.Requests - n.Left), Served: uint64(n.Served), Astray: uint64(n.Astray),
+	now := r.loop.Now()
+	if r.looked > 0 {
+		r.stood += time.Duration(r.core.Held()) * (now - r.looked)
+	}
+	r.looked = now
+	l := fleet.Look{Phase: "serving", Flows: r.core.Held(), Asked: uint64((r.stood + n.Away).Milliseconds()), Served: uint64(r.stood.Milliseconds()), Astray: uint64(n.Astray),
 		Local: r.core.Banned(), Agreed: r.agreed, Follows: r.follows, List: list.Generation, Sections: r.sections, Permits: r.permits, Shut: r.shut}
 	if r.refused != "" {
 		l.Refused = map[string]string{drift.Config + ".settings": r.refused}
@@ -106,7 +113,7 @@
 	switch {
 	case r.ending:
 		l.Phase = "leaving"
-	case !r.open || !r.core.Usable():
+	case !r.open || !r.core.Usable() || !r.caught:
 		l.Phase = "starting"
 	case r.shut != 0:
 		l.Phase = "shut"
--- a/cmd/dahliarudder/meet.go
+++ b/cmd/dahliarudder/meet.go
@@ -47,7 +47,7 @@
 		Own: func() (peers.Phase, uint64, uint64, uint64) {
 			phase := peers.Serving
 			switch {
-			case !r.open || !r.core.Usable():
+			case !r.open || !r.core.Usable() || r.fleet != nil && !r.caught:
 				phase = peers.Starting
 			case !r.core.Welcomes():
 				phase = peers.Draining
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -153,6 +153,8 @@
 	fleet     *fleet.Service    // nil if nothing is agreed with others
 	follows   uint64            // the version of the fleet's record that this relay goes by
 	agreed    []string          // the members that are out by it
+	stood     time.Duration     // of all flows together, as looked at
+	looked    time.Duration     // when it last was
 	permits   uint64            // what stands for the permits in force
 	shut      uint64            // the number of the order by which it takes no clients; 0: it takes them
 	sections  map[string]string // digests of the configuration that it runs
--- a/integration/fleet_faults_test.go
+++ b/integration/fleet_faults_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -509,3 +511,32 @@
 	until(t, "the drift to end", func() bool { return f.local(3) == 0 })
 	until(t, "n3 to use it again", func() bool { return f.flows(3, 1, 2) > 0 })
 }
+
+// TestFleetStartApart: a voter and a follower that start while the record is out of reach hold to what they knew: nothing goes to a member that was
+// banned. Guards against a start that is a way round a ban.
+func TestFleetStartApart(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4, 3, 3, nil)
+	f.leader()
+	f.everywhere(1, "s0", true)
+	for _, i := range []int{0, 3} {
+		path := filepath.Join(filepath.Dir(f.conf[i]), "record", "agreed.json")
+		until(t, "the ban to be kept", func() bool {
+			text, _ := os.ReadFile(path)
+			return strings.Contains(string(text), `"s0"`)
+		})
+		f.apart(i, true)
+	}
+	f.kill(0, 3)
+	for _, i := range []int{0, 3} {
+		f.start(i)
+		if n := f.flows(i, 24, 0); n > 0 {
+			t.Errorf("n%d: %d flows at a member that it knew to be banned", i, n)
+		}
+		f.apart(i, false)
+	}
+	f.everywhere(1, "s0", false)
+	for _, i := range []int{0, 3} {
+		until(t, "it to be used again", func() bool { return f.flows(i, 1, 0) > 0 })
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -150,6 +150,7 @@
 	draining  bool
 	paced     bool // some move was ever put off
 	doubting  bool
+	expecting bool
 	strict    bool             // nothing goes to a member that has left, within the grace neither
 	later     []policy.Verdict // what waits for the end of the doubt
 	moveAt    time.Duration    // during a stop or a drain nobody is moved before
@@ -161,6 +162,7 @@
 	Requests, Served, Rejected, Failed, Left, Attempts, Moves, Barred int
 	Astray                                                            int // attempts begun at members that were out for longer than the grace
 	Messages                                                          Messages
+	Away                                                              time.Duration // for which clients were sent away, or waited in vain
 }
 
 // New makes a Core.
@@ -198,6 +200,12 @@
 // Welcomes says whether clients should be sent here: no stop or drain is on.
 func (c *Core) Welcomes() bool { return !c.stopping && !c.draining }
 
+// Expect has fronts say that they take no clients, while this relay waits to hear what was agreed when it was down. Who comes all the same is taken.
+func (c *Core) Expect(on bool) { c.expecting = on }
+
+// Ready is what fronts say of it: clients may be sent here.
+func (c *Core) Ready() bool { return c.Welcomes() && !c.expecting }
+
 // Usable says whether some member may be sent to.
 func (c *Core) Usable() bool {
 	for _, m := range c.members {
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -196,8 +196,10 @@
 	c.record(r, a)
 	delete(c.requests, r.id)
 	if a == Rejected {
+		c.Counts.Away += after
 		r.v.Reject(after)
 	} else {
+		c.Counts.Away += r.Wait
 		r.v.Fail()
 	}
 }
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -25,6 +25,7 @@
 		Relays   Budget  `json:"relays"`
 		Members  Budget  `json:"members"`
 		Headroom float64 `json:"headroom"` // what is left sound carries the load of now and this part more
+		Cost     float64 `json:"cost"`     // the part of the service of before that a release may cost, beyond noise, before it halts
 	} `json:"out"`
 	TakeOut bool   `json:"take_out"` // relays that drift take no clients, as far as the budget bears it; false if absent: drift is only shown
 	Program string `json:"program"`  // what this relay says that it runs; absent: its version and the digest of its file
@@ -51,7 +52,7 @@
 	driftMost   = 10 * time.Second       // a release halts when drift has stood so long
 	windowMS    = 30_000                 // a permit is begun within
 	clockDrift  = 0.01                   // clocks of one machine to another: a hundred times what quartz does
-	serviceCost = 0.05                   // of the service before: what a release may cost beyond noise
+	serviceCost = 0.05                   // of the service before: what a release may cost beyond noise, if the setting does not say
 )
 
 // Check makes the setting usable, or says why it is not. Dir is where the configuration stands, balancers the number of relays that
@@ -78,13 +79,16 @@
 	if c.Out.Headroom < 0 || c.Out.Headroom > 10 {
 		return fmt.Errorf("out.headroom: %v is no part of the load", c.Out.Headroom)
 	}
+	if !(c.Out.Cost >= 0 && c.Out.Cost < 1) {
+		return fmt.Errorf("out.cost: %v is no part of the service", c.Out.Cost)
+	}
 	if c.StartMS < 0 {
 		return errors.New("start_ms: below zero")
 	}
 	start := cmp.Or(c.StartMS, startMS)
 	c.budgets = rollout.Budgets{Headroom: c.Out.Headroom, Silent: silentAfter.Milliseconds(), Hold: (silentAfter + holdsMost).Milliseconds(),
 		Fresh: freshFor.Milliseconds(), Drain: leaveMost.Milliseconds(), Start: start, Warm: warm.Milliseconds(), Window: windowMS,
-		Clock: clockDrift, Drift: driftMost.Milliseconds(), Slack: serviceCost}
+		Clock: clockDrift, Drift: driftMost.Milliseconds(), Slack: cmp.Or(c.Out.Cost, serviceCost)}
 	for _, p := range []struct {
 		name, text string
 		to         *rollout.Part
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -53,7 +53,7 @@
 	Reached bool   // a majority stood behind it just now
 }
 
-// Service is one relay's part in the fleet. Its threads: the engine's own; words; orders; the pilot; calls.
+// Service is one relay's part in the fleet. Its threads: the engine's own; words; orders; what is kept; the pilot; calls.
 type Service struct {
 	Options
 	record *Record
@@ -62,6 +62,7 @@
 	quit   chan struct{}
 	done   sync.WaitGroup
 
+	known   kept // what was agreed before this process began, as far as it knew
 	posting sync.Mutex
 
 	mu      sync.Mutex
@@ -89,6 +90,9 @@
 		o.Log.Warn("fleet: what is agreed is kept in memory alone; if all voters end at once, releases, drains and bans are forgotten")
 	}
 	var err error
+	if s.known, err = readKept(o.Dir); err != nil {
+		o.Log.WithError(err).Warn("fleet: what was agreed before this start cannot be read: bans hold again when the record is heard")
+	}
 	s.node, err = accord.Start(accord.Options{Name: o.Name, Voters: o.Voters, Reach: o.Reach, Listen: o.Listen, Dir: o.Dir, Keys: o.Keys,
 		Machine: s.record, Heard: s.heard, Told: s.told, Led: s.led, Log: o.Log})
 	if err != nil {
@@ -98,7 +102,7 @@
 		s.node.Close()
 		return nil, err
 	}
-	for _, f := range []func(){s.words, s.orders, s.pilot} {
+	for _, f := range []func(){s.words, s.orders, s.keeps, s.pilot} {
 		s.done.Add(1)
 		go func() { defer s.done.Done(); f() }()
 	}
@@ -248,11 +252,15 @@
 	o.Index, o.Reached = st.Applied, st.Majority && st.Applied == st.Committed
 	s.mu.Lock()
 	s.caught = s.caught || o.Reached
+	caught := s.caught
 	s.mu.Unlock()
 	s.record.read(func(r *rollout.State, h held) {
 		o.Orders, o.Version, o.Permits = r.Orders(s.Name), r.Version(), permitsNumber(h)
 	})
 	o.Weights, o.Weighed = s.record.weights()
+	if !caught {
+		s.known.fill(&o)
+	}
 	s.Post(func() { s.Follow(o); done() })
 	return o.Version
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -33,7 +33,7 @@
 	Phase         string
 	List          uint64
 	Flows         int
-	Asked, Served uint64
+	Asked, Served uint64 // time of clients, ms: that in which a flow stood, and with that for which they were sent away. One who comes again ten times is no ten who are not served
 	Astray        uint64 // flows begun at members that were out for longer than the grace
 	Members       []Pooled
 	Local         []string // members that its own operators have taken out
@@ -107,7 +107,7 @@
 	case w.Asked < h.Asked || w.Served < h.Served:
 		return
 	default:
-		s.count(now, float64(w.Asked-h.Asked), float64(w.Served-h.Served))
+		s.count(now, float64(w.Asked-h.Asked)/1000, float64(w.Served-h.Served)/1000)
 	}
 	for _, t := range h.tried {
 		t.flows = 0 // a member that it does not name it holds nothing at
@@ -202,8 +202,15 @@
 		pool[m.Name] = &rollout.Member{Name: m.Name, Zone: m.Zone, Listed: m.Listed, Started: m.Started, Capacity: m.Capacity, Held: map[string]rollout.Held{}}
 	}
 	good, bad := map[string]uint64{}, map[string]uint64{}
+	gone := map[string]bool{} // what an ended process held, it holds no more: its last word must not keep a member in the view
+	for _, r := range v.Relays {
+		gone[r.Name] = r.Gone
+	}
 	for _, relay := range slices.Sorted(maps.Keys(s.words)) {
 		h := s.words[relay]
+		if gone[relay] {
+			continue
+		}
 		for name, t := range h.tried {
 			m := pool[name]
 			if m == nil { // only that relay's list has it
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -23,14 +23,14 @@
 	const now = 1_000_000
 	own := Look{Members: []Pooled{{Name: "old", Listed: "ready", Capacity: 40}, {Name: "new", Listed: "ready", Started: now - 4000}},
 		Peers: []Peer{{Name: "b", Alive: true, Serving: true, Incarnation: 70}, {Name: "c", Gone: true, Incarnation: 5}}}
-	word := func(start, asked, bad uint64, flows int) word {
+	of := func(start, asked, bad uint64, flows int) word {
 		return word{Start: start, Phase: "serving", Asked: asked, Served: asked, Members: []sight{{Name: "old", Flows: flows, Bad: bad}}}
 	}
-	s.hear(now-3000, "a", word(50, 10, 0, 3))
-	s.hear(now-2500, "b", word(71, 20, 0, 4))
-	s.hear(now-2000, "b", word(71, 30, 5, 6))
-	s.hear(now-1500, "b", word(70, 90, 90, 90)) // an earlier process
-	s.hear(now-1400, "b", word(71, 25, 5, 90))  // overtaken
+	s.hear(now-3000, "a", of(50, 10, 0, 3))
+	s.hear(now-2500, "b", of(71, 20, 0, 4))
+	s.hear(now-2000, "b", of(71, 30, 5, 6))
+	s.hear(now-1500, "b", of(70, 90, 90, 90)) // an earlier process
+	s.hear(now-1400, "b", of(71, 25, 5, 90))  // overtaken
 	v := s.view(now, now-9000, 8000, "a", own, cold)
 	if m := member(v, "new"); m.Capacity != 40 || m.Bears != 25 {
 		t.Errorf("a cold member bears %v of %v", m.Bears, m.Capacity)
@@ -55,11 +55,15 @@
 	if v := s.view(now, now-9000, 8000, "a", own, cold); !v.Relays[1].Full {
 		t.Errorf("%+v", v.Relays[1])
 	}
-	s.hear(now-1000, "a", word(50, 14, 0, 0))
+	s.hear(now-1000, "a", of(50, 14, 0, 0))
 	if m := member(s.view(now, now-9000, 8000, "a", own, cold), "old"); len(m.Held) != 1 {
 		t.Errorf("held %v", m.Held)
 	}
 	if n := len(s.windows); n == 0 || s.windows[n-1].Served == 0 {
 		t.Errorf("windows %v", s.windows)
 	}
+	s.hear(now, "c", word{Start: 5, Members: []sight{{Name: "ended", Flows: 2}}})
+	if m := member(s.view(now, now-9000, 8000, "a", own, cold), "ended"); m.Name != "" {
+		t.Errorf("what a process that is gone held keeps a member in the view: %+v", m)
+	}
 }
--- a/internal/fleet/word.go
+++ b/internal/fleet/word.go
@@ -19,7 +19,7 @@
 	Follows uint64   `json:"follows"` // the version of the record that its loop goes by
 	List    uint64   `json:"list"`    // the generation of discovery's list
 	Flows   int      `json:"flows"`
-	Asked   uint64   `json:"asked"` // requests, but those whose client left first
+	Asked   uint64   `json:"asked"` // as in Look
 	Served  uint64   `json:"served"`
 	Members []sight  `json:"members,omitempty"` // those with flows, or tried since the last word
 	Drift   []byte   `json:"drift,omitempty"`
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -158,7 +158,7 @@
 func (v *virtual) line(text string) error {
 	if text == "PING" {
 		answer := "PONG\r\n"
-		if !v.f.Core.Welcomes() {
+		if !v.f.Core.Ready() {
 			answer = "ERR\r\n"
 		}
 		v.c.Write([]byte(answer))
