What an ended process held counts no more once its successor is known; failures' factor is set

A word of an earlier process than peers know of is passed over for flows. A canary's guard for failures may set the factor by which members of a small arm differ: 1.15 was a constant that fits the model.

--- a/internal/canary/api.go
+++ b/internal/canary/api.go
@@ -39,7 +39,7 @@
 type Guard struct {
 	Metric Metric  `json:"metric"`
 	Points int     `json:"points,omitempty"` // failures, early-ends: in per mille of attempts, of flows' minutes (10: one percent more)
-	Factor float64 `json:"factor,omitempty"` // set-up, message: slower by this factor; held in steps of the square root of 2, upwards
+	Factor float64 `json:"factor,omitempty"` // set-up, message: slower by this factor; held in steps of the square root of 2, upwards. failures, early-ends: so many times as often as the base, beside the points; 1.15 if absent
 }
 
 // Arm is whose members get the share: the named, or all that started at Since or later (wall clock, ms).
--- a/internal/canary/judge.go
+++ b/internal/canary/judge.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -106,7 +107,7 @@
 		t := &test{Guard: g, factor: 1}
 		switch g.Metric {
 		case Failures, EarlyEnds:
-			t.factor, t.delta = few, float64(g.Points)/1000
+			t.factor, t.delta = cmp.Or(g.Factor, few), float64(g.Points)/1000
 			if g.Metric == EarlyEnds {
 				t.delta /= 60 // of a second, not of a minute
 			}
--- a/internal/canary/plan.go
+++ b/internal/canary/plan.go
@@ -98,8 +98,8 @@
 		seen = append(seen, g.Metric)
 		switch g.Metric {
 		case Failures, EarlyEnds:
-			if g.Points < 1 || g.Points > 500 || g.Factor != 0 {
-				return fmt.Errorf("guards: %s: points from 1 to 500 per mille", g.Metric)
+			if g.Points < 1 || g.Points > 500 || g.Factor != 0 && !(g.Factor >= 1 && g.Factor <= 4) {
+				return fmt.Errorf("guards: %s: points from 1 to 500 per mille, a factor from 1 to 4", g.Metric)
 			}
 		case SetUp, Message:
 			if !(g.Factor > 1 && g.Factor <= 16) || g.Points != 0 || math.IsNaN(g.Factor) {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -206,6 +206,11 @@
 	for _, r := range v.Relays {
 		gone[r.Name] = r.Gone
 	}
+	for _, p := range own.Peers { // the next process may be there, and have said nothing yet
+		if h := s.words[p.Name]; h != nil && p.Incarnation > h.Start {
+			gone[p.Name] = true
+		}
+	}
 	for _, relay := range slices.Sorted(maps.Keys(s.words)) {
 		h := s.words[relay]
 		if gone[relay] {
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -63,7 +63,10 @@
 		t.Errorf("windows %v", s.windows)
 	}
 	s.hear(now, "c", word{Start: 5, Members: []sight{{Name: "ended", Flows: 2}}})
-	if m := member(s.view(now, now-9000, 8000, "a", own, cold), "ended"); m.Name != "" {
-		t.Errorf("what a process that is gone held keeps a member in the view: %+v", m)
+	for _, next := range []Peer{own.Peers[1], {Name: "c", Alive: true, Incarnation: 6}} {
+		own.Peers[1] = next
+		if m := member(s.view(now, now-9000, 8000, "a", own, cold), "ended"); m.Name != "" {
+			t.Errorf("what a process that has ended held keeps a member in the view: %+v", m)
+		}
 	}
 }
