--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -164,24 +164,29 @@
 			if err := n.prepare(s); err != nil {
 				r.Say("%s starts with its own files: %v\n", n.name, err)
 			}
-			r.with(func(at time.Duration) {
-				r.judge.Calm(at, n.name)
-				r.judge.Restarted(n.name)
-				r.views.back(at, n.name)
-			})
-			r.mu.Lock()
-			closing := r.closing
-			r.mu.Unlock()
-			if closing {
-				return
-			}
-			if err := n.start(); err != nil {
-				r.with(func(at time.Duration) { r.judge.Crashed(at, n.name, err.Error()) })
-			}
+			n.again()
 		}()
 	}
 }
 
+// again starts the next process of a relay that has ended, unless the play is over.
+func (n *relay) again() {
+	n.with(func(at time.Duration) {
+		n.judge.Calm(at, n.name)
+		n.judge.Restarted(n.name)
+		n.views.back(at, n.name)
+	})
+	n.mu.Lock()
+	closing := n.closing
+	n.mu.Unlock()
+	if closing {
+		return
+	}
+	if err := n.start(); err != nil {
+		n.with(func(at time.Duration) { n.judge.Crashed(at, n.name, err.Error()) })
+	}
+}
+
 func (r *run) breakMember(ctx context.Context, s rehearsal.Step) {
 	i, _ := strconv.Atoi(s.Who[1:])
 	r.mu.Lock()
--- a/internal/rehearse/fleet.go
+++ b/internal/rehearse/fleet.go
@@ -30,20 +30,7 @@
 func (n *relay) host() {
 	n.down(n)
 	time.Sleep(rehearsal.Millis(n.File.Relays.Host))
-	n.with(func(at time.Duration) {
-		n.judge.Calm(at, n.name)
-		n.judge.Restarted(n.name)
-		n.views.back(at, n.name)
-	})
-	n.mu.Lock()
-	closing := n.closing
-	n.mu.Unlock()
-	if closing {
-		return
-	}
-	if err := n.start(); err != nil {
-		n.with(func(at time.Duration) { n.judge.Crashed(at, n.name, err.Error()) })
-	}
+	n.again()
 }
 
 var fleetClient = http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
