--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -259,6 +259,8 @@
 	switch err := s.proposeTrial(r.Context(), c); {
 	case errors.Is(err, errRefused):
 		say(w, http.StatusConflict, rollout.Answer{Error: err.Error()})
+	case err != nil && c.Do == "pause": // it was posted before: who is told only that it was not agreed would take the arm for open
+		say(w, status(err), rollout.Answer{Error: err.Error(), State: "paused here, and at all that can be reached; say it again when there is a majority"})
 	case err != nil:
 		say(w, status(err), rollout.Answer{Error: err.Error()})
 	default:
