The leader says why nothing of a release goes out

A try by the docs: a release of one relay stayed at waiting without a word, in a zone of one where half is none. What the planner knows of it was shown nowhere; GET /-/releases/NAME has it at the leader now.

--- a/internal/fleet/calls.go
+++ b/internal/fleet/calls.go
@@ -95,7 +95,10 @@
 			say(w, http.StatusNotFound, rollout.Answer{Error: "no such release"})
 			return
 		}
-		say(w, http.StatusOK, a)
+		say(w, http.StatusOK, struct {
+			rollout.Account
+			Waits string `json:"waits,omitempty"`
+		}{a, s.waits(a.Name)})
 	})
 	m.HandleFunc("POST /-/releases", func(w http.ResponseWriter, r *http.Request) {
 		var c struct {
@@ -230,6 +233,18 @@
 	return true
 }
 
+// waits says at the leader why nothing of a release may go out now: a budget that a zone of few never has room in looks like patience else.
+func (s *Service) waits(release string) (why string) {
+	s.mu.Lock()
+	led, v := s.ledAt, s.view
+	s.mu.Unlock()
+	if led == 0 || v.At == 0 {
+		return ""
+	}
+	s.record.read(func(r *rollout.State, h held) { why = r.Waits(max(v.At, h.At), v, s.Budgets())[release] })
+	return why
+}
+
 // salt draws what a canary's groups are drawn by, if the caller has not.
 func salt(spec *canary.Spec) {
 	for spec.Salt == 0 {
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -72,9 +72,10 @@
 	judge   *canary.Judge // of the canary that is going; nil if there is none
 	judged  canary.Canary // as it was when the judge last began
 	verdict canary.Verdict
-	caught  bool  // this relay has followed the record as a majority has it, once
-	trial   bool  // there is a canary
-	ledAt   int64 // when this relay began to lead; 0 while it does not
+	caught  bool         // this relay has followed the record as a majority has it, once
+	trial   bool         // there is a canary
+	view    rollout.View // of the pilot's last look
+	ledAt   int64        // when this relay began to lead; 0 while it does not
 	term    uint64
 	bad     int // words that could not be read
 	missed  int // looks that the loop did not answer in time
@@ -307,7 +308,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.helm = newHelm(s.record)
-	s.judge, s.ledAt, s.term = nil, 0, term
+	s.judge, s.ledAt, s.term, s.view = nil, 0, term, rollout.View{}
 	if leads {
 		s.ledAt = s.now()
 	}
@@ -329,6 +330,7 @@
 		s.watchDrift(now, &v)
 		meant := s.helm.meaning(now, &v)
 		trials := s.weigh(now, &v)
+		s.view = v
 		unheard := slices.ContainsFunc(v.Relays, func(r rollout.Relay) bool { return seen.words[r.Name] == nil && !r.Gone })
 		s.mu.Unlock()
 		if now-led < silentAfter.Milliseconds() && unheard {
