Stand-in members note the end of an attempt before they answer it

TestTrouble failed once: one overlapping attempt. The stand-in noted the end after it had written BUSY, and a relay on another core had the next attempt there first; the relay's log shows one attempt after another. The end is noted before the answer is written.

--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -340,15 +340,21 @@
 	m.mu.Unlock()
 	if m.Tries != nil {
 		m.Tries.Begin(f.ID)
-		defer m.Tries.End(f.ID)
 	}
 	if m.Begun != nil {
 		m.Begun(f.Attempt)
 	}
 	itself := true
-	if m.Ended != nil {
-		defer func() { m.Ended(f.Attempt, itself) }()
-	}
+	// Over before the answer is written: the next attempt may be there before this goroutine goes on.
+	over := sync.OnceFunc(func() {
+		if m.Tries != nil {
+			m.Tries.End(f.ID)
+		}
+		if m.Ended != nil {
+			m.Ended(f.Attempt, itself)
+		}
+	})
+	defer over()
 	if m.Flaw.meets(via) {
 		time.Sleep(m.Flaw.Delay)
 		if rand.Float64() < m.Flaw.Fail {
@@ -357,9 +363,11 @@
 	}
 	switch mode {
 	case ModeBusy:
+		over()
 		fmt.Fprint(c, "BUSY inflight=9\r\n")
 		return
 	case ModeErr:
+		over()
 		fmt.Fprint(c, "ERR\r\n")
 		return
 	case ModeReset:
@@ -370,6 +378,7 @@
 		return
 	}
 	if !m.take(c, f) {
+		over()
 		fmt.Fprint(c, "BUSY\r\n")
 		return
 	}
