--- a/internal/canary/plan.go
+++ b/internal/canary/plan.go
@@ -47,6 +47,9 @@
 	case now-c.RungAt > c.Longest:
 		pause.Kind = Late
 		pause.Why = fmt.Sprintf("%d of %d compared in the longest time of a rung", v.Compared, c.Floor)
+		if v.Compared >= c.Floor {
+			pause.Why = fmt.Sprintf("harm was not ruled out in the longest time of a rung, after %d compared", v.Compared)
+		}
 		if v.Doubt {
 			pause.Why = fmt.Sprintf("%s in doubt for the longest time of a rung", v.Metric)
 		}
