--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -238,6 +238,9 @@
 	if s := r.open(); len(s.answers) != 1 || s.answers[0] != "rejected" {
 		t.Errorf("a request during the stop: %v", s.answers)
 	}
+	if away := r.Counts.Away; away != stopAfter {
+		t.Errorf("one was sent away for %v, counted %v", stopAfter, away)
+	}
 	r.pass(of(stopMovesFrom, r.StopWithin()) - time.Millisecond)
 	for _, s := range up {
 		if s.moved != 0 {
