--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -1,6 +1,6 @@
 // Package line is the front for the platform's protocol: lines of text between
 // clients, the relay and pool members. A virtual server is the client's side of a
-// connection, a server-side flow is one attempt at a member. See docs/design.md,
+// connection (clientConn), a server-side flow one attempt at a member (upstream). See docs/design.md,
 // "The line front".
 package line
 
@@ -39,11 +39,11 @@
 	Log  logrus.FieldLogger
 
 	connectWithin time.Duration
-	probeIdle     time.Duration         // how long a probe's connection is kept
-	open          map[*virtual]struct{} // whose flow stands
-	fresh         map[*virtual]struct{} // whose first line has not come
-	ids           map[uint64]*virtual   // by the client's id, from its first line to its end
-	elsewhere     map[uint64]bool       // ids of requests that another process of this relay holds
+	probeIdle     time.Duration            // how long a probe's connection is kept
+	open          map[*clientConn]struct{} // whose flow stands
+	fresh         map[*clientConn]struct{} // whose first line has not come
+	ids           map[uint64]*clientConn   // by the client's id, from its first line to its end
+	elsewhere     map[uint64]bool          // ids of requests that another process of this relay holds
 	probes        map[policy.ServerID]*probe
 }
 
@@ -51,14 +51,14 @@
 func New(loop *netloop.Loop, c *core.Core, log logrus.FieldLogger) *Front {
 	f := &Front{Loop: loop, Core: c, Log: log, connectWithin: c.Limits().ConnectTimeout,
 		probeIdle: time.Duration(probeIdle * float64(cmp.Or(settings.Span(c.Settings.Limits.Keepalive), keepalive))),
-		open:      map[*virtual]struct{}{}, fresh: map[*virtual]struct{}{}, elsewhere: map[uint64]bool{}, ids: map[uint64]*virtual{}, probes: map[policy.ServerID]*probe{}}
+		open:      map[*clientConn]struct{}{}, fresh: map[*clientConn]struct{}{}, elsewhere: map[uint64]bool{}, ids: map[uint64]*clientConn{}, probes: map[policy.ServerID]*probe{}}
 	loop.After(sweepEvery, f.sweep)
 	return f
 }
 
 // Accept serves a client's connection.
 func (f *Front) Accept(c *netloop.Conn) {
-	v := &virtual{f: f, c: c}
+	v := &clientConn{f: f, c: c}
 	f.fresh[v] = struct{}{}
 	v.idle = f.Loop.After(firstWithin, v.Fail)
 	c.Spare(v.Fail)
@@ -70,7 +70,7 @@
 func (f *Front) sweep() {
 	now := f.Loop.Now()
 	for v := range f.open {
-		if s := v.flow; s.silent(now) {
+		if s := v.upstream; s.silent(now) {
 			f.Log.WithField("member", s.member.Name).Warn("member has gone silent")
 			v.Move()
 			s.end(policy.Reset)
@@ -112,24 +112,24 @@
 	over
 )
 
-// virtual is a virtual server.
-type virtual struct {
-	f      *Front
-	c      *netloop.Conn
-	id     core.ID
-	phase  phase
-	open   opening
-	flow   *flow
-	idle   *netloop.Timer
-	within bool // the client has got a part of a line
-	moving *netloop.Timer
+// clientConn is a client connection: the virtual server of one request at most.
+type clientConn struct {
+	f        *Front
+	c        *netloop.Conn
+	id       core.ID
+	phase    phase
+	open     opening
+	upstream *upstream
+	idle     *netloop.Timer
+	within   bool // the client has got a part of a line
+	moving   *netloop.Timer
 }
 
 // Open is told by the loop; the connection stands already.
-func (v *virtual) Open() {}
+func (v *clientConn) Open() {}
 
 // Data is told by the loop.
-func (v *virtual) Data(b []byte) int {
+func (v *clientConn) Data(b []byte) int {
 	used := 0
 	for v.phase == first && used < len(b) {
 		text, n, err := cutLine(b[used:])
@@ -147,7 +147,7 @@
 	}
 	switch v.phase {
 	case standing:
-		return used + v.flow.forward(b[used:])
+		return used + v.upstream.forward(b[used:])
 	case over:
 		return len(b)
 	}
@@ -155,7 +155,7 @@
 }
 
 // line takes a first line.
-func (v *virtual) line(text string) error {
+func (v *clientConn) line(text string) error {
 	if text == "PING" {
 		answer := "PONG\r\n"
 		if !v.f.Core.Ready() {
@@ -188,20 +188,20 @@
 }
 
 // Drained is told by the loop.
-func (v *virtual) Drained() {
+func (v *clientConn) Drained() {
 	if v.phase == standing {
-		v.flow.c.Resume()
+		v.upstream.c.Resume()
 	}
 }
 
 // End is told by the loop.
-func (v *virtual) End(err error) {
+func (v *clientConn) End(err error) {
 	switch v.phase {
 	case standing:
 		// The flow ends in the same manner.
-		end := v.flow.c.Finish
+		end := v.upstream.c.Finish
 		if err != io.EOF {
-			end = v.flow.c.Reset
+			end = v.upstream.c.Reset
 		}
 		v.close()
 		end()
@@ -215,23 +215,23 @@
 }
 
 // Send starts a server-side flow.
-func (v *virtual) Send(id core.ID, to *core.Member, try int, wait time.Duration) {
+func (v *clientConn) Send(id core.ID, to *core.Member, try int, wait time.Duration) {
 	v.id = id
-	s := &flow{v: v, member: to, try: try, start: v.open.line(wait)}
-	v.flow = s
+	s := &upstream{v: v, member: to, try: try, start: v.open.line(wait)}
+	v.upstream = s
 	s.c = v.f.Loop.Dial(to.Addr, min(v.f.connectWithin, wait), s)
 }
 
 // Cancel abandons it.
-func (v *virtual) Cancel(int) {
-	if v.flow != nil {
-		v.flow.c.Reset()
-		v.flow = nil
+func (v *clientConn) Cancel(int) {
+	if v.upstream != nil {
+		v.upstream.c.Reset()
+		v.upstream = nil
 	}
 }
 
 // Reject answers that coming again is harmless.
-func (v *virtual) Reject(after time.Duration) {
+func (v *clientConn) Reject(after time.Duration) {
 	answer := "BUSY\r\n"
 	if after > 0 {
 		answer = "BUSY " + strconv.FormatInt(max(1, after.Milliseconds()), 10) + "\r\n"
@@ -241,14 +241,14 @@
 }
 
 // Fail answers without any promise.
-func (v *virtual) Fail() {
+func (v *clientConn) Fail() {
 	v.c.Write([]byte("ERR\r\n"))
 	v.close()
 }
 
 // Move asks the client to come again: it puts MOVE between two lines and ends
 // both sides.
-func (v *virtual) Move() {
+func (v *clientConn) Move() {
 	if v.phase != standing || v.moving != nil {
 		return
 	}
@@ -261,13 +261,13 @@
 	delete(v.f.open, v)
 }
 
-func (v *virtual) endBoth() {
-	v.flow.c.Finish()
+func (v *clientConn) endBoth() {
+	v.upstream.c.Finish()
 	v.close()
 }
 
-// close is the one end of a virtual server; its client sees a polite end.
-func (v *virtual) close() {
+// close is the one end of a client connection; its client sees a polite end.
+func (v *clientConn) close() {
 	v.idle.Stop()
 	v.moving.Stop()
 	v.phase = over
@@ -281,9 +281,9 @@
 
 // ---- The member's side ----
 
-// flow is a server-side flow.
-type flow struct {
-	v      *virtual
+// upstream is an upstream connection: one attempt at a member, and then the open flow.
+type upstream struct {
+	v      *clientConn
 	c      *netloop.Conn
 	member *core.Member
 	try    int
@@ -297,21 +297,21 @@
 }
 
 // Open is told by the loop.
-func (s *flow) Open() {
+func (s *upstream) Open() {
 	s.opened = true
 	s.c.Write(s.start)
 }
 
 // Drained is told by the loop.
-func (s *flow) Drained() {
-	if s.v.phase == standing && s.v.flow == s {
+func (s *upstream) Drained() {
+	if s.v.phase == standing && s.v.upstream == s {
 		s.v.c.Resume()
 	}
 }
 
 // Data is told by the loop.
-func (s *flow) Data(b []byte) int {
-	if s.v.flow != s {
+func (s *upstream) Data(b []byte) int {
+	if s.v.upstream != s {
 		return len(b)
 	}
 	if s.v.phase == standing {
@@ -322,7 +322,7 @@
 		return 0
 	}
 	if err != nil {
-		s.over(policy.Error, policy.NoReport)
+		s.settle(policy.Error, policy.NoReport)
 		return len(b)
 	}
 	word, rest, _ := strings.Cut(text, " ")
@@ -342,36 +342,36 @@
 		v.f.Loop.After(0, v.c.Resume)
 		return n
 	case "BUSY":
-		s.over(policy.Full, parseReport(rest))
+		s.settle(policy.Full, parseReport(rest))
 	case "BYE":
 		v := s.v
 		v.c.Write(b[:n])
-		s.over(policy.OK, parseReport(rest))
+		s.settle(policy.OK, parseReport(rest))
 		v.close()
 	case "MOVE":
-		s.over(policy.Cancelled, policy.NoReport)
+		s.settle(policy.Cancelled, policy.NoReport)
 	default:
-		s.over(policy.Error, parseReport(rest))
+		s.settle(policy.Error, parseReport(rest))
 	}
 	return len(b)
 }
 
-// over ends a flow that has not stood.
-func (s *flow) over(result policy.Result, report policy.Report) {
+// settle ends an attempt that has not come up.
+func (s *upstream) settle(result policy.Result, report policy.Report) {
 	s.c.Finish()
-	s.v.flow = nil
+	s.v.upstream = nil
 	s.v.f.Core.Ended(s.v.id, s.try, result, report)
 }
 
 // end ends a flow that stood.
-func (s *flow) end(result policy.Result) {
+func (s *upstream) end(result policy.Result) {
 	s.v.f.Core.Ended(s.v.id, s.try, result, s.report)
 }
 
 // End is told by the loop.
-func (s *flow) End(err error) {
+func (s *upstream) End(err error) {
 	v := s.v
-	if v.flow != s {
+	if v.upstream != s {
 		s.c.Finish()
 		return
 	}
@@ -383,7 +383,7 @@
 		case !s.opened || s.c.Unsent() > 0:
 			result = policy.ConnectFailed
 		}
-		s.over(result, policy.NoReport)
+		s.settle(result, policy.NoReport)
 		return
 	}
 	s.c.Finish()
@@ -406,7 +406,7 @@
 }
 
 // forward passes a client's bytes on, and notes when a line of it went.
-func (s *flow) forward(b []byte) int {
+func (s *upstream) forward(b []byte) int {
 	n := min(len(b), s.c.Room())
 	s.c.Write(b[:n])
 	if n > 0 {
@@ -419,7 +419,7 @@
 const tailMost = 256
 
 // backward passes a member's bytes on, line by line, and reads what they tell.
-func (s *flow) backward(b []byte) int {
+func (s *upstream) backward(b []byte) int {
 	v := s.v
 	b = b[:min(len(b), v.c.Room())]
 	used := 0
@@ -450,7 +450,7 @@
 }
 
 // passed reads a whole line that a member sent on an open flow.
-func (s *flow) passed(text string) {
+func (s *upstream) passed(text string) {
 	word, rest, _ := strings.Cut(text, " ")
 	switch word {
 	case "LOAD":
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -389,8 +389,8 @@
 		c.Say(firstLine + "\r\n")
 		r.Until("the request", func() bool { return r.Core.Counts.Attempts == 1 })
 		for _, v := range f.ids {
-			v.flow.opened = false
-			v.flow.End(fmt.Errorf("dialling: %w", err))
+			v.upstream.opened = false
+			v.upstream.End(fmt.Errorf("dialling: %w", err))
 		}
 		if len(ended) == 0 || ended[0] != want {
 			t.Errorf("%v: %v, want %v", err, ended, want)
--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -51,7 +51,7 @@
 func (f *Front) GiveFlows(most int, give func(p Flow, client, member int)) {
 	now := f.Loop.Now()
 	for v := range f.open {
-		s := v.flow
+		s := v.upstream
 		if !v.c.Detachable() || !s.c.Detachable() {
 			continue
 		}
@@ -75,13 +75,13 @@
 // TakeFlow goes on with such a flow. One whose member is not known here is moved.
 func (f *Front) TakeFlow(p Flow, client, member int) error {
 	now := f.Loop.Now()
-	v := &virtual{f: f, phase: standing, within: p.Within, open: opening{id: p.ID}}
-	s := &flow{v: v, opened: true, tail: p.Tail, word: p.Last, load: p.Flow.Request.Load}
+	v := &clientConn{f: f, phase: standing, within: p.Within, open: opening{id: p.ID}}
+	s := &upstream{v: v, opened: true, tail: p.Tail, word: p.Last, load: p.Flow.Request.Load}
 	s.heard = now - p.Heard
 	if p.Last != "" {
 		s.last = now
 	}
-	if v.flow = s; p.Asked > 0 {
+	if v.upstream = s; p.Asked > 0 {
 		s.owed, s.asked = now-p.Asked, now-p.Asked
 	}
 	var err, err2 error
