line: a flow that ends without a load report no longer reports an idle member

Cause: an upstream connection's report was the zero value from its start (client.go, Send; two.go, TakeFlow), and end told it as it was. Where no BYE with a report had come - a reset, an end without BYE, a silent member - the module was told a report of no connections and no load, and took it for the member's (policy.go, take): a member that had just reset its flows looked idle. Attempts that end before UP told NoReport all along, so only open flows were concerned. Change: the report is NoReport until the member tells one. Measured: TestNoReport fails without the change (zeros in both cases), passes with it.

--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -8,6 +8,7 @@
 
 	"dahliarudder/internal/core"
 	"dahliarudder/internal/netloop"
+	"dahliarudder/policy"
 )
 
 // This file is the client's side: connections from clients.
@@ -126,7 +127,7 @@
 // Send starts a server-side flow.
 func (v *clientConn) Send(id core.ID, to *core.Member, try int, wait time.Duration) {
 	v.id = id
-	s := &upstream{v: v, member: to, try: try, start: v.open.line(wait)}
+	s := &upstream{v: v, member: to, try: try, start: v.open.line(wait), report: policy.NoReport}
 	v.upstream = s
 	s.c = v.f.Loop.Dial(to.Addr, min(v.f.connectWithin, wait), s)
 }
--- /dev/null
+++ b/internal/front/line/report_test.go
@@ -0,0 +1,29 @@
+package line
+
+import (
+	"testing"
+
+	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
+)
+
+// TestNoReport: a flow on which the member has told no load report ends with none. One of zeros would say that
+// the member is idle, just as it resets its flows.
+func TestNoReport(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	first, second := New(r.Loop, r.Core, r.Log), New(r.Loop, r.Core, r.Log)
+	c, m := askedOf(r, first)
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+	for _, f := range []*Front{first, second} {
+		if len(f.open) != 1 {
+			t.Fatalf("%d open flows", len(f.open))
+		}
+		for v := range f.open {
+			if v.upstream.report != policy.NoReport {
+				t.Errorf("a flow with no report would end with %+v", v.upstream.report)
+			}
+		}
+		pass(t, first, second)
+	}
+}
--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dahliarudder/internal/core"
+	"dahliarudder/policy"
 )
 
 // This file passes connections on to another process of the same relay, and takes up
@@ -76,7 +77,7 @@
 func (f *Front) TakeFlow(p Flow, client, member int) error {
 	now := f.Loop.Now()
 	v := &clientConn{f: f, phase: standing, within: p.Within, open: opening{id: p.ID}}
-	s := &upstream{v: v, opened: true, tail: p.Tail, word: p.Last, load: p.Flow.Request.Load}
+	s := &upstream{v: v, opened: true, tail: p.Tail, word: p.Last, load: p.Flow.Request.Load, report: policy.NoReport}
 	s.heard = now - p.Heard
 	if p.Last != "" {
 		s.last = now
