line: explicit states of client connections and attempts, one transition function each

phase, within, moving and idle of a client connection are clientState, opened and word of an attempt are attemptState (client_state.go, upstream_state.go); next is the one place that leads from state to state, and a connection has one timer, that of its state. Behaviour is as before. two.go: the two lines that made or read the old fields. Measured: go vet and the package's tests pass; TestClientStates and TestAttemptStates walk all states and events.

--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -13,68 +13,122 @@
 
 // This file is the client's side: connections from clients.
 
-type phase int
-
-const (
-	first phase = iota // its first line has not come
-	placing
-	standing
-	over
-)
-
 // clientConn is a client connection: the virtual server of one request at most.
 type clientConn struct {
-	f        *Front
-	c        *netloop.Conn
-	id       core.ID
-	phase    phase
-	open     opening
-	upstream *upstream
-	idle     *netloop.Timer
-	within   bool // the client has got a part of a line
-	moving   *netloop.Timer
+	f          *Front
+	c          *netloop.Conn
+	id         core.ID
+	state      clientState
+	open       opening
+	upstream   *upstream      // of the attempt that is out, or of the open flow; nil if there is none
+	due        *netloop.Timer // when the time of the state is up
+	retryAfter time.Duration  // what a rejected client is told
+}
+
+// on has an event happen.
+func (v *clientConn) on(e clientEvent) {
+	next, action := v.state.next(e)
+	v.enter(next)
+	v.do(action)
+}
+
+// enter changes the state, and with it the lists of the front.
+func (v *clientConn) enter(next clientState) {
+	if next == v.state {
+		return
+	}
+	v.state = next
+	keep(v.f.fresh, v, next.awaitsFirstLine())
+	keep(v.f.open, v, next.stays())
+}
+
+func keep(set map[*clientConn]struct{}, v *clientConn, in bool) {
+	if in {
+		set[v] = struct{}{}
+	} else {
+		delete(set, v)
+	}
+}
+
+func (v *clientConn) do(action clientAction) {
+	switch action {
+	case sendPong:
+		v.sendPong()
+	case placeRequest:
+		v.place()
+	case sendError:
+		v.c.Write([]byte("ERR\r\n"))
+		v.close()
+	case sendBusy:
+		v.sendBusy()
+	case endClient:
+		v.close()
+	case resetClient:
+		v.c.Reset() // before close, which would end it politely
+		v.close()
+	case leaveRequest:
+		v.close()
+		v.f.Core.Left(v.id)
+	case leaveFlow:
+		v.close()
+		v.upstream.c.Finish()
+		v.f.Core.Left(v.id)
+	case leaveFlowHard:
+		v.close()
+		v.upstream.c.Reset()
+		v.f.Core.Left(v.id)
+	case awaitLineEnd:
+		v.timeOut(moveWithin)
+	case sendMove:
+		v.c.Write([]byte("MOVE\r\n"))
+		v.endBoth()
+	case endBothSides:
+		v.endBoth()
+	}
+}
+
+// timeOut sets when the time of the state is up.
+func (v *clientConn) timeOut(after time.Duration) {
+	v.due.Stop()
+	v.due = v.f.Loop.After(after, func() { v.on(clientTimedOut) })
 }
 
+// spare lets the connection be given up when descriptors run short.
+func (v *clientConn) spare() { v.c.Spare(func() { v.on(clientShed) }) }
+
 // Open is told by the loop; the connection stands already.
 func (v *clientConn) Open() {}
 
 // Data is told by the loop.
 func (v *clientConn) Data(b []byte) int {
 	used := 0
-	for v.phase == first && used < len(b) {
+	for v.state.awaitsFirstLine() && used < len(b) {
 		text, n, err := cutLine(b[used:])
 		if n == 0 && err == nil {
 			return used
 		}
 		used += n
 		if err == nil {
-			err = v.line(text)
+			err = v.firstLine(text)
 		}
 		if err != nil {
 			v.f.Log.WithError(err).Debug("first line")
-			v.Fail()
+			v.on(clientMalformed)
 		}
 	}
-	switch v.phase {
-	case standing:
+	switch {
+	case v.state.isOpen():
 		return used + v.upstream.forward(b[used:])
-	case over:
+	case v.state == clientClosed:
 		return len(b)
 	}
 	return used
 }
 
-// line takes a first line.
-func (v *clientConn) line(text string) error {
+// firstLine takes a first line.
+func (v *clientConn) firstLine(text string) error {
 	if text == "PING" {
-		answer := "PONG\r\n"
-		if !v.f.Core.Ready() {
-			answer = "ERR\r\n"
-		}
-		v.c.Write([]byte(answer))
-		v.idle.Stop()
-		v.idle = v.f.Loop.After(pingIdle, v.close)
-		v.c.Spare(v.close)
+		v.on(clientPinged)
 		return nil
 	}
 	open, err := parseOpen(v.f.Core.Settings, text)
@@ -84,43 +138,46 @@
 	if v.f.ids[open.id] != nil || v.f.elsewhere[open.id] {
 		return fmt.Errorf("%w: the id of an open request", errSyntax)
 	}
-	v.idle.Stop()
+	v.open = open
+	v.on(clientAsked)
+	return nil
+}
+
+func (v *clientConn) sendPong() {
+	answer := "PONG\r\n"
+	if !v.f.Core.Ready() {
+		answer = "ERR\r\n"
+	}
+	v.c.Write([]byte(answer))
+	v.timeOut(pingIdle)
+	v.spare()
+}
+
+// place hands the request to the core.
+func (v *clientConn) place() {
+	v.due.Stop()
 	v.c.Spare(nil)
-	v.phase, v.open = placing, open
-	delete(v.f.fresh, v)
-	v.f.ids[open.id] = v
+	v.f.ids[v.open.id] = v
 	if v.f.Loop.Short() {
 		v.Reject(crowdAfter)
-		return nil
+		return
 	}
-	v.f.Core.Open(open.request, v)
-	return nil
+	v.f.Core.Open(v.open.request, v)
 }
 
 // Drained is told by the loop.
 func (v *clientConn) Drained() {
-	if v.phase == standing {
+	if v.state.isOpen() {
 		v.upstream.c.Resume()
 	}
 }
 
 // End is told by the loop.
 func (v *clientConn) End(err error) {
-	switch v.phase {
-	case standing:
-		// The flow ends in the same manner.
-		end := v.upstream.c.Finish
-		if err != io.EOF {
-			end = v.upstream.c.Reset
-		}
-		v.close()
-		end()
-		v.f.Core.Left(v.id)
-	case placing:
-		v.close()
-		v.f.Core.Left(v.id)
-	default:
-		v.close()
+	if err == io.EOF {
+		v.on(clientEnded)
+	} else {
+		v.on(clientReset)
 	}
 }
 
@@ -135,41 +192,32 @@
 // Cancel abandons it.
 func (v *clientConn) Cancel(int) {
 	if v.upstream != nil {
-		v.upstream.c.Reset()
-		v.upstream = nil
+		v.upstream.abandon()
+		v.on(clientAbandoned)
 	}
 }
 
 // Reject answers that coming again is harmless.
 func (v *clientConn) Reject(after time.Duration) {
+	v.retryAfter = after
+	v.on(clientRejected)
+}
+
+func (v *clientConn) sendBusy() {
 	answer := "BUSY\r\n"
-	if after > 0 {
-		answer = "BUSY " + strconv.FormatInt(max(1, after.Milliseconds()), 10) + "\r\n"
+	if v.retryAfter > 0 {
+		answer = "BUSY " + strconv.FormatInt(max(1, v.retryAfter.Milliseconds()), 10) + "\r\n"
 	}
 	v.c.Write([]byte(answer))
 	v.close()
 }
 
 // Fail answers without any promise.
-func (v *clientConn) Fail() {
-	v.c.Write([]byte("ERR\r\n"))
-	v.close()
-}
+func (v *clientConn) Fail() { v.on(clientFailed) }
 
 // Move asks the client to come again: it puts MOVE between two lines and ends
 // both sides.
-func (v *clientConn) Move() {
-	if v.phase != standing || v.moving != nil {
-		return
-	}
-	if !v.within {
-		v.c.Write([]byte("MOVE\r\n"))
-		v.endBoth()
-		return
-	}
-	v.moving = v.f.Loop.After(moveWithin, v.endBoth)
-	delete(v.f.open, v)
-}
+func (v *clientConn) Move() { v.on(clientMoveAsked) }
 
 func (v *clientConn) endBoth() {
 	v.upstream.c.Finish()
@@ -178,11 +226,8 @@
 
 // close is the one end of a client connection; its client sees a polite end.
 func (v *clientConn) close() {
-	v.idle.Stop()
-	v.moving.Stop()
-	v.phase = over
-	delete(v.f.open, v)
-	delete(v.f.fresh, v)
+	v.due.Stop()
+	v.enter(clientClosed)
 	if v.f.ids[v.open.id] == v {
 		delete(v.f.ids, v.open.id)
 	}
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -57,8 +57,8 @@
 func (f *Front) Accept(c *netloop.Conn) {
 	v := &clientConn{f: f, c: c}
 	f.fresh[v] = struct{}{}
-	v.idle = f.Loop.After(firstWithin, v.Fail)
-	c.Spare(v.Fail)
+	v.timeOut(firstWithin)
+	v.spare()
 	c.Handle(v)
 }
 
@@ -70,13 +70,11 @@
 		if s := v.upstream; s.silent(now) {
 			f.Log.WithField("member", s.member.Name).Warn("member has gone silent")
 			v.Move()
-			s.end(policy.Reset)
+			f.Core.Ended(v.id, s.try, policy.Reset, s.report)
 		} else if s.ended(now) {
 			s.End(io.EOF)
 		} else if s.gone(now) {
-			s.c.Finish()
-			v.close()
-			f.Core.Left(v.id)
+			v.on(clientEnded)
 		}
 	}
 	f.Loop.After(sweepEvery, f.sweep)
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -389,7 +389,7 @@
 		c.Say(firstLine + "\r\n")
 		r.Until("the request", func() bool { return r.Core.Counts.Attempts == 1 })
 		for _, v := range f.ids {
-			v.upstream.opened = false
+			v.upstream.state = attemptDialing
 			v.upstream.End(fmt.Errorf("dialling: %w", err))
 		}
 		if len(ended) == 0 || ended[0] != want {
--- /dev/null
+++ b/internal/front/line/state_test.go
@@ -0,0 +1,67 @@
+package line
+
+import (
+	"testing"
+
+	"dahliarudder/policy"
+)
+
+// TestClientStates walks all states and events of a client connection: what ends it leaves it closed, nothing
+// happens once it is closed, and each action stands only where the protocol has it.
+func TestClientStates(t *testing.T) {
+	ends := map[clientAction]bool{sendError: true, sendBusy: true, endClient: true, resetClient: true, leaveRequest: true,
+		leaveFlow: true, leaveFlowHard: true, sendMove: true, endBothSides: true}
+	from := map[clientAction]func(clientState) bool{
+		sendPong: clientState.awaitsFirstLine, placeRequest: clientState.awaitsFirstLine,
+		sendError:    func(s clientState) bool { return !s.isOpen() },
+		sendBusy:     func(s clientState) bool { return s == clientPlacing },
+		sendUp:       func(s clientState) bool { return s == clientPlacing },
+		leaveRequest: func(s clientState) bool { return s == clientPlacing },
+		leaveFlow:    clientState.isOpen, leaveFlowHard: clientState.isOpen, sendMove: clientState.isOpen,
+		awaitLineEnd: func(s clientState) bool { return s == clientMidLine },
+		endBothSides: func(s clientState) bool { return s == clientMoving },
+	}
+	for s := clientNew; s <= clientClosed; s++ {
+		for e := clientPinged; e <= memberReset; e++ {
+			next, action := s.next(e)
+			if s == clientClosed && (next != s || action != doNothing) {
+				t.Errorf("event %d on a closed connection: state %d, action %d", e, next, action)
+			}
+			if ends[action] != (next == clientClosed && s != clientClosed) {
+				t.Errorf("event %d in state %d: state %d by action %d", e, s, next, action)
+			}
+			if only := from[action]; only != nil && !only(s) {
+				t.Errorf("event %d in state %d: action %d", e, s, action)
+			}
+		}
+		for _, gone := range []clientEvent{clientEnded, clientReset} {
+			if next, _ := s.next(gone); next != clientClosed {
+				t.Errorf("state %d once the client has gone: %d", s, next)
+			}
+		}
+	}
+}
+
+// TestAttemptStates walks all states and events of an attempt: it has one result, at its end, and none twice.
+func TestAttemptStates(t *testing.T) {
+	for s := attemptDialing; s <= attemptFinished; s++ {
+		for e := attemptConnected; e <= attemptAbandoned; e++ {
+			next, _, ended := s.next(e)
+			if ended != (next == attemptFinished && s != attemptFinished) {
+				t.Errorf("event %d in state %d: state %d, ended %v", e, s, next, ended)
+			}
+			if s.isOpen() && !next.isOpen() && next != attemptFinished {
+				t.Errorf("event %d on an open flow: state %d", e, next)
+			}
+		}
+	}
+	for lastWord, want := range map[string]policy.Result{"": policy.Reset, "BYE": policy.OK, "MOVE": policy.Cancelled} {
+		s := saying(lastWord)
+		if s.lastWord() != lastWord {
+			t.Errorf("%q became %q", lastWord, s.lastWord())
+		}
+		if _, result, ended := s.next(attemptBroke); !ended || result != want {
+			t.Errorf("a flow that ends after %q: %v", lastWord, result)
+		}
+	}
+}
--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -59,7 +59,7 @@
 		if most--; most < 0 {
 			return
 		}
-		p := Flow{ID: v.open.id, Within: v.within, Tail: s.tail, Last: s.word, Heard: now - s.heard}
+		p := Flow{ID: v.open.id, Within: v.state == clientMidLine, Tail: s.tail, Last: s.state.lastWord(), Heard: now - s.heard}
 		if s.asked > 0 {
 			p.Asked = max(now-s.owed, 1)
 		}
@@ -76,8 +76,8 @@
 // TakeFlow goes on with such a flow. One whose member is not known here is moved.
 func (f *Front) TakeFlow(p Flow, client, member int) error {
 	now := f.Loop.Now()
-	v := &clientConn{f: f, phase: standing, within: p.Within, open: opening{id: p.ID}}
-	s := &upstream{v: v, opened: true, tail: p.Tail, word: p.Last, load: p.Flow.Request.Load, report: policy.NoReport}
+	v := &clientConn{f: f, state: openState(p.Within), open: opening{id: p.ID}}
+	s := &upstream{v: v, state: saying(p.Last), tail: p.Tail, load: p.Flow.Request.Load, report: policy.NoReport}
 	s.heard = now - p.Heard
 	if p.Last != "" {
 		s.last = now
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -21,121 +21,126 @@
 	member *core.Member
 	try    int
 	start  []byte // the first line
-	opened bool
+	state  attemptState
 	silence
 	tail   []byte  // the start of the line that is passing
 	load   float64 // as the member told it last
-	word   string  // the last whole line that means something: BYE or MOVE
 	report policy.Report
 }
 
+// on has an event happen. One that ends the attempt, or the open flow, is told to the core.
+func (s *upstream) on(e attemptEvent) {
+	next, result, ended := s.state.next(e)
+	s.state = next
+	if ended {
+		s.c.Finish()
+		s.v.f.Core.Ended(s.v.id, s.try, result, s.report)
+	}
+}
+
+// abandon ends the connection at once; what still comes on it is nobody's answer.
+func (s *upstream) abandon() {
+	s.state, _, _ = s.state.next(attemptAbandoned)
+	s.c.Reset()
+}
+
 // Open is told by the loop.
 func (s *upstream) Open() {
-	s.opened = true
+	s.on(attemptConnected)
 	s.c.Write(s.start)
 }
 
 // Drained is told by the loop.
 func (s *upstream) Drained() {
-	if s.v.phase == standing && s.v.upstream == s {
+	if s.state.isOpen() {
 		s.v.c.Resume()
 	}
 }
 
 // Data is told by the loop.
 func (s *upstream) Data(b []byte) int {
-	if s.v.upstream != s {
-		return len(b)
-	}
-	if s.v.phase == standing {
+	if s.state.isOpen() {
 		return s.backward(b)
 	}
+	if s.state == attemptFinished {
+		return len(b)
+	}
 	text, n, err := cutLine(b)
 	if n == 0 && err == nil {
 		return 0
 	}
 	if err != nil {
-		s.settle(policy.Error, policy.NoReport)
+		s.on(attemptSaysOther)
 		return len(b)
 	}
+	return s.answer(text, b, n)
+}
+
+// answer takes the member's answer to the first line, which is the first n bytes of b. It returns how many were taken.
+func (s *upstream) answer(text string, b []byte, n int) int {
 	word, rest, _ := strings.Cut(text, " ")
+	if word == "UP" {
+		return s.up(b, n)
+	}
+	if word != "MOVE" {
+		s.report = parseReport(rest)
+	}
 	switch word {
-	case "UP":
-		if !s.v.f.Core.Up(s.v.id, s.try) {
-			return len(b)
-		}
-		v := s.v
-		v.phase, s.heard = standing, v.f.Loop.Now()
-		v.f.open[v] = struct{}{}
-		v.c.Write(b[:n])
-		if n < len(b) {
-			n += s.backward(b[n:])
-		}
-		// Lines that the client sent early wait in its buffer.
-		v.f.Loop.After(0, v.c.Resume)
-		return n
 	case "BUSY":
-		s.settle(policy.Full, parseReport(rest))
+		s.on(attemptSaysBusy)
 	case "BYE":
-		v := s.v
-		v.c.Write(b[:n])
-		s.settle(policy.OK, parseReport(rest))
-		v.close()
+		s.v.c.Write(b[:n])
+		s.on(attemptSaysBye)
+		s.v.on(clientServed)
 	case "MOVE":
-		s.settle(policy.Cancelled, policy.NoReport)
+		s.on(attemptSaysMove)
 	default:
-		s.settle(policy.Error, parseReport(rest))
+		s.on(attemptSaysOther)
 	}
 	return len(b)
 }
 
-// settle ends an attempt that has not come up.
-func (s *upstream) settle(result policy.Result, report policy.Report) {
-	s.c.Finish()
-	s.v.upstream = nil
-	s.v.f.Core.Ended(s.v.id, s.try, result, report)
-}
-
-// end ends a flow that stood.
-func (s *upstream) end(result policy.Result) {
-	s.v.f.Core.Ended(s.v.id, s.try, result, s.report)
+// up passes UP on, and what follows it.
+func (s *upstream) up(b []byte, n int) int {
+	v := s.v
+	if !v.f.Core.Up(v.id, s.try) {
+		return len(b)
+	}
+	s.heard = v.f.Loop.Now()
+	s.on(attemptSaysUp)
+	v.c.Write(b[:n])
+	v.on(clientUp)
+	if n < len(b) {
+		n += s.backward(b[n:])
+	}
+	// Lines that the client sent early wait in its buffer.
+	v.f.Loop.After(0, v.c.Resume)
+	return n
 }
 
 // End is told by the loop.
 func (s *upstream) End(err error) {
-	v := s.v
-	if v.upstream != s {
-		s.c.Finish()
-		return
-	}
-	if v.phase != standing {
-		result := policy.Reset
-		switch {
-		case errors.Is(err, netloop.ErrFull): // the relay's own want, not the member's failure
-			result = policy.Moot
-		case !s.opened || s.c.Unsent() > 0:
-			result = policy.ConnectFailed
-		}
-		s.settle(result, policy.NoReport)
-		return
+	open := s.state.isOpen()
+	if open {
+		s.endClient(err)
 	}
-	s.c.Finish()
-	if v.moving != nil {
-		v.close()
-		return
-	}
-	result := policy.Reset
-	switch s.word {
-	case "BYE":
-		result = policy.OK
-	case "MOVE":
-		result = policy.Cancelled
+	switch {
+	case !open && errors.Is(err, netloop.ErrFull):
+		s.on(attemptUnmade)
+	case !open && (s.state == attemptDialing || s.c.Unsent() > 0):
+		s.on(attemptUnwritten)
+	default:
+		s.on(attemptBroke)
 	}
-	if err != io.EOF {
-		v.c.Reset() // before close, which would end it politely
+}
+
+// endClient ends the client's side in the manner of the member's.
+func (s *upstream) endClient(err error) {
+	if err == io.EOF {
+		s.v.on(memberEnded)
+	} else {
+		s.v.on(memberReset)
 	}
-	v.close()
-	s.end(result)
 }
 
 // forward passes a client's bytes on, and notes when a line of it went.
@@ -156,7 +161,7 @@
 	v := s.v
 	b = b[:min(len(b), v.c.Room())]
 	used := 0
-	for used < len(b) {
+	for used < len(b) && v.state.isOpen() {
 		part := b[used:]
 		end := bytes.IndexByte(part, '\n')
 		if end >= 0 {
@@ -167,17 +172,16 @@
 		if room := tailMost - len(s.tail); room > 0 {
 			s.tail = append(s.tail, part[:min(room, len(part))]...)
 		}
-		v.within = end < 0
-		if end >= 0 {
-			s.passed(strings.TrimRight(string(s.tail), "\r\n"))
-			s.tail = s.tail[:0]
-			if v.moving != nil {
-				v.moving.Stop()
-				v.c.Write([]byte("MOVE\r\n"))
-				v.endBoth()
-				break
-			}
+		if end < 0 {
+			v.on(clientLinePart)
+			break
+		}
+		text := strings.TrimRight(string(s.tail), "\r\n")
+		s.tail = s.tail[:0]
+		if v.on(clientLineEnd); v.state == clientClosed {
+			break
 		}
+		s.passed(text)
 	}
 	return used
 }
@@ -193,9 +197,11 @@
 		}
 		return
 	case "BYE":
-		s.word, s.report, s.last = word, parseReport(rest), s.v.f.Loop.Now()
+		s.report, s.last = parseReport(rest), s.v.f.Loop.Now()
+		s.on(attemptSaysBye)
 	case "MOVE":
-		s.word, s.last = word, s.v.f.Loop.Now()
+		s.last = s.v.f.Loop.Now()
+		s.on(attemptSaysMove)
 	}
 	if took, owed := s.answered(s.v.f.Loop.Now()); owed {
 		s.v.f.Core.Message(s.v.id, took)
