line: a client that goes while its request is held takes the request with it

Cause: a client connection learned the request's id in Send (client.go), so until the first attempt it was 0, and End told the core Left(0), which is nobody. The request stayed: as soon as the module found room, or the news that the relay had waited for had come (Doubt), the line went to a member for a client that had gone, and UP would have opened the closed connection's flow. Ruled out: the core, whose Left tells the module and abandons by the id. Change: the id is taken from Core.Open, at once. Measured: TestLeavesHeld fails without the change (the member is sent the first line in all six cases, Left is 0), passes with it. TestLeaves*: the other moments at which a client may close, reset or half-close; rig_test.go has their bench.

--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -162,7 +162,7 @@
 		v.Reject(crowdAfter)
 		return
 	}
-	v.f.Core.Open(v.open.request, v)
+	v.id = v.f.Core.Open(v.open.request, v)
 }
 
 // Drained is told by the loop.
--- /dev/null
+++ b/internal/front/line/leave_test.go
@@ -0,0 +1,155 @@
+package line
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
+)
+
+// TestLeavesFirstLine: a client that goes within its first line was no request.
+func TestLeavesFirstLine(t *testing.T) {
+	everyLeaving(t, 1, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+		c := g.Dial(g.addr)
+		c.Say(firstLine[:20])
+		g.Until("the connection", func() bool { return len(g.f.fresh) == 1 })
+		g.Turn()
+		leave(c)
+		g.Until("its end", func() bool { return len(g.f.fresh) == 0 })
+		g.unsent()
+		g.clean()
+		if g.Core.Counts.Requests != 0 {
+			t.Errorf("%+v", g.Core.Counts)
+		}
+	})
+}
+
+// gone waits until the relay has seen that the client is gone, and checks that it has let go of its request.
+func (g *rig) gone() {
+	g.T.Helper()
+	g.Until("the client's end", func() bool { return len(g.f.ids) == 0 })
+	g.unsent()
+	g.clean()
+	if g.Core.Counts.Left != 1 {
+		g.T.Errorf("%+v", g.Core.Counts)
+	}
+}
+
+// TestLeavesHeld: of a client that goes while the module holds its request no attempt begins, whether a member comes
+// or the news that the relay waits for.
+func TestLeavesHeld(t *testing.T) {
+	everyLeaving(t, 1, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+		g.list(0, policy.Draining)
+		c := g.ask(firstLine)
+		leave(c)
+		g.Until("the client's end", func() bool { return len(g.f.ids) == 0 })
+		g.list(0, policy.Ready)
+		g.gone()
+	})
+	everyLeaving(t, 1, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+		g.Core.Doubt()
+		c := g.ask(firstLine)
+		leave(c)
+		g.Until("the client's end", func() bool { return len(g.f.ids) == 0 })
+		g.Core.Sure()
+		g.gone()
+	})
+}
+
+// TestLeavesBetween: nor between two attempts.
+func TestLeavesBetween(t *testing.T) {
+	everyLeaving(t, 1, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+		c := g.ask(firstLine)
+		g.attempt(0).Say("BUSY\r\n")
+		g.Until("the answer", func() bool { return g.Core.Flows(1) == 0 })
+		if g.Core.Held() != 1 {
+			t.Fatal("the request is not held for another attempt")
+		}
+		leave(c)
+		g.gone()
+	})
+}
+
+// TestLeavesDialling: nor is the first line sent where the connection to the member is not up yet, also if it comes
+// up in the very round in which the client goes.
+func TestLeavesDialling(t *testing.T) {
+	everyLeaving(t, 0, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+		g.join(fullQueue(t))
+		c := g.ask(firstLine)
+		if g.Core.Counts.Attempts != 1 {
+			t.Fatalf("%+v", g.Core.Counts)
+		}
+		leave(c)
+		g.gone()
+	})
+	everyLeaving(t, 1, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+		c := g.ask(firstLine) // the member's kernel has taken the connection in by now
+		conn := g.pending(0)
+		if conn == nil {
+			t.Fatal("no connection")
+		}
+		leave(c)
+		g.gone()
+		conn.SetReadDeadline(time.Now().Add(looptest.Patience))
+		if sent, _ := io.ReadAll(conn); len(sent) > 0 {
+			t.Errorf("the member was sent %q", sent)
+		}
+	})
+}
+
+// TestLeavesAsked: an attempt that is out is abandoned, and no other begins.
+func TestLeavesAsked(t *testing.T) {
+	everyLeaving(t, 2, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+		c := g.ask(firstLine)
+		at, m := g.anyAttempt()
+		m.Say("half an ans")
+		g.Turn()
+		leave(c)
+		g.Until("the end of the attempt", func() bool { m.Poll(); return m.Over != nil })
+		if len(m.Got) > 0 {
+			t.Errorf("member %d got %q", at, m.Got)
+		}
+		g.gone()
+	})
+}
+
+// TestLeavesUp: UP and the client's end in one round, in either order, end the flow.
+func TestLeavesUp(t *testing.T) {
+	for _, upFirst := range []bool{true, false} {
+		everyLeaving(t, 1, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+			c := g.ask(firstLine)
+			m := g.attempt(0)
+			if upFirst {
+				m.Say("UP x\r\n")
+				leave(c)
+			} else {
+				leave(c)
+				m.Say("UP x\r\n")
+			}
+			g.Until("the end of the flow", func() bool { m.Poll(); return m.Over != nil })
+			g.Until("the end of the request", func() bool { return g.Core.Held() == 0 })
+			g.unsent()
+			g.clean()
+			if n := g.Core.Counts; n.Left+n.Served != 1 || n.Attempts != 1 {
+				t.Errorf("%+v", n)
+			}
+		})
+	}
+}
+
+// anyAttempt takes in the next attempt, wherever it goes.
+func (g *rig) anyAttempt() (int, *looptest.Peer) {
+	g.T.Helper()
+	at := -1
+	g.Until("an attempt", func() bool {
+		for i := range g.servers {
+			if g.Core.Flows(policy.ServerID(i+1)) > 0 {
+				at = i
+			}
+		}
+		return at >= 0
+	})
+	return at, g.attempt(at)
+}
--- /dev/null
+++ b/internal/front/line/rig_test.go
@@ -0,0 +1,167 @@
+package line
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
+)
+
+// rig is a front before members that the test plays, watched from outside: what each member is sent, what each
+// client gets, and how many descriptors are open.
+type rig struct {
+	*looptest.Relay
+	f       *Front
+	addr    string // where clients connect
+	servers []*looptest.Server
+	free    int // descriptors before anything came
+}
+
+// newRig makes one with so many members.
+func newRig(t testing.TB, members int) *rig {
+	r := looptest.NewRelay(t, 0)
+	g := &rig{Relay: r, f: New(r.Loop, r.Core, r.Log)}
+	for range members {
+		s := r.Listen()
+		g.servers = append(g.servers, s)
+		g.join(s.Addr())
+	}
+	g.addr = r.Serve(g.f.Accept)
+	g.free = r.Free()
+	return g
+}
+
+// join has discovery say that a member came.
+func (g *rig) join(addr string) {
+	n := len(g.Members) + 1
+	m := core.Member{Name: "s-" + strings.Repeat("0", 7) + string(rune('0'+n)), Addr: addr}
+	m.ID, m.State, m.Weight = policy.ServerID(n), policy.Ready, 1
+	g.Members = append(g.Members, m)
+	g.Core.Pool(policy.ListFull, g.Members)
+}
+
+// ask sends a request and waits until the relay has taken it.
+func (g *rig) ask(line string) *looptest.Peer {
+	g.T.Helper()
+	c, before := g.Dial(g.addr), g.Core.Counts.Requests
+	c.Say(line + "\r\n")
+	g.Until("the request", func() bool { return g.Core.Counts.Requests > before })
+	return c
+}
+
+// attempt takes in the next attempt, of which the first line has come.
+func (g *rig) attempt(member int) *looptest.Peer {
+	g.T.Helper()
+	m := g.servers[member].Accept()
+	m.Line()
+	return m
+}
+
+// openFlow is a client whose flow is open, and its member.
+func (g *rig) openFlow() (c, m *looptest.Peer) {
+	g.T.Helper()
+	c = g.ask(firstLine)
+	m = g.attempt(0)
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+	return c, m
+}
+
+// list has discovery say a member's state.
+func (g *rig) list(member int, state policy.State) {
+	g.Members[member].State = state
+	g.Core.Pool(policy.ListDelta, g.Members[member:member+1])
+}
+
+// pending takes a connection that waits at a member; nil if none does.
+func (g *rig) pending(member int) net.Conn {
+	l := g.servers[member].Listener.(*net.TCPListener)
+	l.SetDeadline(time.Now().Add(time.Millisecond))
+	c, err := l.Accept()
+	if err != nil {
+		return nil
+	}
+	return c
+}
+
+// unsent checks that no member gets a first line, whatever time passes.
+func (g *rig) unsent() {
+	g.T.Helper()
+	for range 30 {
+		g.Pass(100 * time.Millisecond)
+	}
+	for i := range g.servers {
+		for c := g.pending(i); c != nil; c = g.pending(i) {
+			c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+			buf := make([]byte, 100)
+			if n, _ := c.Read(buf); n > 0 {
+				g.T.Errorf("member %d was sent %q", i, buf[:n])
+			}
+			c.Close()
+		}
+	}
+}
+
+// clean checks that nothing is held any more, neither a request nor a descriptor.
+func (g *rig) clean() {
+	g.T.Helper()
+	if held := g.Core.Held(); held != 0 {
+		g.T.Errorf("%d requests are held", held)
+	}
+	if len(g.f.open)+len(g.f.fresh)+len(g.f.ids) != 0 {
+		g.T.Errorf("%d open, %d fresh, %d ids", len(g.f.open), len(g.f.fresh), len(g.f.ids))
+	}
+	g.Pass(time.Second) // for which ended connections may linger
+	g.Turn()
+	if open := g.free - g.Free(); open != 0 {
+		g.T.Errorf("%d descriptors are open", open)
+	}
+}
+
+// leaving is the ways in which a client goes.
+var leaving = map[string]func(*looptest.Peer){
+	"closes":      func(c *looptest.Peer) { c.Close() },
+	"resets":      func(c *looptest.Peer) { c.Reset() },
+	"half-closes": func(c *looptest.Peer) { c.Finish() },
+}
+
+// everyLeaving runs a test for each of them.
+func everyLeaving(t *testing.T, members int, test func(t *testing.T, g *rig, leave func(*looptest.Peer))) {
+	for name, leave := range leaving {
+		t.Run(name, func(t *testing.T) { test(t, newRig(t, members), leave) })
+	}
+}
+
+// fullQueue is the address of a listener that takes no connection in: one that is dialled to it neither comes up
+// nor fails.
+func fullQueue(t testing.TB) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: at.(*unix.SockaddrInet4).Port}).String()
+	c, err := net.Dial("tcp", addr) // a queue of 0 has room for one
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return addr
+}
