line: no first line goes to a member in the round in which its client is gone

Cause: upstream.Open wrote the first line as soon as the loop told that the connection stood. Where the client's end came in the same batch of events but later in it, the member had the whole line, an attempt for a client that had gone, before the end was heard. Change: the line is written by a timer of the same round, which runs after the batch's events; the state attemptConnected is between. What a member says before it was asked waits until then. Measured: TestLeavesAsDialled fails without the change for all three ways of leaving (the member was sent OPEN), passes with it.

--- a/internal/front/line/leave_test.go
+++ b/internal/front/line/leave_test.go
@@ -99,6 +99,27 @@
 	})
 }
 
+// TestLeavesAsDialled: the same where the loop hears of the connection before it hears of the client.
+func TestLeavesAsDialled(t *testing.T) {
+	everyLeaving(t, 1, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+		g.Core.Doubt()
+		c := g.ask(firstLine)
+		g.Turn() // the client's connection is no longer among those that have something to say
+		g.Turn()
+		g.Core.Sure()
+		conn := g.pending(0)
+		if conn == nil {
+			t.Fatal("no connection")
+		}
+		leave(c)
+		g.gone()
+		conn.SetReadDeadline(time.Now().Add(looptest.Patience))
+		if sent, _ := io.ReadAll(conn); len(sent) > 0 {
+			t.Errorf("the member was sent %q", sent)
+		}
+	})
+}
+
 // TestLeavesAsked: an attempt that is out is abandoned, and no other begins.
 func TestLeavesAsked(t *testing.T) {
 	everyLeaving(t, 2, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
--- a/internal/front/line/state_test.go
+++ b/internal/front/line/state_test.go
@@ -45,7 +45,7 @@
 // TestAttemptStates walks all states and events of an attempt: it has one result, at its end, and none twice.
 func TestAttemptStates(t *testing.T) {
 	for s := attemptDialing; s <= attemptFinished; s++ {
-		for e := attemptConnected; e <= attemptAbandoned; e++ {
+		for e := attemptComesUp; e <= attemptAbandoned; e++ {
 			next, _, ended := s.next(e)
 			if ended != (next == attemptFinished && s != attemptFinished) {
 				t.Errorf("event %d in state %d: state %d, ended %v", e, s, next, ended)
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -44,10 +44,21 @@
 	s.c.Reset()
 }
 
-// Open is told by the loop.
+// Open is told by the loop. The first line is written once all that the round brings has been heard: the client's
+// end may be among it.
 func (s *upstream) Open() {
-	s.on(attemptConnected)
+	s.on(attemptComesUp)
+	s.v.f.Loop.After(0, s.ask)
+}
+
+// ask writes the first line.
+func (s *upstream) ask() {
+	if s.state != attemptConnected {
+		return
+	}
+	s.on(attemptAsks)
 	s.c.Write(s.start)
+	s.c.Resume() // a member may have spoken before it was asked
 }
 
 // Drained is told by the loop.
@@ -62,8 +73,11 @@
 	if s.state.isOpen() {
 		return s.backward(b)
 	}
-	if s.state == attemptFinished {
+	switch s.state {
+	case attemptFinished:
 		return len(b)
+	case attemptConnected:
+		return 0
 	}
 	text, n, err := cutLine(b)
 	if n == 0 && err == nil {
@@ -127,7 +141,7 @@
 	switch {
 	case !open && errors.Is(err, netloop.ErrFull):
 		s.on(attemptUnmade)
-	case !open && (s.state == attemptDialing || s.c.Unsent() > 0):
+	case !open && (s.state.isUnasked() || s.c.Unsent() > 0):
 		s.on(attemptUnwritten)
 	default:
 		s.on(attemptBroke)
--- a/internal/front/line/upstream_state.go
+++ b/internal/front/line/upstream_state.go
@@ -6,19 +6,21 @@
 type attemptState int
 
 const (
-	attemptDialing  attemptState = iota // its connection is being set up
-	attemptAsked                        // the first line is written, no answer has come
-	attemptUp                           // the flow is open
-	attemptSaidBye                      // the flow is open, and the member has said BYE
-	attemptSaidMove                     // the flow is open, and the member has said MOVE
-	attemptFinished                     // it is answered, has ended or is abandoned
+	attemptDialing   attemptState = iota // its connection is being set up
+	attemptConnected                     // its connection stands, the first line is not written
+	attemptAsked                         // the first line is written, no answer has come
+	attemptUp                            // the flow is open
+	attemptSaidBye                       // the flow is open, and the member has said BYE
+	attemptSaidMove                      // the flow is open, and the member has said MOVE
+	attemptFinished                      // it is answered, has ended or is abandoned
 )
 
 // attemptEvent is what may happen to an attempt.
 type attemptEvent int
 
 const (
-	attemptConnected attemptEvent = iota // its connection stands
+	attemptComesUp   attemptEvent = iota // its connection stands
+	attemptAsks                          // the first line is written
 	attemptSaysUp                        // UP came
 	attemptSaysBusy                      // BUSY came
 	attemptSaysBye                       // BYE came, as the answer or on the open flow
@@ -33,7 +35,7 @@
 // next is the one place that says how events lead from state to state. Ended says that the attempt has the result from now on.
 func (s attemptState) next(e attemptEvent) (next attemptState, result policy.Result, ended bool) {
 	switch s {
-	case attemptDialing, attemptAsked:
+	case attemptDialing, attemptConnected, attemptAsked:
 		return s.nextAnswer(e)
 	case attemptUp, attemptSaidBye, attemptSaidMove:
 		return s.nextOpen(e)
@@ -44,7 +46,9 @@
 // nextAnswer is next before the flow is open.
 func (s attemptState) nextAnswer(e attemptEvent) (attemptState, policy.Result, bool) {
 	switch e {
-	case attemptConnected:
+	case attemptComesUp:
+		return attemptConnected, 0, false
+	case attemptAsks:
 		return attemptAsked, 0, false
 	case attemptSaysUp:
 		return attemptUp, 0, false
@@ -94,6 +98,9 @@
 	return policy.Reset
 }
 
+// isUnasked says that nothing has been sent to the member.
+func (s attemptState) isUnasked() bool { return s == attemptDialing || s == attemptConnected }
+
 // isOpen says that the flow is open.
 func (s attemptState) isOpen() bool {
 	return s == attemptUp || s == attemptSaidBye || s == attemptSaidMove
