line: d tells a member how long the relay waits from when the line is sent

Cause: Send (client.go) made the first line with the wait as the connection was begun, and upstream.Open wrote it up to the connect time-out later, while the core abandons the attempt by the earlier time. A member that went by d answered up to 250 ms too late. Change: the line is made as it is written, from the time that is left. Measured: TestAsksForWhatIsLeft fails without the change (1140 and 1140, 100 ms apart), passes with it.

--- /dev/null
+++ b/internal/front/line/ask_test.go
@@ -0,0 +1,29 @@
+package line
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestAsksForWhatIsLeft: d tells how long the relay waits from when the line is sent, not from when the connection
+// was begun.
+func TestAsksForWhatIsLeft(t *testing.T) {
+	told := func(late time.Duration) int {
+		g := newRig(t, 1)
+		g.Core.Doubt()
+		g.ask(firstLine)
+		g.Core.Sure()
+		g.Pass(late) // the connection comes up in this round
+		line := g.servers[0].Accept().Line()
+		var d int
+		if _, err := fmt.Sscanf(line[strings.Index(line, ",d="):], ",d=%d", &d); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		return d
+	}
+	if at, late := told(0), told(100*time.Millisecond); at-late != 100 {
+		t.Errorf("d is %d, and %d where the connection took 100 ms", at, late)
+	}
+}
--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -184,7 +184,7 @@
 // Send starts a server-side flow.
 func (v *clientConn) Send(id core.ID, to *core.Member, try int, wait time.Duration) {
 	v.id = id
-	s := &upstream{v: v, member: to, try: try, start: v.open.line(wait), report: policy.NoReport}
+	s := &upstream{v: v, member: to, try: try, until: v.f.Loop.Now() + wait, report: policy.NoReport}
 	v.upstream = s
 	s.c = v.f.Loop.Dial(to.Addr, min(v.f.connectWithin, wait), s)
 }
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -6,6 +6,7 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"dahliarudder/internal/core"
 	"dahliarudder/internal/netloop"
@@ -20,7 +21,7 @@
 	c      *netloop.Conn
 	member *core.Member
 	try    int
-	start  []byte // the first line
+	until  time.Duration // when it is abandoned
 	state  attemptState
 	silence
 	tail   []byte  // the start of the line that is passing
@@ -57,7 +58,7 @@
 		return
 	}
 	s.on(attemptAsks)
-	s.c.Write(s.start)
+	s.c.Write(s.v.open.line(s.until - s.v.f.Loop.Now()))
 	s.c.Resume() // a member may have spoken before it was asked
 }
 
