line: a connection that comes up after its member has left is not used

Change: before the first line is written the core is asked again (Reachable). If it says no, the attempt ends as moot, which blames nobody, and the module goes on. A flow that the member holds already (at) still goes there. Measured: TestAsksNobodyWhoLeft fails without the change (the member was sent OPEN), passes with it.

--- a/internal/front/line/ask_test.go
+++ b/internal/front/line/ask_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"dahliarudder/policy"
 )
 
 // TestAsksForWhatIsLeft: d tells how long the relay waits from when the line is sent, not from when the connection
@@ -27,3 +29,18 @@
 		t.Errorf("d is %d, and %d where the connection took 100 ms", at, late)
 	}
 }
+
+// TestAsksNobodyWhoLeft: a connection that comes up when its member has been leaving for longer than the grace is not
+// used; the request goes on without it.
+func TestAsksNobodyWhoLeft(t *testing.T) {
+	g := newRig(t, 1)
+	c := g.ask(firstLine)
+	g.list(0, policy.Draining)
+	g.Pass(time.Duration(g.Core.Settings.Guarantees.Grace)*time.Millisecond + time.Millisecond)
+	g.unsent()
+	if got := c.Line(); !strings.HasPrefix(got, "BUSY") {
+		t.Errorf("got %q", got)
+	}
+	c.WantEnd()
+	g.clean()
+}
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -57,11 +57,21 @@
 	if s.state != attemptConnected {
 		return
 	}
+	if !s.mayAsk() {
+		s.on(attemptUnmade)
+		return
+	}
 	s.on(attemptAsks)
 	s.c.Write(s.v.open.line(s.until - s.v.f.Loop.Now()))
 	s.c.Resume() // a member may have spoken before it was asked
 }
 
+// mayAsk says whether the member may still be sent something: it may have left while the connection was being set up.
+// What it holds already goes there all the same.
+func (s *upstream) mayAsk() bool {
+	return s.v.open.request.At != "" || s.v.f.Core.Reachable(s.member.ID)
+}
+
 // Drained is told by the loop.
 func (s *upstream) Drained() {
 	if s.state.isOpen() {
--- a/internal/front/line/upstream_state.go
+++ b/internal/front/line/upstream_state.go
@@ -26,7 +26,7 @@
 	attemptSaysBye                       // BYE came, as the answer or on the open flow
 	attemptSaysMove                      // MOVE came, likewise
 	attemptSaysOther                     // any other answer came, or something that is no line
-	attemptUnmade                        // the relay had no means of its own for a connection
+	attemptUnmade                        // the relay has no means for a connection, or may not use it
 	attemptUnwritten                     // its connection broke before the first line had left
 	attemptBroke                         // its connection ended or broke after that
 	attemptAbandoned                     // nothing is waited for any more
@@ -60,7 +60,7 @@
 		return attemptFinished, policy.Cancelled, true
 	case attemptSaysOther:
 		return attemptFinished, policy.Error, true
-	case attemptUnmade: // the relay's own want, not the member's failure
+	case attemptUnmade: // not the member's failure
 		return attemptFinished, policy.Moot, true
 	case attemptUnwritten:
 		return attemptFinished, policy.ConnectFailed, true
