line: a client's polite end no longer cuts what it has sent last

Cause: End (client.go) ended the member's side politely, and then told the core that the client had left; the core abandons what is out of the request, and Cancel reset the very connection (an open flow counts as out). A reset throws away what the member has not got yet: with a member that is slow to read, up to some megabytes in the system's buffers. Change: an upstream connection that is ended once is not reset afterwards (upstream.leave).

--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -71,11 +71,11 @@
 		v.f.Core.Left(v.id)
 	case leaveFlow:
 		v.close()
-		v.upstream.c.Finish()
+		v.upstream.leave(v.upstream.c.Finish)
 		v.f.Core.Left(v.id)
 	case leaveFlowHard:
 		v.close()
-		v.upstream.c.Reset()
+		v.upstream.leave(v.upstream.c.Reset)
 		v.f.Core.Left(v.id)
 	case awaitLineEnd:
 		v.timeOut(moveWithin)
--- /dev/null
+++ b/internal/front/line/flow_end_test.go
@@ -0,0 +1,64 @@
+package line
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// onlyFlow is the one client connection whose flow is open.
+func (g *rig) onlyFlow() *clientConn {
+	g.T.Helper()
+	if len(g.f.open) != 1 {
+		g.T.Fatalf("%d open flows", len(g.f.open))
+	}
+	for v := range g.f.open {
+		return v
+	}
+	return nil
+}
+
+// narrow keeps the system from holding much for a peer that does not read.
+func narrow(p *looptest.Peer) { p.Conn.(*net.TCPConn).SetReadBuffer(4 << 10) }
+
+// fill has one side send lines that the other does not read, until full.
+func (g *rig) fill(from *looptest.Peer, full func() bool) (sent []byte) {
+	g.T.Helper()
+	line := append(bytes.Repeat([]byte{'x'}, 4<<10-2), "\r\n"...)
+	g.Until("the buffers to fill", func() bool {
+		from.Say(string(line))
+		sent = append(sent, line...)
+		g.Turn()
+		return full()
+	})
+	return sent
+}
+
+// all reads what comes until the end, which has to be polite.
+func (g *rig) all(p *looptest.Peer) []byte {
+	g.T.Helper()
+	p.Conn.(*net.TCPConn).SetReadBuffer(4 << 20) // or the system's own timers set the pace
+	g.Until("the end", func() bool { p.Poll(); return p.Over != nil })
+	if p.Over != io.EOF {
+		g.T.Errorf("ended with %v", p.Over)
+	}
+	return p.Got
+}
+
+// TestClientEndsUnread: what a client sent before it ended politely still reaches a member that is slow to read.
+func TestClientEndsUnread(t *testing.T) {
+	g := newRig(t, 1)
+	c, m := g.openFlow()
+	narrow(m)
+	v := g.onlyFlow()
+	sent := g.fill(c, func() bool { return v.upstream.c.Unsent() > 0 })
+	c.Finish()
+	g.Until("the end of the request", func() bool { return g.Core.Held() == 0 })
+	if got := g.all(m); !bytes.Equal(got, sent) {
+		t.Errorf("%d bytes of %d", len(got), len(sent))
+	}
+	g.clean()
+}
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -40,9 +40,15 @@
 }
 
 // abandon ends the connection at once; what still comes on it is nobody's answer.
-func (s *upstream) abandon() {
+func (s *upstream) abandon() { s.leave(s.c.Reset) }
+
+// leave ends the connection by end, unless it is ended already.
+func (s *upstream) leave(end func()) {
+	if s.state == attemptFinished {
+		return
+	}
 	s.state, _, _ = s.state.next(attemptAbandoned)
-	s.c.Reset()
+	end()
 }
 
 // Open is told by the loop. The first line is written once all that the round brings has been heard: the client's
