line: what a member has sent before its end reaches a client that is slow to read

Cause: upstream.End finished both sides at once, and Finish throws away what was read of the member and had no room yet in the buffer to the client (backward takes no more than Room). Up to 8 KiB before the member's end was lost, the end of a line among it. Change: where something waits, the client connection drains (clientDraining): the end follows once all has been taken, or after endedAfter, within the second that a connection may outlive its member's. Measured: TestMemberEndsUnread fails without the change (3944448 bytes of 3944463), passes with it; TestMemberEndsNeverRead for the bound.

--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -84,6 +84,11 @@
 		v.endBoth()
 	case endBothSides:
 		v.endBoth()
+	case drain:
+		v.timeOut(endedAfter)
+	case endAttempt:
+		v.close()
+		v.upstream.on(attemptBroke)
 	}
 }
 
@@ -119,7 +124,7 @@
 	switch {
 	case v.state.isOpen():
 		return used + v.upstream.forward(b[used:])
-	case v.state == clientClosed:
+	case v.state == clientDraining, v.state == clientClosed:
 		return len(b)
 	}
 	return used
@@ -167,7 +172,7 @@
 
 // Drained is told by the loop.
 func (v *clientConn) Drained() {
-	if v.state.isOpen() {
+	if v.state.isOpen() || v.state == clientDraining {
 		v.upstream.c.Resume()
 	}
 }
--- a/internal/front/line/client_state.go
+++ b/internal/front/line/client_state.go
@@ -4,36 +4,39 @@
 type clientState int
 
 const (
-	clientNew     clientState = iota // for its first line; nothing but parts of one has come
-	clientResting                    // for its first line; it has been answered PONG
-	clientPlacing                    // for the final answer to its request, which is held or of which an attempt is out
-	clientOpen                       // for nothing: its flow is open, and the client stands between two lines
-	clientMidLine                    // for the rest of a line of which the member has sent a part
-	clientMoving                     // for the same, after which MOVE is put
-	clientClosed                     // for nothing more; its connection is ended
+	clientNew      clientState = iota // for its first line; nothing but parts of one has come
+	clientResting                     // for its first line; it has been answered PONG
+	clientPlacing                     // for the final answer to its request, which is held or of which an attempt is out
+	clientOpen                        // for nothing: its flow is open, and the client stands between two lines
+	clientMidLine                     // for the rest of a line of which the member has sent a part
+	clientMoving                      // for the same, after which MOVE is put
+	clientDraining                    // for room for what the member has sent, which has ended
+	clientClosed                      // for nothing more; its connection is ended
 )
 
 // clientEvent is what may happen to a client connection.
 type clientEvent int
 
 const (
-	clientPinged    clientEvent = iota // PING came as a first line
-	clientAsked                        // OPEN came as a first line
-	clientMalformed                    // something else did
-	clientTimedOut                     // the time of the state is up
-	clientShed                         // its descriptor is wanted
-	clientUp                           // an attempt came up
-	clientServed                       // an attempt was served to its end without coming up
-	clientRejected                     // the core rejects the request
-	clientFailed                       // the core fails it
-	clientAbandoned                    // an attempt is abandoned
-	clientLinePart                     // a part of a line of the member's has passed, not its end
-	clientLineEnd                      // the end of one has
-	clientMoveAsked                    // the client is to come again
-	clientEnded                        // the client has ended its sending
-	clientReset                        // the client's connection has broken
-	memberEnded                        // the member has ended its sending, on an open flow
-	memberReset                        // the member's connection has broken, of an open flow
+	clientPinged      clientEvent = iota // PING came as a first line
+	clientAsked                          // OPEN came as a first line
+	clientMalformed                      // something else did
+	clientTimedOut                       // the time of the state is up
+	clientShed                           // its descriptor is wanted
+	clientUp                             // an attempt came up
+	clientServed                         // an attempt was served to its end without coming up
+	clientRejected                       // the core rejects the request
+	clientFailed                         // the core fails it
+	clientAbandoned                      // an attempt is abandoned
+	clientLinePart                       // a part of a line of the member's has passed, not its end
+	clientLineEnd                        // the end of one has
+	clientMoveAsked                      // the client is to come again
+	clientEnded                          // the client has ended its sending
+	clientReset                          // the client's connection has broken
+	memberEnded                          // the member has ended its sending, on an open flow
+	memberEndedUnread                    // the member has ended its sending, and something of it has had no room yet
+	memberDrained                        // nothing of the member's waits for room
+	memberReset                          // the member's connection has broken, of an open flow
 )
 
 // clientAction is what is to be done as an event happens.
@@ -54,6 +57,8 @@
 	awaitLineEnd               // wait for the end of the line, for so long as moveWithin
 	sendMove                   // put MOVE and end both sides
 	endBothSides               // end both sides politely
+	drain                      // wait for room, for so long as endedAfter
+	endAttempt                 // end the client's side politely, and tell the core how the flow has ended
 )
 
 // awaitsFirstLine says that no request has come.
@@ -84,6 +89,8 @@
 		return s.nextPlacing(e)
 	case clientOpen, clientMidLine, clientMoving:
 		return s.nextOpen(e)
+	case clientDraining:
+		return s.nextDraining(e)
 	}
 	return s, doNothing
 }
@@ -131,6 +138,8 @@
 		return clientClosed, leaveFlowHard
 	case memberEnded:
 		return clientClosed, endClient
+	case memberEndedUnread:
+		return clientDraining, drain
 	case memberReset:
 		if s == clientMoving {
 			return clientClosed, endClient
@@ -163,3 +172,15 @@
 	}
 	return s, doNothing
 }
+
+func (s clientState) nextDraining(e clientEvent) (clientState, clientAction) {
+	switch e {
+	case memberDrained, clientTimedOut:
+		return clientClosed, endAttempt
+	case clientEnded:
+		return clientClosed, leaveFlow
+	case clientReset:
+		return clientClosed, leaveFlowHard
+	}
+	return s, doNothing
+}
--- a/internal/front/line/flow_end_test.go
+++ b/internal/front/line/flow_end_test.go
@@ -62,3 +62,39 @@
 	}
 	g.clean()
 }
+
+// TestMemberEndsUnread: what a member sent before it ended politely still reaches a client that is slow to read, also
+// what had no room in the relay's buffers to it.
+func TestMemberEndsUnread(t *testing.T) {
+	g := newRig(t, 1)
+	c, m := g.openFlow()
+	narrow(c)
+	v := g.onlyFlow()
+	sent := g.fill(m, func() bool { return v.c.Room() == 0 })
+	m.Say("the last line\r\n")
+	sent = append(sent, "the last line\r\n"...)
+	m.Finish()
+	for range 4 {
+		g.Turn()
+	}
+	if got := g.all(c); !bytes.Equal(got, sent) {
+		t.Errorf("%d bytes of %d", len(got), len(sent))
+	}
+	g.Until("the end of the request", func() bool { return g.Core.Held() == 0 })
+	g.clean()
+}
+
+// TestMemberEndsNeverRead: a client that does not read holds neither the flow nor a descriptor for longer than a
+// connection may outlive its member's.
+func TestMemberEndsNeverRead(t *testing.T) {
+	g := newRig(t, 1)
+	c, m := g.openFlow()
+	narrow(c)
+	v := g.onlyFlow()
+	g.fill(m, func() bool { return v.c.Room() == 0 })
+	m.Say("the last line\r\n")
+	m.Finish()
+	g.Until("the member's end", func() bool { return len(g.f.open) == 0 })
+	g.Pass(endedAfter)
+	g.clean()
+}
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -27,6 +27,7 @@
 	tail   []byte  // the start of the line that is passing
 	load   float64 // as the member told it last
 	report policy.Report
+	unread int // bytes on the open flow that have had no room
 }
 
 // on has an event happen. One that ends the attempt, or the open flow, is told to the core.
@@ -88,7 +89,7 @@
 // Data is told by the loop.
 func (s *upstream) Data(b []byte) int {
 	if s.state.isOpen() {
-		return s.backward(b)
+		return s.pass(b)
 	}
 	switch s.state {
 	case attemptFinished:
@@ -142,7 +143,7 @@
 	v.c.Write(b[:n])
 	v.on(clientUp)
 	if n < len(b) {
-		n += s.backward(b[n:])
+		n += s.pass(b[n:])
 	}
 	// Lines that the client sent early wait in its buffer.
 	v.f.Loop.After(0, v.c.Resume)
@@ -152,6 +153,10 @@
 // End is told by the loop.
 func (s *upstream) End(err error) {
 	open := s.state.isOpen()
+	if open && err == io.EOF && s.unread > 0 {
+		s.v.on(memberEndedUnread)
+		return
+	}
 	if open {
 		s.endClient(err)
 	}
@@ -187,12 +192,21 @@
 // tailMost is how much of a passing line is looked at.
 const tailMost = 256
 
+// pass passes on what there is room for of a member's bytes, and says how many they were.
+func (s *upstream) pass(b []byte) int {
+	n := s.backward(b)
+	if s.unread = len(b) - n; s.unread == 0 {
+		s.v.on(memberDrained)
+	}
+	return n
+}
+
 // backward passes a member's bytes on, line by line, and reads what they tell.
 func (s *upstream) backward(b []byte) int {
 	v := s.v
 	b = b[:min(len(b), v.c.Room())]
 	used := 0
-	for used < len(b) && v.state.isOpen() {
+	for used < len(b) && v.state != clientClosed {
 		part := b[used:]
 		end := bytes.IndexByte(part, '\n')
 		if end >= 0 {
