line: what a client has sent before its end reaches a member that is slow to read

Cause: as with the member's end, End (client.go) finished the client's side at once, and Finish throws away what was read and had no room yet in the buffer to the member. Change: where something waits the connection is parting (clientParting): to the core the client has left at once, the member's side ends once all has been taken, or after moveWithin. Measured: TestClientEndsNoRoom fails without the change (3932160 bytes of 3932175), passes with it, also with a member that never reads.

--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -23,6 +23,7 @@
 	upstream   *upstream      // of the attempt that is out, or of the open flow; nil if there is none
 	due        *netloop.Timer // when the time of the state is up
 	retryAfter time.Duration  // what a rejected client is told
+	unread     int            // bytes on the open flow that have had no room
 }
 
 // on has an event happen.
@@ -77,6 +78,10 @@
 		v.close()
 		v.upstream.leave(v.upstream.c.Reset)
 		v.f.Core.Left(v.id)
+	case leaveDraining:
+		v.upstream.leave(func() {}) // its connection ends once it has been drained
+		v.timeOut(moveWithin)
+		v.f.Core.Left(v.id)
 	case awaitLineEnd:
 		v.timeOut(moveWithin)
 	case sendMove:
@@ -122,14 +127,23 @@
 		}
 	}
 	switch {
-	case v.state.isOpen():
-		return used + v.upstream.forward(b[used:])
+	case v.state.isOpen(), v.state == clientParting:
+		return used + v.pass(b[used:])
 	case v.state == clientDraining, v.state == clientClosed:
 		return len(b)
 	}
 	return used
 }
 
+// pass passes on what there is room for of the client's bytes, and says how many they were.
+func (v *clientConn) pass(b []byte) int {
+	n := v.upstream.forward(b)
+	if v.unread = len(b) - n; v.unread == 0 {
+		v.on(clientDrained)
+	}
+	return n
+}
+
 // firstLine takes a first line.
 func (v *clientConn) firstLine(text string) error {
 	if text == "PING" {
@@ -179,9 +193,12 @@
 
 // End is told by the loop.
 func (v *clientConn) End(err error) {
-	if err == io.EOF {
+	switch {
+	case err == io.EOF && v.unread > 0:
+		v.on(clientEndedUnread)
+	case err == io.EOF:
 		v.on(clientEnded)
-	} else {
+	default:
 		v.on(clientReset)
 	}
 }
--- a/internal/front/line/client_state.go
+++ b/internal/front/line/client_state.go
@@ -11,6 +11,7 @@
 	clientMidLine                     // for the rest of a line of which the member has sent a part
 	clientMoving                      // for the same, after which MOVE is put
 	clientDraining                    // for room for what the member has sent, which has ended
+	clientParting                     // for room for what the client has sent, which has ended
 	clientClosed                      // for nothing more; its connection is ended
 )
 
@@ -32,6 +33,8 @@
 	clientLineEnd                        // the end of one has
 	clientMoveAsked                      // the client is to come again
 	clientEnded                          // the client has ended its sending
+	clientEndedUnread                    // the client has ended its sending, and something of it has had no room yet
+	clientDrained                        // nothing of the client's waits for room
 	clientReset                          // the client's connection has broken
 	memberEnded                          // the member has ended its sending, on an open flow
 	memberEndedUnread                    // the member has ended its sending, and something of it has had no room yet
@@ -54,6 +57,7 @@
 	leaveRequest               // end the client's side, and tell the core that the client has left
 	leaveFlow                  // the same, and end the member's side politely
 	leaveFlowHard              // the same, and end the member's side by a reset
+	leaveDraining              // tell the core that the client has left, and wait for room, for so long as moveWithin
 	awaitLineEnd               // wait for the end of the line, for so long as moveWithin
 	sendMove                   // put MOVE and end both sides
 	endBothSides               // end both sides politely
@@ -91,6 +95,8 @@
 		return s.nextOpen(e)
 	case clientDraining:
 		return s.nextDraining(e)
+	case clientParting:
+		return s.nextParting(e)
 	}
 	return s, doNothing
 }
@@ -134,6 +140,8 @@
 	switch e {
 	case clientEnded:
 		return clientClosed, leaveFlow
+	case clientEndedUnread:
+		return clientParting, leaveDraining
 	case clientReset:
 		return clientClosed, leaveFlowHard
 	case memberEnded:
@@ -177,10 +185,18 @@
 	switch e {
 	case memberDrained, clientTimedOut:
 		return clientClosed, endAttempt
-	case clientEnded:
+	case clientEnded, clientEndedUnread:
 		return clientClosed, leaveFlow
 	case clientReset:
 		return clientClosed, leaveFlowHard
 	}
 	return s, doNothing
 }
+
+func (s clientState) nextParting(e clientEvent) (clientState, clientAction) {
+	switch e {
+	case clientDrained, clientTimedOut, clientReset, memberEnded, memberReset:
+		return clientClosed, endBothSides
+	}
+	return s, doNothing
+}
--- a/internal/front/line/flow_end_test.go
+++ b/internal/front/line/flow_end_test.go
@@ -63,6 +63,28 @@
 	g.clean()
 }
 
+// TestClientEndsNoRoom: the same of what had no room in the relay's buffers to the member; to the core the client has
+// left at once, and a member that never reads is waited for no longer than moveWithin.
+func TestClientEndsNoRoom(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		g := newRig(t, 1)
+		c, m := g.openFlow()
+		narrow(m)
+		v := g.onlyFlow()
+		sent := g.fill(c, func() bool { return v.upstream.c.Room() == 0 })
+		c.Say("the last line\r\n")
+		sent = append(sent, "the last line\r\n"...)
+		c.Finish()
+		g.Until("the end of the request", func() bool { return g.Core.Held() == 0 })
+		if !reads {
+			g.Pass(moveWithin)
+		} else if got := g.all(m); !bytes.Equal(got, sent) {
+			t.Errorf("%d bytes of %d", len(got), len(sent))
+		}
+		g.clean()
+	}
+}
+
 // TestMemberEndsUnread: what a member sent before it ended politely still reaches a client that is slow to read, also
 // what had no room in the relay's buffers to it.
 func TestMemberEndsUnread(t *testing.T) {
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -81,7 +81,7 @@
 
 // Drained is told by the loop.
 func (s *upstream) Drained() {
-	if s.state.isOpen() {
+	if s.state.isOpen() || s.v.state == clientParting {
 		s.v.c.Resume()
 	}
 }
@@ -157,7 +157,7 @@
 		s.v.on(memberEndedUnread)
 		return
 	}
-	if open {
+	if open || s.v.state == clientParting {
 		s.endClient(err)
 	}
 	switch {
