line: the end of a client that sent much at once and went is heard while it waits

Cause: before the final answer Data (client.go) takes nothing beyond the first line, so a connection's 8 KiB of unread bytes fill up and reading rests; the end of a client that sent more and went stands behind what is not read. Its request was placed as if it still waited, and an attempt went out for a client that had gone. Ruled out: a reset, which the loop hears without reading. Change: while a client waits as much is kept as an open flow may hold unsent (64 KiB), and goes on when the flow opens. Who sends more is answered ERR, and its request is over. Measured: TestSendsMuchAndGoes and TestSendsTooMuch fail without the change (neither the end nor an answer comes), pass with it; TestSendsEarly passes with and without.

--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -13,6 +13,10 @@
 
 // This file is the client's side: connections from clients.
 
+// earlyMost is how much a client may send beyond its first line before the final answer. The protocol has it wait, so
+// all of that is kept, and read, since its end stands behind it; it goes on at once when the flow opens.
+const earlyMost = netloop.OutBound
+
 // clientConn is a client connection: the virtual server of one request at most.
 type clientConn struct {
 	f          *Front
@@ -70,6 +74,10 @@
 	case leaveRequest:
 		v.close()
 		v.f.Core.Left(v.id)
+	case failRequest:
+		v.c.Write([]byte("ERR\r\n"))
+		v.close()
+		v.f.Core.Left(v.id)
 	case leaveFlow:
 		v.close()
 		v.upstream.leave(v.upstream.c.Finish)
@@ -127,6 +135,9 @@
 		}
 	}
 	switch {
+	case v.state == clientPlacing && len(b)-used >= earlyMost:
+		v.on(clientOverflowed)
+		return len(b)
 	case v.state.isOpen(), v.state == clientParting:
 		return used + v.pass(b[used:])
 	case v.state == clientDraining, v.state == clientClosed:
@@ -138,6 +149,9 @@
 // pass passes on what there is room for of the client's bytes, and says how many they were.
 func (v *clientConn) pass(b []byte) int {
 	n := v.upstream.forward(b)
+	if len(b)-n < netloop.InBound {
+		v.c.Bound(netloop.InBound, netloop.OutBound) // early bytes have gone on
+	}
 	if v.unread = len(b) - n; v.unread == 0 {
 		v.on(clientDrained)
 	}
@@ -176,6 +190,7 @@
 func (v *clientConn) place() {
 	v.due.Stop()
 	v.c.Spare(nil)
+	v.c.Bound(earlyMost, netloop.OutBound)
 	v.f.ids[v.open.id] = v
 	if v.f.Loop.Short() {
 		v.Reject(crowdAfter)
--- a/internal/front/line/client_state.go
+++ b/internal/front/line/client_state.go
@@ -21,6 +21,7 @@
 const (
 	clientPinged      clientEvent = iota // PING came as a first line
 	clientAsked                          // OPEN came as a first line
+	clientOverflowed                     // while it waits the client has sent more than is kept
 	clientMalformed                      // something else did
 	clientTimedOut                       // the time of the state is up
 	clientShed                           // its descriptor is wanted
@@ -55,6 +56,7 @@
 	endClient                  // end the client's side politely
 	resetClient                // end the client's side by a reset
 	leaveRequest               // end the client's side, and tell the core that the client has left
+	failRequest                // answer ERR, end, and tell the core that the client has left
 	leaveFlow                  // the same, and end the member's side politely
 	leaveFlowHard              // the same, and end the member's side by a reset
 	leaveDraining              // tell the core that the client has left, and wait for room, for so long as moveWithin
@@ -132,6 +134,8 @@
 		return clientClosed, sendError
 	case clientEnded, clientReset:
 		return clientClosed, leaveRequest
+	case clientOverflowed:
+		return clientClosed, failRequest
 	}
 	return s, doNothing
 }
--- /dev/null
+++ b/internal/front/line/early_test.go
@@ -0,0 +1,56 @@
+package line
+
+import (
+	"bytes"
+	"testing"
+
+	"dahliarudder/internal/netloop"
+	"dahliarudder/policy"
+)
+
+// TestSendsMuchAndGoes: a client that sends more than its line while its request is held, and goes, takes the request
+// with it.
+func TestSendsMuchAndGoes(t *testing.T) {
+	g := newRig(t, 1)
+	g.list(0, policy.Draining)
+	c := g.ask(firstLine)
+	c.Say(string(bytes.Repeat([]byte("more\r\n"), 4<<10)))
+	c.Finish()
+	g.Until("the client's end", func() bool { return len(g.f.ids) == 0 })
+	g.list(0, policy.Ready)
+	g.gone()
+}
+
+// TestSendsTooMuch: one that sends more than an open flow may hold is no client of the protocol's. It gets one answer,
+// its request is over, and so is the attempt that is out.
+func TestSendsTooMuch(t *testing.T) {
+	g := newRig(t, 1)
+	c := g.ask(firstLine)
+	m := g.attempt(0)
+	c.Say(string(bytes.Repeat([]byte("more\r\n"), netloop.OutBound/6+1)))
+	c.Lines("ERR")
+	m.WantReset()
+	g.gone()
+}
+
+// TestSendsEarly: what a client sends while it waits goes to the member that is up, after the first line, all of it
+// and in order.
+func TestSendsEarly(t *testing.T) {
+	g := newRig(t, 2)
+	c := g.ask(firstLine)
+	at, m := g.anyAttempt()
+	early := bytes.Repeat([]byte("more\r\n"), 5<<10)
+	c.Say(string(early))
+	g.Turn()
+	m.Say("BUSY\r\n")
+	g.Until("the answer", func() bool { return g.Core.Counts.Attempts == 2 })
+	if _, m = at, g.attempt(1-at); len(m.Got) > 0 {
+		t.Errorf("with the first line came %q", m.Got)
+	}
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+	g.Until("the early lines", func() bool { m.Poll(); return len(m.Got) >= len(early) })
+	if !bytes.Equal(m.Got, early) {
+		t.Errorf("%d bytes of %d", len(m.Got), len(early))
+	}
+}
--- a/internal/front/line/state_test.go
+++ b/internal/front/line/state_test.go
@@ -10,13 +10,14 @@
 // happens once it is closed, and each action stands only where the protocol has it.
 func TestClientStates(t *testing.T) {
 	ends := map[clientAction]bool{sendError: true, sendBusy: true, endClient: true, resetClient: true, leaveRequest: true,
-		leaveFlow: true, leaveFlowHard: true, sendMove: true, endBothSides: true, endAttempt: true}
+		leaveFlow: true, leaveFlowHard: true, sendMove: true, endBothSides: true, endAttempt: true, failRequest: true}
 	hasFlow := func(s clientState) bool { return s.isOpen() || s == clientDraining }
 	from := map[clientAction]func(clientState) bool{
 		sendPong: clientState.awaitsFirstLine, placeRequest: clientState.awaitsFirstLine,
 		sendError:    func(s clientState) bool { return !s.isOpen() },
 		sendBusy:     func(s clientState) bool { return s == clientPlacing },
 		sendUp:       func(s clientState) bool { return s == clientPlacing },
+		failRequest:  func(s clientState) bool { return s == clientPlacing },
 		leaveRequest: func(s clientState) bool { return s == clientPlacing },
 		leaveFlow:    hasFlow, leaveFlowHard: hasFlow, sendMove: clientState.isOpen, drain: clientState.isOpen,
 		endAttempt:    func(s clientState) bool { return s == clientDraining },
