line: a resting connection that the relay ends is told BUSY, so that a crossing OPEN has it

Cause: a connection that was answered PONG was ended without a word when its 30 s were up or its descriptor was wanted (client_state.go, nextFirstLine; before that, line's v.close). A request that arrived in that moment is thrown away unread, and its client got an end with no answer. A connection that never had a first line gets ERR there, which is one. Change: it gets BUSY: nothing was sent on, so coming again is harmless. TestFirstLine wanted the bare end, which is the fault; it now wants BUSY and then the end, and nothing more. Measured: TestRestsTooLong fails without the change for both (got ""), passes with it; TestRestsUntilAsked (the request in the very round of the time-out is placed) passes with and without.

--- a/internal/front/line/client_state.go
+++ b/internal/front/line/client_state.go
@@ -115,7 +115,7 @@
 		if s == clientNew {
 			return clientClosed, sendError
 		}
-		return clientClosed, endClient
+		return clientClosed, sendBusy
 	case clientEnded, clientReset:
 		return clientClosed, endClient
 	}
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -337,6 +337,7 @@
 	front.Say("PING\r\n")
 	front.Lines("PONG")
 	r.Pass(pingIdle)
+	front.Lines("BUSY")
 	front.WantEnd()
 }
 
--- /dev/null
+++ b/internal/front/line/rest_test.go
@@ -0,0 +1,59 @@
+package line
+
+import (
+	"testing"
+	"time"
+
+	"dahliarudder/internal/core"
+)
+
+// TestRestsUntilAsked: a request that arrives in the round in which the time of a resting connection is up is placed.
+func TestRestsUntilAsked(t *testing.T) {
+	for name, rest := range map[string]time.Duration{"new": firstWithin, "answered PONG": pingIdle} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 1)
+			c := g.Dial(g.addr)
+			if rest == pingIdle {
+				c.Say("PING\r\n")
+				c.Lines("PONG")
+			}
+			g.Until("the connection", func() bool { return len(g.f.fresh) == 1 })
+			c.Say(firstLine + "\r\n")
+			g.Pass(rest)
+			g.attempt(0).Say("UP x\r\n")
+			c.Lines("UP x")
+		})
+	}
+}
+
+// TestRestsTooLong: one that arrives as the relay has just ended a resting connection has one whole answer: it was not
+// sent on, and coming again is harmless.
+func TestRestsTooLong(t *testing.T) {
+	for name, end := range map[string]func(*rig){
+		"idle": func(g *rig) { g.Pass(pingIdle) },
+		"shed": func(g *rig) {
+			for range 2 {
+				g.Limit(g.Held()) // the next connection has to be made room for
+				g.Dial(g.addr)
+				g.Turn()
+				g.Turn()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 1)
+			c := g.Dial(g.addr)
+			c.Say("PING\r\n")
+			c.Lines("PONG")
+			end(g)
+			c.Write([]byte(firstLine + "\r\n"))
+			g.Until("the end", func() bool { c.Poll(); return c.Over != nil })
+			if string(c.Got) != "BUSY\r\n" {
+				t.Errorf("got %q", c.Got)
+			}
+			if g.Core.Counts != (core.Counts{}) {
+				t.Errorf("%+v", g.Core.Counts)
+			}
+		})
+	}
+}
--- a/internal/front/line/state_test.go
+++ b/internal/front/line/state_test.go
@@ -15,7 +15,7 @@
 	from := map[clientAction]func(clientState) bool{
 		sendPong: clientState.awaitsFirstLine, placeRequest: clientState.awaitsFirstLine,
 		sendError:    func(s clientState) bool { return !s.isOpen() },
-		sendBusy:     func(s clientState) bool { return s == clientPlacing },
+		sendBusy:     func(s clientState) bool { return s == clientPlacing || s == clientResting },
 		sendUp:       func(s clientState) bool { return s == clientPlacing },
 		failRequest:  func(s clientState) bool { return s == clientPlacing },
 		leaveRequest: func(s clientState) bool { return s == clientPlacing },
