line: explicit states of probes, with one transition function

asked, reused and the presence of a connection are probeState. Behaviour is as before. Measured: go vet and the package's tests pass; TestProbeStates walks all states and events.

--- a/internal/front/line/probe.go
+++ b/internal/front/line/probe.go
@@ -20,15 +20,72 @@
 	probeIdle, keepalive = 0.8, 5 * time.Second // the latter where the settings do not say
 )
 
+// probeState is what the connection on which a member is probed is for.
+type probeState int
+
+const (
+	probeNone     probeState = iota // there is no connection, and no answer is owed
+	probeKept                       // no answer is owed; the connection has brought one and is kept for the next probe
+	probeDialling                   // an answer is owed, the connection is being set up
+	probeAsked                      // an answer is owed on a new connection
+	probeReused                     // an answer is owed on a connection that has brought one before
+)
+
+// probeEvent is what may happen to a probe.
+type probeEvent int
+
+const (
+	probeWanted     probeEvent = iota // the core wants one, and a kept connection leads elsewhere if there is one
+	probeWantedOn                     // the core wants one, and the connection that is kept will do
+	probeComesUp                      // the connection stands
+	probeAnswered                     // the member has answered well
+	probeRefused                      // it has answered otherwise, or has taken too long
+	probeBroke                        // the connection has ended
+	probeBrokeAgain                   // the same, and it may be set up anew
+	probeIdled                        // it has been kept for long enough
+)
+
+// owes says that an answer is owed.
+func (s probeState) owes() bool { return s >= probeDialling }
+
+// next is the one place that says how events lead from state to state. An event that a state has no use for changes nothing.
+func (s probeState) next(e probeEvent) probeState {
+	switch e {
+	case probeWanted:
+		if !s.owes() {
+			return probeDialling
+		}
+	case probeWantedOn:
+		if s == probeKept {
+			return probeReused
+		}
+	case probeComesUp:
+		if s == probeDialling {
+			return probeAsked
+		}
+	case probeAnswered:
+		if s.owes() {
+			return probeKept
+		}
+	case probeRefused, probeBroke, probeIdled:
+		return probeNone
+	case probeBrokeAgain:
+		if s == probeReused { // it may have been ended for idleness just then
+			return probeDialling
+		}
+		return probeNone
+	}
+	return s
+}
+
 // probe is the connection on which one member is probed.
 type probe struct {
-	f      *Front
-	id     policy.ServerID
-	addr   string
-	c      *netloop.Conn
-	asked  bool // an answer is owed
-	reused bool // and the connection has brought one before
-	within *netloop.Timer
+	f     *Front
+	id    policy.ServerID
+	addr  string
+	c     *netloop.Conn
+	state probeState
+	due   *netloop.Timer // when the answer is late, or the connection has been kept for long enough
 }
 
 // Probe asks a member for its load; the answer goes to the core.
@@ -38,28 +95,25 @@
 		p = &probe{f: f, id: to.ID}
 		f.probes[to.ID] = p
 	}
-	if p.asked {
+	if p.state.owes() {
 		return
 	}
-	p.asked = true
-	p.within.Stop()
-	p.within = f.Loop.After(probeWithin, func() { p.done(policy.Timeout, policy.NoReport) })
-	if p.c != nil && p.addr == to.Addr {
-		p.reused = true
+	p.due.Stop()
+	p.due = f.Loop.After(probeWithin, func() { p.done(policy.Timeout, policy.NoReport) })
+	if p.state == probeKept && p.addr == to.Addr {
+		p.state = p.state.next(probeWantedOn)
 		p.c.Write(stats)
 		return
 	}
 	p.hangUp()
 	p.addr = to.Addr
+	p.state = p.state.next(probeWanted)
 	p.dial()
 }
 
 var stats = []byte("STATS\r\n")
 
-func (p *probe) dial() {
-	p.reused = false
-	p.c = p.f.Loop.Dial(p.addr, p.f.connectWithin, p)
-}
+func (p *probe) dial() { p.c = p.f.Loop.Dial(p.addr, p.f.connectWithin, p) }
 
 func (p *probe) hangUp() {
 	if p.c != nil {
@@ -68,8 +122,17 @@
 	}
 }
 
+// idle ends a connection that has been kept for long enough.
+func (p *probe) idle() {
+	p.state = p.state.next(probeIdled)
+	p.hangUp()
+}
+
 // Open is told by the loop.
-func (p *probe) Open() { p.c.Write(stats) }
+func (p *probe) Open() {
+	p.state = p.state.next(probeComesUp)
+	p.c.Write(stats)
+}
 
 // Drained is told by the loop.
 func (p *probe) Drained() {}
@@ -80,8 +143,9 @@
 	if n == 0 && err == nil {
 		return 0
 	}
-	if !p.asked {
-		p.hangUp()
+	if !p.state.owes() {
+		p.due.Stop()
+		p.idle()
 		return len(b)
 	}
 	word, rest, _ := strings.Cut(text, " ")
@@ -101,29 +165,43 @@
 // End is told by the loop.
 func (p *probe) End(err error) {
 	p.hangUp()
+	if !p.state.owes() {
+		p.due.Stop()
+		p.state = p.state.next(probeBroke)
+		return
+	}
+	if p.state == probeReused && !isOwn(err) && p.f.Core.Reachable(p.id) {
+		p.state = p.state.next(probeBrokeAgain)
+		p.dial()
+		return
+	}
+	p.done(p.broken(err), policy.NoReport)
+}
+
+// isOwn says that a connection ended for want of the relay's own means.
+func isOwn(err error) bool { return errors.Is(err, netloop.ErrFull) }
+
+// broken is the result of a probe whose connection has ended.
+func (p *probe) broken(err error) policy.Result {
 	switch {
-	case !p.asked:
-		p.within.Stop()
-	case errors.Is(err, netloop.ErrFull):
-		p.done(policy.Moot, policy.NoReport)
+	case isOwn(err):
+		return policy.Moot
 	case errors.Is(err, netloop.ErrDialTimeout): // it says nothing at all
-		p.done(policy.Timeout, policy.NoReport)
-	case p.reused && p.f.Core.Reachable(p.id): // it may have been ended for idleness just then
-		p.dial()
-	case errors.Is(err, io.EOF) || p.c != nil:
-		p.done(policy.Reset, policy.NoReport)
-	default:
-		p.done(policy.ConnectFailed, policy.NoReport)
+		return policy.Timeout
+	case errors.Is(err, io.EOF):
+		return policy.Reset
 	}
+	return policy.ConnectFailed
 }
 
 // done tells the answer; only a connection that brought one is kept for a while.
 func (p *probe) done(result policy.Result, report policy.Report) {
-	p.asked = false
-	p.within.Stop()
+	p.due.Stop()
 	if result == policy.OK {
-		p.within = p.f.Loop.After(p.f.probeIdle, p.hangUp)
+		p.state = p.state.next(probeAnswered)
+		p.due = p.f.Loop.After(p.f.probeIdle, p.idle)
 	} else {
+		p.state = p.state.next(probeRefused)
 		p.hangUp()
 	}
 	p.f.Core.Probed(p.id, result, report)
--- a/internal/front/line/state_test.go
+++ b/internal/front/line/state_test.go
@@ -69,3 +69,20 @@
 		}
 	}
 }
+
+// TestProbeStates walks all states and events of a probe: it is wanted only where no answer is owed, and an answer
+// that was owed is, whatever ends it, owed no more.
+func TestProbeStates(t *testing.T) {
+	for s := probeNone; s <= probeReused; s++ {
+		for e := probeWanted; e <= probeIdled; e++ {
+			next := s.next(e)
+			if !s.owes() && next.owes() != (e == probeWanted || e == probeWantedOn && s == probeKept) {
+				t.Errorf("event %d in state %d: state %d", e, s, next)
+			}
+			if s.owes() && !next.owes() != (e == probeAnswered || e == probeRefused || e == probeBroke || e == probeIdled ||
+				e == probeBrokeAgain && s != probeReused) {
+				t.Errorf("event %d in state %d: state %d", e, s, next)
+			}
+		}
+	}
+}
