line: a probe's connection that is reset is no longer told as one that could not be made

Cause: probe.End called hangUp, which sets the connection to nil, before it asked whether there had been one, so that any end but a polite one was told as connect failed: the member as one that cannot be reached, where it had taken the probe and broken it. Change: the state says which it was. Measured: TestProbeAnswers fails without the change (a reset, and one after half a line: result 4 in place of 5), passes with it. The other probe tests pass with and without.

--- a/internal/front/line/probe.go
+++ b/internal/front/line/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"strings"
 	"time"
 
@@ -188,10 +187,10 @@
 		return policy.Moot
 	case errors.Is(err, netloop.ErrDialTimeout): // it says nothing at all
 		return policy.Timeout
-	case errors.Is(err, io.EOF):
-		return policy.Reset
+	case p.state == probeDialling:
+		return policy.ConnectFailed
 	}
-	return policy.ConnectFailed
+	return policy.Reset
 }
 
 // done tells the answer; only a connection that brought one is kept for a while.
--- /dev/null
+++ b/internal/front/line/probe_test.go
@@ -0,0 +1,155 @@
+package line
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
+)
+
+// probing is a rig and how the probes of its members ended.
+type probing struct {
+	*rig
+	results []policy.Result
+}
+
+func newProbing(t testing.TB, members int) *probing {
+	p := &probing{rig: newRig(t, members)}
+	p.Core.Saw = func(_ *core.Member, result policy.Result) { p.results = append(p.results, result) }
+	return p
+}
+
+// probe probes a member.
+func (p *probing) probe(member int) { p.f.Probe(&p.Members[member]) }
+
+// asked is the member's end of a probe that has been sent on a new connection.
+func (p *probing) asked(member int) *looptest.Peer {
+	p.T.Helper()
+	p.probe(member)
+	m := p.servers[member].Accept()
+	m.Lines("STATS")
+	return m
+}
+
+// want waits for the results of all probes so far.
+func (p *probing) want(results ...policy.Result) {
+	p.T.Helper()
+	p.Until("the results", func() bool { return len(p.results) >= len(results) })
+	if !slices.Equal(p.results, results) {
+		p.T.Fatalf("results %v, want %v", p.results, results)
+	}
+}
+
+// ended checks that no probe is out and none of its connections left.
+func (p *probing) ended() {
+	p.T.Helper()
+	n := len(p.results)
+	p.Pass(p.f.probeIdle)
+	p.clean()
+	if len(p.results) != n {
+		p.T.Errorf("results %v", p.results)
+	}
+}
+
+// TestProbeAnswers: each probe has one result, whatever the member does.
+func TestProbeAnswers(t *testing.T) {
+	for name, one := range map[string]struct {
+		does func(p *probing, m *looptest.Peer)
+		want policy.Result
+	}{
+		"PONG":                  {func(_ *probing, m *looptest.Peer) { m.Say("PONG x0=0.5\r\n") }, policy.OK},
+		"BUSY":                  {func(_ *probing, m *looptest.Peer) { m.Say("BUSY\r\n") }, policy.Full},
+		"ERR":                   {func(_ *probing, m *looptest.Peer) { m.Say("ERR\r\n") }, policy.Error},
+		"ERR, PONG":             {func(_ *probing, m *looptest.Peer) { m.Say("ERR\r\nPONG\r\n") }, policy.Error},
+		"PONG, PONG":            {func(_ *probing, m *looptest.Peer) { m.Say("PONG\r\nPONG\r\n") }, policy.OK},
+		"no CRLF":               {func(_ *probing, m *looptest.Peer) { m.Say("PONG\n") }, policy.Error},
+		"a line over the bound": {func(_ *probing, m *looptest.Peer) { m.Say(strings.Repeat("x", maxLine)) }, policy.Error},
+		"the end":               {func(_ *probing, m *looptest.Peer) { m.Finish() }, policy.Reset},
+		"half a line, the end":  {func(_ *probing, m *looptest.Peer) { m.Say("PON"); m.Finish() }, policy.Reset},
+		"a reset":               {func(_ *probing, m *looptest.Peer) { m.Reset() }, policy.Reset},
+		"half a line, a reset":  {func(_ *probing, m *looptest.Peer) { m.Say("PON"); m.Reset() }, policy.Reset},
+		"half a line, nothing":  {func(p *probing, m *looptest.Peer) { m.Say("PON"); p.Turn(); p.Pass(probeWithin) }, policy.Timeout},
+		"nothing":               {func(p *probing, _ *looptest.Peer) { p.Pass(probeWithin) }, policy.Timeout},
+		"PONG once it is late":  {func(p *probing, m *looptest.Peer) { p.Pass(probeWithin); m.Say("PONG\r\n") }, policy.Timeout},
+		"PONG as it becomes so": {func(p *probing, m *looptest.Peer) { m.Say("PONG\r\n"); p.Pass(probeWithin) }, policy.OK},
+		"nobody is there":       {func(p *probing, m *looptest.Peer) { m.Close() }, policy.Reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newProbing(t, 1)
+			m := p.asked(0)
+			one.does(p, m)
+			p.want(one.want)
+			p.ended()
+		})
+	}
+}
+
+// TestProbeConnects: a connection that is refused, or that does not come up, is told apart.
+func TestProbeConnects(t *testing.T) {
+	p := newProbing(t, 1)
+	p.servers[0].Listener.Close()
+	p.probe(0)
+	p.want(policy.ConnectFailed)
+	p.ended()
+
+	p = newProbing(t, 0)
+	p.join(fullQueue(t))
+	p.probe(0)
+	p.Turn()
+	p.Pass(p.f.connectWithin)
+	p.want(policy.Timeout)
+	p.ended()
+}
+
+// TestProbeLateAnswer: nor is one that comes before the next probe; its connection is used no more.
+func TestProbeLateAnswer(t *testing.T) {
+	p := newProbing(t, 1)
+	m := p.asked(0)
+	m.Say("PONG x0=0.1\r\n")
+	p.want(policy.OK)
+	m.Say("ERR\r\n")
+	m.WantEnd()
+	p.asked(0).Say("PONG x0=0.2\r\n")
+	p.want(policy.OK, policy.OK)
+	p.ended()
+}
+
+// TestProbeEndsAsUsed: a kept connection that the member ends in the very moment in which it is used again costs a
+// second connection, and no result.
+func TestProbeEndsAsUsed(t *testing.T) {
+	for name, end := range map[string]func(*looptest.Peer){
+		"ends": func(m *looptest.Peer) { m.Close() }, "half-closes": func(m *looptest.Peer) { m.Finish() }, "resets": func(m *looptest.Peer) { m.Reset() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newProbing(t, 1)
+			m := p.asked(0)
+			m.Say("PONG\r\n")
+			p.want(policy.OK)
+			end(m)
+			p.asked(0).Say("PONG\r\n")
+			p.want(policy.OK, policy.OK)
+			p.ended()
+		})
+	}
+}
+
+// TestProbeEndsAsMemberLeft: and none where the member has left for longer than the grace meanwhile.
+func TestProbeEndsAsMemberLeft(t *testing.T) {
+	p := newProbing(t, 1)
+	m := p.asked(0)
+	m.Say("PONG\r\n")
+	p.want(policy.OK)
+	m.Finish()
+	p.probe(0)
+	p.list(0, policy.Draining)
+	p.Pass(time.Duration(p.Core.Settings.Guarantees.Grace)*time.Millisecond + time.Millisecond)
+	p.want(policy.OK, policy.Reset)
+	if p.pending(0) != nil {
+		t.Error("a connection to a member that has left")
+	}
+	p.ended()
+}
