line: a second answer to a probe is not taken for the next probe's

Cause: where two answers came in one read, probe.Data took the first and left the second in the connection's buffer, and the connection was kept; the next STATS on it was answered by what lay there, a report of the probe before. One that came by itself ended the connection all along. Change: a connection that has brought more than it was asked for is not kept. Measured: TestProbeSecondAnswer fails without the change (no new connection comes; the stale line is the answer), passes with it.

--- a/internal/front/line/probe.go
+++ b/internal/front/line/probe.go
@@ -127,6 +127,15 @@
 	p.hangUp()
 }
 
+// spoil ends a connection that is kept although something has come that nobody asked for: it would be taken for the
+// next probe's answer.
+func (p *probe) spoil() {
+	if p.state == probeKept {
+		p.due.Stop()
+		p.idle()
+	}
+}
+
 // Open is told by the loop.
 func (p *probe) Open() {
 	p.state = p.state.next(probeComesUp)
@@ -143,8 +152,7 @@
 		return 0
 	}
 	if !p.state.owes() {
-		p.due.Stop()
-		p.idle()
+		p.spoil()
 		return len(b)
 	}
 	word, rest, _ := strings.Cut(text, " ")
@@ -153,6 +161,9 @@
 		p.done(policy.Error, policy.NoReport)
 	case word == "PONG":
 		p.done(policy.OK, parseReport(rest))
+		if n < len(b) { // it says more than it was asked
+			p.spoil()
+		}
 	case word == "BUSY":
 		p.done(policy.Full, parseReport(rest))
 	default:
--- a/internal/front/line/probe_test.go
+++ b/internal/front/line/probe_test.go
@@ -153,3 +153,15 @@
 	}
 	p.ended()
 }
+
+// TestProbeSecondAnswer: a second answer that came with the first is not taken for the next probe's.
+func TestProbeSecondAnswer(t *testing.T) {
+	p := newProbing(t, 1)
+	m := p.asked(0)
+	m.Say("PONG x0=0.1\r\nERR\r\n")
+	p.want(policy.OK)
+	m = p.asked(0)
+	m.Say("PONG x0=0.2\r\n")
+	p.want(policy.OK, policy.OK)
+	p.ended()
+}
