line: a probe's connection that comes up after its member has left is not used

Cause: as with attempts, the core asks whether a member may be sent to as the probe begins, and probe.Open wrote STATS however long the connection took to come up: up to the connect time-out later, and so more than the grace after the member was told to be leaving. Change: probe.Open asks the core again; if it says no the probe is moot. Measured: TestProbeAsksNobodyWhoLeft fails without the change (no moot result), passes with it.

--- a/internal/front/line/probe.go
+++ b/internal/front/line/probe.go
@@ -138,6 +138,10 @@
 
 // Open is told by the loop.
 func (p *probe) Open() {
+	if !p.f.Core.Reachable(p.id) {
+		p.done(policy.Moot, policy.NoReport)
+		return
+	}
 	p.state = p.state.next(probeComesUp)
 	p.c.Write(stats)
 }
--- a/internal/front/line/probe_test.go
+++ b/internal/front/line/probe_test.go
@@ -165,3 +165,15 @@
 	p.want(policy.OK, policy.OK)
 	p.ended()
 }
+
+// TestProbeAsksNobodyWhoLeft: a connection that comes up when its member has been leaving for longer than the grace
+// is not used.
+func TestProbeAsksNobodyWhoLeft(t *testing.T) {
+	p := newProbing(t, 1)
+	p.probe(0)
+	p.list(0, policy.Draining)
+	p.Pass(time.Duration(p.Core.Settings.Guarantees.Grace)*time.Millisecond + time.Millisecond)
+	p.want(policy.Moot)
+	p.unsent()
+	p.ended()
+}
