line: what is known of a probe ends with its connection

Cause: Front.probes kept an entry for every member that was ever probed, also long after it had left; with members that are replaced all the time it only grew. Change: an entry without a connection is taken off. Measured: TestProbeForgets fails without the change (3 are remembered), passes with it.

--- a/internal/front/line/probe.go
+++ b/internal/front/line/probe.go
@@ -125,6 +125,14 @@
 func (p *probe) idle() {
 	p.state = p.state.next(probeIdled)
 	p.hangUp()
+	p.forget()
+}
+
+// forget takes a probe that holds nothing off the front's list.
+func (p *probe) forget() {
+	if p.f.probes[p.id] == p {
+		delete(p.f.probes, p.id)
+	}
 }
 
 // spoil ends a connection that is kept although something has come that nobody asked for: it would be taken for the
@@ -182,6 +190,7 @@
 	if !p.state.owes() {
 		p.due.Stop()
 		p.state = p.state.next(probeBroke)
+		p.forget()
 		return
 	}
 	if p.state == probeReused && !isOwn(err) && p.f.Core.Reachable(p.id) {
@@ -217,6 +226,7 @@
 	} else {
 		p.state = p.state.next(probeRefused)
 		p.hangUp()
+		p.forget()
 	}
 	p.f.Core.Probed(p.id, result, report)
 }
--- a/internal/front/line/probe_test.go
+++ b/internal/front/line/probe_test.go
@@ -177,3 +177,16 @@
 	p.unsent()
 	p.ended()
 }
+
+// TestProbeForgets: of members that come and go nothing stays.
+func TestProbeForgets(t *testing.T) {
+	p := newProbing(t, 3)
+	for i := range p.servers {
+		p.asked(i).Say("PONG\r\n")
+		p.Until("the result", func() bool { return len(p.results) == i+1 })
+	}
+	p.ended()
+	if len(p.f.probes) != 0 {
+		t.Errorf("%d are remembered", len(p.f.probes))
+	}
+}
