line: a second answer to a probe is not the next one's where that begins at once

Cause: the connection was given up only after the core had been told the first answer, and the core may ask for the next probe within that call, on the connection that holds the second answer. Change: whether the connection is kept is decided before the core is told. Measured: TestProbeSecondAnswerAtOnce fails without the change (no new connection), passes with it.

--- a/internal/front/line/probe.go
+++ b/internal/front/line/probe.go
@@ -38,7 +38,7 @@
 	probeWantedOn                     // the core wants one, and the connection that is kept will do
 	probeComesUp                      // the connection stands
 	probeAnswered                     // the member has answered well
-	probeRefused                      // it has answered otherwise, or has taken too long
+	probeRefused                      // it has answered otherwise or with more than one line, or has taken too long
 	probeBroke                        // the connection has ended
 	probeBrokeAgain                   // the same, and it may be set up anew
 	probeIdled                        // it has been kept for long enough
@@ -135,15 +135,6 @@
 	}
 }
 
-// spoil ends a connection that is kept although something has come that nobody asked for: it would be taken for the
-// next probe's answer.
-func (p *probe) spoil() {
-	if p.state == probeKept {
-		p.due.Stop()
-		p.idle()
-	}
-}
-
 // Open is told by the loop.
 func (p *probe) Open() {
 	if !p.f.Core.Reachable(p.id) {
@@ -163,8 +154,9 @@
 	if n == 0 && err == nil {
 		return 0
 	}
-	if !p.state.owes() {
-		p.spoil()
+	if !p.state.owes() { // nobody asked for it, and it would be taken for the next probe's answer
+		p.due.Stop()
+		p.idle()
 		return len(b)
 	}
 	word, rest, _ := strings.Cut(text, " ")
@@ -172,10 +164,7 @@
 	case err != nil:
 		p.done(policy.Error, policy.NoReport)
 	case word == "PONG":
-		p.done(policy.OK, parseReport(rest))
-		if n < len(b) { // it says more than it was asked
-			p.spoil()
-		}
+		p.finish(policy.OK, parseReport(rest), n == len(b))
 	case word == "BUSY":
 		p.done(policy.Full, parseReport(rest))
 	default:
@@ -217,10 +206,13 @@
 	return policy.Reset
 }
 
-// done tells the answer; only a connection that brought one is kept for a while.
-func (p *probe) done(result policy.Result, report policy.Report) {
+// done tells an answer after which the connection is kept for nothing.
+func (p *probe) done(result policy.Result, report policy.Report) { p.finish(result, report, false) }
+
+// finish tells the answer. A connection that brought one, and nothing beyond it, is kept for a while.
+func (p *probe) finish(result policy.Result, report policy.Report, keep bool) {
 	p.due.Stop()
-	if result == policy.OK {
+	if keep {
 		p.state = p.state.next(probeAnswered)
 		p.due = p.f.Loop.After(p.f.probeIdle, p.idle)
 	} else {
--- a/internal/front/line/probe_test.go
+++ b/internal/front/line/probe_test.go
@@ -190,3 +190,21 @@
 		t.Errorf("%d are remembered", len(p.f.probes))
 	}
 }
+
+// TestProbeSecondAnswerAtOnce: nor where the next probe begins as the first is answered.
+func TestProbeSecondAnswerAtOnce(t *testing.T) {
+	p := newProbing(t, 1)
+	saw := p.Core.Saw
+	p.Core.Saw = func(m *core.Member, result policy.Result) {
+		if saw(m, result); len(p.results) == 1 {
+			p.probe(0)
+		}
+	}
+	m := p.asked(0)
+	m.Say("PONG x0=0.1\r\nERR\r\n")
+	m = p.servers[0].Accept()
+	m.Lines("STATS")
+	m.Say("PONG x0=0.2\r\n")
+	p.want(policy.OK, policy.OK)
+	p.ended()
+}
