line: tests of what members may do in the place of answering well

Each case is forced by the order of events and seen from outside: the one result of the attempt, no second one out, the one answer of the client, descriptors at the end.

--- /dev/null
+++ b/internal/front/line/attempt_test.go
@@ -0,0 +1,243 @@
+package line
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
+)
+
+// over waits until the relay has ended a connection.
+func (g *rig) over(p *looptest.Peer) {
+	g.T.Helper()
+	g.Until("the end", func() bool { p.Poll(); return p.Over != nil })
+}
+
+// late is what a member sends when nobody may be listening any more.
+func late(m *looptest.Peer, text string) { m.Write([]byte(text)) }
+
+// spoilt is what a member may do in the place of answering well, and the result that the attempt then has.
+var spoilt = map[string]struct {
+	does func(g *rig, m *looptest.Peer)
+	want policy.Result
+}{
+	"resets":                      {func(_ *rig, m *looptest.Peer) { m.Reset() }, policy.Reset},
+	"ends":                        {func(_ *rig, m *looptest.Peer) { m.Finish() }, policy.Reset},
+	"resets after half a line":    {func(g *rig, m *looptest.Peer) { m.Say("UP"); g.Turn(); m.Reset() }, policy.Reset},
+	"ends after half a line":      {func(_ *rig, m *looptest.Peer) { m.Say("UP x"); m.Finish() }, policy.Reset},
+	"ends within its CRLF":        {func(_ *rig, m *looptest.Peer) { m.Say("UP x\r"); m.Finish() }, policy.Reset},
+	"says nothing":                {func(g *rig, m *looptest.Peer) { g.outlast(m) }, policy.Timeout},
+	"says half a line":            {func(g *rig, m *looptest.Peer) { m.Say("UP x"); g.Turn(); g.outlast(m) }, policy.Timeout},
+	"says UP once it is too late": {func(g *rig, m *looptest.Peer) { g.outlast(m); late(m, "UP x\r\n") }, policy.Timeout},
+	"says a line over the bound":  {func(_ *rig, m *looptest.Peer) { m.Say("UP " + strings.Repeat("x", maxLine) + "\r\n") }, policy.Error},
+	"says a line without end":     {func(_ *rig, m *looptest.Peer) { m.Say(strings.Repeat("x", 64*maxLine)) }, policy.Error},
+	"says UP without CR":          {func(_ *rig, m *looptest.Peer) { m.Say("UP x\n") }, policy.Error},
+	"says an empty line":          {func(_ *rig, m *looptest.Peer) { m.Say("\r\nUP x\r\n") }, policy.Error},
+	"says what is no text":        {func(_ *rig, m *looptest.Peer) { m.Say("\x00\xff\x16\x03\r\n") }, policy.Error},
+	"says UPPER":                  {func(_ *rig, m *looptest.Peer) { m.Say("UPPER x\r\n") }, policy.Error},
+	"says ERR":                    {func(_ *rig, m *looptest.Peer) { m.Say("ERR\r\n") }, policy.Error},
+	"says ERR and UP":             {func(_ *rig, m *looptest.Peer) { m.Say("ERR\r\nUP x\r\n") }, policy.Error},
+	"says ERR, and UP later":      {func(g *rig, m *looptest.Peer) { m.Say("ERR\r\n"); g.Turn(); late(m, "UP x\r\n") }, policy.Error},
+	"says BUSY":                   {func(_ *rig, m *looptest.Peer) { m.Say("BUSY\r\n") }, policy.Full},
+	"says BUSY and UP":            {func(_ *rig, m *looptest.Peer) { m.Say("BUSY\r\nUP x\r\n") }, policy.Full},
+	"says BUSY, and UP later":     {func(g *rig, m *looptest.Peer) { m.Say("BUSY\r\n"); g.Turn(); late(m, "UP x\r\n") }, policy.Full},
+	"says BUSY in pieces":         {func(g *rig, m *looptest.Peer) { g.pieces(m, "BUSY\r\n") }, policy.Full},
+	"says MOVE":                   {func(_ *rig, m *looptest.Peer) { m.Say("MOVE\r\n") }, policy.Cancelled},
+}
+
+// outlast passes the time of the attempt that is out.
+func (g *rig) outlast(m *looptest.Peer) {
+	g.T.Helper()
+	g.Until("the end of the attempt", func() bool { g.Pass(10 * time.Millisecond); m.Poll(); return m.Over != nil })
+}
+
+// pieces sends text byte by byte, with a round after each.
+func (g *rig) pieces(p *looptest.Peer, text string) {
+	for i := range text {
+		p.Say(text[i : i+1])
+		g.Turn()
+	}
+}
+
+// TestAttempts: whatever a member does in the place of answering well, the attempt has the one result that it should,
+// the next one goes out when this one is over, and the client gets the one answer that the next member gives.
+func TestAttempts(t *testing.T) {
+	for name, one := range spoilt {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 2)
+			var ended results
+			g.Core.Ledger = &ended
+			c := g.ask(firstLine)
+			at, m := g.anyAttempt()
+			one.does(g, m)
+			g.Until("the next attempt", func() bool { g.Pass(time.Millisecond); return g.Core.Counts.Attempts == 2 })
+			if len(ended) != 1 || ended[0] != one.want {
+				t.Errorf("results %v, want %v", ended, one.want)
+			}
+			if one.want != policy.Reset { // its own end
+				g.over(m)
+			}
+			next := g.attempt(1 - at)
+			if c.Poll(); len(c.Got) > 0 {
+				t.Errorf("the client got %q", c.Got)
+			}
+			late(m, "UP late\r\n")
+			g.Turn()
+			next.Say("UP y\r\n")
+			c.Lines("UP y")
+			next.Finish()
+			c.WantEnd()
+			g.clean()
+			if n := g.Core.Counts; n.Served != 1 || n.Rejected+n.Failed+n.Left != 0 || n.Attempts != 2 {
+				t.Errorf("%+v", n)
+			}
+		})
+	}
+}
+
+// TestAttemptsRunOut: where every member does so, the client gets one whole answer in time, after at most as many
+// attempts as are allowed, never two out.
+func TestAttemptsRunOut(t *testing.T) {
+	for name, one := range spoilt {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 2)
+			c := g.ask(firstLine)
+			until := g.Now() + 1900*time.Millisecond
+			for g.Core.Held() > 0 {
+				out := 0
+				for i := range g.servers {
+					out += g.Core.Flows(policy.ServerID(i + 1))
+				}
+				if out > 1 {
+					t.Fatalf("%d attempts are out", out)
+				}
+				if out == 0 {
+					g.Pass(time.Millisecond)
+				} else {
+					_, m := g.anyAttempt()
+					before := g.Core.Counts.Attempts
+					one.does(g, m)
+					g.Until("the result", func() bool {
+						g.Turn()
+						return g.Core.Held() == 0 || g.Core.Counts.Attempts > before || g.Core.Flows(1)+g.Core.Flows(2) == 0
+					})
+				}
+				if g.Now() > until {
+					t.Fatal("no answer in time")
+				}
+			}
+			if got := c.Line(); !strings.HasPrefix(got, "BUSY") && got != "ERR" {
+				t.Errorf("got %q", got)
+			}
+			c.WantEnd()
+			g.clean()
+			if n := g.Core.Counts; n.Attempts > 3 || n.Rejected+n.Failed != 1 {
+				t.Errorf("%+v", n)
+			}
+		})
+	}
+}
+
+// TestAttemptRefused: members that refuse connections cost attempts and no second answer.
+func TestAttemptRefused(t *testing.T) {
+	g := newRig(t, 2)
+	var ended results
+	g.Core.Ledger = &ended
+	for _, s := range g.servers {
+		s.Listener.Close()
+	}
+	c := g.ask(firstLine)
+	g.Until("the answer", func() bool { g.Pass(10 * time.Millisecond); return g.Core.Held() == 0 })
+	if got := c.Line(); !strings.HasPrefix(got, "BUSY") {
+		t.Errorf("got %q", got)
+	}
+	c.WantEnd()
+	g.clean()
+	for _, result := range ended {
+		if result != policy.ConnectFailed {
+			t.Errorf("results %v", ended)
+		}
+	}
+	if len(ended) == 0 || len(ended) > 3 {
+		t.Errorf("%d attempts", len(ended))
+	}
+}
+
+// TestAttemptComesUpLate: a connection that does not come up in time could not be made; one that does in the very
+// round in which its time is up is used.
+func TestAttemptComesUpLate(t *testing.T) {
+	g := newRig(t, 0)
+	var ended results
+	g.Core.Ledger = &ended
+	g.join(fullQueue(t))
+	c := g.ask(firstLine)
+	g.Pass(g.f.connectWithin)
+	if len(ended) == 0 || ended[0] != policy.ConnectFailed {
+		t.Errorf("results %v", ended)
+	}
+	g.Until("the answer", func() bool { g.Pass(10 * time.Millisecond); return g.Core.Held() == 0 })
+	if got := c.Line(); !strings.HasPrefix(got, "BUSY") {
+		t.Errorf("got %q", got)
+	}
+	g.clean()
+
+	g = newRig(t, 1)
+	c = g.ask(firstLine)
+	g.Pass(g.f.connectWithin)
+	g.attempt(0).Say("UP x\r\n")
+	c.Lines("UP x")
+	if g.Core.Counts.Attempts != 1 {
+		t.Errorf("%+v", g.Core.Counts)
+	}
+}
+
+// TestAnswersAfterUp: what follows UP is the flow's and passes unchanged, another UP too; it is no second answer.
+func TestAnswersAfterUp(t *testing.T) {
+	for _, more := range []string{"UP x\r\n", "BUSY\r\n", "ERR\r\n"} {
+		for _, once := range []bool{true, false} {
+			g := newRig(t, 1)
+			c := g.ask(firstLine)
+			m := g.attempt(0)
+			if once {
+				m.Say("UP x\r\n" + more)
+			} else {
+				m.Say("UP x\r\n")
+				c.Lines("UP x")
+				m.Say(more)
+				c.Got = append([]byte("UP x\r\n"), c.Got...)
+			}
+			c.Want("UP x\r\n" + more)
+			if n := g.Core.Counts; n.Served != 1 || n.Attempts != 1 || g.Core.Held() != 1 {
+				t.Errorf("%+v", n)
+			}
+		}
+	}
+}
+
+// TestAttemptWithoutMeans: an attempt for which the relay has no descriptor blames nobody, and the client is told to
+// come again.
+func TestAttemptWithoutMeans(t *testing.T) {
+	g := newRig(t, 1)
+	var ended results
+	g.Core.Ledger = &ended
+	saw := 0
+	g.Core.Saw = func(_ *core.Member, result policy.Result) {
+		if result != policy.Moot {
+			saw++
+		}
+	}
+	g.Core.Doubt()
+	c := g.ask(firstLine)
+	g.Limit(g.Held())
+	g.Core.Sure()
+	g.Until("the answer", func() bool { g.Pass(10 * time.Millisecond); return g.Core.Held() == 0 })
+	if got := c.Line(); !strings.HasPrefix(got, "BUSY") {
+		t.Errorf("got %q", got)
+	}
+	if len(ended) == 0 || ended[0] != policy.Moot || saw != 0 {
+		t.Errorf("results %v, %d blamed", ended, saw)
+	}
+}
