--- /dev/null
+++ b/internal/front/line/first_line_test.go
@@ -0,0 +1,157 @@
+package line
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// TestFirstLineInPieces: a first line that comes byte by byte, in less than the time for it, is one.
+func TestFirstLineInPieces(t *testing.T) {
+	g := newRig(t, 1)
+	c := g.Dial(g.addr)
+	g.Until("the connection", func() bool { return len(g.f.fresh) == 1 })
+	each := firstWithin / time.Duration(len(firstLine)+3)
+	for _, b := range []byte(firstLine + "\r\n") {
+		c.Say(string(b))
+		g.Turn()
+		g.Pass(each)
+	}
+	g.attempt(0).Say("UP x\r\n")
+	c.Lines("UP x")
+}
+
+// TestFirstLineTooSlow: one that takes longer gets one answer, and its rest is no second request.
+func TestFirstLineTooSlow(t *testing.T) {
+	g := newRig(t, 1)
+	c := g.Dial(g.addr)
+	g.Until("the connection", func() bool { return len(g.f.fresh) == 1 })
+	c.Say(firstLine[:30])
+	g.Turn()
+	g.Pass(firstWithin)
+	late(c, firstLine[30:]+"\r\n"+firstLine+"\r\n")
+	c.Lines("ERR")
+	c.WantEnd()
+	c.Close()
+	g.unsent()
+	g.clean()
+}
+
+// TestPipelined: PING any number of times before OPEN, in one write or byte by byte, is answered that often and in order;
+// what follows OPEN is data of its flow, a second OPEN too, and once the final answer is given nobody's.
+func TestPipelined(t *testing.T) {
+	const other = "OPEN 00000000000000cc 00000000000000bb c=pay,t=water,d=1900\r\n"
+	for _, all := range []bool{true, false} {
+		g := newRig(t, 1)
+		c := g.Dial(g.addr)
+		text := "PING\r\nPING\r\n" + firstLine + "\r\n" + other + "data"
+		if all {
+			c.Say(text)
+		} else {
+			g.pieces(c, text)
+		}
+		c.Lines("PONG", "PONG")
+		m := g.attempt(0)
+		if g.Turn(); len(m.Got) > 0 || g.Core.Counts.Requests != 1 {
+			t.Errorf("%q, %+v", m.Got, g.Core.Counts)
+		}
+		m.Say("UP x\r\n")
+		c.Lines("UP x")
+		m.Want(other + "data")
+		m.Finish()
+		c.WantEnd()
+		g.clean()
+		if g.Core.Counts.Requests != 1 {
+			t.Errorf("%+v", g.Core.Counts)
+		}
+	}
+}
+
+// TestAsksAgain: a second OPEN on a connection that has its final answer is none.
+func TestAsksAgain(t *testing.T) {
+	g := newRig(t, 1)
+	g.Core.Stop()
+	c := g.ask(firstLine)
+	late(c, firstLine+"\r\n")
+	if got := c.Line(); !strings.HasPrefix(got, "BUSY") {
+		t.Errorf("got %q", got)
+	}
+	c.WantEnd()
+	c.Close()
+	g.unsent()
+	g.clean()
+	if g.Core.Counts.Requests != 1 {
+		t.Errorf("%+v", g.Core.Counts)
+	}
+}
+
+// malformed is first lines that are none, by cause.
+var malformed = map[string]string{
+	"empty":            "\r\n",
+	"no CR":            firstLine + "\n",
+	"a word":           "HELLO\r\n",
+	"another protocol": "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+	"a handshake":      "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\n",
+	"too long":         "OPEN " + strings.Repeat("x", maxLine),
+	"no end":           strings.Repeat("x", 64*maxLine),
+	"a byte":           "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,g=\x00\r\n",
+	"an id":            "OPEN zz 00000000000000bb c=pay,t=water\r\n",
+	"an id of none":    "OPEN  00000000000000bb c=pay,t=water\r\n",
+	"a key":            "OPEN 00000000000000aa -1 c=pay,t=water\r\n",
+	"a class":          "OPEN 00000000000000aa 00000000000000bb c=none,t=water\r\n",
+	"no class":         "OPEN 00000000000000aa 00000000000000bb t=water\r\n",
+	"a tenant":         "OPEN 00000000000000aa 00000000000000bb c=pay,t=none\r\n",
+	"no tenant":        "OPEN 00000000000000aa 00000000000000bb c=pay\r\n",
+	"a value":          "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,d=soon\r\n",
+	"a wait below 0":   "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,d=-1\r\n",
+	"a pair":           "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,d\r\n",
+	"a pair twice":     "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,c=pay\r\n",
+	"no list":          "OPEN 00000000000000aa 00000000000000bb\r\n",
+	"too many words":   firstLine + " more\r\n",
+	"PING and more":    "PING x\r\n",
+}
+
+// TestMalformed: a first line that is none is answered ERR, once and whole, with whatever follows, and costs nothing
+// beyond its own connection: a request beside it goes on, and no member hears of it.
+func TestMalformed(t *testing.T) {
+	for name, text := range malformed {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 1)
+			good, m := g.openFlow()
+			held, free := g.Core.Counts, g.Free()
+			c := g.Dial(g.addr)
+			late(c, text+"\r\n"+firstLine+"\r\n")
+			g.Until("the end", func() bool { c.Poll(); return c.Over != nil })
+			if !bytes.Equal(c.Got, []byte("ERR\r\n")) {
+				t.Errorf("got %q", c.Got)
+			}
+			c.Close()
+			g.Pass(time.Second)
+			good.Say("hello\r\n")
+			m.Lines("hello")
+			if g.Core.Counts != held || g.Free() != free || g.pending(0) != nil {
+				t.Errorf("%+v, %d descriptors", g.Core.Counts, free-g.Free())
+			}
+		})
+	}
+}
+
+// TestGarbageAndGone: nor does a client that sends such a thing and goes at once.
+func TestGarbageAndGone(t *testing.T) {
+	for name, text := range malformed {
+		t.Run(name, func(t *testing.T) {
+			everyLeaving(t, 1, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+				c := g.Dial(g.addr)
+				g.Until("the connection", func() bool { return len(g.f.fresh) == 1 })
+				late(c, text)
+				leave(c)
+				g.Until("the connection's end", func() bool { return len(g.f.fresh) == 0 && g.Free() == g.free })
+				g.unsent()
+				g.clean()
+			})
+		})
+	}
+}
