line: a client that ends right after its member's BYE ends a flow that was served

Cause: the loop may hear the client's end before the member's, though BYE has passed: then End (client.go) told the core that the client had left, and the attempt was recorded as cancelled, with the report of BYE thrown away. Change: where the member has said BYE or MOVE, the client's end is the end of that flow (upstream.clientLeft). Measured: TestBothEnd fails without the change (BYE, then the client's end: 6 in place of 0), passes with it. flow_test.go: the other crossings on an open flow; no other fault was found by them in this package.

--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -80,16 +80,13 @@
 		v.f.Core.Left(v.id)
 	case leaveFlow:
 		v.close()
-		v.upstream.leave(v.upstream.c.Finish)
-		v.f.Core.Left(v.id)
+		v.upstream.clientLeft(v.upstream.c.Finish)
 	case leaveFlowHard:
 		v.close()
-		v.upstream.leave(v.upstream.c.Reset)
-		v.f.Core.Left(v.id)
+		v.upstream.clientLeft(v.upstream.c.Reset)
 	case leaveDraining:
-		v.upstream.leave(func() {}) // its connection ends once it has been drained
+		v.upstream.clientLeft(func() {}) // its connection ends once it has been drained
 		v.timeOut(moveWithin)
-		v.f.Core.Left(v.id)
 	case awaitLineEnd:
 		v.timeOut(moveWithin)
 	case sendMove:
--- /dev/null
+++ b/internal/front/line/flow_test.go
@@ -0,0 +1,195 @@
+package line
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
+)
+
+// flowRig is a rig with one open flow, and how its attempts ended.
+type flowRig struct {
+	*rig
+	c, m  *looptest.Peer
+	ended results
+}
+
+func newFlow(t testing.TB) *flowRig {
+	g := &flowRig{rig: newRig(t, 1)}
+	g.Core.Ledger = &g.ended
+	g.c, g.m = g.openFlow()
+	return g
+}
+
+// finished checks that the flow has ended so, once, and that nothing is left of it.
+func (g *flowRig) finished(want policy.Result) {
+	g.T.Helper()
+	g.Until("the end of the request", func() bool { return g.Core.Held() == 0 })
+	g.clean()
+	if len(g.ended) != 1 || g.ended[0] != want {
+		g.T.Errorf("results %v, want %v", g.ended, want)
+	}
+	if n := g.Core.Counts; n.Served != 1 || n.Attempts != 1 || n.Rejected+n.Failed+n.Left != 0 {
+		g.T.Errorf("%+v", n)
+	}
+}
+
+// ends waits for a polite end on both sides, after these bytes.
+func (g *flowRig) ends(toClient, toMember string) {
+	g.T.Helper()
+	for p, want := range map[*looptest.Peer]string{g.c: toClient, g.m: toMember} {
+		if p.Over == nil {
+			g.over(p)
+		}
+		if string(p.Got) != want {
+			g.T.Errorf("got %q, want %q", p.Got, want)
+		}
+		p.Got = nil
+		p.WantEnd()
+	}
+}
+
+// TestMemberEnds: each way in which a member may end an open flow ends the client's side in the same manner, and is told
+// for what it is.
+func TestMemberEnds(t *testing.T) {
+	for text, want := range map[string]policy.Result{
+		"": policy.Reset, "BYE\r\n": policy.OK, "line\r\nBYE x0=0.5\r\n": policy.OK, "MOVE\r\n": policy.Cancelled,
+		"half a li": policy.Reset, "BYE": policy.Reset, "BYE\r\nline\r\n": policy.OK, "LOAD 7\r\nBYE\r\n": policy.OK,
+	} {
+		t.Run(text, func(t *testing.T) {
+			g := newFlow(t)
+			g.m.Say(text)
+			g.m.Finish()
+			g.ends(text, "")
+			g.finished(want)
+		})
+	}
+	t.Run("reset", func(t *testing.T) {
+		g := newFlow(t)
+		g.m.Reset()
+		g.c.WantReset()
+		g.finished(policy.Reset)
+	})
+}
+
+// TestBothEnd: both sides end in one round, in either order.
+func TestBothEnd(t *testing.T) {
+	for name, one := range map[string]struct {
+		first, second func(g *flowRig)
+		want          []policy.Result
+	}{
+		"client, member": {func(g *flowRig) { g.c.Finish() }, func(g *flowRig) { g.m.Finish() }, []policy.Result{policy.Cancelled}},
+		"member, client": {func(g *flowRig) { g.m.Finish() }, func(g *flowRig) { g.c.Finish() }, []policy.Result{policy.Reset}},
+		"client, BYE":    {func(g *flowRig) { g.c.Finish() }, func(g *flowRig) { g.m.Say("BYE\r\n"); g.m.Finish() }, []policy.Result{policy.Cancelled}},
+		"BYE, client":    {func(g *flowRig) { g.m.Say("BYE\r\n"); g.m.Finish() }, func(g *flowRig) { g.c.Finish() }, []policy.Result{policy.OK}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newFlow(t)
+			g.Turn()
+			g.Turn() // neither connection has anything to say now
+			one.first(g)
+			one.second(g)
+			g.over(g.c)
+			g.over(g.m)
+			g.finished(one.want[0])
+		})
+	}
+}
+
+// TestMoveUnended: where the member does not end its line, the flow is over within moveWithin, with no MOVE in the line.
+func TestMoveUnended(t *testing.T) {
+	g := newFlow(t)
+	g.m.Say("half a ")
+	g.c.Want("half a ")
+	g.list(0, policy.Draining)
+	g.Turn()
+	g.m.Say("li")
+	g.c.Want("li")
+	g.Pass(moveWithin - time.Millisecond)
+	if g.c.Poll(); g.c.Over != nil {
+		t.Fatal("ended too soon")
+	}
+	g.Pass(time.Millisecond)
+	g.ends("", "")
+	g.finished(policy.Cancelled)
+}
+
+// TestMoveCrosses: one end in the place of the line's while MOVE waits for it is the flow's end, and no second one is told.
+func TestMoveCrosses(t *testing.T) {
+	for name, end := range map[string]func(g *flowRig){
+		"member ends":         func(g *flowRig) { g.m.Finish() },
+		"member resets":       func(g *flowRig) { g.m.Reset() },
+		"client ends":         func(g *flowRig) { g.c.Finish() },
+		"client resets":       func(g *flowRig) { g.c.Reset() },
+		"line ends, it ends":  func(g *flowRig) { g.m.Say("line\r\n"); g.m.Finish() },
+		"line ends, as BYE":   func(g *flowRig) { g.m.Say("line\r\nBYE\r\n"); g.m.Finish() },
+		"the planned stop":    func(g *flowRig) { g.Core.Stop(); g.Core.Finish(); g.m.Say("line\r\n") },
+		"member gone as well": func(g *flowRig) { g.list(0, policy.Gone); g.m.Say("line\r\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newFlow(t)
+			g.m.Say("half a ")
+			g.c.Want("half a ")
+			g.list(0, policy.Draining)
+			g.Turn()
+			end(g)
+			g.Until("the end", func() bool { return len(g.f.ids) == 0 })
+			if !strings.HasPrefix(name, "client") && !strings.HasPrefix(name, "member ") || strings.HasPrefix(name, "member gone") {
+				g.c.Lines("line", "MOVE")
+				g.c.WantEnd()
+			}
+			g.finished(policy.Cancelled)
+			if g.Core.Counts.Moves != 1 {
+				t.Errorf("%+v", g.Core.Counts)
+			}
+		})
+	}
+}
+
+// TestDrainAndStop: a member that drains as the relay stops costs its client one MOVE.
+func TestDrainAndStop(t *testing.T) {
+	g := newFlow(t)
+	g.Core.Stop()
+	g.list(0, policy.Draining)
+	g.Core.Finish()
+	g.ends("MOVE\r\n", "")
+	g.finished(policy.Cancelled)
+}
+
+// TestNeverReads: a client that does not read holds no more of the relay's memory than its buffers' bounds, and the flow
+// is over once the client owes its own line, or its answers stay away for too long.
+func TestNeverReads(t *testing.T) {
+	for _, talks := range []bool{true, false} {
+		g := newFlow(t)
+		narrow(g.c)
+		v := g.onlyFlow()
+		g.fill(g.m, func() bool { return v.c.Room() == 0 })
+		for range 8 {
+			late(g.m, string(bytes.Repeat([]byte("x"), 4<<10)))
+			g.Turn()
+		}
+		if unsent := v.c.Unsent(); unsent > netloop.OutBound {
+			t.Errorf("%d bytes wait for the client", unsent)
+		}
+		if v.upstream.unread > netloop.InBound {
+			t.Errorf("%d bytes of the member's wait", v.upstream.unread)
+		}
+		start := g.Now()
+		for at := start; g.Core.Held() > 0; at += clientEvery {
+			if talks {
+				late(g.c, "hello\r\n")
+				g.Turn()
+			}
+			g.Pass(clientEvery)
+			g.Pass(sweepEvery)
+			if g.Now()-start > clientGone+2*clientEvery || talks && g.Now()-start > silentMost+clientEvery {
+				t.Fatalf("still held after %v", g.Now()-start)
+			}
+		}
+		g.clean()
+	}
+}
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -52,6 +52,18 @@
 	end()
 }
 
+// clientLeft ends an open flow by end, for its client's end. Where the member has parted before, the flow has ended by that.
+func (s *upstream) clientLeft(end func()) {
+	_, result, _ := s.state.next(attemptBroke)
+	parted := s.state.lastWord() != ""
+	s.leave(end)
+	if parted {
+		s.v.f.Core.Ended(s.v.id, s.try, result, s.report)
+	} else {
+		s.v.f.Core.Left(s.v.id)
+	}
+}
+
 // Open is told by the loop. The first line is written once all that the round brings has been heard: the client's
 // end may be among it.
 func (s *upstream) Open() {
