line: connections of which no request has come can be ended with BUSY as the relay ends

Cause: as a planned stop ends, connections that rest without a first line are closed by the end of the process: a request that crosses this has an end and no answer (or a reset). Change: Front.Finish tells each BUSY and ends it politely. cmd/dahliarudder does not call it yet; it belongs after core.Finish in relay.stop.

--- a/internal/front/line/client_state.go
+++ b/internal/front/line/client_state.go
@@ -25,6 +25,7 @@
 	clientMalformed                      // something else did
 	clientTimedOut                       // the time of the state is up
 	clientShed                           // its descriptor is wanted
+	clientStopped                        // the relay ends
 	clientUp                             // an attempt came up
 	clientServed                         // an attempt was served to its end without coming up
 	clientRejected                       // the core rejects the request
@@ -116,6 +117,8 @@
 			return clientClosed, sendError
 		}
 		return clientClosed, sendBusy
+	case clientStopped:
+		return clientClosed, sendBusy
 	case clientEnded, clientReset:
 		return clientClosed, endClient
 	}
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -62,6 +62,14 @@
 	c.Handle(v)
 }
 
+// Finish ends the connections of which no request has come, as the relay ends. A request that crosses this end has its
+// answer: it was not sent on, and coming again is harmless.
+func (f *Front) Finish() {
+	for v := range f.fresh {
+		v.on(clientStopped)
+	}
+}
+
 // sweep moves clients whose member has gone silent, and ends flows whose client
 // has: a machine that vanished ends no connection.
 func (f *Front) sweep() {
--- /dev/null
+++ b/internal/front/line/stop_test.go
@@ -0,0 +1,144 @@
+package line
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/policy"
+)
+
+// TestStopInFlight: a request that is on its way as the relay begins to stop is answered, by the member that has it, and
+// what comes up is moved before the stop is over.
+func TestStopInFlight(t *testing.T) {
+	g := newRig(t, 1)
+	c := g.ask(firstLine)
+	m := g.attempt(0)
+	g.Core.Stop()
+	g.Pass(100 * time.Millisecond)
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+	g.Pass(g.Core.StopWithin())
+	g.Core.Finish()
+	c.Lines("MOVE")
+	c.WantEnd()
+	m.WantEnd()
+	g.clean()
+	if n := g.Core.Counts; n.Served != 1 || n.Moves != 1 || n.Rejected+n.Failed+n.Left != 0 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// TestStopUnanswered: one that has no answer by the end of the stop is rejected then, once, and its attempt is over.
+func TestStopUnanswered(t *testing.T) {
+	for name, held := range map[string]bool{"held": true, "attempt out": false} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 1)
+			if held {
+				g.Core.Doubt()
+			}
+			c := g.ask(firstLine)
+			if !held {
+				g.attempt(0).Say("half an ans")
+			}
+			g.Core.Stop()
+			g.Turn()
+			g.Core.Finish()
+			if got := c.Line(); !strings.HasPrefix(got, "BUSY") {
+				t.Errorf("got %q", got)
+			}
+			c.WantEnd()
+			c.Close()
+			g.Core.Sure()
+			g.unsent()
+			g.clean()
+			if n := g.Core.Counts; n.Rejected != 1 || n.Served+n.Failed+n.Left != 0 {
+				t.Errorf("%+v", n)
+			}
+		})
+	}
+}
+
+// TestStopArrives: a request that arrives after the stop began is answered BUSY at once and never sent on, also one whose
+// first line began before; PING says that no clients should be sent here, and the connection may still ask.
+func TestStopArrives(t *testing.T) {
+	g := newRig(t, 1)
+	half, front := g.Dial(g.addr), g.Dial(g.addr)
+	half.Say(firstLine[:20])
+	g.Until("both", func() bool { return len(g.f.fresh) == 2 })
+	g.Turn()
+	g.Core.Stop()
+	half.Say(firstLine[20:] + "\r\n")
+	front.Say("PING\r\n")
+	front.Lines("ERR")
+	front.Say(strings.Replace(firstLine, "aa", "ab", 1) + "\r\n")
+	for _, c := range []interface {
+		Line() string
+		WantEnd()
+		Close() error
+	}{half, front, g.ask(strings.Replace(firstLine, "aa", "ac", 1))} {
+		if got := c.Line(); !strings.HasPrefix(got, "BUSY") {
+			t.Errorf("got %q", got)
+		}
+		c.WantEnd()
+		c.Close()
+	}
+	g.unsent()
+	g.clean()
+	if n := g.Core.Counts; n.Rejected != 3 || n.Attempts != 0 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// TestStopRests: a connection that rests as the relay ends has an answer for a request that crosses its end.
+func TestStopRests(t *testing.T) {
+	g := newRig(t, 1)
+	silent, front, half := g.Dial(g.addr), g.Dial(g.addr), g.Dial(g.addr)
+	front.Say("PING\r\n")
+	front.Lines("PONG")
+	half.Say(firstLine[:20])
+	g.Until("all", func() bool { return len(g.f.fresh) == 3 })
+	g.Turn()
+	g.Core.Stop()
+	g.Core.Finish()
+	g.f.Finish()
+	late(silent, firstLine+"\r\n")
+	late(front, firstLine+"\r\n")
+	late(half, firstLine[20:]+"\r\n")
+	for _, c := range []interface {
+		Lines(...string)
+		WantEnd()
+		Close() error
+	}{silent, front, half} {
+		c.Lines("BUSY")
+		c.WantEnd()
+		c.Close()
+	}
+	g.unsent()
+	g.clean()
+	if g.Core.Counts != (core.Counts{}) {
+		t.Errorf("%+v", g.Core.Counts)
+	}
+}
+
+// TestStopHalfLine: of a member's half line at the end of a stop MOVE waits, and no longer than the relay has left.
+func TestStopHalfLine(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		g := newFlow(t)
+		g.m.Say("half a ")
+		g.c.Want("half a ")
+		g.Core.Stop()
+		g.Core.Finish()
+		g.Turn()
+		if whole {
+			g.m.Say("line\r\n")
+			g.c.Lines("line", "MOVE")
+			g.c.WantEnd()
+		} else {
+			g.Pass(moveWithin)
+			g.ends("", "")
+		}
+		g.finished(policy.Cancelled)
+	}
+}
