line: malformed first lines are counted by cause, and the first of each is a warning

Cause: who sent something malformed was answered ERR and logged at debug level only (client.go, Data), so an operator could not see that clients are turned away for it. Change: malformed.go counts them by one of thirteen causes (typed errors in place of one error with text); the log tells of the first of a cause at warning level, and of those after it at most once a minute, how many they were. Front.Malformed gives the counts. Measured: TestMalformedLogged fails with the logging as it was ("the log says " nothing), passes with the change; 100 malformed lines make two warnings.

--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -1,7 +1,6 @@
 package line
 
 import (
-	"fmt"
 	"io"
 	"strconv"
 	"time"
@@ -127,12 +126,13 @@
 			err = v.firstLine(text)
 		}
 		if err != nil {
-			v.f.Log.WithError(err).Debug("first line")
+			v.f.refuse(err)
 			v.on(clientMalformed)
 		}
 	}
 	switch {
 	case v.state == clientPlacing && len(b)-used >= earlyMost:
+		v.f.refuse(malformed(tooMuch, "over %d bytes before the answer", earlyMost))
 		v.on(clientOverflowed)
 		return len(b)
 	case v.state.isOpen(), v.state == clientParting:
@@ -166,7 +166,7 @@
 		return err
 	}
 	if v.f.ids[open.id] != nil || v.f.elsewhere[open.id] {
-		return fmt.Errorf("%w: the id of an open request", errSyntax)
+		return malformed(openID, "the id of an open request")
 	}
 	v.open = open
 	v.on(clientAsked)
--- a/internal/front/line/first_line_test.go
+++ b/internal/front/line/first_line_test.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// malformed is first lines that are none, by cause.
-var malformed = map[string]string{
+// malformedLines is first lines that are none, by cause.
+var malformedLines = map[string]string{
 	"empty":            "\r\n",
 	"no CR":            firstLine + "\n",
 	"a word":           "HELLO\r\n",
@@ -117,7 +117,7 @@
 // TestMalformed: a first line that is none is answered ERR, once and whole, with whatever follows, and costs nothing
 // beyond its own connection: a request beside it goes on, and no member hears of it.
 func TestMalformed(t *testing.T) {
-	for name, text := range malformed {
+	for name, text := range malformedLines {
 		t.Run(name, func(t *testing.T) {
 			g := newRig(t, 1)
 			good, m := g.openFlow()
@@ -141,7 +141,7 @@
 
 // TestGarbageAndGone: nor does a client that sends such a thing and goes at once.
 func TestGarbageAndGone(t *testing.T) {
-	for name, text := range malformed {
+	for name, text := range malformedLines {
 		t.Run(name, func(t *testing.T) {
 			everyLeaving(t, 1, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
 				c := g.Dial(g.addr)
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -7,7 +7,6 @@
 import (
 	"bytes"
 	"cmp"
-	"fmt"
 	"io"
 	"time"
 
@@ -42,6 +41,7 @@
 	ids           map[uint64]*clientConn   // by the client's id, from its first line to its end
 	elsewhere     map[uint64]bool          // ids of requests that another process of this relay holds
 	probes        map[policy.ServerID]*probe
+	refused       [causes]refusals
 }
 
 // New makes a front on the core.
@@ -94,12 +94,12 @@
 	end := bytes.IndexByte(b[:min(len(b), maxLine)], '\n')
 	if end < 0 {
 		if len(b) >= maxLine {
-			err = fmt.Errorf("%w: over %d bytes", errSyntax, maxLine)
+			err = malformed(tooLong, "over %d bytes", maxLine)
 		}
 		return "", 0, err
 	}
 	if end == 0 || b[end-1] != '\r' {
-		return "", end + 1, fmt.Errorf("%w: no CRLF", errSyntax)
+		return "", end + 1, malformed(noCRLF, "no CRLF")
 	}
 	return string(b[:end-1]), end + 1, nil
 }
--- /dev/null
+++ b/internal/front/line/malformed_test.go
@@ -0,0 +1,74 @@
+package line
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+)
+
+// warnings is what the log says at warning level.
+type warnings []string
+
+func (*warnings) Levels() []logrus.Level { return []logrus.Level{logrus.WarnLevel} }
+func (w *warnings) Fire(e *logrus.Entry) error {
+	*w = append(*w, fmt.Sprint(e.Data["cause"], ": ", e.Data["clients"]))
+	return nil
+}
+
+// TestMalformedLogged: malformed first lines are counted by cause; the log tells of the first of a cause, and of those
+// after it once in a while, how many they are.
+func TestMalformedLogged(t *testing.T) {
+	g := newRig(t, 1)
+	var said warnings
+	g.Log.SetOutput(io.Discard)
+	g.Log.AddHook(&said)
+	send := func(text string) {
+		t.Helper()
+		c := g.Dial(g.addr)
+		c.Say(text)
+		c.Lines("ERR")
+		c.Close()
+	}
+	for range 50 {
+		send("HELLO\r\n")
+		send("OPEN 00000000000000aa 00000000000000bb c=none,t=water\r\n")
+	}
+	if got := strings.Join(said, ", "); got != "not OPEN: 1, class: 1" {
+		t.Errorf("the log says %s", got)
+	}
+	if n := g.f.Malformed(); n["not OPEN"] != 50 || n["class"] != 50 || len(n) != 2 {
+		t.Errorf("%v", n)
+	}
+	g.Pass(refusalsEvery)
+	send("HELLO\r\n")
+	send("HELLO\r\n")
+	if got := strings.Join(said, ", "); got != "not OPEN: 1, class: 1, not OPEN: 50" {
+		t.Errorf("the log says %s", got)
+	}
+}
+
+// TestMalformedCauses: the detail is short whatever a client sends, and there is a word for each cause.
+func TestMalformedCauses(t *testing.T) {
+	for name, text := range malformedLines {
+		line := strings.TrimSuffix(text, "\r\n")
+		g := newRig(t, 0)
+		_, err := parseOpen(g.Core.Settings, line)
+		if err == nil {
+			continue // what is wrong with it is its end
+		}
+		if len(err.Error()) > 200 {
+			t.Errorf("%s: %d bytes of detail", name, len(err.Error()))
+		}
+	}
+	seen := map[string]bool{}
+	for c := range causes {
+		if word := c.String(); word == "" || seen[word] {
+			t.Errorf("cause %d is called %q", c, word)
+		} else {
+			seen[word] = true
+		}
+	}
+}
--- a/internal/front/line/open.go
+++ b/internal/front/line/open.go
@@ -1,8 +1,6 @@
 package line
 
 import (
-	"errors"
-	"fmt"
 	"math"
 	"strconv"
 	"strings"
@@ -19,8 +17,6 @@
 // standingWait is how long a client waits for a flow that was open before.
 const standingWait = 40 * time.Second
 
-var errSyntax = errors.New("malformed first line")
-
 // opening is a client's first line, read.
 type opening struct {
 	before, after string // the line but for the figure of d
@@ -34,20 +30,20 @@
 	var o opening
 	words := strings.Split(text, " ")
 	if len(words) != 4 || words[0] != "OPEN" {
-		return o, fmt.Errorf("%w: not OPEN with an id, a key and a list", errSyntax)
+		return o, malformed(notOpen, "not OPEN with an id, a key and a list")
 	}
 	for _, b := range []byte(text) {
 		if b < ' ' || b > '~' {
-			return o, fmt.Errorf("%w: byte %#x", errSyntax, b)
+			return o, malformed(badByte, "byte %#x", b)
 		}
 	}
 	var err error
 	if o.id, err = strconv.ParseUint(words[1], 16, 64); err != nil {
-		return o, fmt.Errorf("%w: id %q", errSyntax, words[1])
+		return o, malformed(badID, "id %.*q", shown, words[1])
 	}
 	key, err := strconv.ParseUint(words[2], 16, 64)
 	if err != nil {
-		return o, fmt.Errorf("%w: key %q", errSyntax, words[2])
+		return o, malformed(badKey, "key %.*q", shown, words[2])
 	}
 	q := core.Request{Name: words[1], Key: key, Class: -1, Tenant: -1}
 	at := len(text) - len(words[3])
@@ -55,7 +51,7 @@
 	for _, pair := range strings.Split(words[3], ",") {
 		name, value, ok := strings.Cut(pair, "=")
 		if !ok || name == "" || value == "" || seen[name] {
-			return o, fmt.Errorf("%w: %q", errSyntax, pair)
+			return o, malformed(badPair, "%.*q", shown, pair)
 		}
 		seen[name] = true
 		if err := take(&q, set, name, value); err != nil {
@@ -68,7 +64,7 @@
 		at += len(pair) + 1
 	}
 	if q.Class < 0 || q.Tenant < 0 && len(set.Tenants) > 0 {
-		return o, fmt.Errorf("%w: no class or tenant", errSyntax)
+		return o, malformed(missing, "no class or tenant")
 	}
 	q.Tenant = max(q.Tenant, 0)
 	most := settings.Span(set.Classes[q.Class].Deadline)
@@ -91,11 +87,11 @@
 	switch name {
 	case "c":
 		if q.Class, known = set.Class(value); !known {
-			return fmt.Errorf("%w: unknown class %q", errSyntax, value)
+			return malformed(unknownClass, "class %.*q", shown, value)
 		}
 	case "t":
 		if q.Tenant, known = set.Tenant(value); !known {
-			return fmt.Errorf("%w: unknown tenant %q", errSyntax, value)
+			return malformed(unknownTenant, "tenant %.*q", shown, value)
 		}
 	case "d":
 		var ms float64
@@ -116,7 +112,7 @@
 		q.At = value
 	}
 	if err != nil {
-		return fmt.Errorf("%w: %s=%q", errSyntax, name, value)
+		return malformed(badValue, "%s=%.*q", name, shown, value)
 	}
 	return nil
 }
