--- a/internal/front/line/rest_test.go
+++ b/internal/front/line/rest_test.go
@@ -57,3 +57,33 @@
 		})
 	}
 }
+
+// TestShedUnread: a connection that is given up for a new one in the round in which its first line has come, unread, gets
+// one whole answer, and its request is none.
+func TestShedUnread(t *testing.T) {
+	for name, one := range map[string]struct{ first, answer string }{
+		"new": {"", "ERR\r\n"}, "answered PONG": {"PING\r\n", "BUSY\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newRig(t, 1)
+			c := g.Dial(g.addr)
+			g.Until("the connection", func() bool { return len(g.f.fresh) == 1 })
+			if c.Say(one.first); one.first != "" {
+				c.Lines("PONG")
+			}
+			g.Turn()
+			g.Turn() // it has nothing to say now, so the loop hears of the new one first
+			g.Limit(g.Held() + 1)
+			g.Dial(g.addr)
+			c.Say(firstLine + "\r\n")
+			g.Turn()
+			g.Until("the end", func() bool { c.Poll(); return c.Over != nil })
+			if string(c.Got) != one.answer {
+				t.Errorf("got %q, ended with %v", c.Got, c.Over)
+			}
+			if g.Core.Counts != (core.Counts{}) || g.pending(0) != nil {
+				t.Errorf("%+v", g.Core.Counts)
+			}
+		})
+	}
+}
