Close without resets: queue taken in, rest read out, a peer's end told before its bytes

Conn.release and Loop.Close closed sockets over unread bytes, which resets them. A peer that has sent more than is kept (8 KB) and has gone was not noticed: nothing is read then, and epoll was not asked for the end (Conn.update). Ruled out: TCP_NODELAY is set on every connection that is accepted or dialled.

Changed: Listener.Close takes the queue in first; release and Close read out, within the bound there is; EndFirst has a peer's end told while bytes before it are unread; Reserve keeps descriptors of one purpose apart from the loop's limit.

Tests, each seen failing without its mend: TestListenerCloseTakesQueue, TestNoResetAfterAnswer (time, loop end), TestEndFirst. TestReserve is of new code.

--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -74,6 +74,7 @@
 	dirty    bool // what Queue has kept leaves at the end of the round
 	sec      *secure
 	resting  bool // the handler has no use for more bytes before Resume
+	endFirst bool // the peer's end is told also while bytes that came before it are unread
 }
 
 func newConn(l *Loop, fd int, from *budget) *Conn {
@@ -86,7 +87,30 @@
 // Dial starts a connection. Its end, also at once, is told by the handler's End,
 // never from within Dial.
 func (l *Loop) Dial(addr string, within time.Duration, h Handler) *Conn {
-	c := newConn(l, -1, &l.budget)
+	return l.dial(addr, within, h, &l.budget)
+}
+
+// Reserve is room for connections of one purpose beside the loop's limit: what the rest of the loop holds cannot
+// keep them from being dialled.
+type Reserve struct {
+	loop *Loop
+	budget
+}
+
+// Reserve makes room for so many connections.
+func (l *Loop) Reserve(most int) *Reserve { return &Reserve{l, budget{limit: most}} }
+
+// Dial is the loop's Dial within the reserve. Where that is used up, a connection that has ended and lingers makes
+// room, which the dial after this one finds.
+func (r *Reserve) Dial(addr string, within time.Duration, h Handler) *Conn {
+	if r.Free() <= 0 {
+		r.giveUp()
+	}
+	return r.loop.dial(addr, within, h, &r.budget)
+}
+
+func (l *Loop) dial(addr string, within time.Duration, h Handler, from *budget) *Conn {
+	c := newConn(l, -1, from)
 	c.h = h
 	if err := c.connect(addr, within); err != nil {
 		c.dialling = l.After(0, func() { c.fail(err) })
@@ -99,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	if c.l.Free() <= 0 {
+	if c.budget.Free() <= 0 {
 		return ErrFull
 	}
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
@@ -250,6 +274,13 @@
 // not because it needs more of them. Without this all that a peer sends is kept up to the bound.
 func (c *Conn) Rest() { c.resting = true }
 
+// EndFirst has the peer's end told as soon as it comes, or again only after all bytes that came before it: for a
+// handler that leaves bytes in the kernel, and to which they mean nothing once their sender has gone.
+func (c *Conn) EndFirst(on bool) {
+	c.endFirst = on
+	c.update()
+}
+
 // Resume hands over bytes that the handler left, and reads on.
 func (c *Conn) Resume() {
 	c.resting = false
@@ -351,11 +382,34 @@
 	c.h, c.ending = deaf{}, true
 	c.count()
 	if c.fd >= 0 {
+		if c.shut {
+			c.readOut()
+		}
 		c.l.drop(c.fd, c.budget)
 		c.fd = -1
 	}
 }
 
+// readOut throws away what has come since: closing a socket with unread bytes would reset the connection, and the
+// last answer with it.
+func (c *Conn) readOut() {
+	for c.rest <= lingerMost {
+		n, err := unix.Read(c.fd, c.l.chunk)
+		if n <= 0 || err != nil {
+			return
+		}
+		c.rest += n
+	}
+}
+
+// leave ends the connection as the loop ends: the peer gets what the system has taken, and an end after it.
+func (c *Conn) leave() {
+	if c.dialling == nil {
+		unix.Shutdown(c.fd, unix.SHUT_WR)
+		c.readOut()
+	}
+}
+
 // forget throws unread bytes away. A handler that is reading them still may.
 func (c *Conn) forget() {
 	if c.busy {
@@ -384,6 +438,9 @@
 	if c.fd >= 0 && c.dialling == nil && c.failing == nil && events&(unix.EPOLLIN|unix.EPOLLERR|unix.EPOLLHUP|unix.EPOLLRDHUP) != 0 {
 		c.read(events)
 	}
+	if c.fd >= 0 && c.endFirst && events&unix.EPOLLRDHUP != 0 && c.interest&unix.EPOLLRDHUP != 0 {
+		c.heardEnd()
+	}
 	c.update()
 }
 
@@ -579,6 +636,8 @@
 	}
 	if c.dialling == nil && c.failing == nil && !c.eof && (c.ending || c.in.size() < c.inMost && !c.resting) {
 		want |= unix.EPOLLIN
+	} else if c.endFirst && c.dialling == nil && c.failing == nil && !c.eof {
+		want |= unix.EPOLLRDHUP
 	}
 	if want != c.interest {
 		c.interest = want
--- /dev/null
+++ b/internal/netloop/ending_test.go
@@ -0,0 +1,140 @@
+package netloop_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// TestEndFirst: the end of a peer that has sent more than is taken in is told while its bytes are unread, once, to
+// who wants that, and to others only after the bytes.
+func TestEndFirst(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		b := looptest.New(t, 8)
+		e, p := pair(b)
+		e.c.EndFirst(first)
+		p.Say(string(bytes.Repeat([]byte("x"), 2*netloop.InBound)))
+		p.Finish()
+		b.Until("a full buffer", func() bool { return e.offers == netloop.InBound })
+		for range 10 {
+			b.Turn()
+		}
+		if first {
+			b.Until("the end", func() bool { return len(e.over) > 0 })
+		} else if len(e.over) > 0 {
+			t.Fatalf("told of the end before the bytes: %v", e.over)
+		}
+		e.take = 1 << 20
+		e.c.Resume()
+		b.Until("the end", func() bool { return len(e.over) > 0 })
+		if b.Turn(); len(e.over) != 1 || e.over[0] != io.EOF {
+			t.Errorf("ended with %v", e.over)
+		}
+		if !first && len(e.got) != 2*netloop.InBound {
+			t.Errorf("%d bytes before the end", len(e.got))
+		}
+		e.c.Reset()
+	}
+}
+
+// TestListenerCloseTakesQueue: who is in the queue when listening ends is taken in and can be answered.
+func TestListenerCloseTakesQueue(t *testing.T) {
+	b := looptest.New(t, 8)
+	var taken []*netloop.Conn
+	l, err := b.Loop.Listen("127.0.0.1:0", func(c *netloop.Conn) { c.Handle(&end{}); taken = append(taken, c) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, second := b.Dial(l.Addr()), b.Dial(l.Addr()) // no round of the loop until Close
+	second.Say("a request")
+	l.Close()
+	for _, c := range taken {
+		c.Write([]byte("answer"))
+		c.Finish()
+	}
+	b.Turn()
+	for _, p := range []*looptest.Peer{first, second} {
+		p.Want("answer")
+		p.WantEnd()
+	}
+}
+
+// TestNoResetAfterAnswer: bytes that come after the last answer, and are unread when the connection is given back
+// after its time or as the loop ends, do not have it reset.
+func TestNoResetAfterAnswer(t *testing.T) {
+	for name, over := range map[string]func(*looptest.Bench, func()){
+		"time": func(b *looptest.Bench, say func()) {
+			b.Loop.After(0, say) // after the round's events, before the connection's own time is up
+			b.Pass(time.Hour)
+		},
+		"loop end": func(b *looptest.Bench, say func()) {
+			say()
+			b.Loop.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := looptest.New(t, 8)
+			e, p := pair(b)
+			e.c.Write([]byte("answer"))
+			e.c.Finish()
+			b.Turn()
+			over(b, func() { p.Say("more of the request") })
+			p.Want("answer")
+			p.WantEnd()
+			if state := tcpState(t, p); state != closeWait {
+				t.Errorf("TCP state %d: reset", state)
+			}
+		})
+	}
+}
+
+// closeWait is the state of a TCP connection that the other side has ended politely.
+const closeWait = 8
+
+func tcpState(t *testing.T, p *looptest.Peer) (state uint8) {
+	raw, err := p.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw.Control(func(fd uintptr) {
+		var info *unix.TCPInfo
+		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return state
+}
+
+// TestReserve: connections of a reserve are dialled however many the rest of the loop holds, and no more than the
+// reserve has room for; one that has ended and lingers makes room.
+func TestReserve(t *testing.T) {
+	b := looptest.New(t, 1)
+	other := b.Listen()
+	b.Loop.Dial(other.Addr(), time.Second, &end{})
+	full := &end{}
+	b.Loop.Dial(other.Addr(), time.Second, full)
+	b.Until("exhaustion", func() bool { return len(full.over) == 1 })
+	reserve := b.Loop.Reserve(1)
+	kept := &end{}
+	c := reserve.Dial(other.Addr(), time.Second, kept)
+	b.Until("a connection", func() bool { return kept.opened })
+	over := &end{}
+	reserve.Dial(other.Addr(), time.Second, over)
+	b.Until("the reserve's end", func() bool { return len(over.over) == 1 && over.over[0] == netloop.ErrFull })
+	c.Finish()
+	reserve.Dial(other.Addr(), time.Second, &end{}) // makes room
+	b.Turn()
+	again := &end{}
+	reserve.Dial(other.Addr(), time.Second, again)
+	b.Until("a connection again", func() bool { return again.opened })
+}
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -140,14 +140,24 @@
 // say nothing cannot keep others out.
 func (b *budget) relieve() {
 	for range 2 {
-		if e := b.spare.Front(); e != nil && b.Free() < max(b.limit/sparePart, 1) {
-			c := e.Value.(*Conn)
-			c.giveUp()
-			c.release()
+		if b.Free() < max(b.limit/sparePart, 1) {
+			b.giveUp()
 		}
 	}
 }
 
+// giveUp gives up the connection that was spared longest ago; false if there is none.
+func (b *budget) giveUp() bool {
+	e := b.spare.Front()
+	if e == nil {
+		return false
+	}
+	c := e.Value.(*Conn)
+	c.giveUp()
+	c.release()
+	return true
+}
+
 // Memory bounds the bytes that all buffers hold together. While they hold more, a
 // connection that keeps more than its basic share is ended when it wants yet more:
 // each may have the room of one large message, all at once may not.
@@ -245,7 +255,10 @@
 	l.mu.Lock()
 	l.closed, l.posted = true, nil
 	l.mu.Unlock()
-	for fd := range l.sources {
+	for fd, s := range l.sources {
+		if c, ok := s.(*Conn); ok && c.sec == nil {
+			c.leave()
+		}
 		unix.Close(fd)
 	}
 	l.bury()
@@ -462,9 +475,12 @@
 // Addr is the address that the socket is bound to.
 func (s *Listener) Addr() string { return local(s.fd) }
 
-// Close ends listening; connections already taken in stay. A nil one may be closed.
+// Close ends listening; connections already taken in stay. Those in the queue are taken in first, as far as
+// descriptors go: closing the socket would reset them. A nil one may be closed.
 func (s *Listener) Close() {
 	if s != nil && s.fd >= 0 {
+		for s.take == nil && !s.held && s.next() {
+		}
 		s.rest.Stop()
 		s.l.drop(s.fd, &s.l.budget)
 		s.fd = -1
@@ -473,40 +489,45 @@
 
 func (s *Listener) ready(uint32) {
 	for range acceptBurst {
-		if s.fd < 0 || s.held {
+		if s.fd < 0 || s.held || !s.next() {
 			return
 		}
-		if s.budget.Free() <= 0 {
-			s.budget.relieve()
-			s.pause()
-			return
-		}
-		fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		switch err {
-		case nil:
-		case unix.EAGAIN:
-			return
-		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
-			s.pause()
-			return
-		default: // that connection is gone already, or a signal came
-			continue
-		}
-		if s.take != nil {
-			s.take(fd)
-			continue
-		}
-		s.budget.relieve() // before the new one may be spared: it has had no turn yet
-		c := newConn(s.l, fd, s.budget)
-		if err := s.l.add(fd, unix.EPOLLIN, c, s.budget); err != nil {
-			unix.Close(fd)
-			continue
-		}
-		c.interest = unix.EPOLLIN
-		s.accept(c)
 	}
 }
 
+// next takes a connection in; false if there is none to be had now.
+func (s *Listener) next() bool {
+	if s.budget.Free() <= 0 {
+		s.budget.relieve()
+		s.pause()
+		return false
+	}
+	fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	switch err {
+	case nil:
+	case unix.EAGAIN:
+		return false
+	case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
+		s.pause()
+		return false
+	default: // that connection is gone already, or a signal came
+		return true
+	}
+	if s.take != nil {
+		s.take(fd)
+		return true
+	}
+	s.budget.relieve() // before the new one may be spared: it has had no turn yet
+	c := newConn(s.l, fd, s.budget)
+	if err := s.l.add(fd, unix.EPOLLIN, c, s.budget); err != nil {
+		unix.Close(fd)
+		return true
+	}
+	c.interest = unix.EPOLLIN
+	s.accept(c)
+	return true
+}
+
 // pause guards against spinning on a backlog that cannot be taken in.
 func (s *Listener) pause() {
 	s.l.watch(unix.EPOLL_CTL_MOD, s.fd, 0)
