A watch makes its own next call in time: drains after a silent watch were told too late

Lines at fault: watch.go gave a silent call up 1.8 s after its wait, 0.2 s before all of it counts, and left the next call to the module, whose askLater spreads it by ask-within-ms (0.5 s for six relays, 2.5 s for thirty, 10 s for three hundred, doubled by each failure): right for a relay that is held to its last call, too late since a change counts as told 6 s after discovery had it, whatever call failed.

Changed: a late call gets a second one beside it after half a second, on its own connection; after calls have failed the watch pauses 0.125 to 1 s, drawn, and calls again; the module's wish starts the watch only. budget.go derives each step from the protocol's 6 s and 2 s, TestBudget adds them up. Discovery's descriptors are apart from the clients'. Calls and the watch have explicit states, one transition function each. A failure is logged once until the next answer.

TestWatch told the module of failures and expected its Ask to go on; its cases stand in TestCallFails, TestSecondCallFails and TestSilentWatch, which want the next call itself, without Ask. They fail by the old watch, which had no second call.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"runtime"
@@ -34,9 +35,9 @@
 )
 
 const (
-	// ownSockets are the descriptors that are not the loop's: standard streams,
-	// epoll, the wakeup, and what the runtime opens.
-	ownSockets = 16
+	// ownSockets are the descriptors that are not within the loop's limit: standard streams,
+	// epoll, the wakeup, what the runtime opens, and what is kept for discovery.
+	ownSockets = 16 + pool.Descriptors
 	// bufferPart of the memory is what the connections' buffers may hold together;
 	// slices that grow take up to twice their length.
 	bufferPart = 0.25
@@ -192,7 +193,8 @@
 		}
 		ledger = r.store
 	}
-	r.watch = &pool.Watch{Loop: loop, Addr: cfg.Discovery, Log: r.log, Names: r.names}
+	r.watch = &pool.Watch{Loop: loop, Addr: cfg.Discovery, Log: r.log, Names: r.names,
+		Dial: loop.Reserve(pool.Descriptors).Dial, Random: drawn(cfg.SeedNumber())}
 	var probe func(*core.Member)
 	r.core = core.New(core.Options{Settings: r.names.Settings, Seed: cfg.SeedNumber(), Clock: r.clock, Round: loop.Round, Ledger: ledger,
 		Watch: r.watch.Ask, FeedMemory: int(cfg.Limits.MemoryMB * feedPart * (1 << 20)),
@@ -265,6 +267,11 @@
 	return nil
 }
 
+// watchStream tells the random numbers of the watch from those of the decision module, which come of the same seed.
+const watchStream = 1
+
+func drawn(seed uint64) func() float64 { return rand.New(rand.NewPCG(seed, watchStream)).Float64 }
+
 func (r *relay) listen(front, addr string, accept func(*netloop.Conn)) error {
 	l, err := r.inherit(front, addr, accept)
 	r.took(front, l, err)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"testing"
 	"time"
 
@@ -46,64 +45,15 @@
 	}
 }
 
-// watch is one that holds a list and has begun.
+// watch is one that holds a list.
 func watch(b *looptest.Bench, at *looptest.Server, told func(policy.ListKind, []core.Member)) *Watch {
 	log := logrus.New()
 	log.SetOutput(b.T.Output())
-	w := &Watch{Loop: b.Loop, Addr: at.Addr(), Names: names(), Log: log, Told: told}
+	w := &Watch{Loop: b.Loop, Addr: at.Addr(), Names: names(), Log: log, Told: told, Random: func() float64 { return 1 }, Dial: b.Reserve(Descriptors).Dial}
 	w.Hold(&List{Generation: 41})
-	w.Ask()
 	return w
 }
 
-// TestWatch: the first call says which list is held, each further one follows
-// its answer at once, on the same connection; an answer that does not come ends
-// the watch, and Ask begins a new one.
-func TestWatch(t *testing.T) {
-	b := looptest.New(t, 8)
-	server := b.Listen()
-	var told []string
-	w := watch(b, server, func(kind policy.ListKind, list []core.Member) { told = append(told, fmt.Sprint(kind, len(list))) })
-	w.Ask()
-	p := server.Accept()
-	call := func(since int) string {
-		return fmt.Sprintf("GET /api/targets?since=%d&timeout_ms=4000 HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", since, server.Addr())
-	}
-	answer := func(body string) {
-		p.Say(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
-	}
-	p.Want(call(41))
-	answer(`{"generation":43,"reset":false,"instances":[` + entry + `]}`)
-	p.Want(call(43))
-	answer(`{"generation":44,"reset":true,"instances":[]}`)
-	p.Want(call(44))
-	if fmt.Sprint(told) != fmt.Sprint([]string{fmt.Sprint(policy.ListDelta, 1), fmt.Sprint(policy.ListFull, 0)}) {
-		t.Fatalf("told %v", told)
-	}
-	b.Pass(watchWait + answerGrace) // no answer
-	if len(told) != 3 || told[2] != fmt.Sprint(policy.ListFailed, 0) {
-		t.Fatalf("told %v", told)
-	}
-	for i, text := range []string{"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", "rubbish\r\n"} {
-		w.Ask()
-		p = server.Accept()
-		p.Want(call(44))
-		p.Say(text)
-		b.Until("the failure", func() bool { return len(told) == 4+i })
-	}
-	w.Ask()
-	p = server.Accept()
-	p.Want(call(44))
-	p.Reset()
-	b.Until("the failure", func() bool { return len(told) == 7 })
-	w.Stop()
-	w.Ask()
-	b.Turn()
-	if len(told) != 7 || w.conn != nil {
-		t.Errorf("told %v after the stop", told)
-	}
-}
-
 // TestMove: the watch goes on at a new address at once, by asking for the whole
 // list, whatever it was doing at the old one; what the old one says then is
 // nothing to it. Guards against a generation of one discovery being used at another.
@@ -112,6 +62,7 @@
 	old, next := b.Listen(), b.Listen()
 	told := 0
 	w := watch(b, old, func(kind policy.ListKind, list []core.Member) { told += 100*int(kind) + len(list) })
+	w.Ask()
 	before := old.Accept()
 	w.Move(next.Addr())
 	p := next.Accept()
@@ -129,7 +80,7 @@
 	w.Stop()
 	w.Move(old.Addr())
 	b.Turn()
-	if w.conn != nil {
+	if len(w.calls) > 0 {
 		t.Error("moved after the stop")
 	}
 }
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -1,46 +1,83 @@
 package pool
 
 import (
-	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"dahliarudder/internal/core"
-	"dahliarudder/internal/http1"
 	"dahliarudder/internal/netloop"
 	"dahliarudder/policy"
 )
 
-// How calls wait. What discovery has to tell counts as told 2 s after the wait
-// of a call ends, so an answer that has not come by then is given up: a new call
-// brings it sooner than a dead connection.
-const (
-	watchWait   = 4 * time.Second
-	answerGrace = 1800 * time.Millisecond
-	dialWithin  = time.Second
-)
-
-// Watch asks discovery for the list and then for its changes, one call after
-// another, until a call fails; then the relay's decision module says when to ask
-// again, by Ask.
+// Watch asks discovery for the list and then for its changes, one call after another. A call that is late gets a
+// second one beside it, and after calls have failed the next one is made after a pause: whatever fails, a change
+// has to arrive within the time of budget.go.
 type Watch struct {
 	Loop  *netloop.Loop
 	Addr  string
 	Names Names
 	Told  func(kind policy.ListKind, list []core.Member)
 	Log   logrus.FieldLogger
+	// Dial connects to discovery, by descriptors that clients cannot use up.
+	Dial func(addr string, within time.Duration, h netloop.Handler) *netloop.Conn
+	// Random draws from 0 to 1, for pauses.
+	Random func() float64
 
 	generation uint64
 	known      bool             // the list of that generation is held
 	entries    map[string]Entry // and this is it
-	watching   bool
-	conn       *netloop.Conn
-	parser     http1.Parser
-	within     *netloop.Timer
-	stopped    bool
-	fresh      func() // the call that is out is to be answered at once, and then this is called
+	state      watchState
+	calls      []*call // that are out, the oldest first
+	failures   int     // in a row
+	pausing    *netloop.Timer
+	refreshed  func() // called once when what is out has been answered
+}
+
+// watchState is where a watch stands.
+type watchState int
+
+const (
+	watchIdle    watchState = iota // it has not begun
+	watchCalling                   // a call is out that may yet be answered in time
+	watchPausing                   // none is, and a pause goes by; a late one may still be out
+	watchStopped
+)
+
+// watchEvent is what can befall a watch.
+type watchEvent int
+
+const (
+	watchAsked    watchEvent = iota // it is to begin
+	watchFailed                     // the last call that could be answered in time has failed
+	watchPaused                     // the pause is over
+	watchRestart                    // it is to begin anew, whatever it was doing
+	watchAnswered                   // a call is answered, and the next one is made
+	watchStop
+)
+
+// next is the one transition function of a watch; false says that the event means nothing in that state.
+func (s watchState) next(e watchEvent) (watchState, bool) {
+	switch {
+	case s == watchStopped:
+		return s, false
+	case e == watchStop:
+		return watchStopped, true
+	case e == watchRestart:
+		return watchCalling, true
+	case s == watchIdle && e == watchAsked, s == watchPausing && e == watchPaused, s != watchIdle && e == watchAnswered:
+		return watchCalling, true
+	case s == watchCalling && e == watchFailed:
+		return watchPausing, true
+	}
+	return s, false
+}
+
+func (w *Watch) step(e watchEvent) (ok bool) {
+	w.state, ok = w.state.next(e)
+	return ok
 }
 
 // Hold says which list is held from the start.
@@ -67,142 +104,117 @@
 	return l, w.known
 }
 
-// Ask starts to watch; while a watch goes on it does nothing.
+// Ask starts to watch; once begun a watch goes on by itself, and this does nothing.
 func (w *Watch) Ask() {
-	if !w.watching && !w.stopped {
-		w.watching = true
-		w.call()
+	if w.step(watchAsked) {
+		w.dial(watchWait)
 	}
 }
 
-// Refresh asks at once for what has changed, in the place of the call that is out, whose answer may be as old as it is; done is
-// called when it is told. While no watch goes on it does nothing.
+// Refresh asks at once for what has changed, in the place of the calls that are out, whose answers may be as old as
+// they are; done is called when it is told. Before the watch has begun it does nothing.
 func (w *Watch) Refresh(done func()) {
-	if w.watching && !w.stopped {
-		w.hangUp()
-		w.fresh = done
-		w.call()
+	if w.state == watchIdle || !w.step(watchRestart) {
+		return
 	}
+	w.hangUp()
+	w.refreshed = done
+	w.dial(0)
 }
 
-// Move has the watch go on at another address. The first call there asks for the
-// whole list: a generation means nothing but where it was given.
+// Move has the watch go on at another address. The first call there asks for the whole list: a generation means
+// nothing but where it was given.
 func (w *Watch) Move(addr string) {
-	if w.stopped || addr == w.Addr {
+	if addr == w.Addr || !w.step(watchRestart) {
 		return
 	}
 	w.hangUp()
-	w.Addr, w.known, w.watching = addr, false, true
-	w.call()
+	w.Addr, w.known, w.failures = addr, false, 0
+	w.dial(watchWait)
 }
 
 // Stop ends watching.
 func (w *Watch) Stop() {
-	w.stopped = true
+	w.step(watchStop)
 	w.hangUp()
 }
 
-func (w *Watch) call() {
-	w.parser = http1.Parser{}
-	wait := dialWithin
-	if w.conn == nil {
-		w.conn = w.Loop.Dial(w.Addr, dialWithin, w)
+// answered takes the answer of a call; the others that are out have asked for the same.
+func (w *Watch) answered(c *call) {
+	list, err := w.read(c)
+	if err != nil {
+		w.failed(c, err)
+		return
+	}
+	w.step(watchAnswered)
+	keep := !c.parser.Closes && c.conn != nil
+	w.drop(c, keep)
+	w.hangUp()
+	w.failures = 0
+	w.hold(list)
+	if keep { // first: the gap between two calls of a watch is bounded
+		c.again(watchWait)
 	} else {
-		wait = w.ask()
+		w.dial(watchWait)
 	}
-	w.await(wait)
-}
-
-// await gives what is under way so long.
-func (w *Watch) await(d time.Duration) {
-	w.within.Stop()
-	w.within = w.Loop.After(d, func() { w.failed(errors.New("no answer in time")) })
-}
-
-// ask writes the call and returns how long to wait for its answer. The first
-// one asks for everything that was missed and answers at once.
-func (w *Watch) ask() time.Duration {
-	path := "/api/targets"
-	wait := time.Duration(0)
-	switch {
-	case w.known && w.fresh != nil:
-		path = fmt.Sprintf("/api/targets?since=%d&timeout_ms=0", w.generation)
-	case w.known:
-		path = fmt.Sprintf("/api/targets?since=%d&timeout_ms=%d", w.generation, watchWait.Milliseconds())
-		wait = watchWait
+	kind := policy.ListDelta
+	if list.Full {
+		kind = policy.ListFull
+	}
+	w.Told(kind, w.Names.Members(list))
+	if done := w.refreshed; done != nil {
+		w.refreshed = nil
+		done()
 	}
-	w.conn.Write(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, w.Addr))
-	return wait + answerGrace
 }
 
-// Open is told by the loop.
-func (w *Watch) Open() { w.await(w.ask()) }
-
-// Drained is told by the loop.
-func (w *Watch) Drained() {}
-
-// Data is told by the loop.
-func (w *Watch) Data(b []byte) int {
-	n, done, err := w.parser.Feed(b)
-	if err != nil {
-		w.failed(err)
-	} else if done {
-		w.answered()
+func (w *Watch) read(c *call) (*List, error) {
+	if c.parser.Status != 200 {
+		return nil, fmt.Errorf("discovery answered %d", c.parser.Status)
 	}
-	return n
+	return Decode(c.parser.Body)
 }
 
-// End is told by the loop.
-func (w *Watch) End(err error) {
-	if w.parser.Finish() {
-		w.answered()
-		return
+// late makes a second call beside one whose answer is late. A late second one gets none: it stands in a queue that
+// a third would only make longer.
+func (w *Watch) late(c *call) {
+	if c.wait > 0 && len(w.calls) == 1 {
+		w.Log.Debug("discovery is late: a second call")
+		w.dial(0)
 	}
-	w.failed(fmt.Errorf("discovery: %w", err))
 }
 
-func (w *Watch) answered() {
-	if w.parser.Status != 200 {
-		w.failed(fmt.Errorf("discovery answered %d", w.parser.Status))
-		return
-	}
-	list, err := Decode(w.parser.Body)
-	if err != nil {
-		w.failed(err)
+// failed ends a call that has failed. While another one is out that is in time, that is waited for.
+func (w *Watch) failed(c *call, err error) {
+	w.drop(c, false)
+	if slices.ContainsFunc(w.calls, (*call).inTime) || !w.step(watchFailed) {
 		return
 	}
-	kind := policy.ListDelta
-	if list.Full {
-		kind = policy.ListFull
-	}
-	if w.parser.Closes {
-		w.hangUp()
-	}
-	done := w.fresh
-	w.fresh = nil
-	w.hold(list)
-	w.call() // first: the gap between two calls of a watch is bounded
-	w.Told(kind, w.Names.Members(list))
-	if done != nil {
-		done()
+	if w.failures++; w.failures == 1 {
+		w.Log.WithError(err).Warn("discovery call failed")
+	} else {
+		w.Log.WithError(err).Debug("discovery call failed")
 	}
+	w.pausing = w.Loop.After(pause(w.failures, w.Random()), w.resume)
 }
 
-// failed ends the watch.
-func (w *Watch) failed(err error) {
-	w.hangUp()
-	if w.stopped {
-		return
+// resume makes the next call after a pause. It does not wait for news: whether it is answered shows at once.
+func (w *Watch) resume() {
+	if w.step(watchPaused) {
+		w.dial(0)
 	}
-	w.watching, w.fresh = false, nil
-	w.Log.WithError(err).Warn("discovery call failed")
-	w.Told(policy.ListFailed, nil)
 }
 
+func (w *Watch) drop(c *call, keep bool) {
+	c.end(keep)
+	w.calls = slices.DeleteFunc(w.calls, func(other *call) bool { return other == c })
+}
+
+// hangUp gives up all that is under way.
 func (w *Watch) hangUp() {
-	w.within.Stop()
-	if w.conn != nil {
-		w.conn.Finish()
-		w.conn = nil
+	w.pausing.Stop()
+	for _, c := range w.calls {
+		c.end(false)
 	}
+	w.calls = nil
 }
--- /dev/null
+++ b/internal/pool/watch_test.go
@@ -0,0 +1,350 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
+)
+
+// rig is a watch, the list of what it told, and discovery's end of its calls.
+type rig struct {
+	*looptest.Bench
+	*Watch
+	server *looptest.Server
+	told   []string
+}
+
+// newRig has a watch that holds generation 41 and has begun.
+func newRig(t *testing.T) *rig {
+	r := &rig{Bench: looptest.New(t, 16)}
+	r.server = r.Listen()
+	r.Watch = watch(r.Bench, r.server, func(kind policy.ListKind, list []core.Member) {
+		names := ""
+		for _, m := range list {
+			names += fmt.Sprintf(" %s:%d", m.Name, m.State)
+		}
+		r.told = append(r.told, fmt.Sprint(kind, names))
+	})
+	return r
+}
+
+// call is what a call looks like that goes on from a generation and waits so long.
+func (r *rig) text(since int, wait time.Duration) string {
+	return fmt.Sprintf("GET /api/targets?since=%d&timeout_ms=%d HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", since, wait.Milliseconds(), r.server.Addr())
+}
+
+func message(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// changes is an answer in which the member of entry drains.
+func changes(generation int) string {
+	return message(fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[{"instanceId":"s-5be2a07c","hostPort":"127.0.0.1:9","lifecycle":"DRAINING"}]}`, generation))
+}
+
+var drained = fmt.Sprint(policy.ListDelta, " s-5be2a07c:", int(policy.Draining))
+
+// want fails unless just this was told.
+func (r *rig) want(told ...string) {
+	r.T.Helper()
+	if fmt.Sprint(r.told) != fmt.Sprint(told) {
+		r.T.Fatalf("told %q, want %q", r.told, told)
+	}
+}
+
+// mute says that nothing has come since, and that the connection stands.
+func mute(t *testing.T, p *looptest.Peer) {
+	t.Helper()
+	if p.Poll(); len(p.Got) > 0 || p.Over != nil {
+		t.Fatalf("got %q, ended %v", p.Got, p.Over)
+	}
+}
+
+// TestWatch: the first call says which list is held, and each further one follows its answer at once, on the same
+// connection.
+func TestWatch(t *testing.T) {
+	r := newRig(t)
+	r.Ask()
+	p := r.server.Accept()
+	p.Want(r.text(41, watchWait))
+	p.Say(changes(43))
+	p.Want(r.text(43, watchWait))
+	p.Say(message(`{"generation":44,"reset":true,"instances":[]}`))
+	p.Want(r.text(44, watchWait))
+	r.want(drained, fmt.Sprint(policy.ListFull, ""))
+	r.Stop()
+	r.Ask()
+	p.WantEnd()
+	if r.Pass(time.Hour); r.Held() > 2 { // the loop's own wakeup is not counted; the connection may linger
+		t.Errorf("%d descriptors after the stop", r.Held())
+	}
+	r.want(drained, fmt.Sprint(policy.ListFull, ""))
+}
+
+// TestWatchForms: an answer counts whatever allowed form it comes in.
+func TestWatchForms(t *testing.T) {
+	indented := "{\n  \"generation\": 43,\n  \"reset\": false,\n  \"instances\": [\n    {\n      \"instanceId\": \"s-5be2a07c\",\n      \"hostPort\": \"127.0.0.1:9\",\n      \"lifecycle\": \"DRAINING\"\n    }\n  ]\n}\n"
+	whole := `{"generation":43,"reset":true,"instances":[{"instanceId":"s-5be2a07c","hostPort":"127.0.0.1:9","lifecycle":"DRAINING"}]}`
+	for name, c := range map[string]struct {
+		answer string
+		want   string
+		pieces int  // bytes that come together; 0: all
+		closes bool // discovery ends the connection with it
+	}{
+		"indented":       {message(indented), drained, 0, false},
+		"whole":          {message(whole), fmt.Sprint(policy.ListFull, " s-5be2a07c:", int(policy.Draining)), 0, false},
+		"in pieces":      {message(indented), drained, 7, false},
+		"byte by byte":   {changes(43), drained, 1, false},
+		"chunked":        {fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", indented[:5], len(indented)-5, indented[5:]), drained, 3, false},
+		"to the end":     {"HTTP/1.1 200 OK\r\n\r\n" + indented, drained, 11, true},
+		"closes":         {"HTTP/1.1 200 OK\r\nConnection: close\r\n" + changes(43)[len("HTTP/1.1 200 OK\r\n"):], drained, 0, true},
+		"interim before": {"HTTP/1.1 100 Continue\r\n\r\n" + changes(43), drained, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.Ask()
+			p := r.server.Accept()
+			p.Want(r.text(41, watchWait))
+			step := c.pieces
+			if step == 0 {
+				step = len(c.answer)
+			}
+			for rest := c.answer; rest != ""; {
+				n := min(step, len(rest))
+				p.Say(rest[:n])
+				rest = rest[n:]
+				r.Turn()
+			}
+			if c.closes {
+				p.Finish()
+				p = r.server.Accept()
+			}
+			p.Want(r.text(43, watchWait))
+			r.want(c.want)
+		})
+	}
+}
+
+// TestSilentWatch: a watch that has fallen silent is noticed, and what it missed arrives within the protocol's time,
+// though it stays silent. Before the second call of its own connection, the call was given up 5.8 s after it began
+// and the next one left to the decision module, up to half a second later.
+func TestSilentWatch(t *testing.T) {
+	r := newRig(t)
+	r.Ask()
+	began := r.Now()
+	silent := r.server.Accept()
+	silent.Want(r.text(41, watchWait))
+	r.Pass(watchWait)
+	mute(t, silent)
+	r.Pass(lateAfter)
+	second := r.server.Accept()
+	second.Want(r.text(41, 0))
+	mute(t, silent) // it may only be late: it stays
+	second.Say(changes(43))
+	second.Want(r.text(43, watchWait))
+	r.want(drained)
+	silent.WantEnd()
+	if late := r.Now() - began - toldWithin; late >= 0 {
+		t.Errorf("told %v too late", late)
+	}
+}
+
+// TestLateAnswer: the answer of a call that is late counts, and its second call is given up.
+func TestLateAnswer(t *testing.T) {
+	r := newRig(t)
+	r.Ask()
+	first := r.server.Accept()
+	first.Want(r.text(41, watchWait))
+	r.Pass(watchWait + lateAfter)
+	second := r.server.Accept()
+	second.Want(r.text(41, 0))
+	first.Say(changes(43))
+	first.Want(r.text(43, watchWait))
+	second.WantEnd()
+	r.want(drained)
+}
+
+// TestSecondCallFails: while the first call is silent, the second one is made again after each way to fail, and the
+// change arrives in time.
+func TestSecondCallFails(t *testing.T) {
+	for name, fail := range map[string]func(*looptest.Peer){
+		"refused":  func(p *looptest.Peer) { p.Say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") },
+		"reset":    (*looptest.Peer).Reset,
+		"ended":    (*looptest.Peer).Finish,
+		"rubbish":  func(p *looptest.Peer) { p.Say("rubbish\r\n") },
+		"no list":  func(p *looptest.Peer) { p.Say(message("[]")) },
+		"half one": func(p *looptest.Peer) { p.Say(changes(43)[:90]); p.Finish() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.Ask()
+			began := r.Now()
+			silent := r.server.Accept()
+			silent.Want(r.text(41, watchWait))
+			r.Pass(watchWait + lateAfter)
+			second := r.server.Accept()
+			second.Want(r.text(41, 0))
+			fail(second)
+			r.Until("the failure", func() bool { return r.state == watchPausing })
+			r.Pass(pauseFirst)
+			third := r.server.Accept()
+			third.Want(r.text(41, 0))
+			third.Say(changes(43))
+			third.Want(r.text(43, watchWait))
+			r.want(drained)
+			if late := r.Now() - began - toldWithin; late >= 0 {
+				t.Errorf("told %v too late", late)
+			}
+		})
+	}
+}
+
+// TestCallFails: after each way to fail, the next call comes after a pause, on a new connection, and asks for what
+// was missed.
+func TestCallFails(t *testing.T) {
+	r := newRig(t)
+	r.Ask()
+	failures := 0
+	for i, fail := range []func(*looptest.Peer){
+		func(p *looptest.Peer) { p.Say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n") },
+		func(p *looptest.Peer) { p.Say(message("[]")) },
+		func(p *looptest.Peer) { p.Say("rubbish\r\n") },
+		(*looptest.Peer).Reset,
+		(*looptest.Peer).Finish,
+	} {
+		wait := time.Duration(0)
+		if i == 0 {
+			wait = watchWait
+		}
+		p := r.server.Accept()
+		p.Want(r.text(41, wait))
+		fail(p)
+		failures++
+		r.Until("the failure", func() bool { return r.failures == failures })
+		if r.state != watchPausing || len(r.calls) != 0 {
+			t.Fatalf("failure %d: state %d, %d calls", i, r.state, len(r.calls))
+		}
+		r.Ask() // the decision module's wish changes nothing
+		r.Pass(pause(failures, 1) - time.Millisecond)
+		if len(r.calls) != 0 {
+			t.Fatalf("failure %d: no pause", i)
+		}
+		r.Pass(time.Millisecond)
+	}
+	p := r.server.Accept()
+	p.Want(r.text(41, 0))
+	p.Say(changes(43))
+	p.Want(r.text(43, watchWait))
+	r.want(drained)
+	if r.failures != 0 {
+		t.Errorf("%d failures counted after an answer", r.failures)
+	}
+}
+
+// TestReturn: discovery is down, swallows calls or refuses them, and comes back at the worst moment of each step: a
+// call is made early enough that an answer within what the budget leaves for it comes in time.
+func TestReturn(t *testing.T) {
+	const left = toldWithin - patience - pauseMost - dialWithin
+	if left < patience {
+		t.Fatalf("%v are left for the answer of the call after the return, which may stand in a queue for %v", left, patience)
+	}
+	r := newRig(t)
+	r.Ask()
+	p := r.server.Accept()
+	p.Want(r.text(41, watchWait))
+	p.Reset()
+	for range 5 { // as many as the pause takes to grow, and more: each call hangs
+		r.Until("the failure", func() bool { return r.state == watchPausing })
+		r.Pass(pauseMost)
+		p = r.server.Accept()
+		p.Want(r.text(41, 0))
+		swallowed := r.Now() // discovery is back right after
+		r.Pass(lateAfter)
+		r.Turn()
+		if len(r.calls) != 1 {
+			t.Fatalf("%d calls in a queue that others stand in too", len(r.calls))
+		}
+		r.Pass(patience - lateAfter)
+		if r.state != watchPausing || r.Now()-swallowed > patience {
+			t.Fatalf("state %d %v after a call was swallowed", r.state, r.Now()-swallowed)
+		}
+	}
+}
+
+// TestBudget: the steps of a watch in the worst order add up to less than the protocol's time, each failure once.
+func TestBudget(t *testing.T) {
+	const noticed = watchWait + lateAfter                           // the watch fell silent as its call was written
+	const again = dialWithin + pauseFirst                           // the connection of the second call never comes up
+	const answered = noticed + again + dialWithin                   // that of the third takes all that it may
+	if left := toldWithin - answered; left < 200*time.Millisecond { // the gap that the protocol allows between calls
+		t.Errorf("a silent watch: %v are left for the answer", left)
+	}
+	if watchWait+toldAfterWait > toldWithin {
+		t.Errorf("what a call of %v misses counts after %v", watchWait, toldWithin)
+	}
+}
+
+// TestPause: pauses grow to their most, and are spread over the half of their span.
+func TestPause(t *testing.T) {
+	for failures, span := range map[int]time.Duration{1: pauseFirst, 2: 2 * pauseFirst, 3: pauseMost, 4: pauseMost, 1000: pauseMost} {
+		if low, high := pause(failures, 0), pause(failures, 1); low != span/2 || high != span {
+			t.Errorf("after %d failures %v to %v, want %v to %v", failures, low, high, span/2, span)
+		}
+	}
+}
+
+// TestRefresh: news is asked for at once in the place of the call that is out, also in a pause.
+func TestRefresh(t *testing.T) {
+	r := newRig(t)
+	r.Refresh(func() { t.Error("refreshed a watch that had not begun") })
+	r.Ask()
+	p := r.server.Accept()
+	p.Want(r.text(41, watchWait))
+	done := 0
+	r.Refresh(func() { done++ })
+	p.WantEnd()
+	p = r.server.Accept()
+	p.Want(r.text(41, 0))
+	p.Reset()
+	r.Until("the failure", func() bool { return r.state == watchPausing })
+	r.Refresh(func() { done += 10 })
+	p = r.server.Accept()
+	p.Want(r.text(41, 0))
+	p.Say(changes(43))
+	p.Want(r.text(43, watchWait))
+	r.want(drained)
+	if r.Pass(pauseMost); done != 10 {
+		t.Errorf("done %d", done)
+	}
+	mute(t, p)
+}
+
+// TestMoveAmidFailure: a new address counts at once, whatever was under way at the old one.
+func TestMoveAmidFailure(t *testing.T) {
+	for name, before := range map[string]func(*rig, *looptest.Peer){
+		"late":    func(r *rig, p *looptest.Peer) { r.Pass(watchWait + lateAfter); r.server.Accept() },
+		"pausing": func(r *rig, p *looptest.Peer) { p.Reset(); r.Until("", func() bool { return r.state == watchPausing }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			next := r.Listen()
+			r.Ask()
+			p := r.server.Accept()
+			p.Want(r.text(41, watchWait))
+			before(r, p)
+			r.Move(next.Addr())
+			q := next.Accept()
+			q.Want("GET /api/targets HTTP/1.1\r\nHost: " + next.Addr() + "\r\nAccept: application/json\r\n\r\n")
+			q.Say(message(`{"generation":3,"reset":true,"instances":[]}`))
+			r.Until("the list", func() bool { return len(r.told) == 1 })
+			r.Pass(pauseMost)
+			if len(r.calls) != 1 || r.state != watchCalling {
+				t.Errorf("%d calls, state %d", len(r.calls), r.state)
+			}
+		})
+	}
+}
