A stop waits for moves amid a line; no line to a member that left during the dial

Seen by reading, line by line: core.move ends a flow for the core at once, while line.Move waits up to half a second for the end of a line, so Held was 0 and serve.stop ended the loop 200 ms later: the flow was cut without MOVE. Connections on which nothing was asked were closed unanswered, and a request that arrived just then was lost. An attempt passed the gate as its connection was dialled, and its line left when that came up, up to connect-timeout-ms later: past the grace of a drain told meanwhile.

Changed: Front.Held counts clients that are not done with, and a stop waits for them within its bound; Front.Leave answers BUSY to who rests; Core.Begin judges again as the connection stands; a client's end is told before its unread bytes until its flow stands.

Tests, each seen failing without its mend: TestHeldWhileMoving (Held is new), TestLeave, TestLeftWhileDialling, TestGoneWithUnread.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -50,8 +50,12 @@
 	wordsMost = 64
 	// gapPart of the time within which a relay must ask for the list is how long it may stand still and believe what it holds.
 	gapPart = 10
-	// stopLinger lets the last answers leave.
+	// stopLook is how often a stop looks whether it is over, and stopLinger what the last answers have to leave.
+	stopLook   = 20 * time.Millisecond
 	stopLinger = 200 * time.Millisecond
+	// stopOver is what flows that are moved at the very end have for the end of a line. SIGKILL comes 0.7 s after the
+	// longest deadline, at which a stop ends at the latest.
+	stopOver = line.MoveWithin + stopLinger/2
 )
 
 // serve runs the relay until it is told to stop. Reload reads the configuration
@@ -325,20 +329,44 @@
 	if r.nats != nil {
 		r.nats.Leave()
 	}
-	var look func()
-	look = func() {
+	r.await(func() bool {
 		now := loop.Now()
-		if now < deadline && (now < least || r.core.Held() > 0 || r.twin != nil && !r.twin.peer.Quiet()) {
-			loop.After(20*time.Millisecond, look)
-			return
-		}
-		r.core.Finish()
-		for _, l := range append(r.listeners, r.door) {
-			l.Close()
-		}
-		loop.After(stopLinger, loop.Stop)
+		return now >= deadline || now >= least && r.held() == 0 && (r.twin == nil || r.twin.peer.Quiet())
+	}, r.finish)
+}
+
+// await looks until something is so, and then goes on.
+func (r *relay) await(so func() bool, then func()) {
+	if so() {
+		then()
+		return
 	}
-	look()
+	r.loop.After(stopLook, func() { r.await(so, then) })
+}
+
+// held is how many clients are not done with.
+func (r *relay) held() int {
+	held := r.core.Held()
+	if r.lines != nil {
+		held = max(held, r.lines.Held())
+	}
+	return held
+}
+
+// finish ends a stop: nobody comes any more, who waits is answered, and the loop ends once what that takes has left.
+func (r *relay) finish() {
+	r.core.Finish()
+	for _, l := range append(r.listeners, r.door) {
+		l.Close()
+	}
+	if r.lines != nil {
+		r.lines.Leave()
+	}
+	least, most := r.loop.Now()+stopLinger, r.loop.Now()+stopOver
+	r.await(func() bool {
+		now := r.loop.Now()
+		return now >= most || now >= least && r.held() == 0
+	}, r.loop.Stop)
 }
 
 func (r *relay) closeStore() error {
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -124,6 +124,14 @@
 	c.start(now, r, m, wait)
 }
 
+// Begin says whether an attempt may be sent now that its connection stands. One whose member has left meanwhile may
+// not, however long ago that was told: its first byte would come later than the gate has judged by. It ends as one
+// that was never made. A flow that its member holds already is exempt.
+func (c *Core) Begin(id ID, try int) bool {
+	r := c.current(id, try)
+	return r != nil && !r.answered && (r.standing || !r.member.left)
+}
+
 func (c *Core) start(now time.Duration, r *request, m *member, wait time.Duration) {
 	r.member, r.sent = m, now
 	m.flows++
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -28,7 +28,7 @@
 	pingIdle    = 30 * time.Second       // a connection that was answered PONG may stay without a request
 	clientGone  = 30 * time.Second       // a client that sends no line for so long; each sends one every 2 s
 	sweepEvery  = 250 * time.Millisecond // how often that is looked for
-	moveWithin  = 500 * time.Millisecond // for the line to end after which MOVE may stand
+	MoveWithin  = 500 * time.Millisecond // for the line to end after which MOVE may stand; a stop waits for it too
 	crowdAfter  = 500 * time.Millisecond // when a client may come again that found no descriptors
 )
 
@@ -62,9 +62,21 @@
 	f.fresh[v] = struct{}{}
 	v.idle = f.Loop.After(firstWithin, v.Fail)
 	c.Spare(v.Fail)
+	c.EndFirst(true)
 	c.Handle(v)
 }
 
+// Held is how many clients have asked and are not done with: they wait, their flow stands, or it waits for the end
+// of a line to be moved.
+func (f *Front) Held() int { return len(f.ids) }
+
+// Leave ends the connections on which nothing was asked yet. BUSY answers who asks in that very moment.
+func (f *Front) Leave() {
+	for v := range f.fresh {
+		v.Reject(crowdAfter)
+	}
+}
+
 // sweep moves clients whose member has gone silent, and ends flows whose client
 // has: a machine that vanished ends no connection.
 func (f *Front) sweep() {
@@ -257,7 +269,7 @@
 		v.endBoth()
 		return
 	}
-	v.moving = v.f.Loop.After(moveWithin, v.endBoth)
+	v.moving = v.f.Loop.After(MoveWithin, v.endBoth)
 	delete(v.f.open, v)
 }
 
@@ -298,6 +310,10 @@
 
 // Open is told by the loop.
 func (s *flow) Open() {
+	if !s.v.f.Core.Begin(s.v.id, s.try) {
+		s.over(policy.Moot, policy.NoReport)
+		return
+	}
 	s.opened = true
 	s.c.Write(s.start)
 }
@@ -333,6 +349,7 @@
 		}
 		v := s.v
 		v.phase, s.heard = standing, v.f.Loop.Now()
+		v.c.EndFirst(false) // what the client has sent by then goes on
 		v.f.open[v] = struct{}{}
 		v.c.Write(b[:n])
 		if n < len(b) {
--- /dev/null
+++ b/internal/front/line/stop_test.go
@@ -0,0 +1,96 @@
+package line
+
+import (
+	"strings"
+	"testing"
+
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// TestLeftWhileDialling: a member that has left while the connection to it was on its way gets no line on it, and
+// the request goes to another one.
+func TestLeftWhileDialling(t *testing.T) {
+	r := looptest.NewRelay(t, 2)
+	f := New(r.Loop, r.Core, r.Log)
+	c := r.Dial(r.Serve(f.Accept))
+	c.Say(firstLine + "\r\n")
+	r.Until("an attempt", func() bool { return r.Core.Counts.Attempts == 1 })
+	first := 0
+	if r.Core.Flows(r.Members[1].ID) == 1 {
+		first = 1
+	}
+	r.Drain(first) // before the loop's next round, in which the connection stands
+	for {
+		i, m := r.AcceptAny(0)
+		if i == first {
+			m.WantEnd()
+			continue
+		}
+		if got := m.Line(); !strings.HasPrefix(got, "OPEN 00000000000000aa") {
+			t.Fatalf("got %q", got)
+		}
+		m.Say("UP x\r\n")
+		c.Lines("UP x")
+		return
+	}
+}
+
+// TestHeldWhileMoving: a client whose move waits for the end of a line is held until it has got MOVE, so that a stop
+// does not end before.
+func TestHeldWhileMoving(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	f := New(r.Loop, r.Core, r.Log)
+	c, m := askedOf(r, f)
+	m.Say("UP x\r\nhalf a ")
+	c.Lines("UP x")
+	r.Until("half a line", func() bool { c.Poll(); return string(c.Got) == "half a " })
+	r.Core.Stop()
+	r.Core.Finish()
+	if r.Core.Held() != 0 || f.Held() != 1 {
+		t.Fatalf("the core holds %d, the front %d", r.Core.Held(), f.Held())
+	}
+	m.Say("line\r\n")
+	c.Lines("half a line", "MOVE")
+	c.WantEnd()
+	if f.Held() != 0 {
+		t.Errorf("the front holds %d", f.Held())
+	}
+}
+
+// TestLeave: at the end of a stop a connection that rests is ended with an answer, which is also that of a request
+// that arrives just then; it is never sent on.
+func TestLeave(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	f := New(r.Loop, r.Core, r.Log)
+	at := r.Serve(f.Accept)
+	resting, asking := r.Dial(at), r.Dial(at)
+	resting.Say("PING\r\n")
+	resting.Want("PONG\r\n")
+	r.Until("both", func() bool { return len(f.fresh) == 2 })
+	r.Core.Stop()
+	asking.Say(firstLine + "\r\n")
+	f.Leave()
+	for _, c := range []*looptest.Peer{resting, asking} {
+		c.Want("BUSY 500\r\n")
+		c.WantEnd()
+	}
+	if r.Core.Counts.Attempts != 0 || len(f.fresh) != 0 {
+		t.Errorf("%d attempts, %d fresh", r.Core.Counts.Attempts, len(f.fresh))
+	}
+}
+
+// TestGoneWithUnread: a client that has sent more than is kept, and has gone, is noticed, and its attempt given up.
+func TestGoneWithUnread(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	f := New(r.Loop, r.Core, r.Log)
+	c := r.Dial(r.Serve(f.Accept))
+	c.Say(firstLine + "\r\n" + strings.Repeat("x", 2*netloop.InBound))
+	c.Finish()
+	_, m := r.AcceptAny(0)
+	r.Until("the client's end", func() bool { return r.Core.Counts.Left == 1 })
+	r.Until("the attempt's end", func() bool { m.Poll(); return m.Over != nil })
+	if f.Held() != 0 || r.Core.Held() != 0 {
+		t.Errorf("the front holds %d, the core %d", f.Held(), r.Core.Held())
+	}
+}
