A relay begins its watch well within the time for asking

Seen by adding up: the module's first ask is spread over up to the whole of ask-within-ms (300 relays: 10 s), so some relays made their first call as that time ran out, and its answer came after it. Changed: the watch is begun between 0.4 and 0.8 of it, drawn, if the module has not asked by then. Test: TestFirstBy (the bounds).

--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -36,6 +36,15 @@
 	return span/2 + time.Duration(random*float64(span/2))
 }
 
+// The first call is made by a part of the time within which a relay has to ask, drawn between these: what is left is
+// for its answer, and relays that start together do not call together.
+const firstFrom, firstBy = 0.4, 0.8
+
+// FirstBy is when a watch is begun at the latest; random draws from 0 to 1.
+func FirstBy(askWithin time.Duration, random func() float64) time.Duration {
+	return time.Duration(float64(askWithin) * (firstFrom + (firstBy-firstFrom)*random()))
+}
+
 // Descriptors is how many a watch may hold: two calls, and what has ended and lingers of those before, of which the
 // pauses let no more than six come in the second that they linger for.
 const Descriptors = 8
--- a/internal/pool/watch_test.go
+++ b/internal/pool/watch_test.go
@@ -297,6 +297,14 @@
 	}
 }
 
+// TestFirstBy: a watch begins early enough that its first answer comes within the time for asking.
+func TestFirstBy(t *testing.T) {
+	const within = 10 * time.Second
+	if low, high := FirstBy(within, func() float64 { return 0 }), FirstBy(within, func() float64 { return 1 }); low != 4*time.Second || high != 8*time.Second {
+		t.Errorf("from %v to %v", low, high)
+	}
+}
+
 // TestRefresh: news is asked for at once in the place of the call that is out, also in a pause.
 func TestRefresh(t *testing.T) {
 	r := newRig(t)
