--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -24,7 +24,7 @@
 	pingIdle    = 30 * time.Second       // a connection that was answered PONG may stay without a request
 	clientGone  = 30 * time.Second       // a client that sends no line for so long; each sends one every 2 s
 	sweepEvery  = 250 * time.Millisecond // how often that is looked for
-	moveWithin  = 500 * time.Millisecond // for the line to end after which MOVE may stand
+	MoveWithin  = 500 * time.Millisecond // for the line to end after which MOVE may stand; a stop waits for it too
 	crowdAfter  = 500 * time.Millisecond // when a client may come again that found no descriptors
 )
 
@@ -59,13 +59,18 @@
 	f.fresh[v] = struct{}{}
 	v.timeOut(firstWithin)
 	v.spare()
+	c.EndFirst(true)
 	c.Handle(v)
 }
 
-// Finish ends the connections of which no request has come, as the relay ends. A request that crosses this end has its
-// answer: it was not sent on, and coming again is harmless.
-func (f *Front) Finish() {
+// Held is how many clients have asked and are not done with: they wait, their flow stands, or it waits for the end
+// of a line to be moved.
+func (f *Front) Held() int { return len(f.ids) }
+
+// Leave ends the connections on which nothing was asked yet. BUSY answers who asks in that very moment.
+func (f *Front) Leave() {
 	for v := range f.fresh {
+		v.retryAfter = crowdAfter
 		v.on(clientStopped)
 	}
 }
--- a/internal/front/line/malformed.go
+++ b/internal/front/line/malformed.go
@@ -24,14 +24,13 @@
 	unknownTenant              // a tenant that they do not have
 	missing                    // no class, or no tenant where there are any
 	openID                     // the id of a request that is open here
-	tooMuch                    // more after the line than is kept before the answer
 	causes
 )
 
 // String is the cause as it stands in the log.
 func (c cause) String() string {
 	return [causes]string{"not OPEN", "too long", "no CRLF", "byte", "id", "key", "pair", "value", "class", "tenant",
-		"class or tenant missing", "id of an open request", "too much before the answer"}[c]
+		"class or tenant missing", "id of an open request"}[c]
 }
 
 // malformedError is a line that is not as the protocol has it.
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -76,7 +76,7 @@
 	if s.state != attemptConnected {
 		return
 	}
-	if !s.mayAsk() {
+	if !s.v.f.Core.Begin(s.v.id, s.try) { // the member may have left while the connection was being set up
 		s.on(attemptUnmade)
 		return
 	}
@@ -85,12 +85,6 @@
 	s.c.Resume() // a member may have spoken before it was asked
 }
 
-// mayAsk says whether the member may still be sent something: it may have left while the connection was being set up.
-// What it holds already goes there all the same.
-func (s *upstream) mayAsk() bool {
-	return s.v.open.request.At != "" || s.v.f.Core.Reachable(s.member.ID)
-}
-
 // Drained is told by the loop.
 func (s *upstream) Drained() {
 	if s.state.isOpen() || s.v.state == clientParting {
@@ -154,6 +148,7 @@
 	s.on(attemptSaysUp)
 	v.c.Write(b[:n])
 	v.on(clientUp)
+	v.c.EndFirst(false) // what the client has sent by then goes on
 	if n < len(b) {
 		n += s.pass(b[n:])
 	}
