The states of a request are explicit, with one table of allowed events

Cause: what a request may still see was spread over the flags answered, open, standing and member, and each function asked for another mix of them: a reject of an open flow would have cut it before it found that there was nothing to answer.

What each event does is in request.go; core.go and gate.go keep the rest. Flows, members and bans are gone through in order where the order of a map could be seen, so that a run can be repeated. TestGate uses the state in place of the flags and asks one state more.

--- a/internal/core/alarms.go
+++ b/internal/core/alarms.go
@@ -27,12 +27,12 @@
 			if r.leave == a.at {
 				c.move(r)
 			}
-		case a.try < 0 && !r.answered:
+		case a.try < 0 && !r.state.final():
 			// The module answers before this; a client must not be left without.
 			c.giveUp(r, Failed, 0)
-		case a.try >= 0 && !r.answered && c.current(a.id, a.try) != nil:
+		case a.try >= 0 && r.state == attempting && c.current(a.id, a.try) != nil:
 			r.v.Cancel(a.try)
-			c.ended(r, policy.Timeout, policy.NoReport)
+			c.end(r, policy.Timeout, policy.NoReport)
 		}
 	}
 	c.apply(c.facade.Tick(now))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,8 +1,8 @@
 // Package core carries requests from their arrival to their one final answer. It
 // knows requests, attempts and outcomes, and no wire: a front tells it what
 // happens and carries out what it asks for. Every decision is package policy's;
-// what a request may never do is enforced here, in gate and in answer. See
-// docs/design.md, "The core".
+// what a request may never do is enforced here, in gate and by the states of
+// lifecycle.go. See docs/design.md, "The core".
 package core
 
 import (
@@ -94,21 +94,6 @@
 // noteEvery is how often slow messages at one member are told to the module.
 const noteEvery = time.Second
 
-type request struct {
-	Request
-	id       ID
-	v        VirtualServer
-	deadline time.Duration
-	tries    int
-	member   *member // of the attempt that is out, or of the open flow
-	sent     time.Duration
-	standing bool // it came with the member that holds it
-	answered bool
-	open     bool
-	leave    time.Duration // when a stop or a drain moves its flow; 0 if none does
-	owed     bool          // the module has asked for its move, and it was put off
-}
-
 type member struct {
 	Member                // as the module sees it
 	listed  policy.Server // as discovery has it
@@ -162,6 +147,7 @@
 	Requests, Served, Rejected, Failed, Left, Attempts, Moves, Barred int
 	Astray                                                            int // attempts begun at members that were out for longer than the grace
 	Messages                                                          Messages
+	Ignored                                                           int           // events that the state of their request does not allow
 	Away                                                              time.Duration // for which clients were sent away, or waited in vain
 }
 
@@ -218,111 +204,6 @@
 
 // ---- What fronts tell ----
 
-// Open takes a request. The final answer comes by v, perhaps at once.
-func (c *Core) Open(q Request, v VirtualServer) ID {
-	now := c.Clock()
-	c.last++
-	r := &request{Request: q, id: c.last, v: v, deadline: now + q.Wait}
-	c.requests[r.id] = r
-	c.Counts.Requests++
-	switch {
-	case c.stopping:
-		c.answer(r, Rejected, stopAfter)
-	case c.Ledger != nil && !c.Ledger.Ready():
-		c.answer(r, Rejected, stopAfter)
-	case q.Wait <= 0:
-		c.answer(r, Failed, 0)
-	case q.At != "":
-		c.stand(now, r)
-	default:
-		c.alarm(r.deadline, r.id, -1)
-		c.apply(c.facade.Pick(now, r.policy()))
-	}
-	return r.id
-}
-
-// stand sends a flow on to the member that already holds it.
-func (c *Core) stand(now time.Duration, r *request) {
-	m := c.byName[r.At]
-	if m == nil {
-		c.answer(r, Failed, 0)
-		return
-	}
-	if m.banned {
-		c.answer(r, Rejected, stopAfter)
-		return
-	}
-	r.standing = true
-	c.alarm(r.deadline, r.id, -1)
-	c.start(now, r, m, r.Wait)
-}
-
-func (r *request) policy() policy.Request {
-	return policy.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Group: r.Group,
-		Deadline: r.deadline, Load: r.Load, Again: r.Again}
-}
-
-// current is the request whose attempt of that number is out or open.
-func (c *Core) current(id ID, try int) *request {
-	if r := c.requests[id]; r != nil && r.member != nil && r.tries-1 == try {
-		return r
-	}
-	return nil
-}
-
-// Up says that a server-side flow stands. It returns whether the client may be
-// told so.
-func (c *Core) Up(id ID, try int) bool {
-	r := c.current(id, try)
-	if r == nil || r.answered {
-		return false
-	}
-	r.open = true
-	c.record(r, Served)
-	c.saw(r.member, policy.OK)
-	if !r.standing {
-		c.happens(r, r.member, Stood, c.Clock()-r.sent)
-	}
-	if r.standing {
-		c.tell(policy.Standing{Request: r.policy(), Server: r.member.ID})
-	} else {
-		c.tell(policy.Up{ID: id})
-	}
-	if !c.Welcomes() {
-		c.leaveAt(r, max(c.moveAt, c.Clock()+StopNotice/2))
-	}
-	return true
-}
-
-// Ended says how a server-side flow ended, before it stood or after. A flow
-// served to its end has its final answer by that.
-func (c *Core) Ended(id ID, try int, result policy.Result, report policy.Report) {
-	r := c.current(id, try)
-	if r == nil {
-		return
-	}
-	if result == policy.OK && !r.answered {
-		c.record(r, Served)
-	}
-	c.ended(r, result, report)
-}
-
-// Left says that the client of a request went away.
-func (c *Core) Left(id ID) {
-	r := c.requests[id]
-	if r == nil {
-		return
-	}
-	if !r.answered {
-		c.record(r, Lost)
-		if !r.standing {
-			c.tell(policy.Left{ID: id})
-		}
-	}
-	c.abandon(r)
-	delete(c.requests, id)
-}
-
 // Load is the load that an open flow has now, as work a second.
 func (c *Core) Load(id ID, load float64) { c.tell(policy.FlowLoad{ID: id, Load: load}) }
 
@@ -330,7 +211,7 @@
 // while messages are slow, and once more when they no longer are.
 func (c *Core) Message(id ID, took time.Duration) {
 	r := c.requests[id]
-	if r == nil || r.member == nil {
+	if r == nil || !r.state.out() {
 		return
 	}
 	m, now, slow := r.member, c.Clock(), false
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -154,18 +154,19 @@
 	r := newRig(t, 2)
 	s := r.open()
 	q, m := r.requests[s.id], r.members[11]
-	open := func(m *member) bool { return r.gate(r.now, q.answered || q.member != nil, q.tries, q.deadline, m) }
+	open := func(m *member) bool { return r.gate(r.now, q.state != placing, q.tries, q.deadline, m) }
 	if open(m) {
 		t.Error("a second attempt while one is out")
 	}
-	q.member = nil
+	q.state = placing
 	if !open(m) {
 		t.Fatal("the gate is shut")
 	}
 	for name, shut := range map[string]func() (undo func()){
-		"answered": func() func() { q.answered = true; return func() { q.answered = false } },
-		"tries":    func() func() { q.tries = 3; return func() { q.tries = 1 } },
-		"late":     func() func() { q.deadline = r.now; return func() { q.deadline = r.now + time.Second } },
+		"serving": func() func() { q.state = serving; return func() { q.state = placing } },
+		"over":    func() func() { q.state = over; return func() { q.state = placing } },
+		"tries":   func() func() { q.tries = 3; return func() { q.tries = 1 } },
+		"late":    func() func() { q.deadline = r.now; return func() { q.deadline = r.now + time.Second } },
 		"left": func() func() {
 			m.left, m.told = true, r.now-251*time.Millisecond
 			return func() { m.left = false }
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -6,7 +6,7 @@
 	"dahliarudder/policy"
 )
 
-// This file is what verdicts of the module do: the gate that every attempt goes through, and the one final answer.
+// This file is what verdicts of the module do, and the gate that every attempt goes through.
 
 // ---- Doubt ----
 
@@ -73,14 +73,13 @@
 	case policy.DoSend:
 		c.send(r, v)
 	case policy.DoReject:
-		c.abandon(r)
 		c.answer(r, Rejected, v.For)
 	case policy.DoFail:
-		c.abandon(r)
 		c.answer(r, Failed, 0)
 	case policy.DoCancel:
-		if c.current(v.ID, v.Try) != nil && !r.open {
-			c.abandon(r)
+		if c.current(v.ID, v.Try) != nil && r.state == attempting {
+			r.v.Cancel(v.Try)
+			c.end(r, policy.Cancelled, policy.NoReport)
 		}
 	case policy.DoMove:
 		if !c.pace(r) {
@@ -110,9 +109,9 @@
 
 func (c *Core) send(r *request, v policy.Verdict) {
 	now, m := c.Clock(), c.members[v.Server]
-	if !c.gate(now, r.answered || r.member != nil, r.tries, r.deadline, m) {
+	if !c.gate(now, r.state != placing, r.tries, r.deadline, m) {
 		c.Counts.Barred++
-		c.tell(policy.End{ID: r.id, Try: r.tries, Server: v.Server, Result: policy.Moot, Closed: r.answered,
+		c.tell(policy.End{ID: r.id, Try: r.tries, Server: v.Server, Result: policy.Moot, Closed: r.state.final(),
 			Report: policy.NoReport})
 		return
 	}
@@ -123,110 +122,3 @@
 	}
 	c.start(now, r, m, wait)
 }
-
-func (c *Core) start(now time.Duration, r *request, m *member, wait time.Duration) {
-	r.member, r.sent = m, now
-	m.flows++
-	r.tries++
-	c.Counts.Attempts++
-	if m.banned && now-m.told > c.grace {
-		c.Counts.Astray++ // the gate lets none pass: this counts what it did, not what it meant
-	}
-	r.v.Send(r.id, &m.Member, r.tries-1, wait)
-}
-
-// ended closes the attempt that is out, or the open flow, and tells the module.
-func (c *Core) ended(r *request, result policy.Result, report policy.Report) {
-	m, try := r.member, r.tries-1
-	r.member = nil
-	m.flows--
-	if result != policy.OK { // an open flow was seen when it came up
-		c.saw(m, result)
-	}
-	if what, ok := ends[ending{r.open, result}]; ok {
-		c.happens(r, m, what, c.Clock()-r.sent)
-	}
-	if c.Ledger != nil {
-		c.Ledger.Attempt(&r.Request, r.id, try, m.Name, r.sent, c.Clock(), result)
-	}
-	if r.answered {
-		delete(c.requests, r.id)
-	}
-	if r.standing && !r.answered {
-		c.answer(r, Failed, 0)
-		return
-	}
-	c.tell(policy.End{ID: r.id, Try: try, Server: m.ID, Result: result, Closed: r.answered, Report: report})
-}
-
-// saw counts how an attempt or a probe went. A client that leaves says nothing of the member.
-func (c *Core) saw(m *member, result policy.Result) {
-	switch result {
-	case policy.OK, policy.Full:
-		m.good++
-	case policy.Error, policy.Reset, policy.ConnectFailed, policy.Timeout:
-		m.bad++
-	}
-	if c.Saw != nil {
-		c.Saw(&m.Member, result)
-	}
-}
-
-// giveUp answers a request without the module's word, and tells it so.
-func (c *Core) giveUp(r *request, a Answer, after time.Duration) {
-	c.tell(policy.Left{ID: r.id})
-	c.abandon(r)
-	c.answer(r, a, after)
-}
-
-// abandon cancels the attempt that is out, if any.
-func (c *Core) abandon(r *request) {
-	if r.member == nil {
-		return
-	}
-	r.v.Cancel(r.tries - 1)
-	c.ended(r, policy.Cancelled, policy.NoReport)
-}
-
-// answer gives the final answer, once.
-func (c *Core) answer(r *request, a Answer, after time.Duration) {
-	if r.answered {
-		return
-	}
-	c.record(r, a)
-	delete(c.requests, r.id)
-	if a == Rejected {
-		c.Counts.Away += after
-		r.v.Reject(after)
-	} else {
-		c.Counts.Away += r.Wait
-		r.v.Fail()
-	}
-}
-
-// record notes that a request has its final answer.
-func (c *Core) record(r *request, a Answer) {
-	r.answered = true
-	switch a {
-	case Served:
-		c.Counts.Served++
-	case Rejected:
-		c.Counts.Rejected++
-	case Failed:
-		c.Counts.Failed++
-	case Lost:
-		c.Counts.Left++
-	}
-	if c.Ledger != nil {
-		c.Ledger.Answer(&r.Request, r.id, c.Clock(), a, r.tries)
-	}
-}
-
-func (c *Core) move(r *request) {
-	if !r.open {
-		return
-	}
-	c.Counts.Moves++
-	r.v.Move()
-	c.ended(r, policy.Cancelled, policy.NoReport)
-}
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -55,7 +55,7 @@
 // Resume ends a drain; who was not moved yet stays.
 func (c *Core) Resume() {
 	if c.draining && !c.stopping {
-		for _, r := range c.requests {
+		for _, r := range c.held() {
 			r.leave = 0
 		}
 	}
@@ -81,11 +81,11 @@
 // Pass gives an open flow up to another process.
 func (c *Core) Pass(id ID) (Passed, bool) {
 	r := c.requests[id]
-	if r == nil || !r.open || r.member == nil {
+	if r == nil || !c.step(r, passed) {
 		return Passed{}, false
 	}
 	p := Passed{r.Request, r.member.Name, c.Clock() - r.sent}
-	c.ended(r, policy.Cancelled, policy.NoReport)
+	c.release(r, serving, policy.Cancelled, policy.NoReport)
 	return p, true
 }
 
@@ -98,7 +98,7 @@
 	}
 	c.last++
 	r := &request{Request: p.Request, id: c.last, v: v, deadline: now, tries: 1, member: m, sent: now - p.Age,
-		standing: true, open: true}
+		standing: true, state: serving}
 	c.requests[r.id] = r
 	m.flows++
 	c.Counts.Requests++
@@ -128,8 +128,8 @@
 // moveAll spreads the moves of all open flows between two times from now.
 func (c *Core) moveAll(from, to time.Duration) {
 	var open []*request
-	for _, r := range c.requests {
-		if r.open {
+	for _, r := range c.held() {
+		if r.state == serving {
 			open = append(open, r)
 		}
 	}
@@ -148,10 +148,11 @@
 // Finish ends a stop whose time is up: who still waits is rejected, and every
 // open flow is moved at once.
 func (c *Core) Finish() {
-	for _, r := range c.requests {
-		if r.open {
+	for _, r := range c.held() {
+		switch r.state {
+		case serving:
 			c.move(r)
-		} else {
+		case placing, attempting:
 			c.giveUp(r, Rejected, stopAfter)
 		}
 	}
--- /dev/null
+++ b/internal/core/lifecycle_test.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"dahliarudder/policy"
+)
+
+// TestTransitions: each state allows just these events; any other is counted and changes nothing.
+func TestTransitions(t *testing.T) {
+	events := []event{begins, stands, ended, served, answered, left, moved, passed}
+	allowed := map[state]map[event]state{
+		placing:    {begins: attempting, answered: over, left: over},
+		attempting: {stands: serving, ended: placing, served: over, answered: over, left: over},
+		serving:    {ended: over, left: over, moved: over, passed: over},
+		over:       {},
+	}
+	for from, next := range allowed {
+		for _, e := range events {
+			r := newRig(t, 0)
+			q := &request{id: 1, state: from}
+			r.requests[1] = q
+			to, ok := next[e]
+			if !ok {
+				to = from
+			}
+			if got := r.step(q, e); got != ok || q.state != to {
+				t.Errorf("state %d, event %d: %v to state %d, want %v to %d", from, e, got, q.state, ok, to)
+			}
+			if counted := r.Counts.Ignored == 1; counted == ok {
+				t.Errorf("state %d, event %d: %d counted as ignored", from, e, r.Counts.Ignored)
+			}
+			if gone := r.requests[1] == nil; gone != (ok && to == over) {
+				t.Errorf("state %d, event %d: still held %v", from, e, !gone)
+			}
+		}
+	}
+}
+
+// TestIgnored: a second word of the same attempt, and words that come too late, change nothing that a client or the record sees.
+func TestIgnored(t *testing.T) {
+	r := newRig(t, 1)
+	s := r.open()
+	r.Up(s.id, 0)
+	before := r.Counts
+	if r.Up(s.id, 0) || r.Counts.Ignored != 1 {
+		t.Errorf("up twice, %d ignored", r.Counts.Ignored)
+	}
+	r.do(policy.Verdict{Do: policy.DoReject, ID: s.id, For: time.Second})
+	r.do(policy.Verdict{Do: policy.DoFail, ID: s.id})
+	r.do(policy.Verdict{Do: policy.DoCancel, ID: s.id})
+	if len(s.answers) != 0 || s.out != 1 || !r.Holds(s.id) {
+		t.Errorf("an open flow got %v, %d out", s.answers, s.out)
+	}
+	before.Ignored = r.Counts.Ignored
+	if r.Counts != before || r.Counts.Ignored != 3 {
+		t.Errorf("counts %+v, before %+v", r.Counts, before)
+	}
+	r.Left(s.id)
+	r.Ended(s.id, 0, policy.Reset, policy.NoReport)
+	r.Left(s.id)
+	if _, ok := r.Pass(s.id); ok || len(r.book) != 2 || r.Held() != 0 {
+		t.Errorf("passed %v, book %v, held %d", ok, r.book, r.Held())
+	}
+}
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -32,8 +32,8 @@
 		servers[i] = m.Server
 	}
 	if kind == policy.ListFull || kind == policy.ListCached {
-		for id, m := range c.members {
-			if !named[id] {
+		for _, id := range slices.Sorted(maps.Keys(c.members)) {
+			if m := c.members[id]; !named[id] {
 				m.listed.State = policy.Gone
 				c.see(now, m)
 			}
@@ -132,7 +132,7 @@
 
 // Bans puts these names in the place of all that are banned.
 func (c *Core) Bans(names []string) {
-	for name := range c.bans {
+	for _, name := range c.Banned() {
 		if !slices.Contains(names, name) {
 			c.Allow(name)
 		}
@@ -148,7 +148,7 @@
 // pace puts the move of a flow off that the module asks for, where its member leaves by agreement and the flows of all relays are
 // spread over a time. The module asks once, so what is put off is the core's to do.
 func (c *Core) pace(r *request) bool {
-	if r.member == nil || r.member.listed.State != policy.Ready { // it leaves by itself, and sends its clients away soon
+	if r.state != serving || r.member.listed.State != policy.Ready { // it leaves by itself, and sends its clients away soon
 		return false
 	}
 	over := c.agreed[r.member.Name].Over
@@ -164,10 +164,9 @@
 
 // settle looks at flows of a member whose move was put off, when what is said of it changes: it leaves after all, sooner, or stays.
 func (c *Core) settle(m *member) {
-	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
-		r := c.requests[id]
+	for _, r := range c.held() {
 		switch {
-		case r == nil || r.member != m || !r.owed || !r.open:
+		case r.state != serving || r.member != m || !r.owed:
 		case !m.left && c.Welcomes():
 			r.leave = 0
 		case m.left && !c.pace(r):
--- /dev/null
+++ b/internal/core/request.go
@@ -0,0 +1,240 @@
+package core
+
+import (
+	"time"
+
+	"dahliarudder/policy"
+)
+
+// This file is what happens to a request from its arrival to its end. Each event goes through step first, and takes effect only if
+// the state of the request allows it.
+
+// ---- What fronts tell ----
+
+// Open takes a request. The final answer comes by v, perhaps at once.
+func (c *Core) Open(q Request, v VirtualServer) ID {
+	now := c.Clock()
+	c.last++
+	r := &request{Request: q, id: c.last, v: v, deadline: now + q.Wait}
+	c.requests[r.id] = r
+	c.Counts.Requests++
+	switch {
+	case c.stopping:
+		c.answer(r, Rejected, stopAfter)
+	case c.Ledger != nil && !c.Ledger.Ready():
+		c.answer(r, Rejected, stopAfter)
+	case q.Wait <= 0:
+		c.answer(r, Failed, 0)
+	case q.At != "":
+		c.stand(now, r)
+	default:
+		c.alarm(r.deadline, r.id, -1)
+		c.apply(c.facade.Pick(now, r.policy()))
+	}
+	return r.id
+}
+
+// stand sends a flow on to the member that already holds it.
+func (c *Core) stand(now time.Duration, r *request) {
+	m := c.byName[r.At]
+	if m == nil {
+		c.answer(r, Failed, 0)
+		return
+	}
+	if m.banned {
+		c.answer(r, Rejected, stopAfter)
+		return
+	}
+	r.standing = true
+	c.alarm(r.deadline, r.id, -1)
+	c.start(now, r, m, r.Wait)
+}
+
+func (r *request) policy() policy.Request {
+	return policy.Request{ID: r.id, Class: r.Class, Tenant: r.Tenant, Key: r.Key, Group: r.Group,
+		Deadline: r.deadline, Load: r.Load, Again: r.Again}
+}
+
+// current is the request whose attempt of that number is out or open.
+func (c *Core) current(id ID, try int) *request {
+	if r := c.requests[id]; r != nil && r.state.out() && r.tries-1 == try {
+		return r
+	}
+	return nil
+}
+
+// Up says that a server-side flow stands. It returns whether the client may be
+// told so.
+func (c *Core) Up(id ID, try int) bool {
+	r := c.current(id, try)
+	if r == nil || !c.step(r, stands) {
+		return false
+	}
+	c.record(r, Served)
+	c.saw(r.member, policy.OK)
+	if !r.standing {
+		c.happens(r, r.member, Stood, c.Clock()-r.sent)
+	}
+	if r.standing {
+		c.tell(policy.Standing{Request: r.policy(), Server: r.member.ID})
+	} else {
+		c.tell(policy.Up{ID: id})
+	}
+	if !c.Welcomes() {
+		c.leaveAt(r, max(c.moveAt, c.Clock()+StopNotice/2))
+	}
+	return true
+}
+
+// Ended says how a server-side flow ended, before it stood or after. A flow
+// served to its end has its final answer by that.
+func (c *Core) Ended(id ID, try int, result policy.Result, report policy.Report) {
+	if r := c.current(id, try); r != nil {
+		c.end(r, result, report)
+	}
+}
+
+// Left says that the client of a request went away.
+func (c *Core) Left(id ID) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	was := r.state
+	c.step(r, left)
+	if !was.final() {
+		c.record(r, Lost)
+		if !r.standing {
+			c.tell(policy.Left{ID: id})
+		}
+	}
+	c.abandon(r, was)
+}
+
+// ---- Attempts and flows ----
+
+// start sends an attempt out.
+func (c *Core) start(now time.Duration, r *request, m *member, wait time.Duration) {
+	if !c.step(r, begins) {
+		return
+	}
+	r.member, r.sent = m, now
+	m.flows++
+	r.tries++
+	c.Counts.Attempts++
+	if m.banned && now-m.told > c.grace {
+		c.Counts.Astray++ // the gate lets none pass: this counts what it did, not what it meant
+	}
+	r.v.Send(r.id, &m.Member, r.tries-1, wait)
+}
+
+// end takes in that an attempt or a flow has ended.
+func (c *Core) end(r *request, result policy.Result, report policy.Report) {
+	was, e := r.state, ended
+	if was == attempting && result == policy.OK {
+		e = served
+	}
+	if !c.step(r, e) {
+		return
+	}
+	if e == served {
+		c.record(r, Served)
+	}
+	c.release(r, was, result, report)
+	if r.standing && r.state == placing { // only its own member has it
+		c.answer(r, Failed, 0)
+	}
+}
+
+// abandon cancels what is out of a request that is over.
+func (c *Core) abandon(r *request, was state) {
+	if was.out() {
+		r.v.Cancel(r.tries - 1)
+		c.release(r, was, policy.Cancelled, policy.NoReport)
+	}
+}
+
+// release closes an attempt that was out, or a flow that stood, and tells the module.
+func (c *Core) release(r *request, was state, result policy.Result, report policy.Report) {
+	m, try := r.member, r.tries-1
+	r.member = nil
+	m.flows--
+	if result != policy.OK { // an open flow was seen when it came up
+		c.saw(m, result)
+	}
+	if what, ok := ends[ending{was == serving, result}]; ok {
+		c.happens(r, m, what, c.Clock()-r.sent)
+	}
+	if c.Ledger != nil {
+		c.Ledger.Attempt(&r.Request, r.id, try, m.Name, r.sent, c.Clock(), result)
+	}
+	if r.standing && was != serving { // the module has not heard of it
+		return
+	}
+	c.tell(policy.End{ID: r.id, Try: try, Server: m.ID, Result: result, Closed: r.state.final(), Report: report})
+}
+
+// saw counts how an attempt or a probe went. A client that leaves says nothing of the member.
+func (c *Core) saw(m *member, result policy.Result) {
+	switch result {
+	case policy.OK, policy.Full:
+		m.good++
+	case policy.Error, policy.Reset, policy.ConnectFailed, policy.Timeout:
+		m.bad++
+	}
+	if c.Saw != nil {
+		c.Saw(&m.Member, result)
+	}
+}
+
+// ---- Answers ----
+
+// giveUp answers a request without the module's word, and tells it so.
+func (c *Core) giveUp(r *request, a Answer, after time.Duration) {
+	c.tell(policy.Left{ID: r.id})
+	c.answer(r, a, after)
+}
+
+// answer rejects or fails a request, once. What is out of it is abandoned.
+func (c *Core) answer(r *request, a Answer, after time.Duration) {
+	was := r.state
+	if !c.step(r, answered) {
+		return
+	}
+	c.abandon(r, was)
+	c.record(r, a)
+	if a == Rejected {
+		c.Counts.Away += after
+		r.v.Reject(after)
+	} else {
+		c.Counts.Away += r.Wait
+		r.v.Fail()
+	}
+}
+
+// record notes that a request has its final answer.
+func (c *Core) record(r *request, a Answer) {
+	switch a {
+	case Served:
+		c.Counts.Served++
+	case Rejected:
+		c.Counts.Rejected++
+	case Failed:
+		c.Counts.Failed++
+	case Lost:
+		c.Counts.Left++
+	}
+	if c.Ledger != nil {
+		c.Ledger.Answer(&r.Request, r.id, c.Clock(), a, r.tries)
+	}
+}
+
+// move asks the client of an open flow to come again.
+func (c *Core) move(r *request) {
+	if !c.step(r, moved) {
+		return
+	}
+	c.Counts.Moves++
+	r.v.Move()
+	c.release(r, serving, policy.Cancelled, policy.NoReport)
+}
