The end of a planned stop no longer rejects requests that may have run

Cause: Finish rejected every request that still waited (leave.go, giveUp with Rejected), also one whose attempt was out or may have run and whose class may not be repeated: a reject says that coming again is harmless. The deadline's own answer (alarms.go) erred the other way, where the loop came late or the settings leave no slack: it failed requests that were never sent on.

Measured: TestFinishEffects and TestLateDeadline, seen failing without the mend (class zone, cell and unsafe got "rejected" with an attempt out; never sent got "failed").

--- a/internal/core/alarms.go
+++ b/internal/core/alarms.go
@@ -29,7 +29,7 @@
 			}
 		case a.try < 0 && !r.state.final():
 			// The module answers before this; a client must not be left without.
-			c.giveUp(r, Failed, 0)
+			c.giveUp(r)
 		case a.try >= 0 && r.state == attempting && c.current(a.id, a.try) != nil:
 			r.v.Cancel(a.try)
 			c.end(r, policy.Timeout, policy.NoReport)
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -145,7 +145,7 @@
 	c.alarm(at, r.id, moveFlow)
 }
 
-// Finish ends a stop whose time is up: who still waits is rejected, and every
+// Finish ends a stop whose time is up: who still waits is answered, and every
 // open flow is moved at once.
 func (c *Core) Finish() {
 	for _, r := range c.held() {
@@ -153,7 +153,7 @@
 		case serving:
 			c.move(r)
 		case placing, attempting:
-			c.giveUp(r, Rejected, stopAfter)
+			c.giveUp(r)
 		}
 	}
 }
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -70,6 +70,7 @@
 	tries    int
 	member   *member // of the attempt that is out, or of the open flow
 	sent     time.Duration
+	ran      bool          // an attempt may have run
 	standing bool          // it came with the member that holds it
 	leave    time.Duration // when a stop or a drain moves its flow; 0 if none does
 	owed     bool          // the module has asked for its move, and it was put off
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -158,6 +158,7 @@
 func (c *Core) release(r *request, was state, result policy.Result, report policy.Report) {
 	m, try := r.member, r.tries-1
 	r.member = nil
+	r.ran = r.ran || mayHaveRun(result)
 	m.flows--
 	if result != policy.OK { // an open flow was seen when it came up
 		c.saw(m, result)
@@ -189,10 +190,14 @@
 
 // ---- Answers ----
 
-// giveUp answers a request without the module's word, and tells it so.
-func (c *Core) giveUp(r *request, a Answer, after time.Duration) {
+// giveUp answers a request without the module's word, and tells it so. Only one whose repeat is harmless is rejected.
+func (c *Core) giveUp(r *request) {
 	c.tell(policy.Left{ID: r.id})
-	c.answer(r, a, after)
+	if c.harmless(r) {
+		c.answer(r, Rejected, stopAfter)
+	} else {
+		c.answer(r, Failed, 0)
+	}
 }
 
 // answer rejects or fails a request, once. What is out of it is abandoned.
--- /dev/null
+++ b/internal/core/request_test.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/settings"
+	"dahliarudder/policy"
+)
+
+// Classes of classesText, by their place in it.
+const (
+	safeClass = iota
+	keyedAll
+	keyedZone
+	unsafeClass
+	keyedCell
+)
+
+// classesText is settings with a class of each effect and scope; windows are shorter than deadlines.
+const classesText = `{"balancers":1,"zones":["a","b"],
+ "classes":[{"name":"safe","aim-ms":400,"deadline-ms":2000,"effect":"read_like","key-scope":"all"},
+  {"name":"all","aim-ms":400,"deadline-ms":2000,"effect":"idempotency_key","key-scope":"all","window-ms":900},
+  {"name":"zone","aim-ms":400,"deadline-ms":2000,"effect":"idempotency_key","key-scope":"zone","window-ms":900},
+  {"name":"unsafe","aim-ms":400,"deadline-ms":2000,"effect":"non_idempotent","key-scope":"all"},
+  {"name":"cell","aim-ms":400,"deadline-ms":2000,"effect":"idempotency_key","key-scope":"cell","window-ms":900}],
+ "limits":{"max-attempts":3,"cancel":true,"probes":false,"connect-timeout-ms":250},
+ "guarantees":{"answer-slack-ms":8,"drain-grace-ms":250},"extra":{"message-aim-ms":[90]}}`
+
+// newRigOf is a rig of other settings.
+func newRigOf(t *testing.T, text string, members []Member) *rig {
+	set, err := settings.Decode([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, now: time.Hour, wake: math.MaxInt64, out: map[ID]*side{}}
+	r.Core = New(Options{Settings: set, Seed: 7, Clock: func() time.Duration { return r.now },
+		Wake: func(at time.Duration) { r.wake = at }, Probe: func(*Member) {}, Watch: func() {}, Ledger: r})
+	r.Pool(policy.ListCached, members)
+	return r
+}
+
+// bring opens a request of a class that waits so long.
+func (r *rig) bring(class int, wait time.Duration) *side {
+	s := &side{r: r}
+	s.id = r.Open(Request{Class: class, Load: 0.01, Wait: wait}, s)
+	return s
+}
+
+// ends has the attempt that is out end before it stood.
+func (s *side) ends(result policy.Result) {
+	s.out--
+	s.r.Ended(s.id, s.tries-1, result, policy.NoReport)
+}
+
+func (s *side) got() string { return strings.Join(s.answers, ",") }
+
+// TestFinishEffects: at the end of a planned stop only those are rejected whose repeat is harmless: the rest may have run.
+func TestFinishEffects(t *testing.T) {
+	for class, want := range map[int]string{safeClass: "rejected", keyedAll: "rejected", keyedZone: "failed", keyedCell: "failed", unsafeClass: "failed"} {
+		r := newRigOf(t, classesText, list(2, policy.Ready))
+		out, ran, none := r.bring(class, 2*time.Second), r.bring(class, 2*time.Second), r.bring(class, 2*time.Second)
+		ran.ends(policy.Error) // the module pauses before the next attempt, if there is one
+		none.ends(policy.Full)
+		if none.out > 0 {
+			none.ends(policy.ConnectFailed)
+		}
+		if out.out != 1 || none.out != 0 || none.got() != "" {
+			t.Fatalf("class %d: %d out, %d out, %v", class, out.out, none.out, none.answers)
+		}
+		r.Stop()
+		r.Finish()
+		if out.got() != want || ran.got() != want || none.got() != "rejected" || r.Held() != 0 {
+			t.Errorf("class %d: with an attempt out %s, that may have run %s, want %s; never run %s; held %d",
+				class, out.got(), ran.got(), want, none.got(), r.Held())
+		}
+	}
+}
+
+// TestLateDeadline: where the loop comes so late that the core answers by itself, who was never sent on is rejected, and who may
+// have run is not.
+func TestLateDeadline(t *testing.T) {
+	r := newRigOf(t, classesText, list(2, policy.Draining))
+	held, out := r.bring(unsafeClass, 2*time.Second), &side{}
+	r.Pool(policy.ListDelta, list(1, policy.Ready))
+	out = r.bring(unsafeClass, 2*time.Second)
+	if held.tries != 0 || held.got() != "" || out.out != 1 {
+		t.Fatalf("%d tries, %v; %d out", held.tries, held.answers, out.out)
+	}
+	r.now += 3 * time.Second
+	r.Tick()
+	if held.got() != "rejected" || out.got() != "failed" || r.Held() != 0 {
+		t.Errorf("never sent: %s; with an attempt out: %s; held %d", held.got(), out.got(), r.Held())
+	}
+}
