A request that comes with no time left is rejected, not failed

Cause: Open failed a request whose wait is 0 or less, though nothing was sent; the module rejects one whose time is under the answer slack. A failed client may not know whether it may come again.

Change: Open rejects it, as the module does for a little more time.

Measured: TestShortWait (waits of -1 s to the slack: nothing sent, rejected at once), seen failing without the mend for -1 s and 0.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -24,7 +24,7 @@
 	case c.Ledger != nil && !c.Ledger.Ready():
 		c.answer(r, Rejected, stopAfter)
 	case q.Wait <= 0:
-		c.answer(r, Failed, 0)
+		c.answer(r, Rejected, stopAfter)
 	case q.At != "":
 		c.stand(now, r)
 	default:
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -95,3 +95,13 @@
 		t.Errorf("never sent: %s; with an attempt out: %s; held %d", held.got(), out.got(), r.Held())
 	}
 }
+
+// TestShortWait: who has no time left is answered at once, and nothing is sent.
+func TestShortWait(t *testing.T) {
+	for _, wait := range []time.Duration{-time.Second, 0, time.Millisecond, 8 * time.Millisecond} {
+		r := newRigOf(t, classesText, list(2, policy.Ready))
+		if s := r.bring(unsafeClass, wait); s.tries != 0 || s.got() != "rejected" || r.Held() != 0 {
+			t.Errorf("wait %v: %d tries, answers %v", wait, s.tries, s.answers)
+		}
+	}
+}
