Attempts keep the module's numbers after a send that the gate has barred

Cause: the module numbers every send that it asks for, the core numbered only attempts that began (gate.go: send, End with Try r.tries). After one barred send all later news of the request carried a number too low, which the module drops: a failed attempt was followed by no other until the deadline, and an open flow that ended stayed on its member's account for good. Sends are barred above all by Sure, which lets nothing go to a member that has left.

Change: the core counts the module's sends apart from attempts that began (request.sends), and tells of one that was not carried out by policy's new news Unsent, which needs no number.

Measured: TestNumbering, seen failing without the mend (after the failed attempt 0 out, 1 try).

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -77,8 +77,8 @@
 	case policy.DoFail:
 		c.answer(r, Failed, 0)
 	case policy.DoCancel:
-		if c.current(v.ID, v.Try) != nil && r.state == attempting {
-			r.v.Cancel(v.Try)
+		if v.Try == r.sends-1 && r.state == attempting {
+			r.v.Cancel(r.tries - 1)
 			c.end(r, policy.Cancelled, policy.NoReport)
 		}
 	case policy.DoMove:
@@ -109,10 +109,10 @@
 
 func (c *Core) send(r *request, v policy.Verdict) {
 	now, m := c.Clock(), c.members[v.Server]
+	r.sends++
 	if !c.gate(now, r.state != placing, r.tries, r.deadline, m) {
 		c.Counts.Barred++
-		c.tell(policy.End{ID: r.id, Try: r.tries, Server: v.Server, Result: policy.Moot, Closed: r.state.final(),
-			Report: policy.NoReport})
+		c.tell(policy.Unsent{ID: r.id, Closed: r.state.final()})
 		return
 	}
 	wait := r.deadline - now
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -97,7 +97,7 @@
 		return 0, nil, false
 	}
 	c.last++
-	r := &request{Request: p.Request, id: c.last, v: v, deadline: now, tries: 1, member: m, sent: now - p.Age,
+	r := &request{Request: p.Request, id: c.last, v: v, deadline: now, tries: 1, sends: 1, member: m, sent: now - p.Age,
 		standing: true, state: serving}
 	c.requests[r.id] = r
 	m.flows++
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -67,7 +67,8 @@
 	v        VirtualServer
 	deadline time.Duration
 	state    state
-	tries    int
+	tries    int     // attempts that have begun
+	sends    int     // that the module has asked for: it numbers attempts by them, barred ones too
 	member   *member // of the attempt that is out, or of the open flow
 	sent     time.Duration
 	ran      bool          // an attempt may have run
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -45,7 +45,7 @@
 		c.answer(r, Rejected, stopAfter)
 		return
 	}
-	r.standing = true
+	r.standing, r.sends = true, 1 // the module takes it for sent
 	c.alarm(r.deadline, r.id, -1)
 	c.start(now, r, m, r.Wait)
 }
@@ -172,7 +172,7 @@
 	if r.standing && was != serving { // the module has not heard of it
 		return
 	}
-	c.tell(policy.End{ID: r.id, Try: try, Server: m.ID, Result: result, Closed: r.state.final(), Report: report})
+	c.tell(policy.End{ID: r.id, Try: r.sends - 1, Server: m.ID, Result: result, Closed: r.state.final(), Report: report})
 }
 
 // saw counts how an attempt or a probe went. A client that leaves says nothing of the member.
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -105,3 +105,36 @@
 		}
 	}
 }
+
+// TestNumbering: after a send that the gate has barred, the module still hears how the next attempt ends, and makes another.
+func TestNumbering(t *testing.T) {
+	r := newRigOf(t, classesText, list(4, policy.Ready))
+	r.Doubt()
+	s := r.bring(safeClass, 2*time.Second)
+	barred := r.later[0].Server
+	r.Pool(policy.ListDelta, []Member{r.drains(barred)})
+	r.Sure()
+	if r.Counts.Barred != 1 || s.out != 1 {
+		t.Fatalf("%d barred, %d out", r.Counts.Barred, s.out)
+	}
+	s.ends(policy.ConnectFailed)
+	if s.out != 1 || s.tries != 2 {
+		t.Fatalf("after an attempt that failed: %d out, %d tries", s.out, s.tries)
+	}
+	at := r.out[s.id].to
+	if !r.Up(s.id, 1) {
+		t.Fatal("not up")
+	}
+	r.Ended(s.id, 1, policy.OK, policy.NoReport)
+	r.Pool(policy.ListFull, nil)
+	if learned := r.facade.Learned(r.now); len(learned.Servers) != 0 {
+		t.Errorf("%s is still held in the module: %v", at, learned.Servers)
+	}
+}
+
+// drains is a member as one that drains.
+func (r *rig) drains(id policy.ServerID) Member {
+	m := r.members[id].Member
+	m.State = policy.Draining
+	return m
+}
--- a/policy/facade.go
+++ b/policy/facade.go
@@ -53,6 +53,11 @@
 	Up struct{ ID RequestID }
 	// End is the end of an attempt or of an open flow.
 	End Outcome
+	// Unsent says that the latest send for a request was not carried out; Closed is as of an End.
+	Unsent struct {
+		ID     RequestID
+		Closed bool
+	}
 	// Left says that the client of a request went away.
 	Left struct{ ID RequestID }
 	// Probed is the answer to a probe.
@@ -85,6 +90,11 @@
 func (n Standing) tell(b *Balancer, now time.Duration) { b.Existing(now, n.Request, n.Server) }
 func (n Up) tell(b *Balancer, now time.Duration)       { b.First(now, n.ID) }
 func (n End) tell(b *Balancer, now time.Duration)      { b.Outcome(now, Outcome(n)) }
+func (n Unsent) tell(b *Balancer, now time.Duration) {
+	if r := b.requests[n.ID]; r != nil && r.at != nil {
+		b.Outcome(now, Outcome{ID: n.ID, Try: r.tries - 1, Server: r.at.ID, Result: Moot, Closed: n.Closed, Report: NoReport})
+	}
+}
 func (n Left) tell(b *Balancer, now time.Duration)     { b.Ended(now, n.ID) }
 func (n Probed) tell(b *Balancer, now time.Duration)   { b.Probed(now, n.Server, n.Result, n.Report) }
 func (n FlowLoad) tell(b *Balancer, now time.Duration) { b.Load(now, n.ID, n.Load) }
