A send that waits for the end of a doubt leaves nothing in the module when its request ends

Cause: while the core doubts what it knows, sends wait in Core.later. If the client left, the deadline came or the stop ended meanwhile, Sure found no request (gate.go, do: r == nil) and said nothing: the module kept the request and its place at the member for good, and a member that was gone was never dropped. At the deadline the module took the send for an attempt and failed requests that were never sent on. The core passed any reject of the module on as it came.

Change: a send without a request is told as Unsent. Both final words of the module go through refuse, which rejects where a repeat is harmless by what the core has sent, and else fails.

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -67,15 +67,18 @@
 		return
 	}
 	if r == nil {
+		if v.Do == policy.DoSend { // it has ended since this was asked for
+			c.tell(policy.Unsent{ID: v.ID, Closed: true})
+		}
 		return
 	}
 	switch v.Do {
 	case policy.DoSend:
 		c.send(r, v)
 	case policy.DoReject:
-		c.answer(r, Rejected, v.For)
-	case policy.DoFail:
-		c.answer(r, Failed, 0)
+		c.refuse(r, v.For)
+	case policy.DoFail: // or rejected: the module takes a send that waits for the end of a doubt for an attempt
+		c.refuse(r, stopAfter)
 	case policy.DoCancel:
 		if v.Try == r.sends-1 && r.state == attempting {
 			r.v.Cancel(r.tries - 1)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -190,11 +190,16 @@
 
 // ---- Answers ----
 
-// giveUp answers a request without the module's word, and tells it so. Only one whose repeat is harmless is rejected.
+// giveUp answers a request without the module's word, and tells it so.
 func (c *Core) giveUp(r *request) {
 	c.tell(policy.Left{ID: r.id})
+	c.refuse(r, stopAfter)
+}
+
+// refuse rejects a request, or fails one whose repeat may do harm.
+func (c *Core) refuse(r *request, after time.Duration) {
 	if c.harmless(r) {
-		c.answer(r, Rejected, stopAfter)
+		c.answer(r, Rejected, after)
 	} else {
 		c.answer(r, Failed, 0)
 	}
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -138,3 +138,40 @@
 	m.State = policy.Draining
 	return m
 }
+
+// TestHeldEnds: the client of a request leaves, or its deadline comes, while its send waits for the end of a doubt: nothing is sent
+// for it, and nothing of it stays in the module.
+func TestHeldEnds(t *testing.T) {
+	for name, end := range map[string]func(r *rig, s *side){
+		"left":     func(r *rig, s *side) { r.Left(s.id) },
+		"deadline": func(r *rig, s *side) { r.pass(2 * time.Second) },
+		"finish":   func(r *rig, s *side) { r.Stop(); r.Finish() },
+	} {
+		for class := range 5 {
+			r := newRigOf(t, classesText, list(1, policy.Ready))
+			r.Doubt()
+			s := r.bring(class, 2*time.Second)
+			end(r, s)
+			r.Sure()
+			if want := map[bool]string{true: "", false: "rejected"}[name == "left"]; s.tries != 0 || s.got() != want || r.Held() != 0 {
+				t.Errorf("%s, class %d: %d tries, answers %v, held %d", name, class, s.tries, s.answers, r.Held())
+			}
+			r.Pool(policy.ListFull, nil)
+			if learned := r.facade.Learned(r.now); len(learned.Servers) != 0 {
+				t.Errorf("%s, class %d: the module still holds %v", name, class, learned.Servers)
+			}
+		}
+	}
+}
+
+// TestRejectEffects: a reject by the module does not pass for a request that may have run and may not be repeated.
+func TestRejectEffects(t *testing.T) {
+	for class, want := range map[int]string{safeClass: "rejected", keyedAll: "rejected", keyedZone: "failed", keyedCell: "failed", unsafeClass: "failed"} {
+		r := newRigOf(t, classesText, list(1, policy.Ready))
+		s := r.bring(class, 2*time.Second)
+		r.do(policy.Verdict{Do: policy.DoReject, ID: s.id, For: time.Second})
+		if s.got() != want || s.out != 0 {
+			t.Errorf("class %d: %v, %d out, want %s", class, s.answers, s.out, want)
+		}
+	}
+}
