A repeat that waited for the end of a doubt is not sent after its window

Cause: the module checks the window of a keyed class when it asks for a send; the core may hold that send until Sure (up to two seconds at a start), and its gate asked only for the deadline. A repeat could so reach a member that no longer discards it.

Change: effects.go keeps the first attempt that may have run, and send asks repeatable beside the gate: window, scope and effect. The rule holds for whatever the module asks.

--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -1,6 +1,10 @@
 package core
 
-import "dahliarudder/policy"
+import (
+	"time"
+
+	"dahliarudder/policy"
+)
 
 // This file is what may be done again: the rule on double effects, whatever the module says.
 
@@ -9,9 +13,28 @@
 	return result != policy.Full && result != policy.ConnectFailed && result != policy.Moot
 }
 
+// trace is the first attempt of a request that may have run.
+type trace struct {
+	sent time.Duration
+	on   policy.Server
+}
+
+// repeatable says whether an attempt may go to a member without a double effect.
+func (c *Core) repeatable(now time.Duration, r *request, m *member) bool {
+	class := c.set.Classes[r.Class]
+	switch {
+	case r.ran == nil, class.Effect == policy.Safe:
+		return true
+	case class.Effect == policy.Unsafe, now >= r.ran.sent+class.Window:
+		return false
+	}
+	return class.Scope == policy.ScopeAll || class.Scope == policy.ScopeZone && m.Zone == r.ran.on.Zone ||
+		class.Scope == policy.ScopeCell && m.Cell == r.ran.on.Cell
+}
+
 // harmless says whether the client of a request may be told that coming again does no harm.
 func (c *Core) harmless(r *request) bool {
 	class := c.set.Classes[r.Class]
 	return class.Effect == policy.Safe || class.Effect == policy.Keyed && class.Scope == policy.ScopeAll ||
-		r.state == placing && !r.ran
+		r.state == placing && r.ran == nil
 }
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -113,7 +113,7 @@
 func (c *Core) send(r *request, v policy.Verdict) {
 	now, m := c.Clock(), c.members[v.Server]
 	r.sends++
-	if !c.gate(now, r.state != placing, r.tries, r.deadline, m) {
+	if !c.gate(now, r.state != placing, r.tries, r.deadline, m) || !c.repeatable(now, r, m) {
 		c.Counts.Barred++
 		c.tell(policy.Unsent{ID: r.id, Closed: r.state.final()})
 		return
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -71,7 +71,7 @@
 	sends    int     // that the module has asked for: it numbers attempts by them, barred ones too
 	member   *member // of the attempt that is out, or of the open flow
 	sent     time.Duration
-	ran      bool          // an attempt may have run
+	ran      *trace        // nil while no attempt may have run
 	standing bool          // it came with the member that holds it
 	leave    time.Duration // when a stop or a drain moves its flow; 0 if none does
 	owed     bool          // the module has asked for its move, and it was put off
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -158,7 +158,9 @@
 func (c *Core) release(r *request, was state, result policy.Result, report policy.Report) {
 	m, try := r.member, r.tries-1
 	r.member = nil
-	r.ran = r.ran || mayHaveRun(result)
+	if r.ran == nil && mayHaveRun(result) {
+		r.ran = &trace{r.sent, m.Server}
+	}
 	m.flows--
 	if result != policy.OK { // an open flow was seen when it came up
 		c.saw(m, result)
