A member's agreed drain and the relay's own no longer undo each other

Cause: both wrote the one time at which a flow is moved (leaveAt). Resume forgot moves that an agreed drain of the member had put off, so these flows stayed until the member cut them off; an agreed drain that came during a drain or stop of the relay put its moves off by up to its own span; and a drain of the relay put off moves that were due before it.

Change: a request has two times, leave (stop or drain) and due (its member leaves); whichever comes first moves it, and Resume ends only the first.

--- a/internal/core/alarms.go
+++ b/internal/core/alarms.go
@@ -24,7 +24,7 @@
 			}
 		case r == nil:
 		case a.try == moveFlow:
-			if r.leave == a.at {
+			if r.leave == a.at || r.due == a.at {
 				c.move(r)
 			}
 		case a.try < 0 && !r.state.final():
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -107,7 +107,7 @@
 	c.tell(policy.Standing{Request: r.policy(), Server: m.ID})
 	switch {
 	case m.left:
-		c.leaveAt(r, now)
+		c.dueAt(r, now)
 	case !c.Welcomes():
 		c.leaveAt(r, c.moveAt)
 	}
@@ -145,6 +145,12 @@
 	c.alarm(at, r.id, moveFlow)
 }
 
+// dueAt has a flow moved because of its member. It holds beside leaveAt: the earlier one counts, and Resume ends only that.
+func (c *Core) dueAt(r *request, at time.Duration) {
+	r.due = at
+	c.alarm(at, r.id, moveFlow)
+}
+
 // Finish ends a stop whose time is up: who still waits is answered, and every
 // open flow is moved at once.
 func (c *Core) Finish() {
--- a/internal/core/lifecycle.go
+++ b/internal/core/lifecycle.go
@@ -74,6 +74,7 @@
 	ran      *trace        // nil while no attempt may have run
 	standing bool          // it came with the member that holds it
 	leave    time.Duration // when a stop or a drain moves its flow; 0 if none does
+	due      time.Duration // when it is moved since its member leaves; 0 if it does not, or the module says when
 	owed     bool          // the module has asked for its move, and it was put off
 }
 
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -158,7 +158,7 @@
 	r.owed, c.paced = true, true
 	// A part of the span that is the request's own, and spreads those of one relay evenly.
 	part := math.Mod(float64(r.id)*math.Phi, 1)
-	c.leaveAt(r, max(c.Clock(), r.member.told+time.Duration(part*float64(over))))
+	c.dueAt(r, max(c.Clock(), r.member.told+time.Duration(part*float64(over))))
 	return true
 }
 
@@ -167,8 +167,8 @@
 	for _, r := range c.held() {
 		switch {
 		case r.state != serving || r.member != m || !r.owed:
-		case !m.left && c.Welcomes():
-			r.leave = 0
+		case !m.left:
+			r.due = 0
 		case m.left && !c.pace(r):
 			c.move(r)
 		}
