A flow that comes up at a member that has begun to leave is moved

Cause: the module asks for the moves of a member's flows as it hears that the member drains or is gone, and only for those that stand. An attempt that was out then and came up afterwards stayed until the next news of the pool, or until the member cut it off; one whose member was banned too.

--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -57,6 +57,21 @@
 
 func (s *side) got() string { return strings.Join(s.answers, ",") }
 
+// TestUpAtLeaving: a flow that comes up at a member that has begun to drain meanwhile is moved, though the module asks for moves
+// only as it hears of the drain.
+func TestUpAtLeaving(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	s := r.bring(safeClass, 2*time.Second)
+	r.Pool(policy.ListDelta, list(1, policy.Draining))
+	if !r.Up(s.id, 0) || s.moved != 0 {
+		t.Fatal("not up, or moved before its front knows")
+	}
+	r.pass(0)
+	if s.moved != 1 || r.Held() != 0 {
+		t.Errorf("moved %d times, %d held", s.moved, r.Held())
+	}
+}
+
 // TestPacedAndDrained: a member's agreed drain and the relay's own both move a flow, the earlier one of them; and the end of the
 // relay's drain does not undo the other.
 func TestPacedAndDrained(t *testing.T) {
