An attempt that is served without ever being up counts for its member

Cause: release skipped the count of good ends for every attempt that ended well, since an open flow was counted as it came up; one that ends well at once never was (request.go, release).

Measured: TestServedUnseen, seen failing without the mend (good 0 after one).

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -166,7 +166,7 @@
 		r.ran = &trace{r.sent, m.Server}
 	}
 	m.flows--
-	if result != policy.OK { // an open flow was seen when it came up
+	if result != policy.OK || was == attempting { // an open flow was seen when it came up
 		c.saw(m, result)
 	}
 	if what, ok := ends[ending{was == serving, result}]; ok {
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -57,6 +57,136 @@
 
 func (s *side) got() string { return strings.Join(s.answers, ",") }
 
+// TestFinishEffects: at the end of a planned stop only those are rejected whose repeat is harmless: the rest may have run.
+func TestFinishEffects(t *testing.T) {
+	for class, want := range map[int]string{safeClass: "rejected", keyedAll: "rejected", keyedZone: "failed", keyedCell: "failed", unsafeClass: "failed"} {
+		r := newRigOf(t, classesText, list(2, policy.Ready))
+		out, ran, none := r.bring(class, 2*time.Second), r.bring(class, 2*time.Second), r.bring(class, 2*time.Second)
+		ran.ends(policy.Error) // the module pauses before the next attempt, if there is one
+		none.ends(policy.Full)
+		if none.out > 0 {
+			none.ends(policy.ConnectFailed)
+		}
+		if out.out != 1 || none.out != 0 || none.got() != "" {
+			t.Fatalf("class %d: %d out, %d out, %v", class, out.out, none.out, none.answers)
+		}
+		r.Stop()
+		r.Finish()
+		if out.got() != want || ran.got() != want || none.got() != "rejected" || r.Held() != 0 {
+			t.Errorf("class %d: with an attempt out %s, that may have run %s, want %s; never run %s; held %d",
+				class, out.got(), ran.got(), want, none.got(), r.Held())
+		}
+	}
+}
+
+// TestLateDeadline: where the loop comes so late that the core answers by itself, who was never sent on is rejected, and who may
+// have run is not.
+func TestLateDeadline(t *testing.T) {
+	r := newRigOf(t, classesText, list(2, policy.Draining))
+	held, out := r.bring(unsafeClass, 2*time.Second), &side{}
+	r.Pool(policy.ListDelta, list(1, policy.Ready))
+	out = r.bring(unsafeClass, 2*time.Second)
+	if held.tries != 0 || held.got() != "" || out.out != 1 {
+		t.Fatalf("%d tries, %v; %d out", held.tries, held.answers, out.out)
+	}
+	r.now += 3 * time.Second
+	r.Tick()
+	if held.got() != "rejected" || out.got() != "failed" || r.Held() != 0 {
+		t.Errorf("never sent: %s; with an attempt out: %s; held %d", held.got(), out.got(), r.Held())
+	}
+}
+
+// TestShortWait: who has no time left is answered at once, and nothing is sent.
+func TestShortWait(t *testing.T) {
+	for _, wait := range []time.Duration{-time.Second, 0, time.Millisecond, 8 * time.Millisecond} {
+		r := newRigOf(t, classesText, list(2, policy.Ready))
+		if s := r.bring(unsafeClass, wait); s.tries != 0 || s.got() != "rejected" || r.Held() != 0 {
+			t.Errorf("wait %v: %d tries, answers %v", wait, s.tries, s.answers)
+		}
+	}
+}
+
+// TestNumbering: after a send that the gate has barred, the module still hears how the next attempt ends, and makes another.
+func TestNumbering(t *testing.T) {
+	r := newRigOf(t, classesText, list(4, policy.Ready))
+	r.Doubt()
+	s := r.bring(safeClass, 2*time.Second)
+	barred := r.later[0].Server
+	r.Pool(policy.ListDelta, []Member{r.drains(barred)})
+	r.Sure()
+	if r.Counts.Barred != 1 || s.out != 1 {
+		t.Fatalf("%d barred, %d out", r.Counts.Barred, s.out)
+	}
+	s.ends(policy.ConnectFailed)
+	if s.out != 1 || s.tries != 2 {
+		t.Fatalf("after an attempt that failed: %d out, %d tries", s.out, s.tries)
+	}
+	at := r.out[s.id].to
+	if !r.Up(s.id, 1) {
+		t.Fatal("not up")
+	}
+	r.Ended(s.id, 1, policy.OK, policy.NoReport)
+	r.Pool(policy.ListFull, nil)
+	if learned := r.facade.Learned(r.now); len(learned.Servers) != 0 {
+		t.Errorf("%s is still held in the module: %v", at, learned.Servers)
+	}
+}
+
+// drains is a member as one that drains.
+func (r *rig) drains(id policy.ServerID) Member {
+	m := r.members[id].Member
+	m.State = policy.Draining
+	return m
+}
+
+// TestHeldEnds: the client of a request leaves, or its deadline comes, while its send waits for the end of a doubt: nothing is sent
+// for it, and nothing of it stays in the module.
+func TestHeldEnds(t *testing.T) {
+	for name, end := range map[string]func(r *rig, s *side){
+		"left":     func(r *rig, s *side) { r.Left(s.id) },
+		"deadline": func(r *rig, s *side) { r.pass(2 * time.Second) },
+		"finish":   func(r *rig, s *side) { r.Stop(); r.Finish() },
+	} {
+		for class := range 5 {
+			r := newRigOf(t, classesText, list(1, policy.Ready))
+			r.Doubt()
+			s := r.bring(class, 2*time.Second)
+			end(r, s)
+			r.Sure()
+			if want := map[bool]string{true: "", false: "rejected"}[name == "left"]; s.tries != 0 || s.got() != want || r.Held() != 0 {
+				t.Errorf("%s, class %d: %d tries, answers %v, held %d", name, class, s.tries, s.answers, r.Held())
+			}
+			r.Pool(policy.ListFull, nil)
+			if learned := r.facade.Learned(r.now); len(learned.Servers) != 0 {
+				t.Errorf("%s, class %d: the module still holds %v", name, class, learned.Servers)
+			}
+		}
+	}
+}
+
+// TestHeldWindow: a repeat that waited for the end of a doubt is not sent once its window is over.
+func TestHeldWindow(t *testing.T) {
+	r := newRigOf(t, classesText, list(3, policy.Ready))
+	s := r.bring(keyedAll, 2*time.Second)
+	r.Doubt()
+	s.ends(policy.Reset)
+	if s.out != 0 || len(r.later) != 1 {
+		t.Fatalf("%d out, %d held", s.out, len(r.later))
+	}
+	r.pass(901 * time.Millisecond)
+	if s.got() != "" {
+		t.Fatalf("answers %v", s.answers)
+	}
+	r.Sure()
+	if s.tries != 1 {
+		t.Errorf("%d tries, the last after its window", s.tries)
+	}
+	r.pass(2 * time.Second)
+	if s.tries != 1 || len(s.answers) != 1 {
+		t.Errorf("%d tries, answers %v", s.tries, s.answers)
+	}
+}
+
 // TestUpAtLeaving: a flow that comes up at a member that has begun to drain meanwhile is moved, though the module asks for moves
 // only as it hears of the drain.
 func TestUpAtLeaving(t *testing.T) {
@@ -72,6 +202,17 @@
 	}
 }
 
+// TestUpWhileDraining: a flow that comes up while the relay drains is moved at its time, whatever else is due then.
+func TestUpWhileDraining(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	s := r.bring(safeClass, 20*time.Second)
+	r.Drain()
+	r.Up(s.id, 0)
+	if r.pass(drainMovesFrom); s.moved != 1 {
+		t.Errorf("moved %d times %v after the drain began", s.moved, drainMovesFrom)
+	}
+}
+
 // TestPacedAndDrained: a member's agreed drain and the relay's own both move a flow, the earlier one of them; and the end of the
 // relay's drain does not undo the other.
 func TestPacedAndDrained(t *testing.T) {
@@ -107,3 +248,57 @@
 	r.Drain()
 	within(r, s, 100*time.Millisecond, "drained after the pace")
 }
+
+// TestServedUnseen: an attempt that is served to its end without ever being up counts for its member, once.
+func TestServedUnseen(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	s := r.bring(safeClass, 2*time.Second)
+	s.ends(policy.OK)
+	if v := r.Members()[0]; v.Good != 1 || v.Bad != 0 || r.Counts.Served != 1 {
+		t.Errorf("%+v", v)
+	}
+	s = r.bring(safeClass, 2*time.Second)
+	r.Up(s.id, 0)
+	s.ends(policy.OK)
+	if v := r.Members()[0]; v.Good != 2 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestRejectEffects: a reject by the module does not pass for a request that may have run and may not be repeated.
+func TestRejectEffects(t *testing.T) {
+	for class, want := range map[int]string{safeClass: "rejected", keyedAll: "rejected", keyedZone: "failed", keyedCell: "failed", unsafeClass: "failed"} {
+		r := newRigOf(t, classesText, list(1, policy.Ready))
+		s := r.bring(class, 2*time.Second)
+		r.do(policy.Verdict{Do: policy.DoReject, ID: s.id, For: time.Second})
+		if s.got() != want || s.out != 0 {
+			t.Errorf("class %d: %v, %d out, want %s", class, s.answers, s.out, want)
+		}
+	}
+}
+
+// TestRepeatEffects: after an attempt that may have run the module's word alone starts another only where the class lets it.
+func TestRepeatEffects(t *testing.T) {
+	away := list(4, policy.Ready)
+	away[1].Cell, away[2].Zone, away[2].Cell, away[3].Zone = 1, 1, 2, 1
+	for class, want := range map[int][4]bool{safeClass: {true, true, true, true}, keyedAll: {true, true, true, true},
+		keyedZone: {true, true, false, false}, keyedCell: {true, false, false, true}, unsafeClass: {}} {
+		for i, m := range away {
+			for _, late := range []bool{false, true} {
+				r := newRigOf(t, classesText, away)
+				s := &side{r: r}
+				r.Open(Request{Class: class, At: "m0", Wait: 2 * time.Second}, s)
+				q := r.requests[s.id]
+				q.standing = false // as any other that had its attempt there
+				s.ends(policy.Reset)
+				if late {
+					r.now += 900 * time.Millisecond
+				}
+				r.do(policy.Verdict{Do: policy.DoSend, ID: s.id, Server: m.ID})
+				if ok := want[i] && (class == safeClass || !late); (s.tries == 2) != ok {
+					t.Errorf("class %d at %s, after the window %v: %d tries", class, m.Name, late, s.tries)
+				}
+			}
+		}
+	}
+}
