A flow that goes on to its own member is given up at its deadline

Cause: stand set the deadline's alarm and sent, and nothing armed the core (request.go): a placed request is armed by the verdicts of the module, which has no part here. Where nothing else was due the client waited for a silent member without end. The random model found it.

Change: stand arms.

Measured: TestStandingDeadline, seen failing without the mend (not called at all, no answer).

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -48,6 +48,7 @@
 	r.standing, r.sends = true, 1 // the module takes it for sent
 	c.alarm(r.deadline, r.id, -1)
 	c.start(now, r, m, r.Wait)
+	c.arm()
 }
 
 func (r *request) policy() policy.Request {
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -302,3 +302,16 @@
 		}
 	}
 }
+
+// TestStandingDeadline: a flow that its member is asked to go on with has its answer by its deadline, though nothing else is due.
+func TestStandingDeadline(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	s := &side{r: r}
+	r.Open(Request{At: "m0", Class: unsafeClass, Wait: time.Second}, s)
+	if s.out != 1 || r.wake != r.now+time.Second {
+		t.Errorf("%d out, the core is to be called in %v", s.out, r.wake-r.now)
+	}
+	if r.pass(time.Second); s.got() != "failed" || s.out != 0 || r.Held() != 0 {
+		t.Errorf("answers %v, %d out, held %d", s.answers, s.out, r.Held())
+	}
+}
