A send that is barred while a flow stands does not cost the module the flow

For a flow that stands the module then took the flow itself for ended and asked for no move when its member left. The module makes no such send; the random model's wild verdicts found it.

Change: Unsent is told only of a request that is being placed.

Measured: TestSendWhileOpen, seen failing without the mend (moved 0 times).

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -115,7 +115,9 @@
 	r.sends++
 	if !c.gate(now, r.state != placing, r.tries, r.deadline, m) || !c.repeatable(now, r, m) {
 		c.Counts.Barred++
-		c.tell(policy.Unsent{ID: r.id, Closed: r.state.final()})
+		if r.state == placing { // else the module hears of what is out as that ends
+			c.tell(policy.Unsent{ID: r.id})
+		}
 		return
 	}
 	wait := r.deadline - now
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -315,3 +315,21 @@
 		t.Errorf("answers %v, %d out, held %d", s.answers, s.out, r.Held())
 	}
 }
+
+// TestSendWhileOpen: a send for a request whose flow stands is barred, and the module keeps the flow: it asks for its move when the
+// member leaves.
+func TestSendWhileOpen(t *testing.T) {
+	r := newRigOf(t, classesText, list(2, policy.Ready))
+	s := r.up(1)[0]
+	at := r.members[policy.ServerID(10)]
+	if s.to != at.Name {
+		at = r.members[policy.ServerID(11)]
+	}
+	r.do(policy.Verdict{Do: policy.DoSend, ID: s.id, Server: 10})
+	if s.tries != 1 || r.Counts.Barred != 1 {
+		t.Fatalf("%d tries, %d barred", s.tries, r.Counts.Barred)
+	}
+	if r.Pool(policy.ListDelta, []Member{r.drains(at.ID)}); s.moved != 1 {
+		t.Errorf("moved %d times", s.moved)
+	}
+}
