A ban of a member moves its flows at once, also while an agreed drain spreads them

Cause: rule (members.go) returned early where a member was out already, so another word on it changed nothing: flows whose moves an agreed drain had put off, up to hours, stayed as long after a ban by the fleet, a ban by the relay's own operators or a drain in less time. pace spread them even by an agreement beside the operator's ban.

Change: rule goes through the owed flows of a member that stays out, and pace spreads nothing under an operator's ban. The same agreement again sets no alarm anew (dueAt).

--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -147,8 +147,10 @@
 
 // dueAt has a flow moved because of its member. It holds beside leaveAt: the earlier one counts, and Resume ends only that.
 func (c *Core) dueAt(r *request, at time.Duration) {
-	r.due = at
-	c.alarm(at, r.id, moveFlow)
+	if r.due != at {
+		r.due = at
+		c.alarm(at, r.id, moveFlow)
+	}
 }
 
 // Finish ends a stop whose time is up: who still waits is answered, and every
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -108,12 +108,18 @@
 	}
 }
 
-// rule has a member be in or out as is ruled now. One that is back is taken for just started, but for a drain that was revoked
+// rule has a member be in or out as is ruled now, and its flows leave as is said now. One that is back is taken for just started, but for a drain that was revoked
 // (warm): discovery would know of a new start.
 func (c *Core) rule(name string, warm bool) {
 	m, out := c.byName[name], c.ruled(name)
 	switch {
-	case m == nil || m.banned == out:
+	case m == nil || !m.banned && !out:
+		return
+	case m.banned && out: // still out, maybe by another word
+		if c.paced {
+			c.settle(m)
+			c.arm()
+		}
 		return
 	case out:
 		m.started = m.listed.Started
@@ -152,7 +158,7 @@
 		return false
 	}
 	over := c.agreed[r.member.Name].Over
-	if !r.member.banned || over <= 0 {
+	if !r.member.banned || c.bans[r.member.Name] || over <= 0 { // an operator of this relay wants it left now
 		return false
 	}
 	r.owed, c.paced = true, true
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -333,3 +333,37 @@
 		t.Errorf("moved %d times", s.moved)
 	}
 }
+
+// TestPaceChanges: while the flows of a member leave spread over an agreed time, another word on that member counts at once: a ban by
+// the fleet or by this relay's own operators moves the rest now, and so does a drain in less time.
+func TestPaceChanges(t *testing.T) {
+	over := func(d time.Duration, ban bool) map[string]Leaving { return map[string]Leaving{"m0": {Over: d, Ban: ban}} }
+	for name, change := range map[string]func(r *rig){
+		"a ban by the fleet":    func(r *rig) { r.Agree(over(0, true)) },
+		"an operator's ban":     func(r *rig) { r.Ban("m0") },
+		"a drain in less time":  func(r *rig) { r.Agree(over(2*time.Second, false)); r.pass(time.Second) },
+		"a ban after the drain": func(r *rig) { r.Ban("m0"); r.Agree(nil) },
+	} {
+		r := newRigOf(t, classesText, list(1, policy.Ready))
+		all := r.up(8)
+		r.Agree(over(time.Hour, false))
+		r.pass(time.Second)
+		change(r)
+		r.pass(0)
+		for _, s := range all {
+			if s.out > 0 {
+				t.Errorf("%s: request %d is not moved", name, s.id)
+			}
+		}
+	}
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	r.up(1)
+	r.Agree(over(time.Hour, false))
+	before := len(r.alarms)
+	for range 10 {
+		r.Agree(over(time.Hour, false))
+	}
+	if n := len(r.alarms); n != before {
+		t.Errorf("%d alarms, %d after the same was agreed again", before, n)
+	}
+}
