Flows that are taken up from another process keep to an agreed spread of moves

Cause: Take had every flow of a member that is being left moved at once (leave.go), though the fleet spreads the moves of an agreed drain: an upgrade in the middle of one moved all flows of the member in one moment. While the relay drains or stops too, it forgot that.

Change: quit, which Up uses, does it for both.

--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -105,12 +105,10 @@
 	c.Counts.Attempts++
 	c.record(r, Served)
 	c.tell(policy.Standing{Request: r.policy(), Server: m.ID})
-	switch {
-	case m.left:
-		c.dueAt(r, now)
-	case !c.Welcomes():
+	if !c.Welcomes() {
 		c.leaveAt(r, c.moveAt)
 	}
+	c.quit(r)
 	c.arm()
 	return r.id, &m.Member, true
 }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -168,6 +168,13 @@
 	return true
 }
 
+// quit has a flow moved that has just come to a member that is being left: the module asks for moves only as it hears of that.
+func (c *Core) quit(r *request) {
+	if r.state == serving && r.member.left && !c.pace(r) {
+		c.dueAt(r, c.Clock())
+	}
+}
+
 // settle looks at flows of a member whose move was put off, when what is said of it changes: it leaves after all, sooner, or stays.
 func (c *Core) settle(m *member) {
 	for _, r := range c.held() {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -84,9 +84,7 @@
 	if !c.Welcomes() {
 		c.leaveAt(r, max(c.moveAt, c.Clock()+StopNotice/2))
 	}
-	if r.state == serving && r.member.left && !c.pace(r) { // the module asks for moves only as it hears that a member leaves
-		c.dueAt(r, c.Clock())
-	}
+	c.quit(r)
 	c.arm()
 	return true
 }
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -337,7 +337,9 @@
 // TestPaceChanges: while the flows of a member leave spread over an agreed time, another word on that member counts at once: a ban by
 // the fleet or by this relay's own operators moves the rest now, and so does a drain in less time.
 func TestPaceChanges(t *testing.T) {
-	over := func(d time.Duration, ban bool) map[string]Leaving { return map[string]Leaving{"m0": {Over: d, Ban: ban}} }
+	over := func(d time.Duration, ban bool) map[string]Leaving {
+		return map[string]Leaving{"m0": {Over: d, Ban: ban}}
+	}
 	for name, change := range map[string]func(r *rig){
 		"a ban by the fleet":    func(r *rig) { r.Agree(over(0, true)) },
 		"an operator's ban":     func(r *rig) { r.Ban("m0") },
@@ -367,3 +369,28 @@
 		t.Errorf("%d alarms, %d after the same was agreed again", before, n)
 	}
 }
+
+// TestTakePaced: flows that another process passes on leave a member spread over the time that is agreed, as those that were here.
+func TestTakePaced(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	r.Agree(map[string]Leaving{"m0": {Over: 10 * time.Second}})
+	var all []*side
+	for range 10 {
+		s := &side{r: r, out: 1, tries: 1}
+		s.id, _, _ = r.Take(Passed{Member: "m0"}, s)
+		all = append(all, s)
+	}
+	moved := func() (n int) {
+		for _, s := range all {
+			n += s.moved
+		}
+		return n
+	}
+	r.pass(5 * time.Second)
+	if n := moved(); n < 3 || n > 7 {
+		t.Errorf("%d of 10 moved after half of the time", n)
+	}
+	if r.pass(5 * time.Second); moved() != 10 {
+		t.Errorf("%d of 10 moved after the time", moved())
+	}
+}
