Messages of a feed that finds no place at the end of a stop wait as long as any request

Change: pause takes at least stopAfter during a stop.

Measured: TestFeedFinish, seen failing without the mend (150 ms).

--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -255,12 +255,12 @@
 
 func (f *Feed) pause(after time.Duration) {
 	now := f.c.Clock()
-	f.state, f.pauses = feedPausing, now+after
+	until := now + after
 	if f.c.stopping {
-		f.w.GiveUp(1<<62, func(m *window.Message, ran bool) { f.giveUp(m, ran, after) })
-	} else {
-		f.w.GiveUp(now+after, func(m *window.Message, ran bool) { f.giveUp(m, ran, after) })
+		after, until = max(after, stopAfter), 1<<62
 	}
+	f.state, f.pauses = feedPausing, now+after
+	f.w.GiveUp(until, func(m *window.Message, ran bool) { f.giveUp(m, ran, after) })
 	f.room()
 	f.arm()
 }
--- a/internal/core/feed_test.go
+++ b/internal/core/feed_test.go
@@ -362,3 +362,20 @@
 		}
 	}
 }
+
+// TestFeedFinish: messages whose feed still looks for a place when the time of a stop is up are rejected, for as long as any other
+// request then, also of a class whose flow's own request may not be.
+func TestFeedFinish(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	p := newPipe(r, 10)
+	p.f.Close()
+	p.f = r.Feed(Request{Class: unsafeClass, Load: 0.01, Wait: 2 * time.Second}, FeedLimits{Messages: 10, Bytes: 1 << 20}, p)
+	if p.put(3); p.to == nil {
+		t.Fatal("no attempt is out")
+	}
+	r.Stop()
+	r.Finish()
+	if p.count(Rejected) != 3 || p.after != stopAfter || r.Held() != 0 {
+		t.Errorf("%d rejected, for %v; held %d", p.count(Rejected), p.after, r.Held())
+	}
+}
