--- a/integration/fleet_test.go
+++ b/integration/fleet_test.go
@@ -136,6 +136,12 @@
 
 // call is one at a relay's address for calls; it returns the answer's status, 0 if there is none.
 func (f *fleetRig) call(i int, method, path string, body, into any) int {
+	f.t.Helper()
+	return f.send(i, f.request(i, method, path, body), into)
+}
+
+// request is a call that is not sent yet.
+func (f *fleetRig) request(i int, method, path string, body any) *http.Request {
 	f.t.Helper()
 	var text []byte
 	if body != nil {
@@ -145,6 +151,12 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	return q
+}
+
+// send sends a request to a relay; it ends no test, so any goroutine may call it.
+func (f *fleetRig) send(i int, q *http.Request, into any) int {
+	f.t.Helper()
 	c := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 	answer, err := c.Do(q)
 	if err != nil {
@@ -156,7 +168,7 @@
 		json.Unmarshal(got, into)
 	}
 	if answer.StatusCode != 200 {
-		f.t.Logf("n%d %s %s: %d %s", i, method, path, answer.StatusCode, got)
+		f.t.Logf("n%d %s %s: %d %s", i, q.Method, q.URL.RequestURI(), answer.StatusCode, got)
 	}
 	return answer.StatusCode
 }
@@ -489,7 +501,8 @@
 	for i := range 3 {
 		f.apart(i, true)
 	}
-	go f.call(n-1, "PUT", "/-/canaries/c1/pause", nil, nil)
+	pause := f.request(n-1, "PUT", "/-/canaries/c1/pause", nil)
+	go f.send(n-1, pause, nil)
 	heed("a pause without a majority", func(i int) bool { // one that has not reached the record for long may be at zero before
 		log := f.relays[i].log.String()
 		return strings.LastIndex(log, "map[c1:0]") > strings.LastIndex(log, "map[c1:300]")
--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -171,7 +171,12 @@
 	if _, err := b.Open(""); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(b.Kill)
+	t.Cleanup(func() {
+		b.Kill()
+		if bad := b.bad(); len(bad) > 0 {
+			t.Errorf("%s got first lines that no client may send: %q", id, bad)
+		}
+	})
 	return b
 }
 
@@ -184,6 +189,7 @@
 	return all
 }
 
+// bad are the first lines that no client may send.
 func (b *backend) bad() []string {
 	_, bad := b.FirstLines()
 	return bad
--- a/internal/accord/apply.go
+++ b/internal/accord/apply.go
@@ -24,8 +24,7 @@
 	blank   []byte // of the machine when the process began
 
 	mu      sync.Mutex
-	now     state // but for the machine's part
-	voters  members
+	now     state  // but for the machine's part
 	ring    []item // without gaps, up to now.index
 	bytes   int
 	last    *state // the newest snapshot; the ring has all that follows it
--- a/internal/accord/engine.go
+++ b/internal/accord/engine.go
@@ -63,7 +63,7 @@
 	leader, term, committed uint64
 	first, last             uint64
 	snapIndex               uint64
-	snapBytes, logBytes     int
+	snapBytes               int
 	mute                    error
 	members                 members
 	marks                   map[uint64]mark
--- a/internal/drift/model_test.go
+++ b/internal/drift/model_test.go
@@ -16,24 +16,24 @@
 
 // world is a fleet in virtual time: relays with a Book each, one leader with a Watch, and a network that loses, delays, reorders and repeats.
 type world struct {
-	now, step int64
-	rng       *rand.Rand
-	set       Settings
-	watch     *Watch
-	sims      []*sim
-	names     []string
-	agreed    map[string]Item
-	wire      map[int64][]func() // what arrives when
-	loss      float64
-	delay     int64              // of a datagram, at most
-	apply     func(r *rng) int64 // how long a relay takes for a change
-	planted   map[string]State   // by relay and item: what may be found
-	found     map[string]int64   // when it was
-	due       map[string]int64   // since when it counts
-	falsely   []string           // claims of what was not planted
-	bytes     int
-	longest   int
-	trace     uint64
+	now     int64
+	rng     *rand.Rand
+	set     Settings
+	watch   *Watch
+	sims    []*sim
+	names   []string
+	agreed  map[string]Item
+	wire    map[int64][]func() // what arrives when
+	loss    float64
+	delay   int64              // of a datagram, at most
+	apply   func(r *rng) int64 // how long a relay takes for a change
+	planted map[string]State   // by relay and item: what may be found
+	found   map[string]int64   // when it was
+	due     map[string]int64   // since when it counts
+	falsely []string           // claims of what was not planted
+	bytes   int
+	longest int
+	trace   uint64
 }
 
 type sim struct {
--- a/internal/front/nats/parse.go
+++ b/internal/front/nats/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"hash/maphash"
 	"strconv"
 )
@@ -13,12 +12,16 @@
 	maxInfo    = 32 << 10
 )
 
-// Errors with the texts of the public protocol.
-var (
-	errProtocol = errors.New("Unknown Protocol Operation")
-	errParse    = errors.New("Parser Error")
-	errControl  = errors.New("maximum control line exceeded")
-	errPayload  = errors.New("Maximum Payload Violation")
+// protocolError is an error with a text of the public protocol, as it is sent after -ERR.
+type protocolError string
+
+func (e protocolError) Error() string { return string(e) }
+
+const (
+	errProtocol protocolError = "Unknown Protocol Operation"
+	errParse    protocolError = "Parser Error"
+	errControl  protocolError = "maximum control line exceeded"
+	errPayload  protocolError = "Maximum Payload Violation"
 )
 
 // op is an operation of the protocol.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -109,7 +109,8 @@
 
 func (c *caller) call(method, target string) {
 	path, _, _ := strings.Cut(target, "?")
-	want, do := http.MethodPut, func() {}
+	want := http.MethodPut
+	var do func()
 	switch path {
 	case ready:
 		want, do = http.MethodGet, func() {
--- a/policy/fuzz_test.go
+++ b/policy/fuzz_test.go
@@ -12,7 +12,6 @@
 	set      Settings
 	now      time.Duration
 	b        *Balancer
-	log      []string
 	requests map[RequestID]*life
 	told     map[ServerID]State
 	list     map[ServerID]Server
