--- /dev/null
+++ b/internal/knownred/gotest/main.go
@@ -0,0 +1,120 @@
+// Command gotest runs a go test command and judges it against a list of tests that are known to fail (package knownred).
+//
+//	gotest LIST COMMAND
+//
+// LIST need not exist. COMMAND is one line of a shell that begins with "go test ". What go test prints without -json is printed,
+// then what became of the listed tests. It exits with 0 if nothing failed but tests of the list, otherwise with 1.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"os/exec"
+	"strings"
+
+	"dahliarudder/internal/knownred"
+)
+
+const prefix = "go test "
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: gotest LIST COMMAND")
+		os.Exit(1)
+	}
+	passes, err := run(os.Args[1], os.Args[2], os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	if err != nil || !passes {
+		os.Exit(1)
+	}
+}
+
+func run(list, command string, out io.Writer) (passes bool, err error) {
+	arguments, ok := strings.CutPrefix(command, prefix)
+	if !ok || strings.Contains(command, "\n") {
+		return false, fmt.Errorf("%q is not one go test command", command)
+	}
+	entries, err := read(list)
+	if err != nil {
+		return false, err
+	}
+	if err := exist(entries); err != nil {
+		return false, err
+	}
+	tests := knownred.NewRun()
+	exit, err := events("go test -json "+arguments, func(line string) { tests.Line(line, out) })
+	if err != nil {
+		return false, err
+	}
+	tests.End(out)
+	passes, report := tests.Judge(entries, exit)
+	if !passes {
+		fmt.Fprintln(out, "FAIL")
+	}
+	for _, line := range report {
+		fmt.Fprintln(out, line)
+	}
+	return passes, nil
+}
+
+func read(list string) ([]knownred.Entry, error) {
+	text, err := os.ReadFile(list)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return knownred.Parse(string(text))
+}
+
+// exist fails if a listed test does not exist.
+func exist(entries []knownred.Entry) error {
+	for _, entry := range entries {
+		list := exec.Command("go", "test", "-list", "^"+entry.Test+"$", entry.Package)
+		list.Stderr = os.Stderr
+		listing, err := list.Output()
+		if err != nil {
+			return fmt.Errorf("known red: the tests of %s cannot be listed: %w: %s", entry.Package, err, listing)
+		}
+		if !entry.Exists(string(listing)) {
+			return fmt.Errorf("known red: %s does not exist", entry.Name)
+		}
+	}
+	return nil
+}
+
+// events runs a command and hands on each line of its output.
+func events(command string, take func(line string)) (exit int, err error) {
+	shell := exec.Command("sh", "-c", command)
+	shell.Stderr = os.Stderr
+	output, err := shell.StdoutPipe()
+	if err != nil {
+		return 0, err
+	}
+	if err := shell.Start(); err != nil {
+		return 0, err
+	}
+	lines := bufio.NewReader(output)
+	for {
+		line, err := lines.ReadString('\n')
+		if line != "" {
+			take(strings.TrimSuffix(line, "\n"))
+		}
+		if err != nil {
+			break
+		}
+	}
+	err = shell.Wait()
+	var ended *exec.ExitError
+	if errors.As(err, &ended) {
+		return ended.ExitCode(), nil
+	}
+	return 0, err
+}
--- /dev/null
+++ b/internal/knownred/gotest/main_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// module has a package for each way in which a run can fail.
+var module = map[string]string{
+	"go.mod": "module trial\n\ngo 1.26\n",
+	"green/green_test.go": `package green
+import "testing"
+func TestGreen(t *testing.T) {}
+func TestRed(t *testing.T) {}
+`,
+	"red/red_test.go": `package red
+import "testing"
+func TestGreen(t *testing.T) { t.Log("not to be printed") }
+func TestRed(t *testing.T) { t.Run("sub", func(t *testing.T) { t.Error("to be printed") }) }
+`,
+	"panics/panics_test.go": `package panics
+import "testing"
+func TestRed(t *testing.T) { panic("to be printed") }
+`,
+	"late/late_test.go": `package late
+import ("testing"; "time")
+func TestRed(t *testing.T) { time.Sleep(time.Hour) }
+`,
+	"exits/exits_test.go": `package exits
+import ("os"; "testing")
+func TestRed(t *testing.T) { t.Error() }
+func TestZ(t *testing.T) { os.Exit(1) }
+`,
+	"after/after_test.go": `package after
+import "testing"
+func TestMain(m *testing.M) { if m.Run() != 0 { panic("after the tests") } }
+func TestRed(t *testing.T) { t.Error() }
+`,
+	"broken/broken_test.go": `package broken
+import "testing"
+func TestRed(t *testing.T) { undefined() }
+`,
+}
+
+func line(name, path string) string { return name + " | trial/" + path + " | the cause | #1\n" }
+
+// TestRun runs go test on the module.
+func TestRun(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range module {
+		path := filepath.Join(dir, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Chdir(dir)
+	const list = "KNOWN-RED.txt"
+	for _, c := range []struct {
+		what, list, command string
+		passes              bool
+		says                string
+	}{
+		{"no list", "", "go test ./green", true, "ok  \ttrial/green"},
+		{"no list, and a failure", "", "go test ./red ./green", false, "trial/red.TestRed failed"},
+		{"a listed failure", line("TestRed", "red"), "go test ./red ./green", true, "the cause (#1): failed"},
+		{"a listed failure is printed", line("TestRed", "red"), "go test ./red", true, "FAIL\nFAIL\ttrial/red\t"},
+		{"so is what it said", line("TestRed", "red"), "go test ./red", true, "to be printed"},
+		{"a listed test passes", line("TestRed", "green"), "go test ./green", true, "passed, its line can go"},
+		{"listed for another package", line("TestRed", "green"), "go test ./red ./green", false, "trial/red.TestRed failed"},
+		{"a listed test panics", line("TestRed", "panics"), "go test ./panics", false, "ended before its verdict"},
+		{"a listed test is over the time limit", line("TestRed", "late"), "go test -timeout 100ms ./late", false, "panic: test timed out"},
+		{"its package exits", line("TestRed", "exits"), "go test ./exits", false, "trial/exits.TestZ did not finish"},
+		{"its package panics after the tests", line("TestRed", "after"), "go test ./after", false, "ended before its verdict"},
+		{"its package does not build", line("TestRed", "broken"), "go test ./broken", false, "cannot be listed"},
+		{"another package does not build", line("TestRed", "red"), "go test ./red ./broken", false, "trial/broken does not build"},
+		{"a listed test does not exist", line("TestNone", "green"), "go test ./green", false, "trial/green.TestNone does not exist"},
+		{"its package does not exist", line("TestRed", "none"), "go test ./green", false, "cannot be listed"},
+		{"a malformed line", "TestRed trial/green\n", "go test ./green", false, "line 1"},
+		{"four lines", line("TestRed", "red") + line("TestRed", "green") + line("TestGreen", "red") + line("TestGreen", "green"), "go test ./green", false, "at most 3"},
+		{"a wrong flag", line("TestRed", "red"), "go test -count=none ./red", false, "exit code 2"},
+		{"no package", "", "go test ./none", false, "./none does not build"},
+		{"another command", "", "true", false, "not one go test command"},
+		{"two commands", "", "go test ./green\ngo test ./red", false, "not one go test command"},
+	} {
+		os.Remove(list)
+		if c.list != "" {
+			if err := os.WriteFile(list, []byte(c.list), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var out strings.Builder
+		passes, err := run(list, c.command, &out)
+		if err != nil {
+			out.WriteString(err.Error())
+		}
+		text := out.String()
+		if passes != c.passes || !strings.Contains(text, c.says) || strings.Contains(text, "not to be printed") {
+			t.Errorf("%s: passes %v\n%s", c.what, passes, text)
+		}
+	}
+}
