--- a/internal/drift/api.go
+++ b/internal/drift/api.go
@@ -89,26 +89,26 @@
 type Life uint8
 
 const (
-	Live       Life = iota
-	Silent          // nobody hears it: cut off, stopped, or dead
-	Gone            // no process, for certain
-	Restarting      // ordered to
-	Upgrading
+	Live       Life = iota // a word of its own, or others, say so
+	Silent                 // nobody hears it: cut off, stopped, or dead
+	Gone                   // no process, for certain
+	Restarting             // ordered to
+	Upgrading              // another process takes its place
 )
 
 // State of a pair of relay and item.
 type State uint8
 
 const (
-	InStep State = iota
-	OnItsWay
-	Late
-	Refused
-	GoneBack
-	Ahead
-	Local
-	Contradicts
-	NotHeard
+	InStep      State = iota // it runs what was agreed
+	OnItsWay                 // it does not yet, and nothing is claimed of it
+	Late                     // it runs an older version beyond the bound
+	Refused                  // it said that it does not take the version
+	GoneBack                 // it runs less than it ran
+	Ahead                    // it runs a version or digest that nobody agreed on
+	Local                    // an operator changed it at that relay
+	Contradicts              // it says that it is in step, and what it does says otherwise
+	NotHeard                 // nothing is known of it
 )
 
 // Settings of a Watch. New fills in what is 0.
--- a/internal/drift/state.go
+++ b/internal/drift/state.go
@@ -4,6 +4,7 @@
 
 var stateNames = [...]string{"in step", "on its way", "late", "refused", "gone back", "ahead", "local", "contradicts", "not heard"}
 
+// String is the state in words, for operators.
 func (s State) String() string {
 	if int(s) < len(stateNames) {
 		return stateNames[s]
@@ -16,6 +17,7 @@
 
 var lifeNames = [...]string{"live", "silent", "gone", "restarting", "upgrading"}
 
+// String is the life in words, for operators.
 func (l Life) String() string {
 	if int(l) < len(lifeNames) {
 		return lifeNames[l]
--- a/internal/knownred/list.go
+++ b/internal/knownred/list.go
@@ -32,6 +32,7 @@
 	Test    string
 }
 
+// String is the name as reports have it.
 func (n Name) String() string { return n.Package + "." + n.Test }
 
 // Entry is one line of the list.
@@ -47,6 +48,7 @@
 	Reason string
 }
 
+// Error names the line, if one is at fault, and the reason.
 func (e *ListError) Error() string {
 	if e.Line == 0 {
 		return "known red: " + e.Reason
--- a/internal/rehearsal/judge.go
+++ b/internal/rehearsal/judge.go
@@ -134,6 +134,7 @@
 	j.troubled[relay] = append(j.troubled[relay], span{at, 0})
 }
 
+// Calm ends the excuse of the first Trouble of a relay that has not ended.
 func (j *Judge) Calm(at time.Duration, relay string) {
 	for i, s := range j.troubled[relay] {
 		if s.to == 0 {
--- a/internal/rehearsal/measure.go
+++ b/internal/rehearsal/measure.go
@@ -55,8 +55,10 @@
 	}
 }
 
-// Asked is a time in which a client wants to be connected; Served, one in which it was, and well.
-func (s *Service) Asked(tags []string, from, to time.Duration)  { s.add(false, tags, from, to) }
+// Asked is a time in which a client wants to be connected.
+func (s *Service) Asked(tags []string, from, to time.Duration) { s.add(false, tags, from, to) }
+
+// Served is a time in which a client was connected, and well.
 func (s *Service) Served(tags []string, from, to time.Duration) { s.add(true, tags, from, to) }
 
 func (x *series) share(from, to time.Duration) float64 {
--- a/internal/settings/problems.go
+++ b/internal/settings/problems.go
@@ -12,6 +12,7 @@
 	Reason string
 }
 
+// Error names the setting, its value and the reason.
 func (p Problem) Error() string { return fmt.Sprintf("settings.%s: %v: %s", p.Key, p.Value, p.Reason) }
 
 // Problems names every setting that cannot work, in the order of the page of sites. A relay starts all the same, with
