--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -104,7 +104,9 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(out)) {
-		c.rule(name, false)
+		if was, still := before[name]; !still || was != out[name] {
+			c.rule(name, false)
+		}
 	}
 }
 
--- a/policy/facade_test.go
+++ b/policy/facade_test.go
@@ -218,3 +218,31 @@
 		t.Errorf("with the arm draining: sent elsewhere %v, counted %d", strayed, f.Strayed())
 	}
 }
+
+// TestUnsent: a send that was not carried out leaves nothing on its server. The request goes on if it may, and numbers go on.
+func TestUnsent(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		f := Begin(t0, settings(), 7)
+		f.Report(t0, Pool{Kind: ListCached, Servers: fleet(1, 1)})
+		server := fleet(1, 1)[0].ID
+		f.Pick(t0, Request{ID: 1, Deadline: t0 + 2*time.Second, Load: 0.1})
+		f.Report(t0, Probed{Server: server, Result: OK, Report: Report{Connections: 1, Load: 0.1, Util: -1}})
+		if s, r := f.b.byID[server], f.b.requests[1]; s.mine != 1 || r == nil || !r.open {
+			t.Fatalf("%v connections, request %+v", s.mine, r)
+		}
+		f.Report(t0, Unsent{ID: 1, Closed: closed})
+		r := f.b.requests[1]
+		if s := f.b.byID[server]; s.mine != 0 || len(s.conns) != 0 || closed != (r == nil) {
+			t.Errorf("closed %v: %v connections, request %+v", closed, s.mine, r)
+		}
+		if r != nil && (r.tries != 1 || r.ran || r.open) {
+			t.Errorf("%d tries, ran %v, open %v", r.tries, r.ran, r.open)
+		}
+		if list := f.Report(t0, Unsent{ID: 1}); len(list) != 0 {
+			t.Errorf("closed %v: verdicts %v on a second word", closed, list)
+		}
+		if list := f.Report(t0, Unsent{ID: 9}); len(list) != 0 {
+			t.Errorf("verdicts %v of a request that is not known", list)
+		}
+	}
+}
