The random model has anything happen in the middle of a call to a client's side

Beside another client's leaving, an attempt of another request may end and a request may come there.

--- a/internal/core/model_test.go
+++ b/internal/core/model_test.go
@@ -44,7 +44,7 @@
 	stopped  bool          // by Stop or GiveUp
 	leaving  time.Duration // by when flows have to be moved for a drain or a stop; 0 if none is on
 	done     bool          // after Finish
-	rash     *client       // goes away during the next call to another one's virtual server
+	rash     bool          // something else happens in the middle of the next call to a virtual server
 	bans     map[string]bool
 	agreed   map[string]Leaving
 	events   map[string]int // of the record, by request and attempt
@@ -121,11 +121,27 @@
 	}
 }
 
-// then lets another client go away in the middle of a call.
+// then has something else happen in the middle of a call: another one's client goes away, its attempt ends, or a request comes.
 func (x *client) then() {
-	if other := x.w.rash; other != nil && other != x {
-		x.w.rash = nil
-		other.leave()
+	w := x.w
+	if !w.rash {
+		return
+	}
+	w.rash = false
+	others := func(also func(*client) bool) *client {
+		return w.pick(func(other *client) bool { return other != x && other != w.opening && also(other) })
+	}
+	switch w.draw(3, "meanwhile") {
+	case 0:
+		if other := others(func(other *client) bool { return !other.settled() }); other != nil {
+			other.leave()
+		}
+	case 1:
+		if other := others(func(other *client) bool { return other.out() != nil }); other != nil {
+			other.ends()
+		}
+	case 2:
+		w.arrive()
 	}
 }
 
@@ -204,14 +220,10 @@
 
 func (x *client) leave() {
 	if !x.settled() {
-		id := x.id
-		if x.w.opening == x {
-			return // its front does not know the id yet
-		}
-		x.w.c.Left(id)
+		x.w.c.Left(x.id)
 		x.gone = true
 		if x.out() != nil {
-			x.w.Fatalf("request %d: an attempt is still out after its client left", id)
+			x.w.Fatalf("request %d: an attempt is still out after its client left", x.id)
 		}
 	}
 }
@@ -309,9 +321,10 @@
 	}
 	x.deadline = w.now + x.q.Wait
 	w.all = append(w.all, x)
+	before := w.opening // its front does not know the id before Open has returned
 	w.opening = x
 	x.id = w.c.Open(x.q, x)
-	w.opening, w.byID[x.id] = nil, x
+	w.opening, w.byID[x.id] = before, x
 	if (x.late || w.shut) && (len(x.answers) != 1 || x.answers[0] != "rejected") {
 		w.Fatalf("request %d: came after the stop, or could not be recorded: answers %v", x.id, x.answers)
 	}
@@ -335,10 +348,14 @@
 var modelResults = []policy.Result{policy.OK, policy.Error, policy.Full, policy.Timeout, policy.ConnectFailed, policy.Reset, policy.Cancelled, policy.Moot}
 
 func (w *world) ends() {
-	x := w.pick(func(x *client) bool { return x.out() != nil })
-	if x == nil {
-		return
+	if x := w.pick(func(x *client) bool { return x.out() != nil }); x != nil {
+		x.ends()
 	}
+}
+
+// ends has the attempt that is out, or the flow, end in some way.
+func (x *client) ends() {
+	w := x.w
 	a, try := x.out(), len(x.attempts)-1
 	a.over, a.result = true, modelResults[w.draw(len(modelResults), "result")]
 	if x.up {
@@ -620,7 +637,7 @@
 			x.leave()
 		}
 	}},
-	{"rash", 1, func(w *world) { w.rash = w.pick(func(x *client) bool { return !x.settled() }) }},
+	{"rash", 2, func(w *world) { w.rash = true }},
 	{"probed", 4, (*world).probed},
 	{"list", 3, (*world).list},
 	{"ban", 1, (*world).ban},
