Messages of a feed wait for the end of a doubt too

Cause: Doubt holds whatever is new to a member, but only sends and probes were held (gate.go, do); pump handed messages on to a link that stood (feed.go), also to a member that, for all this process knew after it stood still, had drained long before.

Change: pump hands on nothing during a doubt; Sure has all feeds go on, under its strict gate. TestFeedSteps plays sixty runs more, with doubts, bans, agreed drains, drains and the relay's stop; in those a run may send nothing, all together have to.

--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -321,7 +322,7 @@
 func (f *Feed) pump(now time.Duration) {
 	c, m := f.c, f.member
 	pace := m.paceOf(c)
-	for turn := 0; f.state == feedUp; turn++ {
+	for turn := 0; f.state == feedUp && !c.doubting; turn++ {
 		next := f.w.Next()
 		if next == nil {
 			return
@@ -349,6 +350,16 @@
 	}
 }
 
+// pumpAll has all feeds go on at the end of a doubt.
+func (c *Core) pumpAll() {
+	for _, name := range slices.Sorted(maps.Keys(c.feeds)) {
+		if f := c.feeds[name]; f != nil && f.state == feedUp {
+			f.pump(c.Clock())
+			f.arm()
+		}
+	}
+}
+
 // paceOf is what bounds the messages to a member that has just started.
 func (m *member) paceOf(c *Core) *window.Pace {
 	if started := max(m.Started, m.joined); m.pace == nil || m.paced != started {
--- a/internal/core/feed_test.go
+++ b/internal/core/feed_test.go
@@ -51,6 +51,8 @@
 		p.r.t.Errorf("message %d is sent after its answer %s", m.Mark, p.answers[m.Mark])
 	case at.left && p.r.now-at.told > 250*time.Millisecond:
 		p.r.t.Errorf("message %d is sent %v after its member left", m.Mark, p.r.now-at.told)
+	case p.r.doubting:
+		p.r.t.Errorf("message %d is sent during a doubt", m.Mark)
 	case string(text) != fmt.Sprint("message ", m.Mark):
 		p.r.t.Errorf("message %d has text %q", m.Mark, text)
 	}
@@ -306,9 +308,12 @@
 }
 
 // TestFeedSteps: random publications, acknowledgements, refusals, lost links, drains and pauses:
-// the carrier checks each step, and in the end every message has one answer.
+// the carrier checks each step, and in the end every message has one answer. In half of the runs doubts, bans, agreed drains, and
+// drains and the stop of the relay come too.
 func TestFeedSteps(t *testing.T) {
-	for seed := range uint64(60) {
+	all := 0 // of the messages sent in the runs with more
+	for seed := range uint64(120) {
+		more := seed >= 60
 		rng := rand.New(rand.NewPCG(seed, 2))
 		r := newRig(t, 3)
 		var pipes []*pipe
@@ -343,8 +348,22 @@
 					p.f.Drained()
 				}
 			}
+			if more && rng.IntN(4) == 0 {
+				name := fmt.Sprint("m", rng.IntN(3))
+				[]func(){r.Doubt, r.Sure, r.Sure, func() { r.Ban(name) }, func() { r.Allow(name) }, func() { r.Allow(name) },
+					func() { r.Agree(map[string]Leaving{name: {Over: 300 * time.Millisecond}}) }, func() { r.Agree(nil) },
+					r.Drain, r.Resume}[rng.IntN(10)]()
+			}
 			r.pass(time.Duration(rng.IntN(60)) * time.Millisecond)
 		}
+		if more {
+			r.Stop()
+			r.pass(r.StopWithin())
+			r.Finish()
+			if r.Held() != 0 {
+				t.Errorf("seed %d: %d held after the end of the stop", seed, r.Held())
+			}
+		}
 		r.pass(3 * time.Second)
 		sent := 0
 		for i, p := range pipes {
@@ -354,13 +373,19 @@
 			sent += len(p.tries)
 			p.f.Close()
 		}
-		if c := r.Counts.Messages; c.Taken != c.Served+c.Rejected+c.Failed || sent == 0 || r.Held() != 0 || r.feedBytes != 0 {
+		if c := r.Counts.Messages; c.Taken != c.Served+c.Rejected+c.Failed || sent == 0 && !more || r.Held() != 0 || r.feedBytes != 0 {
 			t.Errorf("seed %d: %+v, %d held", seed, r.Counts, r.Held())
 		}
+		if more {
+			all += sent
+		}
 		if t.Failed() {
 			return
 		}
 	}
+	if all < 1000 {
+		t.Errorf("%d messages sent in the runs with more", all)
+	}
 }
 
 // TestFeedFinish: messages whose feed still looks for a place when the time of a stop is up are rejected, for as long as any other
@@ -379,3 +404,37 @@
 		t.Errorf("%d rejected, for %v; held %d", p.count(Rejected), p.after, r.Held())
 	}
 }
+
+// TestFeedDoubt: messages are new to a member too: during a doubt none is handed to it, and after that none to one that has left.
+func TestFeedDoubt(t *testing.T) {
+	for _, left := range []bool{false, true} {
+		r := newRig(t, 2)
+		p := newPipe(r, 20)
+		p.put(1)
+		p.f.Stands()
+		p.take(1)
+		first := p.to.ID
+		r.Doubt()
+		if p.put(3); len(p.out) != 0 {
+			t.Errorf("%d messages were sent during a doubt", len(p.out))
+		}
+		if left {
+			r.Pool(policy.ListDelta, []Member{r.drains(first)})
+		}
+		r.Sure()
+		r.pass(time.Millisecond)
+		if left {
+			if p.to == nil || p.to.ID == first {
+				t.Fatal("no new place")
+			}
+			p.f.Stands()
+		}
+		if len(p.out) != 3 || (p.to.ID == first) == left {
+			t.Errorf("left %v: %d messages are out at %d, it was at %d", left, len(p.out), p.to.ID, first)
+		}
+		p.take(3)
+		if p.count(Served) != 4 {
+			t.Errorf("%d served", p.count(Served))
+		}
+	}
+}
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -22,6 +22,7 @@
 	later := c.later
 	c.doubting, c.later, c.strict = false, nil, true
 	c.apply(later)
+	c.pumpAll()
 	c.strict = false
 }
 
--- a/internal/core/model_test.go
+++ b/internal/core/model_test.go
@@ -48,6 +48,7 @@
 	bans     map[string]bool
 	agreed   map[string]Leaving
 	events   map[string]int // of the record, by request and attempt
+	stood    int            // words that an attempt is up which was already
 	wrong    bool           // the module says wild things
 }
 
@@ -381,8 +382,11 @@
 	}
 	try := w.draw(5, "try") - 1
 	if a := x.out(); a != nil && try == len(x.attempts)-1 {
-		if x.up && w.c.Up(x.id, try) {
-			w.Fatalf("request %d: up twice", x.id)
+		if x.up {
+			w.stood++
+			if w.c.Up(x.id, try) {
+				w.Fatalf("request %d: up twice", x.id)
+			}
 		}
 		return
 	}
@@ -711,6 +715,9 @@
 		}
 	}
 	c := w.c.Counts
+	if !w.wrong && c.Ignored != w.stood {
+		w.Fatalf("%d events ignored, %d of them words on a flow that stood already", c.Ignored, w.stood)
+	}
 	if len(w.events) != len(w.all)+attempts || c.Requests != len(w.all) || c.Attempts != attempts || c.Moves != moves ||
 		c.Served+c.Rejected+c.Failed+c.Left != c.Requests || c.Astray > 0 {
 		w.Fatalf("%d requests, %d attempts, %d moves and %d records, counts %+v", len(w.all), attempts, moves, len(w.events), c)
