A late loop no longer begins an attempt that is abandoned at once

Cause: Facade.Tick gives the verdicts of all timers that are due in one list. Where the loop comes late, within the answer slack, the end of a pause and the module's end of the request stand in one: the core sent the attempt and then abandoned it for the final answer. Of a class that may not be repeated the client was failed for it.

Change: send asks whether a final answer of the request is still to be carried out; then it is Unsent.

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"dahliarudder/policy"
@@ -111,10 +112,18 @@
 	return m != nil && c.reachable(c.Clock(), m)
 }
 
+// decided says whether a final answer of that request is among the verdicts that are still to be carried out: the module's timers of
+// a late Tick come together.
+func (c *Core) decided(id ID) bool {
+	return slices.ContainsFunc(c.pending, func(v policy.Verdict) bool {
+		return v.ID == id && (v.Do == policy.DoReject || v.Do == policy.DoFail)
+	})
+}
+
 func (c *Core) send(r *request, v policy.Verdict) {
 	now, m := c.Clock(), c.members[v.Server]
 	r.sends++
-	if !c.gate(now, r.state != placing, r.tries, r.deadline, m) || !c.repeatable(now, r, m) {
+	if c.decided(r.id) || !c.gate(now, r.state != placing, r.tries, r.deadline, m) || !c.repeatable(now, r, m) {
 		c.Counts.Barred++
 		if r.state == placing { // else the module hears of what is out as that ends
 			c.tell(policy.Unsent{ID: r.id})
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -394,3 +394,20 @@
 		t.Errorf("%d of 10 moved after the time", moved())
 	}
 }
+
+// TestLateRetry: where the loop comes so late that the pause before a further attempt and the module's time for an answer are over
+// together, no attempt begins that is abandoned at once.
+func TestLateRetry(t *testing.T) {
+	r := newRigOf(t, strings.Replace(classesText, `"answer-slack-ms":8`, `"answer-slack-ms":60`, 1), list(3, policy.Ready))
+	s := r.bring(safeClass, 2*time.Second)
+	r.now += 1600 * time.Millisecond
+	s.ends(policy.Error)
+	r.now += 350 * time.Millisecond // within the slack
+	if r.Tick(); s.tries != 1 || s.got() != "rejected" || r.Held() != 0 {
+		t.Errorf("%d tries, answers %v, held %d", s.tries, s.answers, r.Held())
+	}
+	r.Pool(policy.ListFull, nil)
+	if learned := r.facade.Learned(r.now); len(learned.Servers) != 0 {
+		t.Errorf("the module still holds %v", learned.Servers)
+	}
+}
