--- /dev/null
+++ b/internal/front/line/flow_fuzz_test.go
@@ -0,0 +1,95 @@
+package line
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// FuzzFlow plays random steps on an open flow and checks them against a model:
+// each side gets a prefix of what the other sent, all of it while nobody ends
+// the flow; MOVE stands only between two lines, comes at most once, and comes
+// whenever the member drains between two lines. Passing the flow on to another process
+// changes nothing of that.
+func FuzzFlow(f *testing.F) {
+	f.Add([]byte{0, 10, 1, 20, 2, 0, 1, 3})
+	f.Add([]byte{1, 7, 2, 0, 4, 0, 1, 8, 2, 0})
+	f.Add([]byte{1, 6, 4, 0, 3, 0})
+	f.Add([]byte{0, 200, 1, 255, 5, 0, 2, 0})
+	f.Add([]byte{1, 12, 6, 0, 2, 0, 1, 1})
+	f.Add([]byte{1, 7, 2, 0, 7, 0, 1, 8, 0, 9, 7, 0, 2, 0, 4, 0})
+	f.Add([]byte{0, 255, 0, 255, 7, 0, 1, 255, 1, 255, 7, 0, 7, 0, 2, 0, 5, 0})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		r := looptest.NewRelay(t, 1)
+		from, to := New(r.Loop, r.Core, r.Log), New(r.Loop, r.Core, r.Log)
+		c, m := askedOf(r, from)
+		m.Say("UP x\r\n")
+		c.Lines("UP x")
+		var byClient, byMember, seen []byte
+		drained, between, ended := false, false, false
+		for i := 0; i+1 < len(steps) && i < 80; i += 2 {
+			chunk := bytes.Repeat([]byte{'a' + byte(i%26)}, int(steps[i+1])*4)
+			if steps[i+1]%2 == 0 {
+				chunk = append(chunk, "\r\n"...)
+			}
+			switch steps[i] % 8 {
+			case 7: // another process takes the relay's place
+				pass(t, from, to)
+				from, to = to, from
+			case 0:
+				if !ended && !drained {
+					c.Say(string(chunk))
+					byClient = append(byClient, chunk...)
+				}
+			case 1:
+				if !ended && !drained {
+					m.Say(string(chunk))
+					byMember = append(byMember, chunk...)
+				}
+			case 2:
+				r.Turn()
+			case 3:
+				c.Poll()
+				m.Poll()
+			case 4:
+				if !drained && !ended {
+					r.Until("the member's bytes", func() bool { c.Poll(); return len(c.Got) == len(byMember) })
+					drained, between = true, len(byMember) == 0 || bytes.HasSuffix(byMember, []byte("\n"))
+					r.Drain(0)
+				}
+			case 5:
+				if !ended && !drained {
+					m.Finish()
+					ended = true
+				}
+			case 6:
+				if !ended && !drained {
+					c.Finish()
+					ended = true
+				}
+			}
+		}
+		if drained || ended {
+			r.Turn()
+			r.Pass(MoveWithin)
+			r.Until("the client's end", func() bool { c.Poll(); return c.Over != nil })
+			r.Until("the member's end", func() bool { m.Poll(); return m.Over != nil })
+			if c.Over != io.EOF || m.Over != io.EOF {
+				t.Errorf("ended with %v and %v", c.Over, m.Over)
+			}
+		} else {
+			r.Until("the member's bytes", func() bool { c.Poll(); return len(c.Got) >= len(byMember) })
+			r.Until("the client's bytes", func() bool { m.Poll(); return len(m.Got) >= len(byClient) })
+		}
+		seen, moved := bytes.CutSuffix(c.Got, []byte("MOVE\r\n"))
+		if !bytes.HasPrefix(byMember, seen) || !bytes.HasPrefix(byClient, m.Got) {
+			t.Errorf("client got %q of %q, member %q of %q", c.Got, byMember, m.Got, byClient)
+		}
+		if moved != (drained && between) || moved && len(seen) > 0 && !bytes.HasSuffix(seen, []byte("\n")) {
+			t.Errorf("moved %v, drained %v between lines %v, after %q", moved, drained, between, seen)
+		}
+		r.Until("the flow's end", func() bool { return r.Core.Held() == 0 || !(drained || ended) })
+	})
+}
--- a/internal/front/line/leave_test.go
+++ b/internal/front/line/leave_test.go
@@ -174,3 +174,33 @@
 	})
 	return at, g.attempt(at)
 }
+
+// TestLeavesProbed: of a client that goes while its request waits for a probe's answer no attempt begins.
+func TestLeavesProbed(t *testing.T) {
+	everyLeaving(t, 2, func(t *testing.T, g *rig, leave func(*looptest.Peer)) {
+		g.probes()
+		c := g.ask(firstLine)
+		if len(g.f.probes) == 0 || g.Core.Counts.Attempts > 0 {
+			t.Fatalf("%d probes, %+v", len(g.f.probes), g.Core.Counts)
+		}
+		leave(c)
+		g.Until("the client's end", func() bool { return len(g.f.ids) == 0 })
+		for i, p := range g.servers {
+			if g.f.probes[policy.ServerID(i+1)] != nil {
+				m := p.Accept()
+				m.Lines("STATS")
+				m.Say("PONG x0=0.1\r\n")
+			}
+		}
+		g.Until("the answers", func() bool {
+			for _, p := range g.f.probes {
+				if p.state.owes() {
+					return false
+				}
+			}
+			return true
+		})
+		g.Pass(g.f.probeIdle)
+		g.gone()
+	})
+}
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -1,11 +1,9 @@
 package line
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -61,92 +59,6 @@
 	return r, c, m
 }
 
-// FuzzFlow plays random steps on an open flow and checks them against a model:
-// each side gets a prefix of what the other sent, all of it while nobody ends
-// the flow; MOVE stands only between two lines, comes at most once, and comes
-// whenever the member drains between two lines. Passing the flow on to another process
-// changes nothing of that.
-func FuzzFlow(f *testing.F) {
-	f.Add([]byte{0, 10, 1, 20, 2, 0, 1, 3})
-	f.Add([]byte{1, 7, 2, 0, 4, 0, 1, 8, 2, 0})
-	f.Add([]byte{1, 6, 4, 0, 3, 0})
-	f.Add([]byte{0, 200, 1, 255, 5, 0, 2, 0})
-	f.Add([]byte{1, 12, 6, 0, 2, 0, 1, 1})
-	f.Add([]byte{1, 7, 2, 0, 7, 0, 1, 8, 0, 9, 7, 0, 2, 0, 4, 0})
-	f.Add([]byte{0, 255, 0, 255, 7, 0, 1, 255, 1, 255, 7, 0, 7, 0, 2, 0, 5, 0})
-	f.Fuzz(func(t *testing.T, steps []byte) {
-		r := looptest.NewRelay(t, 1)
-		from, to := New(r.Loop, r.Core, r.Log), New(r.Loop, r.Core, r.Log)
-		c, m := askedOf(r, from)
-		m.Say("UP x\r\n")
-		c.Lines("UP x")
-		var byClient, byMember, seen []byte
-		drained, between, ended := false, false, false
-		for i := 0; i+1 < len(steps) && i < 80; i += 2 {
-			chunk := bytes.Repeat([]byte{'a' + byte(i%26)}, int(steps[i+1])*4)
-			if steps[i+1]%2 == 0 {
-				chunk = append(chunk, "\r\n"...)
-			}
-			switch steps[i] % 8 {
-			case 7: // another process takes the relay's place
-				pass(t, from, to)
-				from, to = to, from
-			case 0:
-				if !ended && !drained {
-					c.Say(string(chunk))
-					byClient = append(byClient, chunk...)
-				}
-			case 1:
-				if !ended && !drained {
-					m.Say(string(chunk))
-					byMember = append(byMember, chunk...)
-				}
-			case 2:
-				r.Turn()
-			case 3:
-				c.Poll()
-				m.Poll()
-			case 4:
-				if !drained && !ended {
-					r.Until("the member's bytes", func() bool { c.Poll(); return len(c.Got) == len(byMember) })
-					drained, between = true, len(byMember) == 0 || bytes.HasSuffix(byMember, []byte("\n"))
-					r.Drain(0)
-				}
-			case 5:
-				if !ended && !drained {
-					m.Finish()
-					ended = true
-				}
-			case 6:
-				if !ended && !drained {
-					c.Finish()
-					ended = true
-				}
-			}
-		}
-		if drained || ended {
-			r.Turn()
-			r.Pass(MoveWithin)
-			r.Until("the client's end", func() bool { c.Poll(); return c.Over != nil })
-			r.Until("the member's end", func() bool { m.Poll(); return m.Over != nil })
-			if c.Over != io.EOF || m.Over != io.EOF {
-				t.Errorf("ended with %v and %v", c.Over, m.Over)
-			}
-		} else {
-			r.Until("the member's bytes", func() bool { c.Poll(); return len(c.Got) >= len(byMember) })
-			r.Until("the client's bytes", func() bool { m.Poll(); return len(m.Got) >= len(byClient) })
-		}
-		seen, moved := bytes.CutSuffix(c.Got, []byte("MOVE\r\n"))
-		if !bytes.HasPrefix(byMember, seen) || !bytes.HasPrefix(byClient, m.Got) {
-			t.Errorf("client got %q of %q, member %q of %q", c.Got, byMember, m.Got, byClient)
-		}
-		if moved != (drained && between) || moved && len(seen) > 0 && !bytes.HasSuffix(seen, []byte("\n")) {
-			t.Errorf("moved %v, drained %v between lines %v, after %q", moved, drained, between, seen)
-		}
-		r.Until("the flow's end", func() bool { return r.Core.Held() == 0 || !(drained || ended) })
-	})
-}
-
 // TestMoveWaits: MOVE that is asked for within a line stands after it.
 func TestMoveWaits(t *testing.T) {
 	r, c, m := standingFlow(t)
@@ -159,120 +71,6 @@
 	c.WantEnd()
 }
 
-// TestSilent: a member that answers no line for too long is left, and the client
-// is asked to come again; one that answers is not.
-func TestSilent(t *testing.T) {
-	r, c, m := standingFlow(t)
-	c.Say("hello\r\n")
-	m.Lines("hello")
-	r.Pass(silentAfter)
-	m.Say("well\r\n")
-	c.Lines("well")
-	c.Say("hello?\r\n")
-	m.Lines("hello?")
-	r.Pass(silentAfter + sweepEvery)
-	r.Pass(sweepEvery)
-	c.Lines("MOVE")
-	c.WantEnd()
-	if r.Core.Held() != 0 {
-		t.Error("the flow is still held")
-	}
-}
-
-// TestStopped: whatever a member does and in which pieces lines come, a flow that brings nothing back is over
-// 7 s after the last line that came, with whatever load it tells meanwhile; one that is answered stays, and one
-// whose member has said its last word is over within a second although no end of the connection comes.
-func TestStopped(t *testing.T) {
-	for seed := range uint64(16) {
-		rng := rand.New(rand.NewPCG(seed, 1))
-		r, c, m := standingFlow(t)
-		const step = 100 * time.Millisecond
-		start, back := r.Now(), r.Now()
-		stops := start + time.Duration(rng.IntN(120))*step
-		next, pieces, half, parting := start+time.Duration(rng.IntN(20))*step, []string(nil), false, time.Duration(0)
-		for r.Core.Held() > 0 {
-			now := r.Now()
-			if now >= next { // the client's next line, in up to three pieces
-				next = now + clientEvery
-				pieces = append(pieces, []string{"line\r\n", "li", "l"}[rng.IntN(3)])
-				if whole := pieces[len(pieces)-1]; whole != "line\r\n" {
-					pieces = append(pieces, strings.TrimPrefix("line\r\n", whole))
-				}
-			}
-			if len(pieces) > 0 && c.Over == nil {
-				c.Say(pieces[0])
-				pieces = pieces[1:]
-				r.Until("the client's bytes", func() bool { m.Poll(); return bytes.Contains(m.Got, []byte("l")) || r.Core.Held() == 0 })
-			}
-			switch {
-			case now < stops:
-				if bytes.Contains(m.Got, []byte("\n")) {
-					m.Say("back\r\n")
-					back, m.Got = now, nil
-				}
-			case half || parting > 0:
-			case seed%4 == 0:
-				m.Say("LOAD 7\r\n")
-			case seed%4 == 1 && bytes.Contains(m.Got, []byte("\n")):
-				m.Say("bac")
-				half = true
-			case seed%4 == 2:
-				m.Say("BYE\r\n")
-				parting = now
-			}
-			if now == back && now > start {
-				r.Until("the answer", func() bool { c.Poll(); return len(c.Got) > 0 })
-			}
-			c.Got = nil
-			r.Pass(step)
-			if r.Core.Held() == 0 && r.Now() < stops {
-				t.Fatalf("seed %d: a flow that was answered is over", seed)
-			}
-			if late := r.Now() - back; late > silentMost-step {
-				t.Fatalf("seed %d: still held %v after the last line", seed, late)
-			}
-			if late := r.Now() - parting; parting > 0 && late > endMost {
-				t.Fatalf("seed %d: still held %v after its last word", seed, late)
-			}
-		}
-	}
-}
-
-// TestHalfLine: a client that takes long over a line is not sent away for the member's silence, nor as the line ends.
-func TestHalfLine(t *testing.T) {
-	r, c, m := standingFlow(t)
-	c.Say("hel")
-	m.Want("hel")
-	for range 30 {
-		r.Pass(sweepEvery)
-	}
-	c.Say("lo\r\n")
-	m.Lines("lo")
-	r.Pass(sweepEvery)
-	m.Say("well\r\n")
-	c.Lines("well")
-	r.Pass(sweepEvery)
-	if r.Core.Held() != 1 {
-		t.Error("the flow is over")
-	}
-}
-
-// TestClientGone: a client's machine that vanished must not hold a flow for ever.
-func TestClientGone(t *testing.T) {
-	r, c, m := standingFlow(t)
-	r.Pass(clientGone)
-	c.Say("still here\r\n")
-	m.Lines("still here")
-	m.Say("well\r\n")
-	c.Lines("well")
-	r.Pass(clientGone + sweepEvery)
-	r.Pass(sweepEvery)
-	m.WantEnd()
-	if r.Core.Held() != 0 {
-		t.Error("the flow is still held")
-	}
-}
-
 // TestResets: a reset is answered by a reset, both ways.
 func TestResets(t *testing.T) {
 	_, c, m := standingFlow(t)
--- a/internal/front/line/rig_test.go
+++ b/internal/front/line/rig_test.go
@@ -1,6 +1,7 @@
 package line
 
 import (
+	"math"
 	"net"
 	"strings"
 	"testing"
@@ -9,7 +10,9 @@
 	"golang.org/x/sys/unix"
 
 	"dahliarudder/internal/core"
+	"dahliarudder/internal/netloop"
 	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/internal/settings"
 	"dahliarudder/policy"
 )
 
@@ -165,3 +168,30 @@
 	t.Cleanup(func() { c.Close() })
 	return addr
 }
+
+const probingText = `{"balancers":1,"zones":["a"],
+ "classes":[{"name":"pay","aim-ms":400,"deadline-ms":2000,"effect":"read_like","key-scope":"all"}],
+ "tenants":[{"name":"water","share":1}],
+ "limits":{"max-attempts":3,"cancel":true,"probes":true,"connect-timeout-ms":250},
+ "report":{"names":["x0"],"source":"on_probe"},
+ "guarantees":{"answer-slack-ms":8,"drain-grace-ms":250},"extra":{"message-aim-ms":[90]}}`
+
+// probes gives the rig a core that may probe.
+func (g *rig) probes() {
+	g.T.Helper()
+	set, err := settings.Decode([]byte(probingText))
+	if err != nil {
+		g.T.Fatal(err)
+	}
+	var next *netloop.Timer
+	g.Core = core.New(core.Options{Settings: set, Seed: 7, Clock: g.Now, Watch: func() {},
+		Probe: func(to *core.Member) { g.f.Probe(to) },
+		Wake: func(at time.Duration) {
+			next.Stop()
+			if at < math.MaxInt64 {
+				next = g.After(at-g.Now(), func() { g.Core.Tick() })
+			}
+		}})
+	g.f.Core = g.Core
+	g.Core.Pool(policy.ListCached, g.Members)
+}
--- /dev/null
+++ b/internal/front/line/silence_test.go
@@ -0,0 +1,123 @@
+package line
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestSilent: a member that answers no line for too long is left, and the client
+// is asked to come again; one that answers is not.
+func TestSilent(t *testing.T) {
+	r, c, m := standingFlow(t)
+	c.Say("hello\r\n")
+	m.Lines("hello")
+	r.Pass(silentAfter)
+	m.Say("well\r\n")
+	c.Lines("well")
+	c.Say("hello?\r\n")
+	m.Lines("hello?")
+	r.Pass(silentAfter + sweepEvery)
+	r.Pass(sweepEvery)
+	c.Lines("MOVE")
+	c.WantEnd()
+	if r.Core.Held() != 0 {
+		t.Error("the flow is still held")
+	}
+}
+
+// TestStopped: whatever a member does and in which pieces lines come, a flow that brings nothing back is over
+// 7 s after the last line that came, with whatever load it tells meanwhile; one that is answered stays, and one
+// whose member has said its last word is over within a second although no end of the connection comes.
+func TestStopped(t *testing.T) {
+	for seed := range uint64(16) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		r, c, m := standingFlow(t)
+		const step = 100 * time.Millisecond
+		start, back := r.Now(), r.Now()
+		stops := start + time.Duration(rng.IntN(120))*step
+		next, pieces, half, parting := start+time.Duration(rng.IntN(20))*step, []string(nil), false, time.Duration(0)
+		for r.Core.Held() > 0 {
+			now := r.Now()
+			if now >= next { // the client's next line, in up to three pieces
+				next = now + clientEvery
+				pieces = append(pieces, []string{"line\r\n", "li", "l"}[rng.IntN(3)])
+				if whole := pieces[len(pieces)-1]; whole != "line\r\n" {
+					pieces = append(pieces, strings.TrimPrefix("line\r\n", whole))
+				}
+			}
+			if len(pieces) > 0 && c.Over == nil {
+				c.Say(pieces[0])
+				pieces = pieces[1:]
+				r.Until("the client's bytes", func() bool { m.Poll(); return bytes.Contains(m.Got, []byte("l")) || r.Core.Held() == 0 })
+			}
+			switch {
+			case now < stops:
+				if bytes.Contains(m.Got, []byte("\n")) {
+					m.Say("back\r\n")
+					back, m.Got = now, nil
+				}
+			case half || parting > 0:
+			case seed%4 == 0:
+				m.Say("LOAD 7\r\n")
+			case seed%4 == 1 && bytes.Contains(m.Got, []byte("\n")):
+				m.Say("bac")
+				half = true
+			case seed%4 == 2:
+				m.Say("BYE\r\n")
+				parting = now
+			}
+			if now == back && now > start {
+				r.Until("the answer", func() bool { c.Poll(); return len(c.Got) > 0 })
+			}
+			c.Got = nil
+			r.Pass(step)
+			if r.Core.Held() == 0 && r.Now() < stops {
+				t.Fatalf("seed %d: a flow that was answered is over", seed)
+			}
+			if late := r.Now() - back; late > silentMost-step {
+				t.Fatalf("seed %d: still held %v after the last line", seed, late)
+			}
+			if late := r.Now() - parting; parting > 0 && late > endMost {
+				t.Fatalf("seed %d: still held %v after its last word", seed, late)
+			}
+		}
+	}
+}
+
+// TestHalfLine: a client that takes long over a line is not sent away for the member's silence, nor as the line ends.
+func TestHalfLine(t *testing.T) {
+	r, c, m := standingFlow(t)
+	c.Say("hel")
+	m.Want("hel")
+	for range 30 {
+		r.Pass(sweepEvery)
+	}
+	c.Say("lo\r\n")
+	m.Lines("lo")
+	r.Pass(sweepEvery)
+	m.Say("well\r\n")
+	c.Lines("well")
+	r.Pass(sweepEvery)
+	if r.Core.Held() != 1 {
+		t.Error("the flow is over")
+	}
+}
+
+// TestClientGone: a client's machine that vanished must not hold a flow for ever.
+func TestClientGone(t *testing.T) {
+	r, c, m := standingFlow(t)
+	r.Pass(clientGone)
+	c.Say("still here\r\n")
+	m.Lines("still here")
+	m.Say("well\r\n")
+	c.Lines("well")
+	r.Pass(clientGone + sweepEvery)
+	r.Pass(sweepEvery)
+	m.WantEnd()
+	if r.Core.Held() != 0 {
+		t.Error("the flow is still held")
+	}
+}
