--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -61,6 +61,9 @@
 		v.close()
 	case sendBusy:
 		v.sendBusy()
+	case openFlow:
+		v.c.EndFirst(false) // what the client has sent by then goes on
+		v.f.Loop.After(0, v.c.Resume)
 	case endClient:
 		v.close()
 	case resetClient:
--- a/internal/front/line/client_state.go
+++ b/internal/front/line/client_state.go
@@ -52,7 +52,7 @@
 	placeRequest               // hand the request to the core
 	sendError                  // answer ERR and end
 	sendBusy                   // answer BUSY and end
-	sendUp                     // pass the member's UP on
+	openFlow                   // pass on what the client has sent early; the member's UP has gone to it
 	endClient                  // end the client's side politely
 	resetClient                // end the client's side by a reset
 	leaveRequest               // end the client's side, and tell the core that the client has left
@@ -126,7 +126,7 @@
 func (s clientState) nextPlacing(e clientEvent) (clientState, clientAction) {
 	switch e {
 	case clientUp:
-		return clientOpen, sendUp
+		return clientOpen, openFlow
 	case clientServed:
 		return clientClosed, endClient
 	case clientRejected:
--- a/internal/front/line/state_test.go
+++ b/internal/front/line/state_test.go
@@ -16,7 +16,7 @@
 		sendPong: clientState.awaitsFirstLine, placeRequest: clientState.awaitsFirstLine,
 		sendError:    func(s clientState) bool { return !s.isOpen() },
 		sendBusy:     func(s clientState) bool { return s == clientPlacing || s.awaitsFirstLine() },
-		sendUp:       func(s clientState) bool { return s == clientPlacing },
+		openFlow:     func(s clientState) bool { return s == clientPlacing },
 		leaveRequest: func(s clientState) bool { return s == clientPlacing },
 		leaveFlow:    hasFlow, leaveFlowHard: hasFlow, sendMove: clientState.isOpen, drain: clientState.isOpen,
 		endAttempt:    func(s clientState) bool { return s == clientDraining },
--- a/internal/front/line/upstream.go
+++ b/internal/front/line/upstream.go
@@ -148,12 +148,9 @@
 	s.on(attemptSaysUp)
 	v.c.Write(b[:n])
 	v.on(clientUp)
-	v.c.EndFirst(false) // what the client has sent by then goes on
 	if n < len(b) {
 		n += s.pass(b[n:])
 	}
-	// Lines that the client sent early wait in its buffer.
-	v.f.Loop.After(0, v.c.Resume)
 	return n
 }
 
