Tests of a stop and of clients that go, between two exact steps of the built program

Cause: the tests of a planned stop had members that answer at once, so no test had an attempt, half a line or a first line on its way when SIGTERM came, and none had a client go while its attempt was held.

With them: an attempt answered after SIGTERM, one held until its time, what arrives on four kinds of connections, half a line, clients that rest or write, SIGTERM three times, a client that closes or resets while its attempt is held, not up yet, or just answered.

--- /dev/null
+++ b/integration/crossing_stop_test.go
@@ -0,0 +1,322 @@
+package integration
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/standin"
+)
+
+// TestCrossingStopAnswered: an attempt is held by its member when SIGTERM comes, and answered after. The client gets UP, then MOVE, before the
+// process ends.
+func TestCrossingStopAnswered(t *testing.T) {
+	t.Parallel()
+	s := newCrossing(t, 2, nil)
+	c := s.open(1, "")
+	a := s.attempt()
+	since := s.terminate()
+	a.up()
+	c.want("UP " + a.member.id + "/")
+	moved(c)
+	s.gone(since)
+	if n := s.attempts(1); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+// TestCrossingStopHeld: a request that a member holds until its time is up gets its one answer in time, and nothing starts after.
+func TestCrossingStopHeld(t *testing.T) {
+	t.Parallel()
+	for _, wait := range []time.Duration{time.Second, 2900 * time.Millisecond} {
+		t.Run(wait.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newCrossing(t, 2, nil)
+			sent := time.Now()
+			c := s.openFor(1, wait)
+			a := s.attempt()
+			since := s.terminate()
+			answer := c.line()
+			took := time.Since(sent)
+			t.Logf("%q after %v of %v", answer, took.Round(time.Millisecond), wait)
+			if !strings.HasPrefix(answer, "BUSY") && answer != "ERR" {
+				t.Errorf("answered %q", answer)
+			}
+			if took > wait+answerLate {
+				t.Errorf("answered after %v of %v", took, wait)
+			}
+			c.want(io.EOF.Error())
+			before := s.attempts(1)
+			a.waitEnd()
+			s.gone(since)
+			if n := s.attempts(1); n != before {
+				t.Errorf("%d attempts after the answer", n-before)
+			}
+		})
+	}
+}
+
+// TestCrossingStopArrives: what comes after SIGTERM, on a new connection, on one that has said nothing, on one that has said half and on one
+// that was answered PONG, is answered BUSY and never sent on.
+func TestCrossingStopArrives(t *testing.T) {
+	t.Parallel()
+	s := newCrossing(t, 2, nil)
+	quiet, half, front := s.dial(), s.dial(), s.dial()
+	line := firstLine(2, 2*time.Second) + "\r\n"
+	fmt.Fprint(half, line[:30])
+	front.say("PING")
+	front.want("PONG") // the others were accepted before
+	since := s.terminate()
+	fresh := s.openFor(1, 2*time.Second)
+	fmt.Fprint(half, line[30:])
+	quiet.say(firstLine(3, 2*time.Second))
+	front.say(firstLine(4, 2*time.Second))
+	for _, c := range []*client{fresh, half, quiet, front} {
+		c.want("BUSY ")
+		c.want(io.EOF.Error())
+	}
+	s.gone(since)
+	for n := 1; n <= 4; n++ {
+		if s.attempts(n) > 0 {
+			t.Errorf("request %d was sent on", n)
+		}
+	}
+}
+
+// TestCrossingStopHalfLine: half a line of a member's stands at the client when SIGTERM comes. The rest follows, then MOVE.
+func TestCrossingStopHalfLine(t *testing.T) {
+	t.Parallel()
+	s := newCrossing(t, 2, nil)
+	c, a := s.flow(1)
+	a.write("GOT ha")
+	got := make([]byte, len("GOT ha"))
+	if _, err := io.ReadFull(c.in, got); err != nil {
+		t.Fatal(err)
+	}
+	since := s.terminate()
+	a.write("lf\r\n")
+	if line := c.line(); line != "lf" {
+		t.Errorf("the rest came as %q", line)
+	}
+	moved(c)
+	s.gone(since)
+}
+
+// TestCrossingStopRests: a client that was answered PONG rests until the relay ends it, and sends a request just then. It sees a polite end, and
+// no member sees the request.
+func TestCrossingStopRests(t *testing.T) {
+	t.Parallel()
+	s := newCrossing(t, 1, nil)
+	c := s.dial()
+	c.say("PING")
+	c.want("PONG")
+	since := s.terminate()
+	c.want(io.EOF.Error())
+	fmt.Fprint(c, firstLine(1, 2*time.Second)+"\r\n") // may fail
+	s.gone(since)
+	if s.attempts(1) > 0 {
+		t.Error("sent on after the end of its connection")
+	}
+}
+
+// TestCrossingStopRestsOpen: a flow's client and member stay silent, and the client rests after MOVE without ending its side. The process ends all
+// the same, and MOVE is not lost by its end.
+func TestCrossingStopRestsOpen(t *testing.T) {
+	t.Parallel()
+	s := newCrossing(t, 2, nil)
+	var all []*client
+	for n := range 6 {
+		c, _ := s.flow(n + 1)
+		all = append(all, c)
+	}
+	since := s.terminate()
+	s.gone(since)
+	moved(all...) // read only now
+}
+
+// TestCrossingStopWrites: clients write lines on open flows while they are moved: MOVE reaches each, no connection is reset under it.
+func TestCrossingStopWrites(t *testing.T) {
+	t.Parallel()
+	s := newCrossing(t, 2, nil)
+	var all []*client
+	for n := range 6 {
+		c, _ := s.flow(n + 1)
+		all = append(all, c)
+	}
+	since := s.terminate()
+	ended := make(chan struct{})
+	for _, c := range all {
+		go func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				if _, err := fmt.Fprint(c, "a line\r\n"); err != nil {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+	for _, c := range all {
+		c.want("MOVE")
+	}
+	close(ended)
+	s.gone(since)
+}
+
+// TestCrossingStopTwice: a second and a third SIGTERM change nothing: what is held is answered, what stands is moved, and the process ends well.
+func TestCrossingStopTwice(t *testing.T) {
+	t.Parallel()
+	s := newCrossing(t, 2, nil)
+	stands, _ := s.flow(1)
+	c := s.open(2, "")
+	a := s.attempt()
+	since := s.terminate()
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	late := s.openFor(3, time.Second)
+	late.want("BUSY ")
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	a.up()
+	c.want("UP ")
+	moved(stands, c)
+	s.gone(since)
+}
+
+// TestCrossingStopRefused: a member turns a request away after SIGTERM. It gets one answer; what is tried meanwhile never overlaps.
+func TestCrossingStopRefused(t *testing.T) {
+	t.Parallel()
+	for what, end := range map[string]func(*attempt){"busy": (*attempt).refuse, "reset": (*attempt).reset} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			s := newCrossing(t, 2, nil)
+			c := s.open(1, "")
+			a := s.attempt()
+			for _, m := range s.members {
+				m.answers(m != a.member)
+			}
+			since := s.terminate()
+			end(a)
+			answer, _, _ := strings.Cut(c.line(), " ")
+			switch answer {
+			case "UP":
+				moved(c)
+			case "BUSY", "ERR":
+				c.want(io.EOF.Error())
+			default:
+				t.Errorf("answered %q", answer)
+			}
+			s.gone(since)
+		})
+	}
+}
+
+// ends by which a client goes away.
+var clientEnds = map[string]func(*client){
+	"close": func(c *client) { c.Close() },
+	"reset": func(c *client) {
+		c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	},
+}
+
+// TestCrossingLeftHeld: the client goes while its attempt is held by the member, which turns it away after that, or resets it. No attempt starts.
+func TestCrossingLeftHeld(t *testing.T) {
+	t.Parallel()
+	for what, leave := range clientEnds {
+		for how, end := range map[string]func(*attempt){"busy": (*attempt).refuse, "reset": (*attempt).reset} {
+			t.Run(what+" "+how, func(t *testing.T) {
+				t.Parallel()
+				s := newCrossing(t, 3, nil)
+				before := s.descriptors()
+				c := s.open(1, "")
+				a := s.attempt()
+				s.freeze() // both events wait for the same round, the client's first
+				leave(c)
+				end(a)
+				s.thaw()
+				a.waitEnd()
+				s.fence(2)
+				s.settled(before)
+				s.gone(s.terminate())
+				if n := s.attempts(1); n != 1 {
+					t.Errorf("%d attempts for a client that has gone", n)
+				}
+			})
+		}
+	}
+}
+
+// fence is a request that is served to its end: what came to the relay before it has been handled.
+func (s *crossing) fence(n int) {
+	s.t.Helper()
+	c, a := s.flow(n)
+	c.say("END")
+	if got := a.next(); got != "END" {
+		s.t.Errorf("the member got %q", got)
+	}
+	a.over()
+	a.write("BYE\r\n")
+	a.Close()
+	c.want("BYE")
+	c.want(io.EOF.Error())
+}
+
+// TestCrossingLeftDial: the client goes while no member takes the connection in. Once they do, none gets the request.
+func TestCrossingLeftDial(t *testing.T) {
+	t.Parallel()
+	for what, leave := range clientEnds {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			tries := standin.NewTries()
+			members, list := newMembers(t, 1, tries)
+			shut := newDoor(t, members[0].serve)
+			list[0].Addr = shut.addr()
+			s := &crossing{d: newDiscovery(t, list...), members: members, tries: tries}
+			s.relay = start(t, configure(t, s.d, nil), 1)
+			until(t, "the first watch", func() bool { return s.d.Calls() > 1 })
+			before := s.descriptors()
+			c := s.open(1, "")
+			until(t, "a connection that does not come up", func() bool { return sockets(t, shut.addr(), synSent) > 0 })
+			leave(c)
+			s.settled(before)
+			shut.open()
+			since := s.terminate()
+			s.gone(since)
+			if n := s.attempts(1); n != 0 {
+				t.Errorf("%d attempts for a client that has gone", n)
+			}
+		})
+	}
+}
+
+// TestCrossingLeftUp: the client goes just before its member answers UP: the flow ends at the member, and nothing else starts.
+func TestCrossingLeftUp(t *testing.T) {
+	t.Parallel()
+	for what, leave := range clientEnds {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			s := newCrossing(t, 2, nil)
+			before := s.descriptors()
+			c := s.open(1, "")
+			a := s.attempt()
+			s.freeze()
+			leave(c)
+			a.up()
+			s.thaw()
+			a.waitEnd()
+			s.fence(2)
+			s.settled(before)
+			s.gone(s.terminate())
+			if n := s.attempts(1); n != 1 {
+				t.Errorf("%d attempts", n)
+			}
+		})
+	}
+}
