--- a/integration/crossing_rig_test.go
+++ b/integration/crossing_rig_test.go
@@ -102,8 +102,9 @@
 	m.mu.Unlock()
 	if auto {
 		a.up()
+	} else {
+		m.arrived <- a
 	}
-	m.arrived <- a
 	for {
 		line, err := in.ReadString('\n')
 		if err != nil {
@@ -115,7 +116,7 @@
 	close(a.ended)
 }
 
-// answers has every first line answered UP from now on, or none.
+// answers has every first line answered UP from now on, without a word to the test, or none.
 func (m *scriptedMember) answers(on bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/integration/crossing_watch_test.go
@@ -0,0 +1,306 @@
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/standin"
+)
+
+// scriptedDiscovery answers calls as the test says, byte by byte.
+type scriptedDiscovery struct {
+	addr string
+
+	mu      sync.Mutex
+	at      int // the newest generation
+	list    []member
+	changed map[string]int          // by member, when it changed last
+	watches map[*scriptedWatch]bool // that are open now
+	next    []func(*scriptedWatch)  // what happens to the calls that come next, one each
+	opened  int                     // calls so far
+}
+
+// scriptedWatch is a call that waits for a change.
+type scriptedWatch struct {
+	net.Conn
+	since int
+	done  chan struct{}
+}
+
+func newScriptedDiscovery(t testing.TB, list []member) *scriptedDiscovery {
+	d := &scriptedDiscovery{at: 1, list: list, changed: map[string]int{}, watches: map[*scriptedWatch]bool{}}
+	for _, m := range list {
+		d.changed[m.ID] = 1
+	}
+	d.addr = listen(t, d.serve).Addr().String()
+	return d
+}
+
+func (d *scriptedDiscovery) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		head, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		for line := head; line != "\r\n"; {
+			if line, err = in.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		if !d.call(c, strings.Fields(head)[1]) {
+			return
+		}
+	}
+}
+
+// call serves one; false if the connection is of no more use.
+func (d *scriptedDiscovery) call(c net.Conn, target string) bool {
+	u, err := url.Parse(target)
+	if err != nil {
+		return false
+	}
+	wait, _ := strconv.Atoi(u.Query().Get("timeout_ms"))
+	w := &scriptedWatch{Conn: c, since: -1, done: make(chan struct{})}
+	if text := u.Query().Get("since"); text != "" {
+		w.since, _ = strconv.Atoi(text)
+	}
+	d.mu.Lock()
+	d.opened++
+	if len(d.next) > 0 {
+		handle := d.next[0]
+		d.next = d.next[1:]
+		d.mu.Unlock()
+		handle(w)
+		return false
+	}
+	if w.since != d.at || wait == 0 {
+		text := d.text(w.since, "")
+		d.mu.Unlock()
+		return respond(c, text)
+	}
+	d.watches[w] = true
+	d.mu.Unlock()
+	select {
+	case <-w.done:
+		return true
+	case <-time.After(time.Duration(wait) * time.Millisecond):
+	}
+	d.mu.Lock()
+	stands := d.watches[w]
+	delete(d.watches, w)
+	text := d.text(w.since, "")
+	d.mu.Unlock()
+	if !stands { // it is answered elsewhere, or never
+		<-w.done
+		return true
+	}
+	return respond(c, text)
+}
+
+// text is the answer to who holds a generation.
+func (d *scriptedDiscovery) text(since int, indent string) string {
+	out := standin.List{Generation: d.at, Reset: since < 0, Instances: []member{}}
+	for _, m := range d.list {
+		if since < 0 || d.changed[m.ID] > since {
+			out.Instances = append(out.Instances, m)
+		}
+	}
+	text, _ := json.MarshalIndent(out, "", indent)
+	if indent == "" {
+		text, _ = json.Marshal(out)
+	}
+	return string(text)
+}
+
+func response(text string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+}
+
+func respond(c net.Conn, text string) bool {
+	_, err := fmt.Fprint(c, response(text))
+	return err == nil
+}
+
+// watched says that a call waits.
+func (d *scriptedDiscovery) watched() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.watches) > 0
+}
+
+// drain changes a member; to the watches that are open, and to the calls that come next, happens what is given.
+func (d *scriptedDiscovery) drain(id string, open func(w *scriptedWatch, d *scriptedDiscovery), next ...func(*scriptedWatch)) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.at++
+	d.changed[id] = d.at
+	for i := range d.list {
+		if d.list[i].ID == id {
+			d.list[i].Lifecycle = "DRAINING"
+		}
+	}
+	d.next = next
+	at := time.Now()
+	for w := range d.watches {
+		delete(d.watches, w)
+		open(w, d)
+	}
+	return at
+}
+
+// What happens to a call.
+
+func answerWhole(w *scriptedWatch, d *scriptedDiscovery) {
+	fmt.Fprint(w, response(d.text(-1, "")))
+	close(w.done)
+}
+
+func answerIndented(w *scriptedWatch, d *scriptedDiscovery) {
+	fmt.Fprint(w, response(d.text(w.since, "    ")))
+	close(w.done)
+}
+
+// answerPieces has every byte leave by itself.
+func answerPieces(w *scriptedWatch, d *scriptedDiscovery) {
+	w.Conn.(*net.TCPConn).SetNoDelay(true)
+	for _, b := range []byte(response(d.text(w.since, ""))) {
+		w.Write([]byte{b})
+	}
+	close(w.done)
+}
+
+func answerReset(w *scriptedWatch, _ *scriptedDiscovery) {
+	w.Conn.(*net.TCPConn).SetLinger(0)
+	w.Conn.Close()
+	close(w.done)
+}
+
+// watchSite is a relay whose members take all, and discovery by script.
+func watchSite(t *testing.T) (*crossing, *scriptedDiscovery) {
+	t.Helper()
+	s := &crossing{tries: standin.NewTries()}
+	var list []member
+	s.members, list = newMembers(t, 2, s.tries)
+	for _, m := range s.members {
+		m.answers(true)
+	}
+	d := newScriptedDiscovery(t, list)
+	s.relay = start(t, configure(t, &discovery{Discovery: standin.NewDiscovery(list...), addr: d.addr}, nil), 1)
+	until(t, "a watch", d.watched)
+	return s, d
+}
+
+// goesOn makes requests, one after another, until the flow of the member that drains is moved, and returns when the last of them reached it.
+func (s *crossing) goesOn(from *scriptedMember, stands *client) time.Time {
+	s.t.Helper()
+	told := make(chan string, 1)
+	go func() { told <- stands.line() }()
+	n := 1000
+	serve := func() {
+		c := s.open(n, "")
+		c.line() // UP or BUSY
+		c.Close()
+		n++
+	}
+	for waiting := true; waiting; serve() {
+		select {
+		case line := <-told:
+			if line != "MOVE" {
+				s.t.Errorf("the flow on the member that drains got %q", line)
+			}
+			waiting = false
+		default:
+		}
+	}
+	for range 10 {
+		serve()
+	}
+	last := time.Time{}
+	for _, a := range from.arrivals() {
+		if a.at.After(last) {
+			last = a.at
+		}
+	}
+	return last
+}
+
+// flowAt opens flows until one stands at a member that is to drain.
+func (s *crossing) flowAt() (*client, *scriptedMember) {
+	s.t.Helper()
+	c := s.open(1, "")
+	up := c.want("UP ")
+	for _, m := range s.members {
+		if strings.HasPrefix(up, "UP "+m.id+"/") {
+			return c, m
+		}
+	}
+	s.t.Fatalf("no member made %q", up)
+	return nil, nil
+}
+
+// watchCase is a member's drain that meets a watch which fails in some manner.
+type watchCase struct {
+	what string
+	told time.Duration // by the protocol, after the drain
+	open func(*scriptedWatch, *scriptedDiscovery)
+	next []func(*scriptedWatch)
+}
+
+func (test watchCase) run(t *testing.T) {
+	t.Parallel()
+	s, d := watchSite(t)
+	c, m := s.flowAt()
+	at := d.drain(m.id, test.open, test.next...)
+	last := s.goesOn(m, c).Sub(at)
+	t.Logf("the last send went %v after the drain", last.Round(time.Millisecond))
+	if most := test.told + drainGrace + timeSlack; last > most {
+		t.Errorf("sent to a member %v after its drain; %v are allowed", last, most)
+	}
+	s.checkTries()
+}
+
+// TestCrossingWatch: a member drains, and what tells of it comes in one of the forms that the protocol allows, or the watch is reset just then.
+func TestCrossingWatch(t *testing.T) {
+	t.Parallel()
+	for _, test := range []watchCase{
+		{"in pieces", 0, answerPieces, nil},
+		{"indented", 0, answerIndented, nil},
+		{"whole list", 0, answerWhole, nil},
+		{"reset", silenceTold, answerReset, nil},
+	} {
+		t.Run(test.what, test.run)
+	}
+}
+
+// TestCrossingWatchMoved: SIGHUP moves discovery, and a member drains right after, at the new address alone.
+func TestCrossingWatchMoved(t *testing.T) {
+	t.Parallel()
+	s, old := watchSite(t)
+	c, m := s.flowAt()
+	var list []member
+	for _, x := range s.members {
+		list = append(list, x.entry())
+	}
+	before := s.descriptors()
+	next := newScriptedDiscovery(t, list)
+	at := time.Now()
+	s.reload(old.addr, next.addr)
+	next.drain(m.id, nil)
+	last := s.goesOn(m, c).Sub(at)
+	t.Logf("the last send went %v after SIGHUP", last.Round(time.Millisecond))
+	if most := hangupTold + drainGrace + timeSlack; last > most {
+		t.Errorf("sent to a member %v after SIGHUP; %v are allowed", last, most)
+	}
+	s.checkTries()
+	s.settled(before)
+}
