A connection on its way to a successor that ends comes back, and is served or moved

Cause: pass and heard in cmd/dahliarudder/upgrade.go closed the first process's descriptors as soon as sendmsg had put them into the socket. Seen: with the successor killed before it read them, clients of six open flows got the end of the connection and no MOVE, and a connection whose first line had come was reset. Ruled out: an error of Tell (none was logged) and the move of the stop (the core holds no flow that was passed). The same held where Tell itself failed: the flow was closed.

Change: transfers have numbers and are confirmed (version 2 of the notes); until then handover keeps the descriptors. What is not confirmed when the successor is gone goes on here; what cannot be sent too. At most passBurst are on their way, their descriptors count in what the successor is told, and connections without a request pass by the same window. What the other process is and how far are types of their own (origin, stage) in place of two flags. Version 1 is still spoken, both ways.

Measured: TestCrossingPassNewerKilled failed before with "got EOF, want MOVE", TestCrossingFreshNewerKilled with "connection reset by peer, want UP"; both pass now, as do TestUpgrade* and the other Crossing tests of passing. TestGive, TestGiveBack, TestGivePlain and TestVersions are new with what they test. TestGiveFresh names how many it wants given.

--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -26,12 +26,29 @@
 	upgradeSockets = 4
 )
 
+// origin is which of the two processes the other one is.
+type origin int
+
+const (
+	newer origin = iota // it was started beside this one
+	older               // it was here first
+)
+
+// stage is how far the other process is.
+type stage int
+
+const (
+	starting stage = iota // it takes no clients in yet; only a newer one is in this stage
+	serving               // it takes clients in, or did before this one
+)
+
 // twin is the other process of this relay while there are two.
 type twin struct {
 	peer    *handover.Peer
-	older   bool // it was here first
-	serving bool // it takes clients in, or did before us
-	told    handover.Open
+	origin  origin
+	stage   stage
+	told    handover.Open  // what a newer one was told last
+	passing *netloop.Timer // when the next connections are handed over to it
 }
 
 // succeed asks for the state of the process whose place this one takes, if there is
@@ -46,10 +63,13 @@
 		r.inherited[front] = fds[i]
 	}
 	r.state = state
-	r.twin = &twin{older: true, serving: true}
+	r.twin = &twin{origin: older, stage: serving}
 	r.share(state.Limit)
-	r.twin.peer, err = handover.Join(r.loop, fd, r.heard, r.alone)
-	return err
+	if r.twin.peer, err = handover.Join(r.loop, fd, r.heard, r.alone); err != nil {
+		return err
+	}
+	r.twin.peer.Speaks(state.Version)
+	return nil
 }
 
 // wait has a successor find this process.
@@ -76,18 +96,13 @@
 func (r *relay) heard(n *handover.Note, fds []int) {
 	switch {
 	case n.Hello > 0:
-		r.introduce()
+		r.introduce(n.Hello)
 	case n.Serving:
 		r.log.Info("a successor serves")
-		r.twin.serving = true
+		r.twin.stage = serving
 		r.hold(true)
 		r.news()
-		if r.lines != nil {
-			r.lines.GiveFresh(func(fd int, unread []byte) {
-				r.tell(handover.Note{Client: &handover.Client{Unread: unread}}, fd)
-				unix.Close(fd)
-			})
-		}
+		r.pass()
 	case n.Bans:
 		r.follow("", false, func(error) {})
 	case n.Drain != nil:
@@ -98,13 +113,7 @@
 		if r.lines != nil {
 			r.lines.Elsewhere(n.Open.IDs)
 		}
-	case n.Client != nil && len(fds) == 1 && r.lines != nil:
-		r.loop.Grant(len(fds))
-		r.failed(r.lines.TakeFresh(fds[0], n.Client.Unread))
-		return
-	case n.Flow != nil && len(fds) == 2 && r.lines != nil:
-		r.loop.Grant(len(fds))
-		r.failed(r.lines.TakeFlow(*n.Flow, fds[0], fds[1]))
+	case r.take(n, fds):
 		return
 	}
 	for _, fd := range fds {
@@ -112,29 +121,66 @@
 	}
 }
 
+// take takes a connection over, with its descriptors. It returns false if none came.
+func (r *relay) take(n *handover.Note, fds []int) bool {
+	switch {
+	case r.lines == nil:
+		return false
+	case n.Client != nil && len(fds) == 1:
+		r.loop.Grant(len(fds))
+		r.failed(r.lines.TakeFresh(fds[0], n.Client.Unread))
+	case n.Flow != nil && len(fds) == 2:
+		r.loop.Grant(len(fds))
+		r.failed(r.lines.TakeFlow(*n.Flow, fds[0], fds[1]))
+	default:
+		return false
+	}
+	return true
+}
+
 func (r *relay) failed(err error) {
 	if err != nil {
 		r.log.WithError(err).Error("a client could not be taken over")
 	}
 }
 
-// pass hands open flows over to the successor, a few at a time, so that the others are
-// served meanwhile.
+// pass hands connections over to a successor that serves, a few at a time, so that the others are served meanwhile: those that have asked for
+// nothing, and once this process is told to stop its open flows.
 func (r *relay) pass() {
-	if r.twin == nil || r.lines == nil {
+	if r.twin == nil || r.twin.origin != newer || r.twin.stage != serving || r.lines == nil {
 		return
 	}
-	r.lines.GiveFlows(passBurst, func(f line.Flow, client, member int) {
-		r.tell(handover.Note{Flow: &f}, client, member)
-		unix.Close(client)
-		unix.Close(member)
+	r.lines.GiveFresh(r.window(), func(fd int, unread []byte) {
+		r.give(handover.Note{Client: &handover.Client{Unread: unread}}, fd)
 	})
-	r.loop.After(passEvery, r.pass)
+	if r.ending {
+		r.lines.GiveFlows(r.window(), func(f line.Flow, client, member int) {
+			r.give(handover.Note{Flow: &f}, client, member)
+		})
+	}
+	again := newsEvery
+	if r.ending || r.twin.peer.Pending() > 0 {
+		again = passEvery
+	}
+	r.twin.passing.Stop()
+	r.twin.passing = r.loop.After(again, r.pass)
+}
+
+// window is how many connections may be handed over now.
+func (r *relay) window() int { return passBurst - r.twin.peer.Pending() }
+
+// give hands a connection over. What cannot be handed over goes on here.
+func (r *relay) give(n handover.Note, fds ...int) {
+	if err := r.twin.peer.Give(n, fds...); err != nil {
+		r.log.WithError(err).Error("the other process does not hear")
+		r.loop.After(0, func() { r.take(&n, fds) })
+	}
 }
 
 // introduce tells a successor all that it starts with.
-func (r *relay) introduce() {
-	state := handover.NewState(r.core.Learned())
+func (r *relay) introduce(hello int) {
+	r.twin.peer.Speaks(hello)
+	state := handover.NewState(r.core.Learned(), hello)
 	var fds []int
 	for front, l := range r.fronts {
 		state.Fronts = append(state.Fronts, front)
@@ -153,12 +199,13 @@
 
 // confine leaves what this process does not need to its successor.
 func (r *relay) confine() {
-	limit := r.loop.Held() + spareSockets
+	passing := r.twin.peer.PendingFDs()
+	limit := r.loop.Held() + passing + spareSockets
 	if r.twin.told.Limit > 0 {
 		limit = min(limit, r.twin.told.Limit)
 	}
 	r.twin.told.Limit = limit
-	r.loop.Limit(limit)
+	r.loop.Limit(limit - passing)
 	r.loop.Memory(r.memory / 2)
 }
 
@@ -174,7 +221,7 @@
 		return
 	}
 	switch {
-	case !r.twin.older:
+	case r.twin.origin == newer:
 		r.news()
 	case !r.open && r.core.Usable():
 		r.begin()
@@ -186,7 +233,7 @@
 func (r *relay) news() {
 	before := r.twin.told
 	r.confine()
-	if r.lines != nil && r.twin.serving {
+	if r.lines != nil && r.twin.stage == serving {
 		r.twin.told.IDs = r.lines.IDs()
 		slices.Sort(r.twin.told.IDs)
 	}
@@ -212,17 +259,22 @@
 }
 
 // alone goes on as the only process. A successor that has ended without taking over
-// leaves its clients to this one.
+// leaves its clients to this one, and what was on its way to it comes back.
 func (r *relay) alone(err error) {
-	older := r.twin.older
+	was := r.twin
 	r.twin = nil
-	r.log.WithError(err).WithField("older", older).Info("the other process is gone")
+	was.passing.Stop()
+	r.log.WithError(err).WithField("older", was.origin == older).Info("the other process is gone")
 	r.loop.Limit(r.sockets)
 	r.loop.Memory(r.memory)
 	if r.lines != nil {
 		r.lines.Elsewhere(nil)
 	}
-	if older {
+	for _, t := range was.peer.Unconfirmed() {
+		r.take(&t.Note, t.FDs)
+	}
+	r.loop.Limit(r.sockets)
+	if was.origin == older {
 		r.begin()
 		return
 	}
@@ -245,11 +297,11 @@
 // yield leaves clients to the other process, if there is one, and says whether there
 // is. A second process that is stopped before the first leaves them to that one.
 func (r *relay) yield() bool {
-	if r.twin == nil || !r.twin.serving {
+	if r.twin == nil || r.twin.stage != serving {
 		return false
 	}
 	r.hold(true)
-	if r.twin.older {
+	if r.twin.origin == older {
 		r.twin.peer.Leave()
 		r.twin = nil
 	}
--- a/integration/crossing_upgrade_test.go
+++ b/integration/crossing_upgrade_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -40,6 +42,20 @@
 	c.Read(make([]byte, 1))
 }
 
+// socketOf is the file at which a successor is waited for, by its number: a process that begins to take clients in makes it anew.
+func (r *relay) socketOf() uint64 {
+	r.t.Helper()
+	paths, err := filepath.Glob(filepath.Join(filepath.Dir(r.path), "dahliarudder-*", "upgrade.sock"))
+	if err != nil || len(paths) != 1 {
+		r.t.Fatalf("sockets %q, %v", paths, err)
+	}
+	var at syscall.Stat_t
+	if err := syscall.Stat(paths[0], &at); err != nil {
+		return 0 // between its end and its start
+	}
+	return at.Ino
+}
+
 // speaks passes a line each way on a flow.
 func speaks(c *client, a *attempt, line string) {
 	c.t.Helper()
@@ -147,6 +163,60 @@
 	}
 }
 
+// TestCrossingPassNewerKilled: the successor is killed with flows on their way to it. The first one, which has given them up, moves their clients.
+func TestCrossingPassNewerKilled(t *testing.T) {
+	t.Parallel()
+	s, clients, _ := newUpgrade(t, 6)
+	next := s.successor(2)
+	since := s.passes(next)
+	next.cmd.Process.Kill()
+	<-next.done
+	moved(clients...)
+	s.gone(since)
+}
+
+// TestCrossingFreshNewerKilled: the successor is killed with connections on their way to it whose first lines have come or are still to come. The
+// first one serves them.
+func TestCrossingFreshNewerKilled(t *testing.T) {
+	t.Parallel()
+	s := newCrossing(t, 2, map[string]any{"operator": "127.0.0.1:0"})
+	for _, m := range s.members {
+		m.answers(true)
+		s.d.Set(m.id, "DRAINING")
+	}
+	until(t, "no member", func() bool { return s.call("GET", "/-/ready") == 503 })
+	quiet, half, asks, front := s.dial(), s.dial(), s.dial(), s.dial()
+	line := firstLine(3, 2900*time.Millisecond) + "\r\n"
+	fmt.Fprint(half, line[:30])
+	front.say("PING")
+	front.want("PONG")          // the others were accepted before
+	next := start(t, s.path, 2) // it takes no clients in before it has a member
+	s.logged("a successor starts")
+	s.freeze()
+	before := s.socketOf()
+	for _, m := range s.members {
+		s.d.Set(m.id, "SERVING")
+	}
+	until(t, "the successor's beginning", func() bool { now := s.socketOf(); return now != 0 && now != before })
+	next.freeze()
+	asks.say(firstLine(1, 2900*time.Millisecond))
+	s.thaw()
+	s.logged("a successor serves")
+	s.round()
+	next.cmd.Process.Kill()
+	<-next.done
+	asks.want("UP ")
+	quiet.say(firstLine(2, 2900*time.Millisecond))
+	quiet.want("UP ")
+	fmt.Fprint(half, line[30:])
+	half.want("UP ")
+	front.say("PING")
+	front.want("PONG")
+	s.open(900, "").want("UP ")
+	s.checkTries()
+	s.stop()
+}
+
 // TestCrossingPassOlderKilled: the first process is killed with flows on their way to its successor, which serves them.
 func TestCrossingPassOlderKilled(t *testing.T) {
 	t.Parallel()
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -450,7 +450,7 @@
 	r.Until("both", func() bool { return len(f.fresh) == 2 })
 	r.Turn()
 	given := 0
-	f.GiveFresh(func(fd int, unread []byte) {
+	f.GiveFresh(2, func(fd int, unread []byte) {
 		given++
 		if err := next.TakeFresh(fd, unread); err != nil {
 			t.Error(err)
--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -10,11 +10,15 @@
 // This file passes connections on to another process of the same relay, and takes up
 // those of another.
 
-// GiveFresh hands every connection on which no first line has come, and what of it
+// GiveFresh hands at most so many connections on which no first line has come, and what of it
 // has, to give, which owns the descriptor then.
-func (f *Front) GiveFresh(give func(fd int, unread []byte)) {
+func (f *Front) GiveFresh(most int, give func(fd int, unread []byte)) {
 	for v := range f.fresh {
+		if most <= 0 {
+			return
+		}
 		if fd, unread := v.c.Detach(); fd >= 0 {
+			most--
 			v.close()
 			give(fd, unread)
 		}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -20,11 +22,18 @@
 	"dahliarudder/internal/pool"
 )
 
-// version is that of the notes. Processes that differ do not take over from each other.
-const version = 1
+// Versions of the notes. Processes speak the lower one of theirs.
+const (
+	plain      = 1 // notes that carry a connection are not confirmed
+	confirming = 2 // they are
+	version    = confirming
+)
 
-// Note is what one process tells the other. Exactly one field is set.
+// Note is what one process tells the other. Exactly one field is set, beside Transfer.
 type Note struct {
+	Transfer  uint64 `json:"transfer,omitempty"`  // the number of a note that carries a connection, if it is to be confirmed
+	Confirmed uint64 `json:"confirmed,omitempty"` // what that note carried has been taken over
+
 	Hello   int        `json:"hello,omitempty"` // the second's version
 	State   *State     `json:"state,omitempty"` // the first's answer, with the listening sockets
 	Serving bool       `json:"serving,omitempty"`
@@ -52,8 +61,10 @@
 	Learned core.Learned `json:"learned"`
 }
 
-// NewState is a state in this process's version.
-func NewState(l core.Learned) *State { return &State{Version: version, Learned: l} }
+// NewState is a state for a second process of that version.
+func NewState(l core.Learned, hello int) *State {
+	return &State{Version: min(version, hello), Learned: l}
+}
 
 // Client is a connection on which no request has come.
 type Client struct {
@@ -112,7 +123,7 @@
 		fds = append(fds, some...)
 		var n *Note
 		if n, err = p.add(frame); err == nil && n != nil {
-			if state = n.State; state == nil || state.Version != version || len(state.Fronts) != len(fds) {
+			if state = n.State; state == nil || state.Version < plain || state.Version > version || len(state.Fronts) != len(fds) {
 				err = errors.New("the first process speaks otherwise")
 			}
 		}
@@ -144,18 +155,27 @@
 	return n, err
 }
 
+// Transfer is a connection on its way to the other process, with this process's own descriptors of it.
+type Transfer struct {
+	Note Note
+	FDs  []int
+}
+
 // Peer is the other process.
 type Peer struct {
-	channel *netloop.Channel
-	parts   parts
-	fds     []int
+	channel  *netloop.Channel
+	parts    parts
+	fds      []int
+	confirms bool // both speak the version in which transfers are confirmed
+	last     uint64
+	out      map[uint64]Transfer // not confirmed yet
 }
 
 // Join speaks with the other process on a connected socket. Heard must take the
 // descriptors over; end is called once, when that process is gone or says what is no
 // note.
 func Join(loop *netloop.Loop, fd int, heard func(n *Note, fds []int), end func(error)) (*Peer, error) {
-	p := &Peer{}
+	p := &Peer{out: map[uint64]Transfer{}}
 	var err error
 	p.channel, err = loop.Channel(fd, func(frame []byte, fds []int) {
 		p.fds = append(p.fds, fds...)
@@ -165,7 +185,7 @@
 			end(err)
 		} else if n != nil {
 			fds, p.fds = p.fds, nil
-			heard(n, fds)
+			p.hear(n, fds, heard)
 		}
 	}, func(err error) {
 		closeAll(p.fds)
@@ -175,6 +195,64 @@
 	return p, err
 }
 
+// Speaks says which version the other process speaks; until then it is the first.
+func (p *Peer) Speaks(version int) { p.confirms = version >= confirming }
+
+// Confirms says whether transfers are confirmed.
+func (p *Peer) Confirms() bool { return p.confirms }
+
+// hear takes confirmations itself, and confirms what was taken over.
+func (p *Peer) hear(n *Note, fds []int, heard func(n *Note, fds []int)) {
+	if n.Confirmed > 0 {
+		closeAll(p.out[n.Confirmed].FDs)
+		delete(p.out, n.Confirmed)
+		return
+	}
+	heard(n, fds)
+	if n.Transfer > 0 {
+		p.Tell(Note{Confirmed: n.Transfer}) // if that fails, the other process has gone
+	}
+}
+
+// Give hands a connection over, and the descriptors are this package's then. They stay open until the other process has confirmed
+// it; what it has not confirmed when it is gone comes back by Unconfirmed. On an error the descriptors are the caller's again.
+func (p *Peer) Give(n Note, fds ...int) error {
+	if !p.confirms {
+		err := p.Tell(n, fds...)
+		if err == nil {
+			closeAll(fds)
+		}
+		return err
+	}
+	p.last++
+	n.Transfer = p.last
+	if err := p.Tell(n, fds...); err != nil {
+		return err
+	}
+	p.out[n.Transfer] = Transfer{n, fds}
+	return nil
+}
+
+// Pending is how many transfers are not confirmed.
+func (p *Peer) Pending() int { return len(p.out) }
+
+// PendingFDs is how many descriptors these hold.
+func (p *Peer) PendingFDs() (count int) {
+	for _, t := range p.out {
+		count += len(t.FDs)
+	}
+	return count
+}
+
+// Unconfirmed takes back what the other process has not confirmed, in the order in which it was given.
+func (p *Peer) Unconfirmed() (all []Transfer) {
+	for _, number := range slices.Sorted(maps.Keys(p.out)) {
+		all = append(all, p.out[number])
+	}
+	clear(p.out)
+	return all
+}
+
 // Tell hands a note over. The descriptors stay the caller's.
 func (p *Peer) Tell(n Note, fds ...int) error {
 	text, err := json.Marshal(n)
@@ -194,8 +272,8 @@
 	return nil
 }
 
-// Quiet says that all that was told has left.
-func (p *Peer) Quiet() bool { return p.channel.Quiet() }
+// Quiet says that all that was told has left, and all that was given is confirmed.
+func (p *Peer) Quiet() bool { return p.channel.Quiet() && len(p.out) == 0 }
 
 // Leave ends the conversation; nobody here is told.
 func (p *Peer) Leave() {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -98,7 +98,7 @@
 // notes pass both ways after it.
 func TestState(t *testing.T) {
 	b, dir := looptest.New(t, 16), t.TempDir()
-	state := NewState(core.Learned{})
+	state := NewState(core.Learned{}, version)
 	state.Fronts, state.Limit, state.Pool = []string{"line"}, 77, &pool.List{Generation: 9}
 	for n := range 3000 {
 		state.Pool.Instances = append(state.Pool.Instances, pool.Entry{ID: fmt.Sprint("s-", n), Addr: "127.0.0.1:9", Zone: "a"})
@@ -131,3 +131,112 @@
 		t.Errorf("%d, %v, %v", fd, state, err)
 	}
 }
+
+// peers are two ends of one conversation, on one loop.
+type peers struct {
+	b           *looptest.Bench
+	first, next *Peer
+	taken       []*Note
+	ended       bool
+}
+
+func newPeers(t *testing.T, version int) *peers {
+	p := &peers{b: looptest.New(t, 16)}
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_SEQPACKET|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.first, err = Join(p.b.Loop, pair[0], func(*Note, []int) {}, func(error) { p.ended = true })
+	if err == nil {
+		p.next, err = Join(p.b.Loop, pair[1], func(n *Note, fds []int) {
+			p.taken = append(p.taken, n)
+			closeAll(fds)
+		}, func(error) {})
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.first.Speaks(version)
+	p.next.Speaks(version)
+	return p
+}
+
+// give hands a pipe's end over, and returns the other, which reads the end once nobody holds the first.
+func (p *peers) give(name string) (other int) {
+	ends := make([]int, 2)
+	if err := unix.Pipe2(ends, unix.O_CLOEXEC|unix.O_NONBLOCK); err != nil {
+		p.b.T.Fatal(err)
+	}
+	p.b.T.Cleanup(func() { unix.Close(ends[0]) })
+	if err := p.first.Give(Note{Client: &Client{Unread: []byte(name)}}, ends[1]); err != nil {
+		p.b.T.Error(err)
+	}
+	return ends[0]
+}
+
+// closed says that nobody holds the other end of a pipe.
+func closed(fd int) bool {
+	n, err := unix.Read(fd, make([]byte, 1))
+	return n == 0 && err == nil
+}
+
+// TestGive: what is given stays open here until the other process has confirmed it.
+func TestGive(t *testing.T) {
+	p := newPeers(t, version)
+	end := p.give("a")
+	if p.first.Pending() != 1 || p.first.PendingFDs() != 1 || p.first.Quiet() || closed(end) {
+		t.Fatalf("%d pending with %d descriptors", p.first.Pending(), p.first.PendingFDs())
+	}
+	p.b.Until("the confirmation", func() bool { return p.first.Quiet() })
+	if len(p.taken) != 1 || p.first.Pending() != 0 || !closed(end) {
+		t.Errorf("%d taken, %d pending", len(p.taken), p.first.Pending())
+	}
+}
+
+// TestGiveBack: what a process that has ended did not confirm comes back, in order and open. Guards against clients that are cut off.
+func TestGiveBack(t *testing.T) {
+	p := newPeers(t, version)
+	ends := []int{p.give("a"), p.give("b")}
+	p.next.Leave() // it has read nothing
+	p.b.Until("the end", func() bool { return p.ended })
+	back := p.first.Unconfirmed()
+	if len(back) != 2 || string(back[0].Note.Client.Unread) != "a" || string(back[1].Note.Client.Unread) != "b" {
+		t.Fatalf("back came %+v", back)
+	}
+	for i, transfer := range back {
+		if closed(ends[i]) {
+			t.Errorf("%d is closed", i)
+		}
+		closeAll(transfer.FDs)
+	}
+	if p.first.Pending() != 0 || len(p.first.Unconfirmed()) != 0 {
+		t.Error("it comes back twice")
+	}
+}
+
+// TestGivePlain: a process of the version before confirms nothing, and nothing waits for that.
+func TestGivePlain(t *testing.T) {
+	p := newPeers(t, plain)
+	end := p.give("a")
+	if p.first.Pending() != 0 || !p.first.Quiet() {
+		t.Errorf("%d pending", p.first.Pending())
+	}
+	p.b.Until("the note", func() bool { return len(p.taken) == 1 })
+	if p.taken[0].Transfer != 0 || !closed(end) {
+		t.Errorf("transfer %d", p.taken[0].Transfer)
+	}
+}
+
+// TestVersions: a process succeeds one of the version before, and is succeeded by one.
+func TestVersions(t *testing.T) {
+	b, dir := looptest.New(t, 16), t.TempDir()
+	first(b, dir, &State{Version: plain, Fronts: []string{"line"}})
+	fd, state, fds, err := find(b, dir)
+	if err != nil || state == nil || state.Version != plain {
+		t.Fatalf("%v, %v", state, err)
+	}
+	closeAll(append(fds, fd))
+	if told := NewState(core.Learned{}, plain); told.Version != plain {
+		t.Errorf("told version %d", told.Version)
+	}
+}
