Of two processes that are both told to stop, one answers who still arrives

With SIGTERM to both, the second yielded to a first whose listeners were closed, or ended at once itself. Seen: connection refused right after SIGTERM. Ruled out: the order of the two signals alone (the tests with a held request pass before and after, since the first one is still there then).

Change: who stops says so (Leaving), and ends before its time only once the other has said that it takes clients in (Relieves); relief is a state of its own. If both stop, or the other one ends, its listeners go on. A process of version 1 answers nothing and is left as before. serve.go: the time of the notice holds until relieved.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -178,6 +178,7 @@
 	words     chan func()       // what operators have said, to be written in that order
 	door      *netloop.Listener // where a successor comes in
 	twin      *twin             // the other process of this relay; nil if there is none
+	relief    relief            // what that one does when this one stops
 	inherited map[string]int    // the listening sockets of an older one, until they are used
 	state     *handover.State   // what it knew, until that is taken over
 }
@@ -309,7 +310,6 @@
 	deadline := loop.Now() + r.core.StopWithin()
 	least := loop.Now() + core.StopNotice
 	if r.yield() {
-		least = loop.Now()
 		r.core.GiveUp()
 		r.pass()
 	} else {
@@ -321,7 +321,7 @@
 	var look func()
 	look = func() {
 		now := loop.Now()
-		if now < deadline && (now < least || r.core.Held() > 0 || r.twin != nil && !r.twin.peer.Quiet()) {
+		if now < deadline && (now < least && r.relief != relieved || r.core.Held() > 0 || r.twin != nil && !r.twin.peer.Quiet()) {
 			loop.After(20*time.Millisecond, look)
 			return
 		}
--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -40,6 +40,16 @@
 const (
 	starting stage = iota // it takes no clients in yet; only a newer one is in this stage
 	serving               // it takes clients in, or did before this one
+	stopping              // it was told to stop
+)
+
+// relief says whether this process, which was told to stop, leaves clients to the other one.
+type relief int
+
+const (
+	unrelieved relief = iota // it answers them itself
+	asked                    // it takes none in, but the other one has not said that it does
+	relieved                 // the other one takes them in
 )
 
 // twin is the other process of this relay while there are two.
@@ -65,7 +75,7 @@
 	r.state = state
 	r.twin = &twin{origin: older, stage: serving}
 	r.share(state.Limit)
-	if r.twin.peer, err = handover.Join(r.loop, fd, r.heard, r.alone); err != nil {
+	if r.twin.peer, err = handover.Join(r.loop, fd, r.heard, r.remains); err != nil {
 		return err
 	}
 	r.twin.peer.Speaks(state.Version)
@@ -82,7 +92,7 @@
 			return
 		}
 		r.twin = &twin{}
-		if r.twin.peer, err = handover.Join(r.loop, fd, r.heard, r.alone); err != nil {
+		if r.twin.peer, err = handover.Join(r.loop, fd, r.heard, r.remains); err != nil {
 			r.log.WithError(err).Error("a successor cannot be heard")
 			r.twin = nil
 		}
@@ -103,6 +113,10 @@
 		r.hold(true)
 		r.news()
 		r.pass()
+	case n.Leaving:
+		r.otherLeaves()
+	case n.Relieves:
+		r.otherRelieves()
 	case n.Bans:
 		r.follow("", false, func(error) {})
 	case n.Drain != nil:
@@ -223,7 +237,7 @@
 	switch {
 	case r.twin.origin == newer:
 		r.news()
-	case !r.open && r.core.Usable():
+	case !r.open && !r.ending && r.core.Usable():
 		r.begin()
 	}
 	r.loop.After(newsEvery, r.exchange)
@@ -258,11 +272,11 @@
 	}
 }
 
-// alone goes on as the only process. A successor that has ended without taking over
+// remains goes on as the only process. A successor that has ended without taking over
 // leaves its clients to this one, and what was on its way to it comes back.
-func (r *relay) alone(err error) {
+func (r *relay) remains(err error) {
 	was := r.twin
-	r.twin = nil
+	r.twin, r.relief = nil, unrelieved
 	was.passing.Stop()
 	r.log.WithError(err).WithField("older", was.origin == older).Info("the other process is gone")
 	r.loop.Limit(r.sockets)
@@ -274,12 +288,14 @@
 		r.take(&t.Note, t.FDs)
 	}
 	r.loop.Limit(r.sockets)
-	if was.origin == older {
+	if was.origin == older && !r.open {
 		r.begin()
 		return
 	}
 	r.hold(false)
-	r.wait()
+	if was.origin == newer {
+		r.wait()
+	}
 }
 
 // begin takes clients in. A process that is to take another's place does so once it
@@ -294,18 +310,49 @@
 	r.wait()
 }
 
-// yield leaves clients to the other process, if there is one, and says whether there
-// is. A second process that is stopped before the first leaves them to that one.
+// yield leaves clients to the other process, if one serves, and says whether there
+// is one. A second process that is stopped before the first leaves them to that one. The other one may have been told to stop too: only
+// when it says that it goes on may this one end before its time.
 func (r *relay) yield() bool {
-	if r.twin == nil || r.twin.stage != serving {
+	if r.twin == nil {
+		return false
+	}
+	r.tell(handover.Note{Leaving: true})
+	if r.twin.stage != serving {
 		return false
 	}
 	r.hold(true)
+	r.relief = asked
+	if !r.twin.peer.Confirms() { // it answers nothing
+		r.otherRelieves()
+	}
+	return true
+}
+
+// otherLeaves is told that the other process was told to stop. If this one was too, each answers who comes to it.
+func (r *relay) otherLeaves() {
+	r.twin.stage = stopping
+	if !r.open {
+		return // it takes no clients in yet, and the other one knows that
+	}
+	r.hold(false)
+	if r.ending {
+		r.relief = unrelieved
+		return
+	}
+	r.tell(handover.Note{Relieves: true})
+}
+
+// otherRelieves is told that the other process takes clients in.
+func (r *relay) otherRelieves() {
+	if r.relief != asked {
+		return
+	}
+	r.relief = relieved
 	if r.twin.origin == older {
 		r.twin.peer.Leave()
 		r.twin = nil
 	}
-	return true
 }
 
 // remember takes over what the first process knew. It comes before any client.
--- a/integration/crossing_upgrade_test.go
+++ b/integration/crossing_upgrade_test.go
@@ -234,6 +234,85 @@
 	moved(clients...)
 }
 
+// TestCrossingBothStop: SIGTERM to both, at the first one before, at the successor before, or with the first one already past its listeners. Who
+// still arrives is answered by one of them, and flows are moved.
+func TestCrossingBothStop(t *testing.T) {
+	t.Parallel()
+	arrives := func(t *testing.T, s *crossing, n int) {
+		t.Helper()
+		c := s.openFor(n, 2*time.Second)
+		c.want("BUSY ")
+		c.want(io.EOF.Error())
+	}
+	t.Run("the first is past its listeners", func(t *testing.T) {
+		t.Parallel()
+		s, _, _ := newUpgrade(t, 0)
+		next := s.successor(2)
+		s.terminate()
+		s.freeze() // within the time that its last answers have
+		since := time.Now()
+		next.cmd.Process.Signal(syscall.SIGTERM)
+		next.logged("msg=stopping")
+		for n := range 5 {
+			arrives(t, s, 100+n)
+		}
+		next.ends()
+		if took := time.Since(since); took > longestStop+stopReserve {
+			t.Errorf("the successor ended %v after SIGTERM", took)
+		}
+		s.thaw()
+		s.ends()
+	})
+	for what, first := range map[string]bool{"at once, the first stands still": true, "at once, the successor stands still": false} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			s, _, _ := newUpgrade(t, 0)
+			next := s.successor(2)
+			still, other := s.relay, next
+			if !first {
+				still, other = next, s.relay
+			}
+			still.freeze() // its own SIGTERM and the other's word wait for the same round
+			other.cmd.Process.Signal(syscall.SIGTERM)
+			other.logged("msg=stopping")
+			still.cmd.Process.Signal(syscall.SIGTERM)
+			still.thaw()
+			still.logged("msg=stopping")
+			for n := range 5 {
+				arrives(t, s, 100+n)
+			}
+			next.ends()
+			s.ends()
+		})
+	}
+	for what, first := range map[string]bool{"the first at first": true, "the successor at first": false} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			s, clients, _ := newUpgrade(t, 4)
+			held := s.open(50, "") // keeps the first one from ending
+			a := s.attempt()
+			next := s.successor(2)
+			one, other := s.relay, next
+			if !first {
+				one, other = next, s.relay
+			}
+			since := time.Now()
+			one.cmd.Process.Signal(syscall.SIGTERM)
+			one.logged("msg=stopping")
+			other.cmd.Process.Signal(syscall.SIGTERM)
+			other.logged("msg=stopping")
+			for n := range 5 {
+				arrives(t, s, 100+n)
+			}
+			a.up()
+			held.want("UP ")
+			moved(append(clients, held)...)
+			next.ends()
+			s.gone(since)
+		})
+	}
+}
+
 // TestCrossingElsewhere: a request is on its way in the first process while its id is asked for at the successor: before the flow stands, while it
 // passes, and after. It is turned away each time, and there is one attempt.
 func TestCrossingElsewhere(t *testing.T) {
