Connections that wait to be handed over are not read, and a stop waits for them

Cause: since connections without a request pass to the successor passBurst at a time. What asked meanwhile was read by the first process, and rejected once that was told to stop; and the stop did not wait for those that had not passed. Seen: with the successor standing still, 52 of 60 first lines were answered "BUSY 500" by a process whose place was taken.

Change: who waits to be handed over rests, and goes on when the successor has gone or stops; handedOver holds the end of a stop, within its bound.

With 60 connections at two members the successor itself turned some away, so the test has 20 and eight members.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -331,7 +331,7 @@
 	}
 	r.await(func() bool {
 		now := loop.Now()
-		return now >= deadline || (now >= least || r.relief == relieved) && r.held() == 0 && (r.twin == nil || r.twin.peer.Quiet())
+		return now >= deadline || (now >= least || r.relief == relieved) && r.held() == 0 && r.handedOver()
 	}, r.finish)
 }
 
--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -161,7 +161,7 @@
 // pass hands connections over to a successor that serves, a few at a time, so that the others are served meanwhile: those that have asked for
 // nothing, and once this process is told to stop its open flows.
 func (r *relay) pass() {
-	if r.twin == nil || r.twin.origin != newer || r.twin.stage != serving || r.lines == nil {
+	if !r.passes() {
 		return
 	}
 	r.lines.GiveFresh(r.window(), func(fd int, unread []byte) {
@@ -173,13 +173,26 @@
 		})
 	}
 	again := newsEvery
-	if r.ending || r.twin.peer.Pending() > 0 {
+	if r.ending || r.twin.peer.Pending() > 0 || r.lines.Fresh() > 0 {
 		again = passEvery
 	}
 	r.twin.passing.Stop()
 	r.twin.passing = r.loop.After(again, r.pass)
 }
 
+// passes says whether connections go to a successor that serves.
+func (r *relay) passes() bool {
+	return r.twin != nil && r.twin.origin == newer && r.twin.stage == serving && r.lines != nil
+}
+
+// handedOver says that nothing waits for the other process.
+func (r *relay) handedOver() bool {
+	if r.twin == nil {
+		return true
+	}
+	return r.twin.peer.Quiet() && (!r.passes() || r.lines.Fresh() == 0)
+}
+
 // window is how many connections may be handed over now.
 func (r *relay) window() int { return passBurst - r.twin.peer.Pending() }
 
@@ -283,6 +296,7 @@
 	r.loop.Memory(r.memory)
 	if r.lines != nil {
 		r.lines.Elsewhere(nil)
+		r.lines.KeepFresh()
 	}
 	for _, t := range was.peer.Unconfirmed() {
 		r.take(&t.Note, t.FDs)
@@ -332,6 +346,9 @@
 // otherLeaves is told that the other process was told to stop. If this one was too, each answers who comes to it.
 func (r *relay) otherLeaves() {
 	r.twin.stage = stopping
+	if r.lines != nil {
+		r.lines.KeepFresh() // nothing more is handed over
+	}
 	if !r.open {
 		return // it takes no clients in yet, and the other one knows that
 	}
--- a/integration/crossing_upgrade_test.go
+++ b/integration/crossing_upgrade_test.go
@@ -234,6 +234,50 @@
 	moved(clients...)
 }
 
+// TestCrossingFreshMany: SIGTERM comes while more connections that have asked for nothing wait to be handed over than may be on their way, and
+// then their first lines come. The successor serves each.
+func TestCrossingFreshMany(t *testing.T) {
+	t.Parallel()
+	const many = 20 // passBurst of the program is 8
+	s := newCrossing(t, 8, map[string]any{"operator": "127.0.0.1:0"})
+	for _, m := range s.members {
+		m.answers(true)
+		s.d.Set(m.id, "DRAINING")
+	}
+	until(t, "no member", func() bool { return s.call("GET", "/-/ready") == 503 })
+	var all []*client
+	for range many {
+		all = append(all, s.dial())
+	}
+	front := s.dial()
+	front.say("PING")
+	front.want("PONG")          // the others were accepted before
+	next := start(t, s.path, 2) // it takes no clients in before it has a member
+	s.logged("a successor starts")
+	s.freeze()
+	before := s.socketOf()
+	for _, m := range s.members {
+		s.d.Set(m.id, "SERVING")
+	}
+	until(t, "the successor's beginning", func() bool { now := s.socketOf(); return now != 0 && now != before })
+	next.freeze()
+	s.thaw()
+	s.logged("a successor serves")
+	s.terminate()
+	s.round()
+	for n, c := range all {
+		c.say(firstLine(100+n, 2900*time.Millisecond))
+	}
+	s.round()
+	next.thaw()
+	s.ends()
+	for _, c := range all {
+		c.want("UP ")
+	}
+	s.checkTries()
+	next.stop()
+}
+
 // TestCrossingBothStop: SIGTERM to both, at the first one before, at the successor before, or with the first one already past its listeners. Who
 // still arrives is answered by one of them, and flows are moved.
 func TestCrossingBothStop(t *testing.T) {
--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -11,11 +11,12 @@
 // those of another.
 
 // GiveFresh hands at most so many connections on which no first line has come, and what of it
-// has, to give, which owns the descriptor then.
+// has, to give, which owns the descriptor then. Nothing more is read on the others, which are to follow.
 func (f *Front) GiveFresh(most int, give func(fd int, unread []byte)) {
 	for v := range f.fresh {
 		if most <= 0 {
-			return
+			v.c.Rest()
+			continue
 		}
 		if fd, unread := v.c.Detach(); fd >= 0 {
 			most--
@@ -25,6 +26,16 @@
 	}
 }
 
+// Fresh is how many connections there are on which no first line has come.
+func (f *Front) Fresh() int { return len(f.fresh) }
+
+// KeepFresh goes on with those that GiveFresh has left.
+func (f *Front) KeepFresh() {
+	for v := range f.fresh {
+		f.Loop.After(0, v.c.Resume)
+	}
+}
+
 // TakeFresh serves such a connection of another process.
 func (f *Front) TakeFresh(fd int, unread []byte) error {
 	c, err := f.Loop.Attach(fd, unread, nil)
