--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dahliarudder/internal/core"
+	"dahliarudder/policy"
 )
 
 // This file passes connections on to another process of the same relay, and takes up
@@ -66,14 +67,14 @@
 func (f *Front) GiveFlows(most int, give func(p Flow, client, member int)) {
 	now := f.Loop.Now()
 	for v := range f.open {
-		s := v.flow
+		s := v.upstream
 		if !v.c.Detachable() || !s.c.Detachable() {
 			continue
 		}
 		if most--; most < 0 {
 			return
 		}
-		p := Flow{ID: v.open.id, Within: v.within, Tail: s.tail, Last: s.word, Heard: now - s.heard}
+		p := Flow{ID: v.open.id, Within: v.state == clientMidLine, Tail: s.tail, Last: s.state.lastWord(), Heard: now - s.heard}
 		if s.asked > 0 {
 			p.Asked = max(now-s.owed, 1)
 		}
@@ -90,13 +91,13 @@
 // TakeFlow goes on with such a flow. One whose member is not known here is moved.
 func (f *Front) TakeFlow(p Flow, client, member int) error {
 	now := f.Loop.Now()
-	v := &virtual{f: f, phase: standing, within: p.Within, open: opening{id: p.ID}}
-	s := &flow{v: v, opened: true, tail: p.Tail, word: p.Last, load: p.Flow.Request.Load}
+	v := &clientConn{f: f, state: openState(p.Within), open: opening{id: p.ID}}
+	s := &upstream{v: v, state: saying(p.Last), tail: p.Tail, load: p.Flow.Request.Load, report: policy.NoReport}
 	s.heard = now - p.Heard
 	if p.Last != "" {
 		s.last = now
 	}
-	if v.flow = s; p.Asked > 0 {
+	if v.upstream = s; p.Asked > 0 {
 		s.owed, s.asked = now-p.Asked, now-p.Asked
 	}
 	var err, err2 error
