--- a/integration/crossing_upgrade_test.go
+++ b/integration/crossing_upgrade_test.go
@@ -46,11 +46,11 @@
 func (r *relay) socketOf() uint64 {
 	r.t.Helper()
 	paths, err := filepath.Glob(filepath.Join(filepath.Dir(r.path), "dahliarudder-*", "upgrade.sock"))
-	if err != nil || len(paths) != 1 {
+	if err != nil || len(paths) > 1 {
 		r.t.Fatalf("sockets %q, %v", paths, err)
 	}
 	var at syscall.Stat_t
-	if err := syscall.Stat(paths[0], &at); err != nil {
+	if len(paths) == 0 || syscall.Stat(paths[0], &at) != nil {
 		return 0 // between its end and its start
 	}
 	return at.Ino
