A connection that was answered PONG keeps its 30 s over an upgrade

Cause: TakeFresh in internal/front/line/two.go served each connection of the first process like a new one, with 2 s for its first line. One that had been answered PONG got ERR 2 s after the upgrade, which its client takes for the answer to its next line. Ruled out by reading: the first process, which sets pingIdle as it answers.

Change: what passes says whether the connection rests (line.Fresh, which handover's note carries in the place of a type of its own; the field is optional, so the notes' version stays).

--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -142,7 +142,7 @@
 		return false
 	case n.Client != nil && len(fds) == 1:
 		r.loop.Grant(len(fds))
-		r.failed(r.lines.TakeFresh(fds[0], n.Client.Unread))
+		r.failed(r.lines.TakeFresh(*n.Client, fds[0]))
 	case n.Flow != nil && len(fds) == 2:
 		r.loop.Grant(len(fds))
 		r.failed(r.lines.TakeFlow(*n.Flow, fds[0], fds[1]))
@@ -164,8 +164,8 @@
 	if !r.passes() {
 		return
 	}
-	r.lines.GiveFresh(r.window(), func(fd int, unread []byte) {
-		r.give(handover.Note{Client: &handover.Client{Unread: unread}}, fd)
+	r.lines.GiveFresh(r.window(), func(p line.Fresh, fd int) {
+		r.give(handover.Note{Client: &p}, fd)
 	})
 	if r.ending {
 		r.lines.GiveFlows(r.window(), func(f line.Flow, client, member int) {
@@ -173,7 +173,7 @@
 		})
 	}
 	again := newsEvery
-	if r.ending || r.twin.peer.Pending() > 0 || r.lines.Fresh() > 0 {
+	if r.ending || r.twin.peer.Pending() > 0 || r.lines.FreshCount() > 0 {
 		again = passEvery
 	}
 	r.twin.passing.Stop()
@@ -190,7 +190,7 @@
 	if r.twin == nil {
 		return true
 	}
-	return r.twin.peer.Quiet() && (!r.passes() || r.lines.Fresh() == 0)
+	return r.twin.peer.Quiet() && (!r.passes() || r.lines.FreshCount() == 0)
 }
 
 // window is how many connections may be handed over now.
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -54,10 +54,16 @@
 }
 
 // Accept serves a client's connection.
-func (f *Front) Accept(c *netloop.Conn) {
+func (f *Front) Accept(c *netloop.Conn) { f.accept(c, false) }
+
+// accept serves a connection that is new, or that another process has answered PONG.
+func (f *Front) accept(c *netloop.Conn, resting bool) {
 	v := &clientConn{f: f, c: c}
 	f.fresh[v] = struct{}{}
-	v.timeOut(firstWithin)
+	if v.timeOut(firstWithin); resting {
+		v.state = clientResting
+		v.timeOut(pingIdle)
+	}
 	v.spare()
 	c.EndFirst(true)
 	c.Handle(v)
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -451,9 +451,9 @@
 	r.Until("both", func() bool { return len(f.fresh) == 2 })
 	r.Turn()
 	given := 0
-	f.GiveFresh(2, func(fd int, unread []byte) {
+	f.GiveFresh(2, func(p Fresh, fd int) {
 		given++
-		if err := next.TakeFresh(fd, unread); err != nil {
+		if err := next.TakeFresh(p, fd); err != nil {
 			t.Error(err)
 		}
 	})
--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -11,24 +11,31 @@
 // This file passes connections on to another process of the same relay, and takes up
 // those of another.
 
-// GiveFresh hands at most so many connections on which no first line has come, and what of it
-// has, to give, which owns the descriptor then. Nothing more is read on the others, which are to follow.
-func (f *Front) GiveFresh(most int, give func(fd int, unread []byte)) {
+// Fresh is a connection on its way to another process on which no first line has come.
+type Fresh struct {
+	Unread  []byte `json:"unread"`            // what has come of one
+	Resting bool   `json:"resting,omitempty"` // it has been answered PONG
+}
+
+// GiveFresh hands at most so many such connections to give, which owns the descriptor then. Nothing more is read on the others, which are to follow.
+func (f *Front) GiveFresh(most int, give func(p Fresh, fd int)) {
 	for v := range f.fresh {
 		if most <= 0 {
 			v.c.Rest()
 			continue
 		}
-		if fd, unread := v.c.Detach(); fd >= 0 {
+		p := Fresh{Resting: v.state == clientResting}
+		var fd int
+		if fd, p.Unread = v.c.Detach(); fd >= 0 {
 			most--
 			v.close()
-			give(fd, unread)
+			give(p, fd)
 		}
 	}
 }
 
-// Fresh is how many connections there are on which no first line has come.
-func (f *Front) Fresh() int { return len(f.fresh) }
+// FreshCount is how many connections there are on which no first line has come.
+func (f *Front) FreshCount() int { return len(f.fresh) }
 
 // KeepFresh goes on with those that GiveFresh has left.
 func (f *Front) KeepFresh() {
@@ -38,12 +45,12 @@
 }
 
 // TakeFresh serves such a connection of another process.
-func (f *Front) TakeFresh(fd int, unread []byte) error {
-	c, err := f.Loop.Attach(fd, unread, nil)
+func (f *Front) TakeFresh(p Fresh, fd int) error {
+	c, err := f.Loop.Attach(fd, p.Unread, nil)
 	if err != nil {
 		return err
 	}
-	f.Accept(c)
+	f.accept(c, p.Resting)
 	f.Loop.After(0, c.Resume)
 	return nil
 }
