A flow of which one side cannot be handed over for want of a descriptor goes on

Cause: GiveFlows in internal/front/line/two.go took both sides off the loop and gave whatever came of it. Where Detach of the member's side failed the client's was off the loop already, -1 was sent, sendmsg failed, and both sides were closed: a client cut off without MOVE. Found by reading, forced by a limit of descriptors with room for one.

Change: detach takes both or none; the client's side goes back on the loop.

--- a/internal/front/line/give_test.go
+++ b/internal/front/line/give_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dahliarudder/internal/netloop/looptest"
 )
 
@@ -27,3 +29,42 @@
 	c.Lines("BUSY")
 	c.WantEnd()
 }
+
+// TestGiveWithoutDescriptors: a flow of which one side alone can be handed over goes on here. Guards against a client that is cut off.
+func TestGiveWithoutDescriptors(t *testing.T) {
+	r := looptest.NewRelay(t, 1)
+	f := New(r.Loop, r.Core, r.Log)
+	c, m := askedOf(r, f)
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+	given := 0
+	withDescriptors(t, 1, func() {
+		f.GiveFlows(1, func(Flow, int, int) { given++ })
+	})
+	if given != 0 {
+		t.Errorf("%d flows were given", given)
+	}
+	c.Say("still here\r\n")
+	m.Lines("still here")
+	m.Say("GOT\r\n")
+	c.Lines("GOT")
+}
+
+// withDescriptors runs f while the process may open so many more descriptors.
+func withDescriptors(t *testing.T, more uint64, f func()) {
+	t.Helper()
+	next, err := unix.Dup(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unix.Close(next)
+	var before unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &before); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(next) + more, Max: before.Max}); err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Setrlimit(unix.RLIMIT_NOFILE, &before)
+	f()
+}
--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -85,9 +85,10 @@
 		if s.asked > 0 {
 			p.Asked = max(now-s.owed, 1)
 		}
-		client, fromClient := v.c.Detach()
-		member, fromMember := s.c.Detach()
-		p.FromClient, p.FromMember = fromClient, fromMember
+		client, member := f.detach(v, &p)
+		if client < 0 {
+			return // no descriptors now
+		}
 		p.Flow, _ = f.Core.Pass(v.id)
 		p.Flow.Request.Load = s.load
 		v.close()
@@ -95,6 +96,25 @@
 	}
 }
 
+// detach takes both sides of an open flow off the loop. Without a descriptor for either it returns -1, and the flow goes on here.
+func (f *Front) detach(v *clientConn, p *Flow) (client, member int) {
+	if client, p.FromClient = v.c.Detach(); client < 0 {
+		return -1, -1
+	}
+	if member, p.FromMember = v.upstream.c.Detach(); member >= 0 {
+		return client, member
+	}
+	c, err := f.Loop.Attach(client, p.FromClient, v)
+	if err != nil {
+		f.Log.WithError(err).Error("a client could not be kept")
+		v.on(clientReset)
+		return -1, -1
+	}
+	v.c = c
+	f.Loop.After(0, c.Resume)
+	return -1, -1
+}
+
 // TakeFlow goes on with such a flow. One whose member is not known here is moved.
 func (f *Front) TakeFlow(p Flow, client, member int) error {
 	now := f.Loop.Now()
