NATS front: no subscription at a member that left while its connection was set up

Changed: join asks Core.Begin first; the attempt ends as one never made, and the subscription is placed anew.

Test: TestLeftWhileConnecting, seen failing without (the member that drains is asked, no other is connected to).

--- a/internal/front/nats/nats_test.go
+++ b/internal/front/nats/nats_test.go
@@ -224,3 +224,28 @@
 	r.Pass(sweepEvery)
 	c.WantEnd()
 }
+
+// TestLeftWhileConnecting: a member that has left while the connection to it was being set up is asked for no
+// subscription; another one is.
+func TestLeftWhileConnecting(t *testing.T) {
+	s := newSite(t, 2)
+	s.c.Say("SUB a.b 1\r\n")
+	first, m := s.AcceptAny(0)
+	m.Say("INFO {\"headers\":true}\r\n")
+	if got := m.Line(); !strings.HasPrefix(got, "CONNECT {") {
+		t.Fatalf("got %q", got)
+	}
+	m.Lines("PING")
+	s.Drain(first) // before the member has confirmed
+	m.Say("PONG\r\n")
+	second, other := s.link(0)
+	if second == first {
+		t.Fatal("the member that has left is connected to again")
+	}
+	if got := other.Line(); !strings.HasPrefix(got, "SUB a.b ") {
+		t.Fatalf("got %q", got)
+	}
+	if m.Poll(); strings.Contains(string(m.Got), "SUB") {
+		t.Errorf("the member that has left got %q", m.Got)
+	}
+}
--- a/internal/front/nats/sub.go
+++ b/internal/front/nats/sub.go
@@ -119,6 +119,11 @@
 	if s.link != l {
 		return
 	}
+	if !s.c.f.Core.Begin(s.id, s.try) { // the member has left while its connection was on its way
+		l.drop(s.lsid)
+		s.lost(policy.Moot)
+		return
+	}
 	s.base = s.got
 	out := append(append(l.c.Buffer(len(s.subject)+len(s.queue)+lineRoom), "SUB "...), s.subject...)
 	if s.queue != "" {
