A watch waits out discovery's queue, with a second call beside a late one

Discovery bears 5.8 calls a second there for 32 relays: it refuses calls at once (503 after 3 ms) while its queue would take longer than 2.5 s, and each call that it took in was given up by the relay after 2.00 s, just before its answer. n0 had no answer from 1.6 to 28.6 s.

Changed: a call that does not wait is late after 2 s and gets a second one beside it; each is given up 4 s after its wait.

Tests: TestQueue (seen failing with the patience of before), TestReturn over the new steps.

--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -12,12 +12,16 @@
 	// watchWait is how long a call asks discovery to wait for news: the longest wait after which all of
 	// toldAfterWait is left. A shorter one costs discovery more calls and brings nothing sooner.
 	watchWait = toldWithin - toldAfterWait
-	// lateAfter is how long after that an answer is taken for late. A second call is made then, on a connection of
-	// its own; the first one stays, since it may only stand in a queue.
+	// lateAfter is how long after that wait an answer is taken for late. A second call is made then, on a connection
+	// of its own; the first one stays, since it may only stand in a queue.
 	lateAfter = toldAfterWait / 4
-	// patience is how long an answer is waited for that is to come at once. Giving a call up sooner would put the
-	// relay at the end of discovery's queue again.
-	patience = toldAfterWait
+	// queueMost is how long the answer to a call that does not wait may take before a second one is made. Discovery
+	// answers calls one after another and refuses at once what would stand too long; where that is 2 to 3 s (three
+	// sites), a call that was taken in has its answer by then or shortly after.
+	queueMost = toldAfterWait
+	// patience is how long after its wait a call is given up. Sooner, the relay would leave a queue in which it has
+	// stood for nothing, and discovery would answer nobody.
+	patience = 2 * toldAfterWait
 	// dialWithin is how long a connection to discovery may take: a packet that is lost leaves time for a second one.
 	dialWithin = toldAfterWait / 4
 	// After calls have failed the next one comes after a pause that is drawn between the half and the whole of a
--- a/internal/pool/call.go
+++ b/internal/pool/call.go
@@ -82,7 +82,15 @@
 		c.wait = 0
 	}
 	c.conn.Write(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, c.w.Addr))
-	c.await(c.wait+lateAfter, c.late)
+	c.await(c.lateBy(), c.late)
+}
+
+// lateBy is how long after the call was written its answer is late.
+func (c *call) lateBy() time.Duration {
+	if c.wait > 0 {
+		return c.wait + lateAfter
+	}
+	return queueMost
 }
 
 func (c *call) await(d time.Duration, then func()) {
@@ -96,8 +104,8 @@
 // late says that the answer should have come by now. The call stays for the rest of its time.
 func (c *call) late() {
 	c.state = c.state.next(callOverdue)
-	c.await(patience-lateAfter, func() { c.w.failed(c, ErrLate) })
-	c.w.late(c)
+	c.await(c.wait+patience-c.lateBy(), func() { c.w.failed(c, ErrLate) })
+	c.w.late()
 }
 
 // Open is told by the loop.
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -175,10 +175,12 @@
 	return Decode(c.parser.Body)
 }
 
-// late makes a second call beside one whose answer is late. A late second one gets none: it stands in a queue that
-// a third would only make longer.
-func (w *Watch) late(c *call) {
-	if c.wait > 0 && len(w.calls) == 1 {
+// callsMost is how many calls are out at once: one that is late, and one beside it.
+const callsMost = 2
+
+// late makes a second call beside one whose answer is late.
+func (w *Watch) late() {
+	if len(w.calls) < callsMost {
 		w.Log.Debug("discovery is late: a second call")
 		w.dial(0)
 	}
--- a/internal/pool/watch_test.go
+++ b/internal/pool/watch_test.go
@@ -245,34 +245,65 @@
 	}
 }
 
-// TestReturn: discovery is down, swallows calls or refuses them, and comes back at the worst moment of each step: a
-// call is made early enough that an answer within what the budget leaves for it comes in time.
+// TestReturn: discovery swallows calls and comes back at the worst moment, right after one: a further call is made
+// beside it early enough that there is time for the longest queue. The first one stays until its own time is up.
 func TestReturn(t *testing.T) {
-	const left = toldWithin - patience - pauseMost - dialWithin
-	if left < patience {
-		t.Fatalf("%v are left for the answer of the call after the return, which may stand in a queue for %v", left, patience)
+	const queue = 3 * time.Second // the longest of three sites after which discovery refuses a call
+	if left := toldWithin - queueMost - dialWithin; left < queue {
+		t.Fatalf("%v are left for the answer of the call after the return", left)
+	}
+	if left := toldWithin - pauseMost - dialWithin; left < queue {
+		t.Fatalf("%v are left after a refused call", left)
 	}
 	r := newRig(t)
 	r.Ask()
 	p := r.server.Accept()
 	p.Want(r.text(41, watchWait))
 	p.Reset()
-	for range 5 { // as many as the pause takes to grow, and more: each call hangs
-		r.Until("the failure", func() bool { return r.state == watchPausing })
-		r.Pass(pauseMost)
-		p = r.server.Accept()
-		p.Want(r.text(41, 0))
-		swallowed := r.Now() // discovery is back right after
-		r.Pass(lateAfter)
-		r.Turn()
-		if len(r.calls) != 1 {
-			t.Fatalf("%d calls in a queue that others stand in too", len(r.calls))
-		}
-		r.Pass(patience - lateAfter)
-		if r.state != watchPausing || r.Now()-swallowed > patience {
-			t.Fatalf("state %d %v after a call was swallowed", r.state, r.Now()-swallowed)
-		}
+	r.Until("the failure", func() bool { return r.state == watchPausing })
+	r.Pass(pauseFirst)
+	first := r.server.Accept()
+	first.Want(r.text(41, 0))
+	r.Pass(queueMost)
+	second := r.server.Accept()
+	second.Want(r.text(41, 0))
+	r.Pass(queueMost - time.Millisecond)
+	mute(t, first)
+	if len(r.calls) != callsMost {
+		t.Fatalf("%d calls", len(r.calls))
 	}
+	r.Pass(time.Millisecond) // the first is given up, and the second is late by now
+	first.WantEnd()
+	r.Pass(pauseMost)
+	third := r.server.Accept()
+	third.Want(r.text(41, 0))
+	third.Say(changes(43))
+	third.Want(r.text(43, watchWait))
+	second.WantEnd()
+	r.want(drained)
+}
+
+// TestQueue: a call that stands in discovery's queue for as long as that may be is not given up, and its answer counts.
+// Before, calls were given up after 2 s where discovery let them stand for 2.5 s, and nobody was answered.
+func TestQueue(t *testing.T) {
+	r := newRig(t)
+	r.Ask()
+	p := r.server.Accept()
+	p.Want(r.text(41, watchWait))
+	p.Reset()
+	r.Until("the failure", func() bool { return r.state == watchPausing })
+	r.Pass(pauseFirst)
+	queued := r.server.Accept()
+	queued.Want(r.text(41, 0))
+	r.Pass(queueMost)
+	refused := r.server.Accept()
+	refused.Want(r.text(41, 0))
+	refused.Say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+	r.Until("the failure", func() bool { return r.state == watchPausing })
+	r.Pass(time.Second)
+	queued.Say(changes(43))
+	queued.Want(r.text(43, watchWait))
+	r.want(drained)
 }
 
 // TestBudget: the steps of a watch in the worst order add up to less than the protocol's time, each failure once.
