--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -32,8 +32,8 @@
 		servers[i] = m.Server
 	}
 	if kind == policy.ListFull || kind == policy.ListCached {
-		for id, m := range c.members {
-			if !named[id] {
+		for _, id := range slices.Sorted(maps.Keys(c.members)) {
+			if m := c.members[id]; !named[id] {
 				m.listed.State = policy.Gone
 				c.see(now, m)
 			}
@@ -104,16 +104,24 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(out)) {
-		c.rule(name, false)
+		if was, still := before[name]; !still || was != out[name] {
+			c.rule(name, false)
+		}
 	}
 }
 
-// rule has a member be in or out as is ruled now. One that is back is taken for just started, but for a drain that was revoked
+// rule has a member be in or out as is ruled now, and its flows leave as is said now. One that is back is taken for just started, but for a drain that was revoked
 // (warm): discovery would know of a new start.
 func (c *Core) rule(name string, warm bool) {
 	m, out := c.byName[name], c.ruled(name)
 	switch {
-	case m == nil || m.banned == out:
+	case m == nil || !m.banned && !out:
+		return
+	case m.banned && out: // still out, maybe by another word
+		if c.paced {
+			c.settle(m)
+			c.arm()
+		}
 		return
 	case out:
 		m.started = m.listed.Started
@@ -132,7 +140,7 @@
 
 // Bans puts these names in the place of all that are banned.
 func (c *Core) Bans(names []string) {
-	for name := range c.bans {
+	for _, name := range c.Banned() {
 		if !slices.Contains(names, name) {
 			c.Allow(name)
 		}
@@ -148,28 +156,34 @@
 // pace puts the move of a flow off that the module asks for, where its member leaves by agreement and the flows of all relays are
 // spread over a time. The module asks once, so what is put off is the core's to do.
 func (c *Core) pace(r *request) bool {
-	if r.member == nil || r.member.listed.State != policy.Ready { // it leaves by itself, and sends its clients away soon
+	if r.state != serving || r.member.listed.State != policy.Ready { // it leaves by itself, and sends its clients away soon
 		return false
 	}
 	over := c.agreed[r.member.Name].Over
-	if !r.member.banned || over <= 0 {
+	if !r.member.banned || c.bans[r.member.Name] || over <= 0 { // an operator of this relay wants it left now
 		return false
 	}
 	r.owed, c.paced = true, true
 	// A part of the span that is the request's own, and spreads those of one relay evenly.
 	part := math.Mod(float64(r.id)*math.Phi, 1)
-	c.leaveAt(r, max(c.Clock(), r.member.told+time.Duration(part*float64(over))))
+	c.dueAt(r, max(c.Clock(), r.member.told+time.Duration(part*float64(over))))
 	return true
 }
 
+// quit has a flow moved that has just come to a member that is being left: the module asks for moves only as it hears of that.
+func (c *Core) quit(r *request) {
+	if r.state == serving && r.member.left && !c.pace(r) {
+		c.dueAt(r, c.Clock())
+	}
+}
+
 // settle looks at flows of a member whose move was put off, when what is said of it changes: it leaves after all, sooner, or stays.
 func (c *Core) settle(m *member) {
-	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
-		r := c.requests[id]
+	for _, r := range c.held() {
 		switch {
-		case r == nil || r.member != m || !r.owed || !r.open:
-		case !m.left && c.Welcomes():
-			r.leave = 0
+		case r.state != serving || r.member != m || !r.owed:
+		case !m.left:
+			r.due = 0
 		case m.left && !c.pace(r):
 			c.move(r)
 		}
--- /dev/null
+++ b/internal/core/request_test.go
@@ -0,0 +1,413 @@
+package core
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliarudder/internal/settings"
+	"dahliarudder/policy"
+)
+
+// Classes of classesText, by their place in it.
+const (
+	safeClass = iota
+	keyedAll
+	keyedZone
+	unsafeClass
+	keyedCell
+)
+
+// classesText is settings with a class of each effect and scope; windows are shorter than deadlines.
+const classesText = `{"balancers":1,"zones":["a","b"],
+ "classes":[{"name":"safe","aim-ms":400,"deadline-ms":2000,"effect":"read_like","key-scope":"all"},
+  {"name":"all","aim-ms":400,"deadline-ms":2000,"effect":"idempotency_key","key-scope":"all","window-ms":900},
+  {"name":"zone","aim-ms":400,"deadline-ms":2000,"effect":"idempotency_key","key-scope":"zone","window-ms":900},
+  {"name":"unsafe","aim-ms":400,"deadline-ms":2000,"effect":"non_idempotent","key-scope":"all"},
+  {"name":"cell","aim-ms":400,"deadline-ms":2000,"effect":"idempotency_key","key-scope":"cell","window-ms":900}],
+ "limits":{"max-attempts":3,"cancel":true,"probes":false,"connect-timeout-ms":250},
+ "guarantees":{"answer-slack-ms":8,"drain-grace-ms":250},"extra":{"message-aim-ms":[90]}}`
+
+// newRigOf is a rig of other settings.
+func newRigOf(t *testing.T, text string, members []Member) *rig {
+	set, err := settings.Decode([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, now: time.Hour, wake: math.MaxInt64, out: map[ID]*side{}}
+	r.Core = New(Options{Settings: set, Seed: 7, Clock: func() time.Duration { return r.now },
+		Wake: func(at time.Duration) { r.wake = at }, Probe: func(*Member) {}, Watch: func() {}, Ledger: r})
+	r.Pool(policy.ListCached, members)
+	return r
+}
+
+// bring opens a request of a class that waits so long.
+func (r *rig) bring(class int, wait time.Duration) *side {
+	s := &side{r: r}
+	s.id = r.Open(Request{Class: class, Load: 0.01, Wait: wait}, s)
+	return s
+}
+
+// ends has the attempt that is out end before it stood.
+func (s *side) ends(result policy.Result) {
+	s.out--
+	s.r.Ended(s.id, s.tries-1, result, policy.NoReport)
+}
+
+func (s *side) got() string { return strings.Join(s.answers, ",") }
+
+// TestFinishEffects: at the end of a planned stop only those are rejected whose repeat is harmless: the rest may have run.
+func TestFinishEffects(t *testing.T) {
+	for class, want := range map[int]string{safeClass: "rejected", keyedAll: "rejected", keyedZone: "failed", keyedCell: "failed", unsafeClass: "failed"} {
+		r := newRigOf(t, classesText, list(2, policy.Ready))
+		out, ran, none := r.bring(class, 2*time.Second), r.bring(class, 2*time.Second), r.bring(class, 2*time.Second)
+		ran.ends(policy.Error) // the module pauses before the next attempt, if there is one
+		none.ends(policy.Full)
+		if none.out > 0 {
+			none.ends(policy.ConnectFailed)
+		}
+		if out.out != 1 || none.out != 0 || none.got() != "" {
+			t.Fatalf("class %d: %d out, %d out, %v", class, out.out, none.out, none.answers)
+		}
+		r.Stop()
+		r.Finish()
+		if out.got() != want || ran.got() != want || none.got() != "rejected" || r.Held() != 0 {
+			t.Errorf("class %d: with an attempt out %s, that may have run %s, want %s; never run %s; held %d",
+				class, out.got(), ran.got(), want, none.got(), r.Held())
+		}
+	}
+}
+
+// TestLateDeadline: where the loop comes so late that the core answers by itself, who was never sent on is rejected, and who may
+// have run is not.
+func TestLateDeadline(t *testing.T) {
+	r := newRigOf(t, classesText, list(2, policy.Draining))
+	held, out := r.bring(unsafeClass, 2*time.Second), &side{}
+	r.Pool(policy.ListDelta, list(1, policy.Ready))
+	out = r.bring(unsafeClass, 2*time.Second)
+	if held.tries != 0 || held.got() != "" || out.out != 1 {
+		t.Fatalf("%d tries, %v; %d out", held.tries, held.answers, out.out)
+	}
+	r.now += 3 * time.Second
+	r.Tick()
+	if held.got() != "rejected" || out.got() != "failed" || r.Held() != 0 {
+		t.Errorf("never sent: %s; with an attempt out: %s; held %d", held.got(), out.got(), r.Held())
+	}
+}
+
+// TestShortWait: who has no time left is answered at once, and nothing is sent.
+func TestShortWait(t *testing.T) {
+	for _, wait := range []time.Duration{-time.Second, 0, time.Millisecond, 8 * time.Millisecond} {
+		r := newRigOf(t, classesText, list(2, policy.Ready))
+		if s := r.bring(unsafeClass, wait); s.tries != 0 || s.got() != "rejected" || r.Held() != 0 {
+			t.Errorf("wait %v: %d tries, answers %v", wait, s.tries, s.answers)
+		}
+	}
+}
+
+// TestNumbering: after a send that the gate has barred, the module still hears how the next attempt ends, and makes another.
+func TestNumbering(t *testing.T) {
+	r := newRigOf(t, classesText, list(4, policy.Ready))
+	r.Doubt()
+	s := r.bring(safeClass, 2*time.Second)
+	barred := r.later[0].Server
+	r.Pool(policy.ListDelta, []Member{r.drains(barred)})
+	r.Sure()
+	if r.Counts.Barred != 1 || s.out != 1 {
+		t.Fatalf("%d barred, %d out", r.Counts.Barred, s.out)
+	}
+	s.ends(policy.ConnectFailed)
+	if s.out != 1 || s.tries != 2 {
+		t.Fatalf("after an attempt that failed: %d out, %d tries", s.out, s.tries)
+	}
+	at := r.out[s.id].to
+	if !r.Up(s.id, 1) {
+		t.Fatal("not up")
+	}
+	r.Ended(s.id, 1, policy.OK, policy.NoReport)
+	r.Pool(policy.ListFull, nil)
+	if learned := r.facade.Learned(r.now); len(learned.Servers) != 0 {
+		t.Errorf("%s is still held in the module: %v", at, learned.Servers)
+	}
+}
+
+// drains is a member as one that drains.
+func (r *rig) drains(id policy.ServerID) Member {
+	m := r.members[id].Member
+	m.State = policy.Draining
+	return m
+}
+
+// TestHeldEnds: the client of a request leaves, or its deadline comes, while its send waits for the end of a doubt: nothing is sent
+// for it, and nothing of it stays in the module.
+func TestHeldEnds(t *testing.T) {
+	for name, end := range map[string]func(r *rig, s *side){
+		"left":     func(r *rig, s *side) { r.Left(s.id) },
+		"deadline": func(r *rig, s *side) { r.pass(2 * time.Second) },
+		"finish":   func(r *rig, s *side) { r.Stop(); r.Finish() },
+	} {
+		for class := range 5 {
+			r := newRigOf(t, classesText, list(1, policy.Ready))
+			r.Doubt()
+			s := r.bring(class, 2*time.Second)
+			end(r, s)
+			r.Sure()
+			if want := map[bool]string{true: "", false: "rejected"}[name == "left"]; s.tries != 0 || s.got() != want || r.Held() != 0 {
+				t.Errorf("%s, class %d: %d tries, answers %v, held %d", name, class, s.tries, s.answers, r.Held())
+			}
+			r.Pool(policy.ListFull, nil)
+			if learned := r.facade.Learned(r.now); len(learned.Servers) != 0 {
+				t.Errorf("%s, class %d: the module still holds %v", name, class, learned.Servers)
+			}
+		}
+	}
+}
+
+// TestHeldWindow: a repeat that waited for the end of a doubt is not sent once its window is over.
+func TestHeldWindow(t *testing.T) {
+	r := newRigOf(t, classesText, list(3, policy.Ready))
+	s := r.bring(keyedAll, 2*time.Second)
+	r.Doubt()
+	s.ends(policy.Reset)
+	if s.out != 0 || len(r.later) != 1 {
+		t.Fatalf("%d out, %d held", s.out, len(r.later))
+	}
+	r.pass(901 * time.Millisecond)
+	if s.got() != "" {
+		t.Fatalf("answers %v", s.answers)
+	}
+	r.Sure()
+	if s.tries != 1 {
+		t.Errorf("%d tries, the last after its window", s.tries)
+	}
+	r.pass(2 * time.Second)
+	if s.tries != 1 || len(s.answers) != 1 {
+		t.Errorf("%d tries, answers %v", s.tries, s.answers)
+	}
+}
+
+// TestUpAtLeaving: a flow that comes up at a member that has begun to drain meanwhile is moved, though the module asks for moves
+// only as it hears of the drain.
+func TestUpAtLeaving(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	s := r.bring(safeClass, 2*time.Second)
+	r.Pool(policy.ListDelta, list(1, policy.Draining))
+	if !r.Up(s.id, 0) || s.moved != 0 {
+		t.Fatal("not up, or moved before its front knows")
+	}
+	r.pass(0)
+	if s.moved != 1 || r.Held() != 0 {
+		t.Errorf("moved %d times, %d held", s.moved, r.Held())
+	}
+}
+
+// TestUpWhileDraining: a flow that comes up while the relay drains is moved at its time, whatever else is due then.
+func TestUpWhileDraining(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	s := r.bring(safeClass, 20*time.Second)
+	r.Drain()
+	r.Up(s.id, 0)
+	if r.pass(drainMovesFrom); s.moved != 1 {
+		t.Errorf("moved %d times %v after the drain began", s.moved, drainMovesFrom)
+	}
+}
+
+// TestPacedAndDrained: a member's agreed drain and the relay's own both move a flow, the earlier one of them; and the end of the
+// relay's drain does not undo the other.
+func TestPacedAndDrained(t *testing.T) {
+	agreed := func(over time.Duration) map[string]Leaving { return map[string]Leaving{"m0": {Over: over}} }
+	within := func(r *rig, s *side, d time.Duration, what string) {
+		t.Helper()
+		if r.pass(d); s.moved != 1 {
+			t.Errorf("%s: moved %d times within %v", what, s.moved, d)
+		}
+	}
+	start := func() (*rig, *side) {
+		r := newRigOf(t, classesText, list(1, policy.Ready))
+		return r, r.up(1)[0]
+	}
+	r, s := start()
+	r.Agree(agreed(time.Second))
+	r.Drain()
+	r.Resume()
+	within(r, s, time.Second, "resume")
+
+	r, s = start()
+	r.Drain()
+	r.Agree(agreed(time.Hour))
+	within(r, s, drainMoves, "paced after the drain")
+
+	r, s = start()
+	r.Stop()
+	r.Agree(agreed(time.Hour))
+	within(r, s, r.StopWithin(), "paced after the stop")
+
+	r, s = start()
+	r.Agree(agreed(100 * time.Millisecond))
+	r.Drain()
+	within(r, s, 100*time.Millisecond, "drained after the pace")
+}
+
+// TestServedUnseen: an attempt that is served to its end without ever being up counts for its member, once.
+func TestServedUnseen(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	s := r.bring(safeClass, 2*time.Second)
+	s.ends(policy.OK)
+	if v := r.Members()[0]; v.Good != 1 || v.Bad != 0 || r.Counts.Served != 1 {
+		t.Errorf("%+v", v)
+	}
+	s = r.bring(safeClass, 2*time.Second)
+	r.Up(s.id, 0)
+	s.ends(policy.OK)
+	if v := r.Members()[0]; v.Good != 2 {
+		t.Errorf("%+v", v)
+	}
+}
+
+// TestRejectEffects: a reject by the module does not pass for a request that may have run and may not be repeated.
+func TestRejectEffects(t *testing.T) {
+	for class, want := range map[int]string{safeClass: "rejected", keyedAll: "rejected", keyedZone: "failed", keyedCell: "failed", unsafeClass: "failed"} {
+		r := newRigOf(t, classesText, list(1, policy.Ready))
+		s := r.bring(class, 2*time.Second)
+		r.do(policy.Verdict{Do: policy.DoReject, ID: s.id, For: time.Second})
+		if s.got() != want || s.out != 0 {
+			t.Errorf("class %d: %v, %d out, want %s", class, s.answers, s.out, want)
+		}
+	}
+}
+
+// TestRepeatEffects: after an attempt that may have run the module's word alone starts another only where the class lets it.
+func TestRepeatEffects(t *testing.T) {
+	away := list(4, policy.Ready)
+	away[1].Cell, away[2].Zone, away[2].Cell, away[3].Zone = 1, 1, 2, 1
+	for class, want := range map[int][4]bool{safeClass: {true, true, true, true}, keyedAll: {true, true, true, true},
+		keyedZone: {true, true, false, false}, keyedCell: {true, false, false, true}, unsafeClass: {}} {
+		for i, m := range away {
+			for _, late := range []bool{false, true} {
+				r := newRigOf(t, classesText, away)
+				s := &side{r: r}
+				r.Open(Request{Class: class, At: "m0", Wait: 2 * time.Second}, s)
+				q := r.requests[s.id]
+				q.standing = false // as any other that had its attempt there
+				s.ends(policy.Reset)
+				if late {
+					r.now += 900 * time.Millisecond
+				}
+				r.do(policy.Verdict{Do: policy.DoSend, ID: s.id, Server: m.ID})
+				if ok := want[i] && (class == safeClass || !late); (s.tries == 2) != ok {
+					t.Errorf("class %d at %s, after the window %v: %d tries", class, m.Name, late, s.tries)
+				}
+			}
+		}
+	}
+}
+
+// TestStandingDeadline: a flow that its member is asked to go on with has its answer by its deadline, though nothing else is due.
+func TestStandingDeadline(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	s := &side{r: r}
+	r.Open(Request{At: "m0", Class: unsafeClass, Wait: time.Second}, s)
+	if s.out != 1 || r.wake != r.now+time.Second {
+		t.Errorf("%d out, the core is to be called in %v", s.out, r.wake-r.now)
+	}
+	if r.pass(time.Second); s.got() != "failed" || s.out != 0 || r.Held() != 0 {
+		t.Errorf("answers %v, %d out, held %d", s.answers, s.out, r.Held())
+	}
+}
+
+// TestSendWhileOpen: a send for a request whose flow stands is barred, and the module keeps the flow: it asks for its move when the
+// member leaves.
+func TestSendWhileOpen(t *testing.T) {
+	r := newRigOf(t, classesText, list(2, policy.Ready))
+	s := r.up(1)[0]
+	at := r.members[policy.ServerID(10)]
+	if s.to != at.Name {
+		at = r.members[policy.ServerID(11)]
+	}
+	r.do(policy.Verdict{Do: policy.DoSend, ID: s.id, Server: 10})
+	if s.tries != 1 || r.Counts.Barred != 1 {
+		t.Fatalf("%d tries, %d barred", s.tries, r.Counts.Barred)
+	}
+	if r.Pool(policy.ListDelta, []Member{r.drains(at.ID)}); s.moved != 1 {
+		t.Errorf("moved %d times", s.moved)
+	}
+}
+
+// TestPaceChanges: while the flows of a member leave spread over an agreed time, another word on that member counts at once: a ban by
+// the fleet or by this relay's own operators moves the rest now, and so does a drain in less time.
+func TestPaceChanges(t *testing.T) {
+	over := func(d time.Duration, ban bool) map[string]Leaving {
+		return map[string]Leaving{"m0": {Over: d, Ban: ban}}
+	}
+	for name, change := range map[string]func(r *rig){
+		"a ban by the fleet":    func(r *rig) { r.Agree(over(0, true)) },
+		"an operator's ban":     func(r *rig) { r.Ban("m0") },
+		"a drain in less time":  func(r *rig) { r.Agree(over(2*time.Second, false)); r.pass(time.Second) },
+		"a ban after the drain": func(r *rig) { r.Ban("m0"); r.Agree(nil) },
+	} {
+		r := newRigOf(t, classesText, list(1, policy.Ready))
+		all := r.up(8)
+		r.Agree(over(time.Hour, false))
+		r.pass(time.Second)
+		change(r)
+		r.pass(0)
+		for _, s := range all {
+			if s.out > 0 {
+				t.Errorf("%s: request %d is not moved", name, s.id)
+			}
+		}
+	}
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	r.up(1)
+	r.Agree(over(time.Hour, false))
+	before := len(r.alarms)
+	for range 10 {
+		r.Agree(over(time.Hour, false))
+	}
+	if n := len(r.alarms); n != before {
+		t.Errorf("%d alarms, %d after the same was agreed again", before, n)
+	}
+}
+
+// TestTakePaced: flows that another process passes on leave a member spread over the time that is agreed, as those that were here.
+func TestTakePaced(t *testing.T) {
+	r := newRigOf(t, classesText, list(1, policy.Ready))
+	r.Agree(map[string]Leaving{"m0": {Over: 10 * time.Second}})
+	var all []*side
+	for range 10 {
+		s := &side{r: r, out: 1, tries: 1}
+		s.id, _, _ = r.Take(Passed{Member: "m0"}, s)
+		all = append(all, s)
+	}
+	moved := func() (n int) {
+		for _, s := range all {
+			n += s.moved
+		}
+		return n
+	}
+	r.pass(5 * time.Second)
+	if n := moved(); n < 3 || n > 7 {
+		t.Errorf("%d of 10 moved after half of the time", n)
+	}
+	if r.pass(5 * time.Second); moved() != 10 {
+		t.Errorf("%d of 10 moved after the time", moved())
+	}
+}
+
+// TestLateRetry: where the loop comes so late that the pause before a further attempt and the module's time for an answer are over
+// together, no attempt begins that is abandoned at once.
+func TestLateRetry(t *testing.T) {
+	r := newRigOf(t, strings.Replace(classesText, `"answer-slack-ms":8`, `"answer-slack-ms":60`, 1), list(3, policy.Ready))
+	s := r.bring(safeClass, 2*time.Second)
+	r.now += 1600 * time.Millisecond
+	s.ends(policy.Error)
+	r.now += 350 * time.Millisecond // within the slack
+	if r.Tick(); s.tries != 1 || s.got() != "rejected" || r.Held() != 0 {
+		t.Errorf("%d tries, answers %v, held %d", s.tries, s.answers, r.Held())
+	}
+	r.Pool(policy.ListFull, nil)
+	if learned := r.facade.Learned(r.now); len(learned.Servers) != 0 {
+		t.Errorf("the module still holds %v", learned.Servers)
+	}
+}
