A process makes its first call for the list within 3 s of its start

Lines at fault: the module's askLater spreads first calls over ask-within-ms (10 s for 300 relays), and FirstBy bounded them by 0.8 of it: a change counts by the 6 s also where the process that missed it has never called.

Changed: FirstBy draws the first call from the first 3 s; 3 s are left for the queue. TestFirstBy, seen failing by the bounds of before.

--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -40,13 +40,13 @@
 	return span/2 + time.Duration(random*float64(span/2))
 }
 
-// The first call is made by a part of the time within which a relay has to ask, drawn between these: what is left is
-// for its answer, and relays that start together do not call together.
-const firstFrom, firstBy = 0.4, 0.8
+// firstWithin is the time over which the first calls of processes that start together are spread. A change that
+// discovery had before a process started counts as told by the same 6 s; half of them is left for a crowd's queue.
+const firstWithin = toldWithin / 2
 
-// FirstBy is when a watch is begun at the latest; random draws from 0 to 1.
+// FirstBy is when a watch is begun at the latest; random draws from 0 to 1. A relay has to ask within askWithin anyway.
 func FirstBy(askWithin time.Duration, random func() float64) time.Duration {
-	return time.Duration(float64(askWithin) * (firstFrom + (firstBy-firstFrom)*random()))
+	return time.Duration(random() * float64(min(firstWithin, askWithin/2)))
 }
 
 // Descriptors is how many a watch may hold: two calls, and what has ended and lingers of those before, of which the
--- a/internal/pool/watch_test.go
+++ b/internal/pool/watch_test.go
@@ -328,11 +328,18 @@
 	}
 }
 
-// TestFirstBy: a watch begins early enough that its first answer comes within the time for asking.
+// TestFirstBy: a process makes its first call early enough that the longest queue and a refused call before leave its
+// answer within the protocol's time, and within the time for asking where that is shorter; those that start together
+// are spread.
 func TestFirstBy(t *testing.T) {
-	const within = 10 * time.Second
-	if low, high := FirstBy(within, func() float64 { return 0 }), FirstBy(within, func() float64 { return 1 }); low != 4*time.Second || high != 8*time.Second {
-		t.Errorf("from %v to %v", low, high)
+	const queue = 3 * time.Second
+	for askWithin, most := range map[time.Duration]time.Duration{10 * time.Second: firstWithin, 2 * time.Second: time.Second} {
+		if low, high := FirstBy(askWithin, func() float64 { return 0 }), FirstBy(askWithin, func() float64 { return 1 }); low != 0 || high != most {
+			t.Errorf("asking within %v: from %v to %v", askWithin, low, high)
+		}
+	}
+	if firstWithin+queue > toldWithin {
+		t.Errorf("a first call after %v may be answered %v too late", firstWithin, firstWithin+queue-toldWithin)
 	}
 }
 
