No first line and no probe leaves during a doubt, though its connection came up

Seen: an attempt that was dialled before this process stood still wrote its line as its connection came up, to a member of which the news had not come: Core.Begin and Reachable did not look at the doubt. Found by reading, while crossings of the line front were forced. Changed: both do. Tests: TestDoubtWhileDialling (seen failing: the member was sent OPEN), TestUpAtDraining (passes since the core moves such a flow).

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -109,7 +109,7 @@
 // Reachable says the same to fronts that start something anew by themselves.
 func (c *Core) Reachable(id policy.ServerID) bool {
 	m := c.members[id]
-	return m != nil && c.reachable(c.Clock(), m)
+	return m != nil && !c.doubting && c.reachable(c.Clock(), m)
 }
 
 // decided says whether a final answer of that request is among the verdicts that are still to be carried out: the module's timers of
@@ -139,9 +139,9 @@
 }
 
 // Begin says whether an attempt may be sent now that its connection stands. One whose member has left meanwhile may
-// not, however long ago that was told: its first byte would come later than the gate has judged by. It ends as one
-// that was never made. A flow that its member holds already is exempt.
+// not, however long ago that was told: its first byte would come later than the gate has judged by. Nor may any
+// during a doubt. It ends as one that was never made. A flow that its member holds already is exempt.
 func (c *Core) Begin(id ID, try int) bool {
 	r := c.current(id, try)
-	return r != nil && r.state == attempting && (r.standing || !r.member.left)
+	return r != nil && r.state == attempting && (r.standing || !r.member.left && !c.doubting)
 }
--- /dev/null
+++ b/internal/front/line/doubt_test.go
@@ -0,0 +1,50 @@
+package line
+
+import (
+	"testing"
+	"time"
+
+	"dahliarudder/policy"
+)
+
+// TestDoubtWhileDialling: an attempt whose connection comes up during a doubt is not sent on it. After the doubt the
+// request goes on.
+func TestDoubtWhileDialling(t *testing.T) {
+	g := newRig(t, 1)
+	c := g.ask(firstLine)
+	g.Core.Doubt()
+	for range 4 {
+		g.Turn()
+	}
+	if dialled := g.pending(0); dialled != nil {
+		buffer := make([]byte, 100)
+		if n, _ := dialled.Read(buffer); n > 0 {
+			t.Errorf("the member was sent %q amid the doubt", buffer[:n])
+		}
+	}
+	g.Core.Sure()
+	for range 8 { // the module looks for a place again
+		g.Pass(50 * time.Millisecond)
+	}
+	m := g.attempt(0)
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+}
+
+// TestUpAtDraining: a flow that comes up at a member that has begun to drain since is moved off it.
+func TestUpAtDraining(t *testing.T) {
+	g := newRig(t, 1)
+	c := g.ask(firstLine)
+	m := g.attempt(0)
+	g.list(0, policy.Draining)
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+	g.Until("MOVE", func() bool {
+		g.Pass(50 * time.Millisecond)
+		c.Poll()
+		return len(c.Got) > 0 || g.Now() > time.Hour+4*time.Second
+	})
+	c.Lines("MOVE")
+	c.WantEnd()
+	g.clean()
+}
