--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -11,24 +11,46 @@
 // This file passes connections on to another process of the same relay, and takes up
 // those of another.
 
-// GiveFresh hands every connection on which no first line has come, and what of it
-// has, to give, which owns the descriptor then.
-func (f *Front) GiveFresh(give func(fd int, unread []byte)) {
+// Fresh is a connection on its way to another process on which no first line has come.
+type Fresh struct {
+	Unread  []byte `json:"unread"`            // what has come of one
+	Resting bool   `json:"resting,omitempty"` // it has been answered PONG
+}
+
+// GiveFresh hands at most so many such connections to give, which owns the descriptor then. Nothing more is read on the others, which are to follow.
+func (f *Front) GiveFresh(most int, give func(p Fresh, fd int)) {
 	for v := range f.fresh {
-		if fd, unread := v.c.Detach(); fd >= 0 {
+		if most <= 0 {
+			v.c.Rest()
+			continue
+		}
+		p := Fresh{Resting: v.state == clientResting}
+		var fd int
+		if fd, p.Unread = v.c.Detach(); fd >= 0 {
+			most--
 			v.close()
-			give(fd, unread)
+			give(p, fd)
 		}
 	}
 }
 
+// FreshCount is how many connections there are on which no first line has come.
+func (f *Front) FreshCount() int { return len(f.fresh) }
+
+// KeepFresh goes on with those that GiveFresh has left.
+func (f *Front) KeepFresh() {
+	for v := range f.fresh {
+		f.Loop.After(0, v.c.Resume)
+	}
+}
+
 // TakeFresh serves such a connection of another process.
-func (f *Front) TakeFresh(fd int, unread []byte) error {
-	c, err := f.Loop.Attach(fd, unread, nil)
+func (f *Front) TakeFresh(p Fresh, fd int) error {
+	c, err := f.Loop.Attach(fd, p.Unread, nil)
 	if err != nil {
 		return err
 	}
-	f.Accept(c)
+	f.accept(c, p.Resting)
 	f.Loop.After(0, c.Resume)
 	return nil
 }
@@ -63,9 +85,10 @@
 		if s.asked > 0 {
 			p.Asked = max(now-s.owed, 1)
 		}
-		client, fromClient := v.c.Detach()
-		member, fromMember := s.c.Detach()
-		p.FromClient, p.FromMember = fromClient, fromMember
+		client, member := f.detach(v, &p)
+		if client < 0 {
+			return // no descriptors now
+		}
 		p.Flow, _ = f.Core.Pass(v.id)
 		p.Flow.Request.Load = s.load
 		v.close()
@@ -73,6 +96,25 @@
 	}
 }
 
+// detach takes both sides of an open flow off the loop. Without a descriptor for either it returns -1, and the flow goes on here.
+func (f *Front) detach(v *clientConn, p *Flow) (client, member int) {
+	if client, p.FromClient = v.c.Detach(); client < 0 {
+		return -1, -1
+	}
+	if member, p.FromMember = v.upstream.c.Detach(); member >= 0 {
+		return client, member
+	}
+	c, err := f.Loop.Attach(client, p.FromClient, v)
+	if err != nil {
+		f.Log.WithError(err).Error("a client could not be kept")
+		v.on(clientReset)
+		return -1, -1
+	}
+	v.c = c
+	f.Loop.After(0, c.Resume)
+	return -1, -1
+}
+
 // TakeFlow goes on with such a flow. One whose member is not known here is moved.
 func (f *Front) TakeFlow(p Flow, client, member int) error {
 	now := f.Loop.Now()
