The time verdicts of stop tests are strict again

Cause: took the time that the relay waited for a processor off the bounds of TestCrossingStopHeld and of the process's end, after that test had failed once under load; its cause was said to be a guess. A test that fails is reported, not eased.

--- a/integration/crossing_rig_test.go
+++ b/integration/crossing_rig_test.go
@@ -272,42 +272,18 @@
 	return at
 }
 
-// gone waits for the end of the process, which must be in time. What its threads have waited for a processor does not count: a busy machine is
-// no fault of the relay's.
+// gone waits for the end of the process, which must be in time.
 func (s *crossing) gone(since time.Time) {
 	s.t.Helper()
-	starved := s.starved()
-	before := starved()
-	kept := before
-	until(s.t, "the end of the process", func() bool {
-		kept = max(kept, starved())
-		return len(s.done) > 0
-	})
 	s.ends()
-	took, waited := time.Since(since), kept-before
-	s.t.Logf("gone %v after SIGTERM, %v of it without a processor", took.Round(time.Millisecond), waited.Round(time.Millisecond))
-	if took-waited > longestStop+stopReserve {
+	took := time.Since(since)
+	s.t.Logf("gone %v after SIGTERM", took.Round(time.Millisecond))
+	if took > longestStop+stopReserve {
 		s.t.Errorf("the process ended %v after SIGTERM", took)
 	}
 	s.checkTries()
 }
 
-// starved returns what tells how long the threads of the process have waited for a processor, all together, by the kernel's count; 0 once it has gone.
-func (r *relay) starved() func() time.Duration {
-	pattern := fmt.Sprintf("/proc/%d/task/*/schedstat", r.cmd.Process.Pid)
-	return func() (sum time.Duration) {
-		tasks, _ := filepath.Glob(pattern)
-		for _, task := range tasks {
-			text, _ := os.ReadFile(task)
-			if fields := strings.Fields(string(text)); len(fields) == 3 {
-				waited, _ := strconv.ParseInt(fields[1], 10, 64)
-				sum += time.Duration(waited)
-			}
-		}
-		return sum
-	}
-}
-
 func (s *crossing) checkTries() {
 	s.t.Helper()
 	for _, broken := range s.tries.Broken() {
--- a/integration/crossing_stop_test.go
+++ b/integration/crossing_stop_test.go
@@ -36,28 +36,25 @@
 		t.Run(wait.String(), func(t *testing.T) {
 			t.Parallel()
 			s := newCrossing(t, 2, nil)
-			starved := s.starved()
-			before := starved()
 			sent := time.Now()
 			c := s.openFor(1, wait)
 			a := s.attempt()
 			since := s.terminate()
 			answer := c.line()
 			took := time.Since(sent)
-			waited := max(0, starved()-before)
-			t.Logf("%q after %v of %v, %v of it without a processor", answer, took.Round(time.Millisecond), wait, waited.Round(time.Millisecond))
+			t.Logf("%q after %v of %v", answer, took.Round(time.Millisecond), wait)
 			if !strings.HasPrefix(answer, "BUSY") && answer != "ERR" {
 				t.Errorf("answered %q", answer)
 			}
-			if took-waited > wait+answerLate {
+			if took > wait+answerLate {
 				t.Errorf("answered after %v of %v", took, wait)
 			}
 			c.want(io.EOF.Error())
-			made := s.attempts(1)
+			before := s.attempts(1)
 			a.waitEnd()
 			s.gone(since)
-			if n := s.attempts(1); n != made {
-				t.Errorf("%d attempts after the answer", n-made)
+			if n := s.attempts(1); n != before {
+				t.Errorf("%d attempts after the answer", n-before)
 			}
 		})
 	}
