--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -411,3 +411,20 @@
 		t.Errorf("the module still holds %v", learned.Servers)
 	}
 }
+
+// TestBeginWindow: a repeat whose connection comes up only after the window is not sent: the send is when its line leaves.
+func TestBeginWindow(t *testing.T) {
+	for class, late := range map[int]bool{keyedAll: false, safeClass: true} {
+		r := newRigOf(t, classesText, list(2, policy.Ready))
+		s := r.bring(class, 2*time.Second)
+		r.now += 850 * time.Millisecond
+		s.ends(policy.Reset)
+		if s.out != 1 || s.tries != 2 || !r.Begin(s.id, 1) {
+			t.Fatalf("class %d: %d out, %d tries; a repeat within the window is not sent", class, s.out, s.tries)
+		}
+		r.now += 50 * time.Millisecond
+		if r.Begin(s.id, 1) != late {
+			t.Errorf("class %d, 900 ms after the first send, the window's end: sent is %v, want %v", class, !late, late)
+		}
+	}
+}
