Clients that end their sending are answered; half a line after PONG; repeats past their window

Cause: the end of a client's sending was taken for the client's end alone, so it got no answer; the time for a first line was not begun anew once a part of it came after PONG; Begin did not look at the window of a repeat.

Change: Core.Left says whether coming again is harmless, and the line front answers BUSY or ERR before it ends the connection; a part of a line leads a resting connection back to the wait for a first line; Begin asks repeatable. TestClientLeaves wanted the end of the connection without an answer: it wants BUSY before it now, which is more.

--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -140,8 +140,12 @@
 
 // Begin says whether an attempt may be sent now that its connection stands. One whose member has left meanwhile may
 // not, however long ago that was told: its first byte would come later than the gate has judged by. Nor may any
-// during a doubt. It ends as one that was never made. A flow that its member holds already is exempt.
+// during a doubt, nor a repeat whose window is over by now. It ends as one that was never made. A flow that its
+// member holds already is exempt.
 func (c *Core) Begin(id ID, try int) bool {
 	r := c.current(id, try)
-	return r != nil && r.state == attempting && (r.standing || !r.member.left && !c.doubting)
+	if r == nil || r.state != attempting {
+		return false
+	}
+	return r.standing || !r.member.left && !c.doubting && c.repeatable(c.Clock(), r, r.member)
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -97,13 +97,15 @@
 	}
 }
 
-// Left says that the client of a request went away.
-func (c *Core) Left(id ID) {
+// Left says that the client of a request went away. It returns whether a client that still listens may be told that
+// coming again is harmless.
+func (c *Core) Left(id ID) (harmless bool) {
 	r := c.requests[id]
 	if r == nil {
-		return
+		return false
 	}
 	was := r.state
+	harmless = c.harmless(r)
 	c.step(r, left)
 	if !was.final() {
 		c.record(r, Lost)
@@ -112,6 +114,7 @@
 		}
 	}
 	c.abandon(r, was)
+	return harmless
 }
 
 // ---- Attempts and flows ----
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -428,3 +428,28 @@
 		}
 	}
 }
+
+// TestLeftEffects: a client that ends its sending and still listens may be told that coming again is harmless only where it is.
+func TestLeftEffects(t *testing.T) {
+	for class, harmless := range map[int]bool{safeClass: true, keyedAll: true, keyedZone: false, keyedCell: false, unsafeClass: false} {
+		r := newRigOf(t, classesText, list(2, policy.Ready))
+		out, ran, none := r.bring(class, 2*time.Second), r.bring(class, 2*time.Second), r.bring(class, 2*time.Second)
+		ran.ends(policy.Error)
+		none.ends(policy.Full)
+		if none.out > 0 {
+			none.ends(policy.ConnectFailed)
+		}
+		if got := r.Left(out.id); got != harmless {
+			t.Errorf("class %d, with an attempt out: %v", class, got)
+		}
+		if got := r.Left(ran.id); got != harmless {
+			t.Errorf("class %d, after one that may have run: %v", class, got)
+		}
+		if !r.Left(none.id) {
+			t.Errorf("class %d, never run: not harmless", class)
+		}
+		if r.Left(none.id) || r.Held() != 0 || r.Counts.Left != 3 {
+			t.Errorf("class %d: held %d, %+v", class, r.Held(), r.Counts)
+		}
+	}
+}
--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -54,11 +54,12 @@
 	switch action {
 	case sendPong:
 		v.sendPong()
+	case awaitFirstLine:
+		v.timeOut(firstWithin)
 	case placeRequest:
 		v.place()
 	case sendError:
-		v.c.Write([]byte("ERR\r\n"))
-		v.close()
+		v.sendError()
 	case sendBusy:
 		v.sendBusy()
 	case openFlow:
@@ -70,8 +71,7 @@
 		v.c.Reset() // before close, which would end it politely
 		v.close()
 	case leaveRequest:
-		v.close()
-		v.f.Core.Left(v.id)
+		v.leave()
 	case leaveFlow:
 		v.close()
 		v.upstream.clientLeft(v.upstream.c.Finish)
@@ -114,6 +114,7 @@
 	for v.state.awaitsFirstLine() && used < len(b) {
 		text, n, err := cutLine(b[used:])
 		if n == 0 && err == nil {
+			v.on(clientLineBegun)
 			return used
 		}
 		used += n
@@ -224,6 +225,21 @@
 	v.on(clientRejected)
 }
 
+// leave ends a request whose client has ended its sending. Such a client has gone, or it still reads: nothing more is
+// tried for it, and it gets its final answer.
+func (v *clientConn) leave() {
+	if v.f.Core.Left(v.id) {
+		v.sendBusy()
+	} else {
+		v.sendError()
+	}
+}
+
+func (v *clientConn) sendError() {
+	v.c.Write([]byte("ERR\r\n"))
+	v.close()
+}
+
 func (v *clientConn) sendBusy() {
 	answer := "BUSY\r\n"
 	if v.retryAfter > 0 {
--- a/internal/front/line/client_state.go
+++ b/internal/front/line/client_state.go
@@ -20,6 +20,7 @@
 
 const (
 	clientPinged      clientEvent = iota // PING came as a first line
+	clientLineBegun                      // a part of a first line came
 	clientAsked                          // OPEN came as a first line
 	clientMalformed                      // something else did
 	clientTimedOut                       // the time of the state is up
@@ -47,23 +48,24 @@
 type clientAction int
 
 const (
-	doNothing     clientAction = iota
-	sendPong                   // answer PING, and wait for the first line anew
-	placeRequest               // hand the request to the core
-	sendError                  // answer ERR and end
-	sendBusy                   // answer BUSY and end
-	openFlow                   // pass on what the client has sent early; the member's UP has gone to it
-	endClient                  // end the client's side politely
-	resetClient                // end the client's side by a reset
-	leaveRequest               // end the client's side, and tell the core that the client has left
-	leaveFlow                  // the same, and end the member's side politely
-	leaveFlowHard              // the same, and end the member's side by a reset
-	leaveDraining              // tell the core that the client has left, and wait for room, for so long as MoveWithin
-	awaitLineEnd               // wait for the end of the line, for so long as MoveWithin
-	sendMove                   // put MOVE and end both sides
-	endBothSides               // end both sides politely
-	drain                      // wait for room, for so long as endedAfter
-	endAttempt                 // end the client's side politely, and tell the core how the flow has ended
+	doNothing      clientAction = iota
+	sendPong                    // answer PING, and wait for the first line anew
+	awaitFirstLine              // wait for the rest of the first line, for so long as firstWithin
+	placeRequest                // hand the request to the core
+	sendError                   // answer ERR and end
+	sendBusy                    // answer BUSY and end
+	openFlow                    // pass on what the client has sent early; the member's UP has gone to it
+	endClient                   // end the client's side politely
+	resetClient                 // end the client's side by a reset
+	leaveRequest                // tell the core that the client has left, answer it in case it still reads, and end its side
+	leaveFlow                   // the same, and end the member's side politely
+	leaveFlowHard               // the same, and end the member's side by a reset
+	leaveDraining               // tell the core that the client has left, and wait for room, for so long as MoveWithin
+	awaitLineEnd                // wait for the end of the line, for so long as MoveWithin
+	sendMove                    // put MOVE and end both sides
+	endBothSides                // end both sides politely
+	drain                       // wait for room, for so long as endedAfter
+	endAttempt                  // end the client's side politely, and tell the core how the flow has ended
 )
 
 // awaitsFirstLine says that no request has come.
@@ -106,6 +108,10 @@
 	switch e {
 	case clientPinged:
 		return clientResting, sendPong
+	case clientLineBegun:
+		if s == clientResting {
+			return clientNew, awaitFirstLine
+		}
 	case clientAsked:
 		return clientPlacing, placeRequest
 	case clientMalformed:
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -81,11 +81,12 @@
 	m.WantReset()
 }
 
-// TestClientLeaves: who leaves before an answer leaves no attempt behind.
+// TestClientLeaves: who leaves before an answer leaves no attempt behind, and may still read its one answer.
 func TestClientLeaves(t *testing.T) {
 	r, c, m := asked(t)
 	c.Finish()
 	r.Until("the member's end", func() bool { m.Poll(); return m.Over != nil })
+	c.Lines("BUSY")
 	c.WantEnd()
 	if r.Core.Held() != 0 || r.Core.Counts.Left != 1 {
 		t.Errorf("held %d, %+v", r.Core.Held(), r.Core.Counts)
--- a/internal/front/line/state_test.go
+++ b/internal/front/line/state_test.go
@@ -14,11 +14,12 @@
 	hasFlow := func(s clientState) bool { return s.isOpen() || s == clientDraining }
 	from := map[clientAction]func(clientState) bool{
 		sendPong: clientState.awaitsFirstLine, placeRequest: clientState.awaitsFirstLine,
-		sendError:    func(s clientState) bool { return !s.isOpen() },
-		sendBusy:     func(s clientState) bool { return s == clientPlacing || s.awaitsFirstLine() },
-		openFlow:     func(s clientState) bool { return s == clientPlacing },
-		leaveRequest: func(s clientState) bool { return s == clientPlacing },
-		leaveFlow:    hasFlow, leaveFlowHard: hasFlow, sendMove: clientState.isOpen, drain: clientState.isOpen,
+		awaitFirstLine: func(s clientState) bool { return s == clientResting },
+		sendError:      func(s clientState) bool { return !s.isOpen() },
+		sendBusy:       func(s clientState) bool { return s == clientPlacing || s.awaitsFirstLine() },
+		openFlow:       func(s clientState) bool { return s == clientPlacing },
+		leaveRequest:   func(s clientState) bool { return s == clientPlacing },
+		leaveFlow:      hasFlow, leaveFlowHard: hasFlow, sendMove: clientState.isOpen, drain: clientState.isOpen,
 		endAttempt:    func(s clientState) bool { return s == clientDraining },
 		awaitLineEnd:  func(s clientState) bool { return s == clientMidLine },
 		endBothSides:  func(s clientState) bool { return s == clientMoving || s == clientParting },
