--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -79,7 +79,7 @@
 
 func newConn(l *Loop, fd int, from *budget) *Conn {
 	if fd >= 0 {
-		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		l.sys.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	}
 	return &Conn{l: l, fd: fd, inMost: InBound, outMost: OutBound, budget: from}
 }
@@ -126,12 +126,12 @@
 	if c.budget.Free() <= 0 {
 		return ErrFull
 	}
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := c.l.sys.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return errNone(err)
 	}
-	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	if err = unix.Connect(fd, at); err == unix.EINPROGRESS || err == nil {
+	c.l.sys.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	if err = c.l.sys.Connect(fd, at); err == unix.EINPROGRESS || err == nil {
 		err = c.l.add(fd, unix.EPOLLOUT, c, c.budget)
 	} else if err == unix.EADDRNOTAVAIL || err == unix.EAGAIN || err == unix.ENOBUFS || err == unix.ENOMEM {
 		err = errNone(err)
@@ -204,7 +204,7 @@
 		return
 	}
 	if c.out.size() == 0 {
-		n, err := unix.Write(c.fd, b)
+		n, err := c.l.sys.Write(c.fd, b)
 		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
 			c.left += len(b)
 			c.later(err)
@@ -394,7 +394,7 @@
 // last answer with it.
 func (c *Conn) readOut() {
 	for c.rest <= lingerMost {
-		n, err := unix.Read(c.fd, c.l.chunk)
+		n, err := c.l.sys.Read(c.fd, c.l.chunk)
 		if n <= 0 || err != nil {
 			return
 		}
@@ -477,7 +477,7 @@
 			return // the handshake is not over
 		}
 	}
-	n, err := unix.Write(c.fd, from.data())
+	n, err := c.l.sys.Write(c.fd, from.data())
 	if err == unix.EAGAIN || err == unix.EINTR {
 		return
 	}
@@ -529,7 +529,7 @@
 				}
 			}
 		}
-		n, err := unix.Read(c.fd, chunk[:room])
+		n, err := c.l.sys.Read(c.fd, chunk[:room])
 		switch {
 		case err == unix.EINTR:
 			continue
--- /dev/null
+++ b/internal/netloop/system.go
@@ -0,0 +1,26 @@
+package netloop
+
+import "golang.org/x/sys/unix"
+
+// Calls is the system calls by which a loop reaches the kernel. Tests put calls that fail in the place of some of them.
+type Calls struct {
+	EpollWait     func(poll int, events []unix.EpollEvent, milliseconds int) (int, error)
+	EpollCtl      func(poll, op, fd int, event *unix.EpollEvent) error
+	Socket        func(domain, kind, protocol int) (int, error)
+	Bind          func(fd int, at unix.Sockaddr) error
+	Listen        func(fd, backlog int) error
+	Accept        func(fd, flags int) (int, unix.Sockaddr, error)
+	Connect       func(fd int, to unix.Sockaddr) error
+	Read          func(fd int, p []byte) (int, error)
+	Write         func(fd int, p []byte) (int, error)
+	SetsockoptInt func(fd, level, option, value int) error
+}
+
+// Kernel is the calls of the system itself.
+func Kernel() Calls {
+	return Calls{EpollWait: unix.EpollWait, EpollCtl: unix.EpollCtl, Socket: unix.Socket, Bind: unix.Bind, Listen: unix.Listen,
+		Accept: unix.Accept4, Connect: unix.Connect, Read: unix.Read, Write: unix.Write, SetsockoptInt: unix.SetsockoptInt}
+}
+
+// System is the calls of the loops that are made from now on. Only tests change it.
+var System = Kernel()
--- /dev/null
+++ b/internal/netloop/timer.go
@@ -0,0 +1,74 @@
+package netloop
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Timer is a call that is due once.
+type Timer struct {
+	at    time.Duration
+	order uint64
+	index int
+	call  func()
+	loop  *Loop
+}
+
+// After has call run once the time has passed, never from within After.
+func (l *Loop) After(d time.Duration, call func()) *Timer {
+	t := &Timer{at: l.Now() + max(d, 0), order: l.timers.order, call: call, loop: l}
+	l.timers.order++
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Stop takes a timer back. A nil or spent timer may be stopped too.
+func (t *Timer) Stop() {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&t.loop.timers, t.index)
+	}
+}
+
+func (l *Loop) patience() int {
+	if len(l.timers.heap) == 0 {
+		return -1
+	}
+	wait := l.timers.heap[0].at - l.Now()
+	return int(max(0, min(wait+time.Millisecond-1, time.Minute)) / time.Millisecond)
+}
+
+// fire runs what is due. A timer set meanwhile waits for the next round, so that
+// one that sets itself again cannot keep the sockets waiting.
+func (l *Loop) fire() {
+	now, order := l.Now(), l.timers.order
+	for len(l.timers.heap) > 0 && l.timers.heap[0].at <= now && l.timers.heap[0].order < order {
+		heap.Pop(&l.timers).(*Timer).call()
+	}
+}
+
+type timers struct {
+	heap  []*Timer
+	order uint64
+}
+
+func (t *timers) Len() int { return len(t.heap) }
+func (t *timers) Less(i, j int) bool {
+	x, y := t.heap[i], t.heap[j]
+	return x.at < y.at || x.at == y.at && x.order < y.order
+}
+func (t *timers) Swap(i, j int) {
+	t.heap[i], t.heap[j] = t.heap[j], t.heap[i]
+	t.heap[i].index, t.heap[j].index = i, j
+}
+func (t *timers) Push(x any) {
+	t.heap = append(t.heap, x.(*Timer))
+	x.(*Timer).index = len(t.heap) - 1
+}
+func (t *timers) Pop() any {
+	last := len(t.heap) - 1
+	x := t.heap[last]
+	t.heap[last] = nil
+	t.heap = t.heap[:last]
+	x.index = -1
+	return x
+}
