Failing tests: accept, epoll_ctl and connect that fail for a moment

Seen by reading, then by the new plan of failing calls (looptest.Faults): accept that fails as listening ends has the queue reset; a connection that epoll cannot take is closed unread (accepted), ended as the member's fault (dialled) or never heard again (going on, listening again); ENETUNREACH, EPERM and others from connect itself, and EINTR, count as the member's failure.

--- a/internal/netloop/listener.go
+++ b/internal/netloop/listener.go
@@ -106,6 +106,9 @@
 	}
 }
 
+// Closed says that listening has ended.
+func (s *Listener) Closed() bool { return s.fd < 0 }
+
 func (s *Listener) ready(uint32) {
 	for range acceptBurst {
 		if s.fd < 0 || s.held || !s.next() {
--- a/internal/netloop/looptest/looptest.go
+++ b/internal/netloop/looptest/looptest.go
@@ -27,8 +27,18 @@
 
 // New makes a loop that may hold limit descriptors.
 func New(t testing.TB, limit int) *Bench {
+	t.Helper()
+	return NewFaulty(t, limit, netloop.Kernel())
+}
+
+// NewFaulty makes one that reaches the kernel by other calls.
+func NewFaulty(t testing.TB, limit int, calls netloop.Calls) *Bench {
+	t.Helper()
 	b := &Bench{T: t, now: time.Hour}
+	system := netloop.System
+	netloop.System = calls
 	l, err := netloop.New(func() time.Duration { return b.now }, limit)
+	netloop.System = system
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/netloop/looptest/relay.go
+++ b/internal/netloop/looptest/relay.go
@@ -33,7 +33,12 @@
 
 // NewRelay makes one with so many members.
 func NewRelay(t testing.TB, members int) *Relay {
-	b := New(t, 1024)
+	return NewRelayOn(New(t, 1024), members)
+}
+
+// NewRelayOn makes one on that loop.
+func NewRelayOn(b *Bench, members int) *Relay {
+	t := b.T
 	r := &Relay{Bench: b, Log: logrus.New()}
 	r.Log.SetOutput(t.Output())
 	set, err := settings.Decode([]byte(settingsText))
--- /dev/null
+++ b/internal/netloop/system_test.go
@@ -0,0 +1,222 @@
+package netloop_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"dahliarudder/internal/netloop"
+	"dahliarudder/internal/netloop/looptest"
+)
+
+// ownWants are what the system answers when it lacks the means for a moment.
+var ownWants = []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM}
+
+// moment is after how long a moment's trouble is over at the latest in these tests.
+const moment = time.Second
+
+// faulty is a loop whose calls fail as the returned plan says.
+func faulty(t *testing.T) (*looptest.Bench, *looptest.Faults) {
+	f := looptest.NewFaults(1)
+	return looptest.NewFaulty(t, 64, f.Calls()), f
+}
+
+// answering is a listener that greets who comes, politely.
+func answering(b *looptest.Bench) *netloop.Listener {
+	b.T.Helper()
+	l, err := b.Loop.Listen("127.0.0.1:0", func(c *netloop.Conn) {
+		c.Handle(&end{take: 1 << 20})
+		c.Write([]byte("hello"))
+		c.Finish()
+	})
+	if err != nil {
+		b.T.Fatal(err)
+	}
+	return l
+}
+
+// passUntil moves the clock on until ok, for a moment at most.
+func passUntil(b *looptest.Bench, what string, ok func() bool) {
+	b.T.Helper()
+	for range int(moment / time.Millisecond) {
+		if ok() {
+			return
+		}
+		b.Pass(time.Millisecond)
+	}
+	b.T.Fatalf("not within a moment: %s", what)
+}
+
+// greeted wants each peer to be greeted within a moment of the loop's clock.
+func greeted(b *looptest.Bench, peers ...*looptest.Peer) {
+	b.T.Helper()
+	passUntil(b, "an answer for each", func() bool {
+		for _, p := range peers {
+			if p.Poll(); string(p.Got) != "hello" && p.Over == nil {
+				return false
+			}
+		}
+		return true
+	})
+	for _, p := range peers {
+		p.Want("hello")
+		p.WantEnd()
+	}
+}
+
+// acceptErrors are all that accept(2) and the protocol below it may answer.
+var acceptErrors = append([]unix.Errno{unix.EINTR, unix.ECONNABORTED, unix.EPROTO, unix.EPERM, unix.ENETDOWN, unix.ENOPROTOOPT, unix.EHOSTDOWN,
+	unix.ENONET, unix.EHOSTUNREACH, unix.EOPNOTSUPP, unix.ENETUNREACH, unix.ETIMEDOUT, unix.EINVAL}, ownWants...)
+
+// TestAcceptFails: accept that fails for a moment ends no listening, also as listening ends, and is not asked without
+// a rest as long as it fails.
+func TestAcceptFails(t *testing.T) {
+	for _, errno := range acceptErrors {
+		t.Run(unix.ErrnoName(errno), func(t *testing.T) {
+			b, f := faulty(t)
+			l := answering(b)
+			first, second := b.Dial(l.Addr()), b.Dial(l.Addr())
+			f.Set(looptest.Fault{Call: "Accept", Errno: errno, Times: 5})
+			greeted(b, first, second)
+			f.Set(looptest.Fault{Call: "Accept", Errno: errno})
+			before, third := f.Struck("Accept"), b.Dial(l.Addr())
+			const rounds = 200
+			for range rounds {
+				b.Pass(time.Millisecond)
+			}
+			most := rounds * 16 // who is in the queue is not asked about without end in one round
+			if slices.Contains(ownWants, errno) {
+				most = rounds / 10 // nor is the system, which has nothing to give
+			}
+			if asked := f.Struck("Accept") - before; asked < 2 || asked > most {
+				t.Errorf("asked %d times in %d ms, %d at most", asked, rounds, most)
+			}
+			f.Set()
+			greeted(b, third)
+		})
+		t.Run(unix.ErrnoName(errno)+" at the end", func(t *testing.T) {
+			b, f := faulty(t)
+			l := answering(b)
+			first, second := b.Dial(l.Addr()), b.Dial(l.Addr())
+			f.Set(looptest.Fault{Call: "Accept", Errno: errno, Times: 5})
+			l.Close()
+			greeted(b, first, second)
+			passUntil(b, "the end of listening", l.Closed)
+		})
+	}
+}
+
+// TestWatchFails: a descriptor that epoll cannot watch for a moment is watched after it: nobody waits in vain, and no
+// connection is lost.
+func TestWatchFails(t *testing.T) {
+	for _, errno := range []unix.Errno{unix.ENOMEM, unix.ENOSPC} {
+		fails := looptest.Fault{Call: "EpollCtl", Errno: errno, Times: 5}
+		t.Run(unix.ErrnoName(errno)+" accepted", func(t *testing.T) {
+			b, f := faulty(t)
+			e := &end{take: 1 << 20}
+			l, err := b.Loop.Listen("127.0.0.1:0", func(c *netloop.Conn) { e.c = c; c.Handle(e) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := b.Dial(l.Addr())
+			p.Say("a request")
+			f.Set(fails)
+			passUntil(b, "the request", func() bool { return string(e.got) == "a request" })
+		})
+		t.Run(unix.ErrnoName(errno)+" dialled", func(t *testing.T) {
+			b, f := faulty(t)
+			s := b.Listen()
+			e := &end{take: 1 << 20}
+			f.Set(fails)
+			e.c = b.Loop.Dial(s.Addr(), moment, e)
+			p := s.Accept()
+			passUntil(b, "the connection", func() bool { return e.opened || len(e.over) > 0 })
+			if len(e.over) > 0 {
+				t.Fatalf("ended with %v", e.over)
+			}
+			e.c.Write([]byte("a line"))
+			p.Want("a line")
+		})
+		t.Run(unix.ErrnoName(errno)+" going on", func(t *testing.T) {
+			b, f := faulty(t)
+			e, p := pair(b)
+			p.Say("x")
+			b.Until("a byte", func() bool { return e.offers == 1 })
+			e.c.Rest()
+			p.Say("more")
+			b.Turn() // from here on nothing more is asked of epoll
+			b.Turn()
+			f.Set(fails)
+			e.take = 1 << 20
+			e.c.Resume()
+			passUntil(b, "the rest", func() bool { return string(e.got) == "xmore" })
+		})
+		t.Run(unix.ErrnoName(errno)+" listening again", func(t *testing.T) {
+			b, f := faulty(t)
+			l := answering(b)
+			l.Hold(true)
+			p := b.Dial(l.Addr())
+			f.Set(fails)
+			l.Hold(false)
+			greeted(b, p)
+		})
+		t.Run(unix.ErrnoName(errno)+" attached", func(t *testing.T) {
+			b, f := faulty(t)
+			e, p := pair(b)
+			fd, unread := e.c.Detach()
+			again := &end{take: 1 << 20}
+			f.Set(fails)
+			if _, err := b.Loop.Attach(fd, unread, again); err != nil {
+				t.Fatal(err)
+			}
+			p.Say("more")
+			passUntil(b, "what came after", func() bool { return string(again.got) == "more" })
+		})
+	}
+}
+
+// TestConnectFails: a dial that fails for want of the relay's own means says so, and one that a signal has interrupted
+// goes on; any other failure is the peer's.
+func TestConnectFails(t *testing.T) {
+	for _, c := range []struct {
+		call   string
+		errnos []unix.Errno
+		own    bool
+	}{
+		{"Socket", ownWants, true},
+		{"Connect", []unix.Errno{unix.EADDRNOTAVAIL, unix.EAGAIN, unix.ENOBUFS, unix.ENOMEM, unix.ENETUNREACH, unix.ECONNABORTED, unix.EPERM, unix.EACCES, unix.EADDRINUSE}, true},
+		{"Connect", []unix.Errno{unix.ECONNREFUSED, unix.ETIMEDOUT, unix.EHOSTUNREACH}, false},
+	} {
+		for _, errno := range c.errnos {
+			t.Run(fmt.Sprint(c.call, " ", unix.ErrnoName(errno)), func(t *testing.T) {
+				b, f := faulty(t)
+				s, free := b.Listen(), b.Free()
+				f.Set(looptest.Fault{Call: c.call, Errno: errno, Times: 1})
+				e := &end{}
+				b.Loop.Dial(s.Addr(), moment, e)
+				passUntil(b, "its end", func() bool { return len(e.over) > 0 })
+				if err := e.over[0]; errors.Is(err, netloop.ErrFull) != c.own || !errors.Is(err, errno) {
+					t.Errorf("ended with %v, the relay's own want: %v", err, c.own)
+				}
+				if b.Turn(); b.Free() != free {
+					t.Errorf("%d descriptors are left", free-b.Free())
+				}
+			})
+		}
+	}
+	t.Run("EINTR", func(t *testing.T) {
+		b, f := faulty(t)
+		s := b.Listen()
+		f.Set(looptest.Fault{Call: "Connect", Errno: unix.EINTR, Times: 1})
+		e := &end{}
+		b.Loop.Dial(s.Addr(), moment, e)
+		passUntil(b, "the connection", func() bool { return e.opened || len(e.over) > 0 })
+		if len(e.over) > 0 {
+			t.Errorf("ended with %v", e.over)
+		}
+	})
+}
