netloop: what the system has no means for is tried again, and is nobody else's failure

Cause: accept that failed as listening ended left the queue to the kernel's resets; epoll_ctl that failed closed an accepted connection unread, ended a dialled one as the member's fault, and left one that went on, or a listener, deaf for good; of connect's own errors only four counted as the relay's, and EINTR ended a connection that was being set up.

Change: a connection that epoll cannot take is tried again every 20 ms, so Attach cannot fail any more, and TakeFlow resets no client without MOVE; listening ends once its queue is empty (or after 0.3 s); connect's errors but ECONNREFUSED, EHOSTUNREACH and ETIMEDOUT are the relay's own; a stop ends idle connections first, whose descriptors the queue needs.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -359,19 +359,35 @@
 // finish ends a stop: nobody comes any more, who waits is answered, and the loop ends once what that takes has left.
 func (r *relay) finish() {
 	r.core.Finish()
+	r.leaveFresh() // their descriptors are free for who is in a listener's queue
 	for _, l := range append(r.listeners, r.door) {
 		l.Close()
 	}
-	if r.lines != nil {
-		r.lines.Leave()
-	}
 	least, most := r.loop.Now()+stopLinger, r.loop.Now()+stopOver
 	r.await(func() bool {
+		r.leaveFresh() // who was in the queue
 		now := r.loop.Now()
-		return now >= most || now >= least && r.held() == 0
+		return now >= most || now >= least && r.held() == 0 && r.isDeaf()
 	}, r.loop.Stop)
 }
 
+// leaveFresh ends connections on which nothing was asked yet.
+func (r *relay) leaveFresh() {
+	if r.lines != nil {
+		r.lines.Leave()
+	}
+}
+
+// isDeaf says that no listener takes connections in any more.
+func (r *relay) isDeaf() bool {
+	for _, l := range r.listeners {
+		if !l.Closed() {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *relay) closeStore() error {
 	if r.store == nil {
 		return nil
--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -142,22 +142,16 @@
 		return false
 	case n.Client != nil && len(fds) == 1:
 		r.loop.Grant(len(fds))
-		r.failed(r.lines.TakeFresh(*n.Client, fds[0]))
+		r.lines.TakeFresh(*n.Client, fds[0])
 	case n.Flow != nil && len(fds) == 2:
 		r.loop.Grant(len(fds))
-		r.failed(r.lines.TakeFlow(*n.Flow, fds[0], fds[1]))
+		r.lines.TakeFlow(*n.Flow, fds[0], fds[1])
 	default:
 		return false
 	}
 	return true
 }
 
-func (r *relay) failed(err error) {
-	if err != nil {
-		r.log.WithError(err).Error("a client could not be taken over")
-	}
-}
-
 // pass hands connections over to a successor that serves, a few at a time, so that the others are served meanwhile: those that have asked for
 // nothing, and once this process is told to stop its open flows.
 func (r *relay) pass() {
--- a/internal/front/line/give_test.go
+++ b/internal/front/line/give_test.go
@@ -18,9 +18,7 @@
 	c.Say("PING\r\n")
 	c.Lines("PONG")
 	f.GiveFresh(1, func(p Fresh, fd int) {
-		if err := next.TakeFresh(p, fd); err != nil {
-			t.Error(err)
-		}
+		next.TakeFresh(p, fd)
 	})
 	r.Pass(firstWithin + time.Second)
 	c.Say("PING\r\n")
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -45,9 +45,7 @@
 		if err := json.Unmarshal(text, &p); err != nil {
 			t.Fatal(err)
 		}
-		if err := to.TakeFlow(p, client, member); err != nil {
-			t.Fatal(err)
-		}
+		to.TakeFlow(p, client, member)
 	})
 }
 
@@ -252,9 +250,7 @@
 	given := 0
 	f.GiveFresh(2, func(p Fresh, fd int) {
 		given++
-		if err := next.TakeFresh(p, fd); err != nil {
-			t.Error(err)
-		}
+		next.TakeFresh(p, fd)
 	})
 	if given != 2 || len(f.fresh) != 0 || len(next.fresh) != 2 {
 		t.Fatalf("%d given, %d left, %d taken", given, len(f.fresh), len(next.fresh))
@@ -304,9 +300,7 @@
 		c.Lines("UP y")
 		first.GiveFlows(1, func(p Flow, client, member int) {
 			unlike(&p)
-			if err := second.TakeFlow(p, client, member); err != nil {
-				t.Error(err)
-			}
+			second.TakeFlow(p, client, member)
 		})
 		r.Pass(time.Millisecond)
 		c.Lines("MOVE")
--- a/internal/front/line/two.go
+++ b/internal/front/line/two.go
@@ -1,7 +1,6 @@
 package line
 
 import (
-	"errors"
 	"time"
 
 	"dahliarudder/internal/core"
@@ -45,14 +44,10 @@
 }
 
 // TakeFresh serves such a connection of another process.
-func (f *Front) TakeFresh(p Fresh, fd int) error {
-	c, err := f.Loop.Attach(fd, p.Unread, nil)
-	if err != nil {
-		return err
-	}
+func (f *Front) TakeFresh(p Fresh, fd int) {
+	c := f.Loop.Attach(fd, p.Unread, nil)
 	f.accept(c, p.Resting)
 	f.Loop.After(0, c.Resume)
-	return nil
 }
 
 // Flow is an open flow on its way to another process. Times are ages.
@@ -104,19 +99,13 @@
 	if member, p.FromMember = v.upstream.c.Detach(); member >= 0 {
 		return client, member
 	}
-	c, err := f.Loop.Attach(client, p.FromClient, v)
-	if err != nil {
-		f.Log.WithError(err).Error("a client could not be kept")
-		v.on(clientReset)
-		return -1, -1
-	}
-	v.c = c
-	f.Loop.After(0, c.Resume)
+	v.c = f.Loop.Attach(client, p.FromClient, v)
+	f.Loop.After(0, v.c.Resume)
 	return -1, -1
 }
 
 // TakeFlow goes on with such a flow. One whose member is not known here is moved.
-func (f *Front) TakeFlow(p Flow, client, member int) error {
+func (f *Front) TakeFlow(p Flow, client, member int) {
 	now := f.Loop.Now()
 	v := &clientConn{f: f, state: openState(p.Within), open: opening{id: p.ID}}
 	s := &upstream{v: v, state: saying(p.Last), tail: p.Tail, load: p.Flow.Request.Load, report: policy.NoReport}
@@ -127,26 +116,15 @@
 	if v.upstream = s; p.Asked > 0 {
 		s.owed, s.asked = now-p.Asked, now-p.Asked
 	}
-	var err, err2 error
-	v.c, err = f.Loop.Attach(client, p.FromClient, v)
-	s.c, err2 = f.Loop.Attach(member, p.FromMember, s)
-	if err = errors.Join(err, err2); err != nil {
-		if v.c != nil {
-			v.c.Reset()
-		}
-		if s.c != nil {
-			s.c.Reset()
-		}
-		return err
-	}
+	v.c = f.Loop.Attach(client, p.FromClient, v)
+	s.c = f.Loop.Attach(member, p.FromMember, s)
 	f.open[v], f.ids[p.ID] = struct{}{}, v
 	var known bool
 	if v.id, s.member, known = f.Core.Take(p.Flow, v); !known {
 		v.Move()
-		return nil
+		return
 	}
 	f.Loop.After(0, func() { v.c.Resume(); s.c.Resume() })
-	return nil
 }
 
 // IDs are the clients' ids of the requests that are held here.
--- a/internal/netloop/address.go
+++ b/internal/netloop/address.go
@@ -19,7 +19,7 @@
 	return &unix.SockaddrInet6{Port: int(at.Port()), Addr: at.Addr().As16()}, unix.AF_INET6, nil
 }
 
-func local(fd int) string {
+func ownAddr(fd int) string {
 	at, err := unix.Getsockname(fd)
 	if err != nil {
 		return ""
@@ -43,6 +43,6 @@
 	if err != nil {
 		return false
 	}
-	is, err := netip.ParseAddrPort(local(fd))
+	is, err := netip.ParseAddrPort(ownAddr(fd))
 	return err == nil && is.Addr().Unmap() == at.Addr().Unmap() && (at.Port() == 0 || is.Port() == at.Port())
 }
--- a/internal/netloop/channel_test.go
+++ b/internal/netloop/channel_test.go
@@ -121,10 +121,7 @@
 	}
 	p.Say("world")
 	next := &end{take: 1 << 10}
-	c, err := b.Attach(fd, unread, next)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := b.Attach(fd, unread, next)
 	c.Resume()
 	b.Until("the rest", func() bool { return string(next.got) == "hello, world" })
 	c.Write([]byte("back"))
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"errors"
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -20,14 +19,12 @@
 	// lingerMost is how much of an ended connection's rest is read, so that who
 	// sends without end costs no more than that.
 	lingerMost = 256 << 10
+	// meansPause is how long what the system has no means for rests before it is tried again: asking at once would spin.
+	meansPause = 20 * time.Millisecond
 	// readMost is how many times a connection is read before others have a turn.
 	readMost = 8
 )
 
-// errNone says that a descriptor could not be had or used for want of the
-// machine's own means: nothing that the peer did.
-func errNone(err error) error { return fmt.Errorf("%w: %w", ErrFull, err) }
-
 // ErrDialTimeout is how a dial ends that took too long.
 var ErrDialTimeout = errors.New("the connection did not come up in time")
 
@@ -56,7 +53,9 @@
 	in, out  store
 	inMost   int
 	outMost  int
-	interest uint32
+	watched  bool   // epoll has taken the descriptor
+	interest uint32 // what epoll watches it for
+	retry    *Timer // until what the system had no means for is tried again
 	dialling *Timer // until a dialled connection stands
 	failing  *Timer // an error waits to be told
 	farewell *Timer // an ended connection lingers
@@ -76,11 +75,20 @@
 	endFirst bool // the peer's end is told also while bytes that came before it are unread
 }
 
+// newConn makes a connection, which owns the descriptor if there is one yet.
 func newConn(l *Loop, fd int, from *budget) *Conn {
+	c := &Conn{l: l, fd: -1, inMost: InBound, outMost: OutBound, budget: from}
 	if fd >= 0 {
-		l.sys.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		c.takeOver(fd)
 	}
-	return &Conn{l: l, fd: fd, inMost: InBound, outMost: OutBound, budget: from}
+	return c
+}
+
+// takeOver makes a descriptor the connection's own. What is written is to leave at once.
+func (c *Conn) takeOver(fd int) {
+	c.l.sys.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	c.fd = fd
+	c.l.own(fd, c, c.budget)
 }
 
 // Handle names who is told from now on.
@@ -90,7 +98,7 @@
 func (c *Conn) Bound(in, out int) { c.inMost, c.outMost = in, out }
 
 // Addr is the connection's own address.
-func (c *Conn) Addr() string { return local(c.fd) }
+func (c *Conn) Addr() string { return ownAddr(c.fd) }
 
 // Peer is the other end's IP address.
 func (c *Conn) Peer() string {
@@ -153,7 +161,29 @@
 	if c.fd < 0 {
 		return
 	}
-	var want uint32
+	want := c.wanted()
+	operation := unix.EPOLL_CTL_MOD
+	switch {
+	case !c.watched:
+		operation = unix.EPOLL_CTL_ADD
+	case want == c.interest:
+		return
+	}
+	if c.l.watch(operation, c.fd, want) != nil {
+		c.tryAgain()
+		return
+	}
+	c.watched, c.interest = true, want
+}
+
+// tryAgain goes on a little later with what the system has no means for now.
+func (c *Conn) tryAgain() {
+	c.retry.Stop()
+	c.retry = c.l.After(meansPause, c.update)
+}
+
+// wanted is what epoll is to watch the connection for.
+func (c *Conn) wanted() (want uint32) {
 	if c.dialling != nil || c.sec == nil && c.out.size() > 0 || c.sec != nil && (c.sec.cipher.size() > 0 || c.sec.up && c.out.size() > 0) {
 		want |= unix.EPOLLOUT
 	}
@@ -162,10 +192,7 @@
 	} else if c.endFirst && c.dialling == nil && c.failing == nil && !c.eof {
 		want |= unix.EPOLLRDHUP
 	}
-	if want != c.interest {
-		c.interest = want
-		c.l.watch(unix.EPOLL_CTL_MOD, c.fd, want)
-	}
+	return want
 }
 
 // deaf is the handler of a connection that nobody listens to any more.
--- a/internal/netloop/conn_dial.go
+++ b/internal/netloop/conn_dial.go
@@ -1,6 +1,7 @@
 package netloop
 
 import (
+	"fmt"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -52,23 +53,33 @@
 	}
 	fd, err := c.l.sys.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return errNone(err)
+		return local(err)
 	}
-	c.l.sys.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	if err = c.l.sys.Connect(fd, at); err == unix.EINPROGRESS || err == nil {
-		err = c.l.add(fd, unix.EPOLLOUT, c, c.budget)
-	} else if err == unix.EADDRNOTAVAIL || err == unix.EAGAIN || err == unix.ENOBUFS || err == unix.ENOMEM {
-		err = errNone(err)
-	}
-	if err != nil {
+	if err = c.l.sys.Connect(fd, at); err != nil && !underWay(err) {
 		unix.Close(fd)
-		return err
+		return refusal(err)
 	}
-	c.fd, c.interest = fd, unix.EPOLLOUT
+	c.takeOver(fd)
 	c.dialling = c.l.After(within, func() { c.fail(ErrDialTimeout) })
+	c.update()
 	return nil
 }
 
+// underWay says that a connection is being set up, though connect has not waited for it.
+func underWay(err error) bool { return err == unix.EINPROGRESS || err == unix.EINTR }
+
+// refusal is what an error of connect itself says. Of these the peer can only have caused the first three.
+func refusal(err error) error {
+	switch err {
+	case unix.ECONNREFUSED, unix.EHOSTUNREACH, unix.ETIMEDOUT:
+		return err
+	}
+	return local(err)
+}
+
+// local marks an error as a want of this machine's own means, which the peer has nothing to do with.
+func local(err error) error { return fmt.Errorf("%w: %w", ErrFull, err) }
+
 // opened finishes a dial; false if the connection is still on its way or over.
 func (c *Conn) opened() bool {
 	code, err := unix.GetsockoptInt(c.fd, unix.SOL_SOCKET, unix.SO_ERROR)
--- a/internal/netloop/conn_end.go
+++ b/internal/netloop/conn_end.go
@@ -58,23 +58,20 @@
 
 // Attach takes over a descriptor that was detached, here or in another process, and
 // the bytes that were not taken there; they are handed to the handler by Resume.
-func (l *Loop) Attach(fd int, unread []byte, h Handler) (*Conn, error) {
+func (l *Loop) Attach(fd int, unread []byte, h Handler) *Conn {
 	c := newConn(l, fd, &l.budget)
-	if err := l.add(fd, unix.EPOLLIN, c, c.budget); err != nil {
-		unix.Close(fd)
-		return nil, err
-	}
-	c.interest, c.h = unix.EPOLLIN, h
+	c.h = h
 	if len(unread) > 0 {
 		c.in.add(l, unread)
 	}
 	c.count()
-	return c, nil
+	c.update()
+	return c
 }
 
 // release is the one place where a connection gives back what it owns.
 func (c *Conn) release() {
-	for _, t := range []*Timer{c.dialling, c.failing, c.farewell} {
+	for _, t := range []*Timer{c.dialling, c.failing, c.farewell, c.retry} {
 		t.Stop()
 	}
 	c.Spare(nil)
--- a/internal/netloop/datagram.go
+++ b/internal/netloop/datagram.go
@@ -40,7 +40,7 @@
 }
 
 // Addr is where the socket is.
-func (d *Datagrams) Addr() string { return local(d.fd) }
+func (d *Datagrams) Addr() string { return ownAddr(d.fd) }
 
 // Send sends one, or drops it where there is no room: nothing waits.
 func (d *Datagrams) Send(to string, b []byte) {
--- a/internal/netloop/listener.go
+++ b/internal/netloop/listener.go
@@ -7,23 +7,28 @@
 	"golang.org/x/sys/unix"
 )
 
-// acceptPause is how long a listener rests after the system ran out of
-// descriptors: the connection stays in the backlog, and polling for it at once
-// would spin.
-const acceptPause = 20 * time.Millisecond
+// closeWithin is how long the end of listening waits for means to take in what is in the queue.
+const closeWithin = 300 * time.Millisecond
 
 // acceptBurst bounds the connections accepted before other sockets have a turn.
 const acceptBurst = 16
 
+// relievePause is how long a listener rests that has no descriptor left, where some are given up for it: those are
+// free after the round.
+const relievePause = time.Millisecond
+
 // Listener takes connections in.
 type Listener struct {
-	l      *Loop
-	fd     int
-	accept func(*Conn)
-	take   func(fd int) // in the place of accept, for connections that are none of Conn's
-	rest   *Timer
-	held   bool
-	budget *budget // of the connections it takes in
+	l       *Loop
+	fd      int
+	accept  func(*Conn)
+	take    func(fd int) // in the place of accept, for connections that are none of Conn's
+	rest    *Timer
+	held    bool
+	closing bool    // it ends once its queue is empty
+	endBy   *Timer  // or then
+	aborted int     // connections in a row that were gone before they could be taken in
+	budget  *budget // of the connections it takes in
 }
 
 // Listen opens a listening socket. For each connection it calls accept, which
@@ -92,75 +97,131 @@
 }
 
 // Addr is the address that the socket is bound to.
-func (s *Listener) Addr() string { return local(s.fd) }
+func (s *Listener) Addr() string { return ownAddr(s.fd) }
 
-// Close ends listening; connections already taken in stay. Those in the queue are taken in first, as far as
-// descriptors go: closing the socket would reset them. A nil one may be closed.
+// Close ends listening; connections already taken in stay. Those in the queue are taken in first: closing the socket
+// would reset them. Where the system has no means for that now, listening ends once they are taken in, or after
+// closeWithin. A nil one may be closed.
 func (s *Listener) Close() {
-	if s != nil && s.fd >= 0 {
-		for s.take == nil && !s.held && s.next() {
+	if s == nil || s.fd < 0 || s.closing {
+		return
+	}
+	s.closing = true
+	if s.take != nil || s.held { // what waits is another process's, or no client's
+		s.end()
+		return
+	}
+	s.endBy = s.l.After(closeWithin, s.end)
+	s.empty()
+}
+
+// empty takes in what is in the queue, and ends listening after that.
+func (s *Listener) empty() {
+	for s.fd >= 0 {
+		switch s.next() {
+		case queueEmpty:
+			s.end()
+		case queueStuck:
+			return // it is tried again
 		}
-		s.rest.Stop()
-		s.l.drop(s.fd, &s.l.budget)
-		s.fd = -1
 	}
 }
 
+// end gives the socket back.
+func (s *Listener) end() {
+	s.rest.Stop()
+	s.endBy.Stop()
+	s.l.drop(s.fd, &s.l.budget)
+	s.fd = -1
+}
+
 // Closed says that listening has ended.
 func (s *Listener) Closed() bool { return s.fd < 0 }
 
 func (s *Listener) ready(uint32) {
+	if s.closing {
+		s.empty()
+		return
+	}
 	for range acceptBurst {
-		if s.fd < 0 || s.held || !s.next() {
+		if s.fd < 0 || s.held || s.next() != queueTaken {
 			return
 		}
 	}
 }
 
-// next takes a connection in; false if there is none to be had now.
-func (s *Listener) next() bool {
+// queued is what an attempt to take a connection in shows of the listener's queue.
+type queued int
+
+const (
+	queueTaken queued = iota // there may be more
+	queueEmpty
+	queueStuck // it cannot be taken from now; that is tried again after a rest
+)
+
+// next takes a connection in.
+func (s *Listener) next() queued {
 	if s.budget.Free() <= 0 {
-		s.budget.relieve()
-		s.pause()
-		return false
+		rest := meansPause
+		if s.budget.relieve() {
+			rest = relievePause
+		}
+		s.pause(rest)
+		return queueStuck
 	}
 	fd, _, err := s.l.sys.Accept(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-	switch err {
-	case nil:
-	case unix.EAGAIN:
-		return false
-	case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
-		s.pause()
-		return false
-	default: // that connection is gone already, or a signal came
-		return true
+	switch {
+	case err == unix.EAGAIN:
+		return queueEmpty
+	case err != nil && isOver(err) && s.aborted < acceptBurst:
+		s.aborted++
+		return queueTaken
+	case err != nil:
+		s.aborted = 0
+		s.pause(meansPause)
+		return queueStuck
 	}
+	s.aborted = 0
 	if s.take != nil {
 		s.take(fd)
-		return true
+		return queueTaken
 	}
 	s.budget.relieve() // before the new one may be spared: it has had no turn yet
 	c := newConn(s.l, fd, s.budget)
-	if err := s.l.add(fd, unix.EPOLLIN, c, s.budget); err != nil {
-		unix.Close(fd)
+	s.accept(c)
+	c.update()
+	return queueTaken
+}
+
+// isOver says that accept has met a connection that is gone already, or a signal: the next one may be well.
+func isOver(err error) bool {
+	switch err {
+	case unix.EINTR, unix.ECONNABORTED, unix.EPROTO, unix.EPERM, unix.ENETDOWN, unix.ENOPROTOOPT, unix.EHOSTDOWN,
+		unix.ENONET, unix.EHOSTUNREACH, unix.EOPNOTSUPP, unix.ENETUNREACH, unix.ETIMEDOUT:
 		return true
 	}
-	c.interest = unix.EPOLLIN
-	s.accept(c)
-	return true
+	return false
 }
 
 // pause guards against spinning on a backlog that cannot be taken in.
-func (s *Listener) pause() {
-	s.l.watch(unix.EPOLL_CTL_MOD, s.fd, 0)
+func (s *Listener) pause(rest time.Duration) {
+	s.l.watch(unix.EPOLL_CTL_MOD, s.fd, 0) // where that fails the listener spins until the rest is over
 	s.rest.Stop()
-	s.rest = s.l.After(acceptPause, s.watch)
+	s.rest = s.l.After(rest, s.watch)
 }
 
+// watch has epoll tell of connections in the queue, unless the listener is held.
 func (s *Listener) watch() {
 	var want uint32
 	if !s.held {
 		want = unix.EPOLLIN
 	}
-	s.l.watch(unix.EPOLL_CTL_MOD, s.fd, want)
+	if s.l.watch(unix.EPOLL_CTL_MOD, s.fd, want) != nil {
+		s.rest.Stop()
+		s.rest = s.l.After(meansPause, s.watch)
+		return
+	}
+	if s.closing {
+		s.empty()
+	}
 }
--- a/internal/netloop/loop.go
+++ b/internal/netloop/loop.go
@@ -128,13 +128,14 @@
 func (b *budget) Short() bool { return b.Free() < max(b.limit/shortPart, shortLeast) }
 
 // relieve gives up connections that may be spared, so that those who connect and
-// say nothing cannot keep others out.
-func (b *budget) relieve() {
+// say nothing cannot keep others out. It returns whether there were any.
+func (b *budget) relieve() (some bool) {
 	for range 2 {
-		if b.Free() < max(b.limit/sparePart, 1) {
-			b.giveUp()
+		if b.Free() < max(b.limit/sparePart, 1) && b.giveUp() {
+			some = true
 		}
 	}
+	return some
 }
 
 // giveUp gives up the connection that was spared longest ago; false if there is none.
@@ -264,14 +265,19 @@
 	return nil
 }
 
-// add takes a descriptor over, at the cost of that budget.
+// add takes a descriptor over, at the cost of that budget, and has it watched.
 func (l *Loop) add(fd int, events uint32, s source, from *budget) error {
 	if err := l.watch(unix.EPOLL_CTL_ADD, fd, events); err != nil {
 		return err
 	}
+	l.own(fd, s, from)
+	return nil
+}
+
+// own takes a descriptor over, at the cost of that budget. It is not watched yet.
+func (l *Loop) own(fd int, s source, from *budget) {
 	l.sources[fd] = s
 	from.open++
-	return nil
 }
 
 // drop is where every descriptor but the loop's own two is given back.
--- a/internal/netloop/system_test.go
+++ b/internal/netloop/system_test.go
@@ -170,9 +170,7 @@
 			fd, unread := e.c.Detach()
 			again := &end{take: 1 << 20}
 			f.Set(fails)
-			if _, err := b.Loop.Attach(fd, unread, again); err != nil {
-				t.Fatal(err)
-			}
+			b.Loop.Attach(fd, unread, again)
 			p.Say("more")
 			passUntil(b, "what came after", func() bool { return string(again.got) == "more" })
 		})
