--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -262,6 +262,14 @@
 
 // start runs the program until it serves.
 func start(t testing.TB, config string, fronts int) *relay {
+	t.Helper()
+	r := launch(t, config)
+	r.serves(fronts)
+	return r
+}
+
+// launch runs the program.
+func launch(t testing.TB, config string) *relay {
 	t.Helper()
 	r := &relay{t: t, cmd: exec.Command(program, "serve", "--config", config), log: &syncBuffer{},
 		done: make(chan error, 1), addr: map[string]string{}, path: config}
@@ -278,13 +286,23 @@
 			t.Logf("the relay's log:\n%s", r.log)
 		}
 	})
-	until(t, "the relay to serve", func() bool {
+	return r
+}
+
+// serves waits until so many fronts listen.
+func (r *relay) serves(fronts int) {
+	r.t.Helper()
+	until(r.t, "the relay to serve", func() bool {
 		for _, m := range serving.FindAllStringSubmatch(r.log.String(), -1) {
 			r.addr[m[1]] = m[2]
 		}
+		select {
+		case err := <-r.done:
+			r.t.Fatalf("the relay has ended: %v", err)
+		default:
+		}
 		return len(r.addr) == fronts
 	})
-	return r
 }
 
 // call is an operator's call; it returns the answer's status.
