Signals have a channel a kind; a held address is waited for; ENOBUFS and ENOMEM end no connection

Change: main catches signals first of all, SIGTERM and SIGHUP apart, one waiting of each; the configuration is read again in a goroutine of its own, and a stop before it was first read ends the process; listening is tried again for 5 s on errors that may pass; a connection rests 20 ms when the system has no means for a read or write.

--- a/cmd/dahliarudder/main.go
+++ b/cmd/dahliarudder/main.go
@@ -15,9 +15,10 @@
 )
 
 func main() {
+	caught := catchSignals() // first of all: until then a SIGHUP ends the process
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
-	err := command(log).Execute()
+	err := command(log, caught).Execute()
 	var ordered orderedExit
 	switch {
 	case errors.As(err, &ordered):
@@ -28,7 +29,30 @@
 	}
 }
 
-func command(log *logrus.Logger) *cobra.Command {
+// serveName is the sub-command that heeds signals by itself.
+const serveName = "serve"
+
+// loadUnlessStopped reads the configuration. It returns neither a configuration nor an error if the process was told to
+// end before: nobody has been served yet.
+func loadUnlessStopped(load func() (*config.Config, error), caught *signals) (*config.Config, error) {
+	type loaded struct {
+		config *config.Config
+		err    error
+	}
+	done := make(chan loaded, 1)
+	go func() {
+		c, err := load()
+		done <- loaded{c, err}
+	}()
+	select {
+	case l := <-done:
+		return l.config, l.err
+	case <-caught.stop:
+		return nil, nil
+	}
+}
+
+func command(log *logrus.Logger, caught *signals) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "dahliarudder",
 		Short:         "A relay that places long-lived connections on pool members",
@@ -40,23 +64,26 @@
 	root.PersistentFlags().StringVarP(&path, "config", "c", os.Getenv("EDGE_CONFIG"),
 		"configuration file (default: the value of EDGE_CONFIG)")
 	root.PersistentFlags().BoolVarP(&verbose, "verbose", "v", false, "log details")
-	root.PersistentPreRun = func(*cobra.Command, []string) {
+	root.PersistentPreRun = func(cmd *cobra.Command, _ []string) {
 		if verbose {
 			log.SetLevel(logrus.DebugLevel)
 		}
+		if cmd.Name() != serveName {
+			caught.release()
+		}
 	}
 	load := func() (*config.Config, error) { return config.Load(path, os.Getenv) }
 	root.AddCommand(&cobra.Command{
-		Use:   "serve",
+		Use:   serveName,
 		Short: "Run the relay until SIGTERM; SIGHUP reads the configuration again",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			c, err := load()
-			if err != nil {
+			c, err := loadUnlessStopped(load, caught)
+			if err != nil || c == nil {
 				return err
 			}
 			again := func(old *config.Config) (*config.Config, error) { return old.Reload(path, os.Getenv) }
-			return serve(c, again, log)
+			return serve(c, again, caught, log)
 		},
 	}, &cobra.Command{
 		Use:   "check",
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -6,11 +6,9 @@
 	"math"
 	"math/rand/v2"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -60,10 +58,7 @@
 
 // serve runs the relay until it is told to stop. Reload reads the configuration
 // again.
-func serve(cfg *config.Config, reload func(*config.Config) (*config.Config, error), log *logrus.Logger) error {
-	// First of all: until then a SIGHUP would end the program.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+func serve(cfg *config.Config, reload func(*config.Config) (*config.Config, error), caught *signals, log *logrus.Logger) error {
 	limits(cfg)
 	set := cfg.Decoded()
 	began := time.Now()
@@ -71,7 +66,7 @@
 	// means "long ago" to the decision module.
 	const zero = time.Hour
 	clock := func() time.Duration { return zero + time.Since(began) }
-	r := &relay{cfg: cfg, log: log, clock: clock, names: pool.Names{Settings: set, Epoch: began.Add(-zero)},
+	r := &relay{cfg: cfg, log: log, clock: clock, signals: caught, names: pool.Names{Settings: set, Epoch: began.Add(-zero)},
 		memory: int(cfg.Limits.MemoryMB * bufferPart * (1 << 20))}
 	r.sockets = sockets(cfg) - ownSockets - r.callers()
 	loop, err := netloop.New(clock, r.sockets)
@@ -89,22 +84,10 @@
 		r.count(time.Duration(cfg.CountsMS*float64(time.Millisecond)), core.Counts{})
 	}
 	go func() {
-		for s := range signals {
-			if s != syscall.SIGHUP {
-				loop.Post(r.stop)
-				return
-			}
-			// The file is read here, so that a slow disk does not hold the loop up.
-			fresh, err := reload(cfg)
-			if err != nil {
-				log.WithError(err).Error("the old configuration stays")
-				loop.Post(func() { r.refused = err.Error() })
-				continue
-			}
-			cfg = fresh
-			loop.Post(func() { r.reload(fresh) })
-		}
+		<-caught.stop
+		loop.Post(r.stop)
 	}()
+	go r.reloads(caught.reload, reload)
 	err = loop.Run()
 	r.fleet.Close()
 	if err == nil && r.ordered {
@@ -114,6 +97,22 @@
 	return errors.Join(err, r.closeStore())
 }
 
+// reloads reads the configuration again for each signal. It has a goroutine of its own: a slow disk holds up neither
+// the loop nor a stop.
+func (r *relay) reloads(asked <-chan os.Signal, reload func(*config.Config) (*config.Config, error)) {
+	held := r.cfg
+	for range asked {
+		fresh, err := reload(held)
+		if err != nil {
+			r.log.WithError(err).Error("the old configuration stays")
+			r.loop.Post(func() { r.refused = err.Error() })
+			continue
+		}
+		held = fresh
+		r.loop.Post(func() { r.reload(fresh) })
+	}
+}
+
 // count logs what the core counted in each span, as fields that many relays' logs can be
 // added up by: the relay's clock in seconds, then one field a count.
 func (r *relay) count(every time.Duration, before core.Counts) {
@@ -144,6 +143,7 @@
 // relay is what serve puts together.
 type relay struct {
 	cfg       *config.Config
+	signals   *signals
 	log       *logrus.Logger
 	loop      *netloop.Loop
 	clock     func() time.Duration
@@ -249,7 +249,9 @@
 	if cfg.Operator != "" && err == nil {
 		desk := &operator.Front{Loop: loop, Relay: r, Log: r.log}
 		var l *netloop.Listener
-		l, err = loop.ListenApart(cfg.Operator, operator.Callers, desk.Accept)
+		l, err = r.insist(func() (*netloop.Listener, error) {
+			return loop.ListenApart(cfg.Operator, operator.Callers, desk.Accept)
+		})
 		r.took("operator", l, err)
 	}
 	if err != nil {
@@ -289,6 +291,28 @@
 	return err
 }
 
+const (
+	// listenWithin is how long a start waits for an address that cannot be had yet: the process before it may still be
+	// ending. It leaves half of the 10 s within which nine in ten restarted relays have to be ready.
+	listenWithin = 5 * time.Second
+	listenPause  = 20 * time.Millisecond
+)
+
+// insist listens, again and again where the system refuses that for a moment.
+func (r *relay) insist(listen func() (*netloop.Listener, error)) (*netloop.Listener, error) {
+	by := r.clock() + listenWithin
+	for told := false; ; time.Sleep(listenPause) {
+		l, err := listen()
+		if err == nil || !netloop.MayPass(err) || r.clock() >= by || r.signals.stopping() {
+			return l, err
+		}
+		if !told {
+			r.log.WithError(err).Warn("the address cannot be had yet")
+			told = true
+		}
+	}
+}
+
 // took keeps a listener, unless there is none.
 func (r *relay) took(front string, l *netloop.Listener, err error) {
 	if err == nil {
--- a/cmd/dahliarudder/upgrade.go
+++ b/cmd/dahliarudder/upgrade.go
@@ -395,11 +395,11 @@
 	fd, ok := r.inherited[front]
 	delete(r.inherited, front)
 	if !ok {
-		return r.loop.Listen(addr, accept)
+		return r.listenAnew(addr, accept)
 	}
 	if !netloop.ListensAt(fd, addr) {
 		unix.Close(fd)
-		return r.loop.Listen(addr, accept)
+		return r.listenAnew(addr, accept)
 	}
 	l, err := r.loop.Inherit(fd, accept)
 	if err == nil {
@@ -407,3 +407,8 @@
 	}
 	return l, err
 }
+
+// listenAnew listens by a socket of this process's own.
+func (r *relay) listenAnew(addr string, accept func(*netloop.Conn)) (*netloop.Listener, error) {
+	return r.insist(func() (*netloop.Listener, error) { return r.loop.Listen(addr, accept) })
+}
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -56,6 +56,7 @@
 	watched  bool   // epoll has taken the descriptor
 	interest uint32 // what epoll watches it for
 	retry    *Timer // until what the system had no means for is tried again
+	stalled  bool   // nothing is read or written meanwhile
 	dialling *Timer // until a dialled connection stands
 	failing  *Timer // an error waits to be told
 	farewell *Timer // an ended connection lingers
@@ -179,11 +180,29 @@
 // tryAgain goes on a little later with what the system has no means for now.
 func (c *Conn) tryAgain() {
 	c.retry.Stop()
-	c.retry = c.l.After(meansPause, c.update)
+	c.retry = c.l.After(meansPause, func() {
+		c.stalled = false
+		if c.dialling == nil {
+			c.flush()
+		}
+		c.update()
+	})
+}
+
+// stall has nothing read or written for a moment: epoll would report the connection as ready all the time.
+func (c *Conn) stall() {
+	c.stalled = true
+	c.tryAgain()
 }
 
+// outOfMeans says that a call has failed for want of the system's own memory, and may be made again.
+func outOfMeans(err error) bool { return err == unix.ENOBUFS || err == unix.ENOMEM }
+
 // wanted is what epoll is to watch the connection for.
 func (c *Conn) wanted() (want uint32) {
+	if c.stalled {
+		return 0
+	}
 	if c.dialling != nil || c.sec == nil && c.out.size() > 0 || c.sec != nil && (c.sec.cipher.size() > 0 || c.sec.up && c.out.size() > 0) {
 		want |= unix.EPOLLOUT
 	}
--- a/internal/netloop/conn_read.go
+++ b/internal/netloop/conn_read.go
@@ -69,6 +69,9 @@
 			continue
 		case err == unix.EAGAIN:
 			return
+		case outOfMeans(err):
+			c.stall()
+			return
 		case err != nil:
 			c.fail(err)
 			return
--- a/internal/netloop/conn_write.go
+++ b/internal/netloop/conn_write.go
@@ -31,7 +31,11 @@
 	}
 	if c.out.size() == 0 {
 		n, err := c.l.sys.Write(c.fd, b)
-		if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+		switch {
+		case err == nil, err == unix.EAGAIN, err == unix.EINTR:
+		case outOfMeans(err):
+			c.stall()
+		default:
 			c.left += len(b)
 			c.later(err)
 			return
@@ -104,10 +108,14 @@
 		}
 	}
 	n, err := c.l.sys.Write(c.fd, from.data())
-	if err == unix.EAGAIN || err == unix.EINTR {
+	switch {
+	case err == nil:
+	case err == unix.EAGAIN, err == unix.EINTR:
 		return
-	}
-	if err != nil {
+	case outOfMeans(err):
+		c.stall()
+		return
+	default:
 		c.fail(err)
 		return
 	}
--- a/internal/netloop/listener.go
+++ b/internal/netloop/listener.go
@@ -1,6 +1,7 @@
 package netloop
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -67,6 +68,18 @@
 	return s, nil
 }
 
+// MayPass says that listening has failed by what may be over in a moment: another process holds the address, or the
+// system has no means now.
+func MayPass(err error) bool {
+	for _, passing := range []unix.Errno{unix.EADDRINUSE, unix.EADDRNOTAVAIL, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM,
+		unix.ENOSPC, unix.EINTR, unix.EAGAIN} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Listener) start(backlog int) error {
 	if err := s.l.sys.Listen(s.fd, backlog); err != nil {
 		return err
