--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -126,7 +126,7 @@
 			p.Zone = string(set.Zones[m.Zone])
 		}
 		if m.Started != 0 {
-			p.Started = r.names.Epoch.Add(m.Started).UnixMilli()
+			p.Started = r.names.Starts.UnixMilli(m.Started)
 		}
 		l.Members = append(l.Members, p)
 	}
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -56,6 +56,9 @@
 	stopOver = line.MoveWithin + stopLinger/2
 )
 
+// wallClock is the machine's clock, which may be stepped. Nothing that lasts is measured by it. Only tests change it.
+var wallClock = time.Now
+
 // serve runs the relay until it is told to stop. Reload reads the configuration
 // again.
 func serve(cfg *config.Config, reload func(*config.Config) (*config.Config, error), caught *signals, log *logrus.Logger) error {
@@ -66,7 +69,7 @@
 	// means "long ago" to the decision module.
 	const zero = time.Hour
 	clock := func() time.Duration { return zero + time.Since(began) }
-	r := &relay{cfg: cfg, log: log, clock: clock, signals: caught, names: pool.Names{Settings: set, Epoch: began.Add(-zero)},
+	r := &relay{cfg: cfg, log: log, clock: clock, signals: caught, names: pool.Names{Settings: set, Starts: &pool.Starts{Clock: clock, Wall: wallClock}},
 		memory: int(cfg.Limits.MemoryMB * bufferPart * (1 << 20))}
 	r.sockets = sockets(cfg) - ownSockets - r.callers()
 	loop, err := netloop.New(clock, r.sockets)
@@ -192,8 +195,8 @@
 	cfg, loop := r.cfg, r.loop
 	var ledger core.Ledger
 	if cfg.Store != nil {
-		run := fmt.Sprintf("%s/%s/%d", cfg.Name, cfg.Seed, time.Now().UnixMicro())
-		if r.store, err = store.Open(*cfg.Store, run, r.names.Epoch, r.log); err != nil {
+		run := fmt.Sprintf("%s/%s/%d", cfg.Name, cfg.Seed, wallClock().UnixMicro())
+		if r.store, err = store.Open(*cfg.Store, run, wallClock().Add(-r.clock()), r.log); err != nil {
 			return err
 		}
 		ledger = r.store
--- a/cmd/dahliarudder/state.go
+++ b/cmd/dahliarudder/state.go
@@ -38,7 +38,7 @@
 	if !known || s.Watched != r.cfg.Discovery { // a generation means nothing but where it was given
 		held.Generation = 0
 	}
-	age, away, err := s.Believe(time.Now(), r.cfg.Name, held.Generation, snapshot.Ages(r.core.Limits().AskWithin))
+	age, away, err := s.Believe(wallClock(), r.cfg.Name, held.Generation, snapshot.Ages(r.core.Limits().AskWithin))
 	if err != nil {
 		r.thrown("snapshot", err)
 		return
@@ -102,7 +102,7 @@
 
 func (r *relay) snapshot() *snapshot.Snapshot {
 	list, _ := r.watch.List()
-	s := &snapshot.Snapshot{Name: r.cfg.Name, Written: time.Now().UnixMilli(), List: list, Watched: r.cfg.Discovery, Learned: r.core.Learned()}
+	s := &snapshot.Snapshot{Name: r.cfg.Name, Written: wallClock().UnixMilli(), List: list, Watched: r.cfg.Discovery, Learned: r.core.Learned()}
 	if r.peers != nil {
 		s.Peers = r.peers.Addresses()
 	}
--- a/internal/pool/list.go
+++ b/internal/pool/list.go
@@ -9,7 +9,6 @@
 	"hash/fnv"
 	"strconv"
 	"strings"
-	"time"
 
 	"dahliarudder/internal/core"
 	"dahliarudder/internal/settings"
@@ -55,9 +54,7 @@
 // Names translates entries of the list into members.
 type Names struct {
 	Settings *settings.Settings
-	// Epoch is the wall clock at the zero of the relay's clock. It is read once:
-	// a member's start must stay the same number however often it is listed.
-	Epoch time.Time
+	Starts   *Starts
 }
 
 var states = map[string]policy.State{
@@ -86,13 +83,7 @@
 			state = policy.Draining
 		}
 		m.State = state
-		if e.Started != 0 {
-			since := settings.Span(e.Started - float64(n.Epoch.UnixMilli()))
-			m.Started = since
-			if m.Started == 0 { // 0 means long ago
-				m.Started = 1
-			}
-		}
+		m.Started = n.Starts.At(e.ID, e.Started)
 		list = append(list, m)
 	}
 	return list
