Failing tests: starts of members under steps of the wall clock

Seen by reading: starts are set against an epoch that the process reads once. The skeleton of what is to come (Heard, Dated, Believed) does nothing yet.

--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -8,10 +8,27 @@
 	Clock func() time.Duration
 	Wall  func() time.Time
 
-	epoch time.Time // the wall clock at the zero of the relay's own
-	read  bool
+	// Believed is how late discovery may list a start.
+	Believed time.Duration
+
+	epoch   time.Time // the wall clock at the zero of the relay's own
+	read    bool
+	offsets []time.Duration
+	kept    map[string]time.Duration
 }
 
+// Bounds of what is kept.
+const (
+	offsetsMost = 8
+	keptMost    = 8192
+)
+
+// Heard says that a list has come from discovery, of which At was told.
+func (s *Starts) Heard() {}
+
+// Dated says what discovery's own clock showed as it answered.
+func (s *Starts) Dated(time.Time) {}
+
 // At is the start of a member on the relay's clock; 0 if it was long ago.
 func (s *Starts) At(name string, unixMilli float64) time.Duration {
 	if unixMilli == 0 {
--- /dev/null
+++ b/internal/pool/starts_test.go
@@ -0,0 +1,139 @@
+package pool
+
+import (
+	"testing"
+	"time"
+)
+
+// machine is a relay's machine whose wall clock the test steps. All its times are spans since it was switched on.
+type machine struct {
+	now    time.Duration // its monotonic clock, which is true
+	behind time.Duration // by how much its wall clock is wrong
+}
+
+// switchedOn is when by a right wall clock.
+var switchedOn = time.UnixMilli(1700000000000)
+
+func (m *machine) starts() *Starts {
+	return &Starts{Clock: func() time.Duration { return m.now }, Wall: func() time.Time { return switchedOn.Add(m.now - m.behind) },
+		Believed: 10 * time.Second}
+}
+
+// stamp is what discovery says of a member that starts at a time by a clock that is wrong by so much.
+func stamp(at, behind time.Duration) float64 {
+	return float64(switchedOn.Add(at - behind).UnixMilli())
+}
+
+// steps are those that an operator's clock may make.
+var steps = []time.Duration{-time.Hour, -2 * time.Second, 2 * time.Second, time.Hour}
+
+// coldFor is about how long a member takes to get warm, and startsOff by how much its start may be off.
+const (
+	coldFor   = 8600 * time.Millisecond
+	startsOff = 200 * time.Millisecond
+)
+
+// TestStartsStepped: whatever steps the wall clock makes, a member that has just come up looks no older than it is, and
+// no later than now; one that has been up for long stays warm.
+func TestStartsStepped(t *testing.T) {
+	for _, step := range steps {
+		for what, all := range map[string]bool{"this machine alone": false, "all machines": true} {
+			t.Run(what+" "+step.String(), func(t *testing.T) {
+				m := &machine{now: time.Hour}
+				s := m.starts()
+				theirs := time.Duration(0)
+				warm := stamp(m.now-time.Minute, 0)
+				first := s.At("warm", warm)
+				s.Heard()
+				check := func(name string, began time.Duration) {
+					t.Helper()
+					at := s.At(name, stamp(began, theirs))
+					if at < began-startsOff || at > m.now {
+						t.Errorf("%s, up for %v: taken for up for %v", name, m.now-began, m.now-at)
+					}
+					if again := s.At(name, stamp(began, theirs)); again != at {
+						t.Errorf("%s: %v, listed again %v", name, at, again)
+					}
+				}
+				for round, name := range []string{"one", "two", "three"} {
+					m.now += 3 * time.Second
+					s.At("warm", warm)
+					s.Heard()
+					if m.behind -= step; all {
+						theirs -= step
+					}
+					if round == 2 { // and back again
+						m.behind, theirs = 0, 0
+					}
+					m.now += 2 * time.Second
+					began := m.now - time.Second
+					check(name, began)
+					s.Heard()
+				}
+				if again := s.At("warm", warm); again != first {
+					t.Errorf("a member that is up for long: %v, then %v", first, again)
+				}
+			})
+		}
+	}
+}
+
+// TestStartsAgain: a member whose start has changed is another process, whatever its clock says of the order of the two.
+func TestStartsAgain(t *testing.T) {
+	for _, step := range steps {
+		m := &machine{now: time.Hour}
+		s := m.starts()
+		first := s.At("s", stamp(m.now-time.Second, 0))
+		s.Heard()
+		m.now += 5 * time.Second
+		again := s.At("s", stamp(m.now-time.Second, -step))
+		// Two seconds back of that member's machine alone cannot be told from a start two seconds earlier.
+		earliest := m.now - time.Second - startsOff + min(0, step%time.Hour)
+		if again <= first || again > m.now || again < earliest {
+			t.Errorf("its clock stepped by %v: first up at %v, then at %v, it is %v", step, first, again, m.now)
+		}
+	}
+}
+
+// TestStartsWrongFromTheStart: a relay whose clock is wrong when it starts. A start ahead of its clock is one just now; one
+// that is listed only while the relay watches cannot be older than that; and discovery's own clock tells how wrong this one is.
+func TestStartsWrongFromTheStart(t *testing.T) {
+	for _, behind := range steps {
+		t.Run(behind.String(), func(t *testing.T) {
+			m := &machine{now: time.Hour, behind: behind}
+			s := m.starts()
+			long := s.At("long", stamp(m.now-24*time.Hour, 0))
+			if m.now-long < coldFor {
+				t.Errorf("a member that is up for a day is taken for up for %v", m.now-long)
+			}
+			if at := s.At("known", stamp(m.now-time.Second, 0)); at > m.now {
+				t.Errorf("a start %v ahead of now", at-m.now)
+			}
+			s.Heard()
+			m.now += 3 * time.Second
+			if at := s.At("joined", stamp(m.now-time.Second, 0)); m.now-at > 3*time.Second+s.Believed {
+				t.Errorf("one that was listed within 3 s is taken for up for %v", m.now-at)
+			}
+			s.Heard()
+			s.Dated(switchedOn.Add(m.now).Truncate(time.Second))
+			m.now += 3 * time.Second
+			if at := s.At("later", stamp(m.now-time.Second, 0)); behind.Abs() > time.Minute && (at > m.now || m.now-at > time.Second+startsOff) {
+				t.Errorf("up for 1 s, with discovery's date: taken for up for %v", m.now-at)
+			}
+		})
+	}
+}
+
+// TestStartsBounded: what is kept of members that are gone does not grow for ever.
+func TestStartsBounded(t *testing.T) {
+	m := &machine{now: time.Hour}
+	s := m.starts()
+	for range 20 * keptMost {
+		m.now += time.Millisecond
+		m.behind += time.Second
+		s.At(m.now.String(), stamp(m.now, 0))
+	}
+	if len(s.kept) > 2*keptMost || len(s.offsets) > offsetsMost {
+		t.Errorf("%d starts and %d offsets are kept", len(s.kept), len(s.offsets))
+	}
+}
