Starts of members are read against every way in which the two clocks have stood

Cause: one epoch, read at the process's start, turned starts into spans: after a step of the wall clock a member that had just come up looked an hour old, and got no slow start, or not yet started.

Change: pool.Starts keeps the offsets seen (and discovery's own Date where it differs by over 2 s) and takes the latest start that is not ahead of now; one that contradicts the start before it, or was not in the list before and claims to be older than that allows, is one just now.

What no relay can tell: a clock that was wrong by 2 s or less when the process started.

--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -126,7 +126,7 @@
 			p.Zone = string(set.Zones[m.Zone])
 		}
 		if m.Started != 0 {
-			p.Started = r.names.Starts.UnixMilli(m.Started)
+			p.Started = r.names.Starts.UnixMilli(m.Name, m.Started)
 		}
 		l.Members = append(l.Members, p)
 	}
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -69,7 +69,7 @@
 	// means "long ago" to the decision module.
 	const zero = time.Hour
 	clock := func() time.Duration { return zero + time.Since(began) }
-	r := &relay{cfg: cfg, log: log, clock: clock, signals: caught, names: pool.Names{Settings: set, Starts: &pool.Starts{Clock: clock, Wall: wallClock}},
+	r := &relay{cfg: cfg, log: log, clock: clock, signals: caught, names: pool.Names{Settings: set, Starts: &pool.Starts{Clock: clock, Wall: wallClock, Believed: policy.Sane(set.Policy()).AskWithin}},
 		memory: int(cfg.Limits.MemoryMB * bufferPart * (1 << 20))}
 	r.sockets = sockets(cfg) - ownSockets - r.callers()
 	loop, err := netloop.New(clock, r.sockets)
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // ErrMalformed is wrapped by every error about bytes that are no message.
@@ -21,12 +22,16 @@
 	maxCall     = 4 << 10 // the body of a call
 )
 
+// dateForm is the form of a date in a header (RFC 9110, section 5.6.7), in lower case as header values are read.
+const dateForm = "Mon, 02 Jan 2006 15:04:05 gmt"
+
 // Parser reads one HTTP/1.1 message. Its zero value is ready for an answer.
 type Parser struct {
 	Call           bool // it is a call that is read
 	Method, Target string
 	Status         int
-	Closes         bool // the connection ends with this answer
+	Closes         bool      // the connection ends with this answer
+	Date           time.Time // when the answer was made, by the other side's clock; zero if it does not say
 	Body           []byte
 
 	state   int
@@ -178,6 +183,10 @@
 			return fmt.Errorf("%w: transfer encoding %q", ErrMalformed, value)
 		}
 		p.chunked = true
+	case "date":
+		if date, err := time.Parse(dateForm, value); err == nil {
+			p.Date = date
+		}
 	case "connection":
 		switch value {
 		case "close":
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -103,3 +103,16 @@
 }
 
 func long(n int) string { return strings.Repeat("x", n) }
+
+// TestDate: when an answer was made is read where it says so in the usual form.
+func TestDate(t *testing.T) {
+	for value, want := range map[string]int64{"Wed, 02 Dec 2026 12:30:45 GMT": 1796214645, "soon": 0, "": 0} {
+		p := &Parser{}
+		if _, done, err := p.Feed([]byte("HTTP/1.1 200 OK\r\nDate: " + value + "\r\nContent-Length: 0\r\n\r\n")); !done || err != nil {
+			t.Fatalf("%q: done %v, %v", value, done, err)
+		}
+		if want == 0 && !p.Date.IsZero() || want != 0 && p.Date.Unix() != want {
+			t.Errorf("%q: read as %v", value, p.Date)
+		}
+	}
+}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -17,7 +17,7 @@
 
 func names() Names {
 	return Names{Settings: &settings.Settings{Zones: []settings.Zone{"a", "b"}, HostTypes: []string{"m1", "m2"}},
-		Starts: &Starts{Clock: func() time.Duration { return 0 }, Wall: func() time.Time { return time.UnixMilli(1700000000000) }}}
+		Starts: &Starts{Clock: func() time.Duration { return time.Second }, Wall: func() time.Time { return time.UnixMilli(1700000001000) }}}
 }
 
 // TestMembers: an entry of the list as the decision module gets it.
--- a/internal/pool/starts.go
+++ b/internal/pool/starts.go
@@ -1,48 +1,136 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Starts tells when members started, on the relay's own clock, by what discovery says in Unix milliseconds.
+// Starts tells when members started, on the relay's own clock, by what discovery says in Unix time. The wall clock of
+// any machine may have been stepped, by seconds or by an hour, so a start is read against every way in which the two
+// clocks have stood to each other. Where these differ the latest start that is not ahead of now counts: a member that is
+// taken for younger than it is gets less for a while, one that is taken for older may be brought down.
 type Starts struct {
 	// Clock is the relay's own clock, which only runs on; Wall is the machine's.
 	Clock func() time.Duration
 	Wall  func() time.Time
-
 	// Believed is how late discovery may list a start.
 	Believed time.Duration
 
-	epoch   time.Time // the wall clock at the zero of the relay's own
-	read    bool
-	offsets []time.Duration
-	kept    map[string]time.Duration
+	offsets []time.Duration // of Unix time from the relay's clock, those that were seen; the newest last
+	kept    map[string]start
+	heard   time.Duration // when discovery's list last came; 0 while only a cached one is held
+}
+
+// start is one that was read.
+type start struct {
+	unixMilli float64
+	at        time.Duration
+	listed    time.Duration // when it last was
 }
 
-// Bounds of what is kept.
 const (
+	// offsetsMost is how many offsets are kept: clocks are stepped seldom.
 	offsetsMost = 8
-	keptMost    = 8192
+	// stepLeast is by how much two offsets differ that count as two. It is a hundredth of the time in which members get
+	// warm on the sites at hand, within which a start may be wrong.
+	stepLeast = 100 * time.Millisecond
+	// datedLeast is by how much discovery's date has to differ from this machine's clock to count: it comes in whole
+	// seconds, and late.
+	datedLeast = 2 * time.Second
+	// keptMost is how many starts are kept of members that may be listed again: twice those of the largest fleet.
+	keptMost = 8192
 )
 
-// Heard says that a list has come from discovery, of which At was told.
-func (s *Starts) Heard() {}
-
-// Dated says what discovery's own clock showed as it answered.
-func (s *Starts) Dated(time.Time) {}
-
-// At is the start of a member on the relay's clock; 0 if it was long ago.
+// At is the start of a member on the relay's clock; 0 if it was long ago. It stays the same however often that start is
+// listed.
 func (s *Starts) At(name string, unixMilli float64) time.Duration {
 	if unixMilli == 0 {
 		return 0
 	}
-	if !s.read {
-		s.epoch, s.read = s.Wall().Add(-s.Clock()), true
+	now := s.Clock()
+	s.observe(now)
+	before, known := s.kept[name]
+	if !known || before.unixMilli != unixMilli {
+		before = start{unixMilli: unixMilli, at: s.read(now, unixMilli, before.at)}
+	}
+	before.listed = now
+	s.keep(name, before)
+	return before.at
+}
+
+// read reads a start that was not listed before; of a member that was, it is the start of another process after that.
+func (s *Starts) read(now time.Duration, unixMilli float64, after time.Duration) time.Duration {
+	at, found := time.Duration(0), false
+	for _, offset := range s.offsets {
+		if by := time.Duration(unixMilli*float64(time.Millisecond)) - offset; by <= now && (!found || by > at) {
+			at, found = by, true
+		}
+	}
+	switch {
+	case !found, after != 0 && at <= after: // it contradicts the clock, or the start before it
+		at = now
+	case s.heard != 0 && now-at > now-s.heard+s.Believed: // it was not in the list before
+		at = now
 	}
-	at := time.Duration(unixMilli*float64(time.Millisecond)) - time.Duration(s.epoch.UnixNano())
 	if at == 0 { // 0 means long ago
 		at = 1
 	}
 	return at
 }
 
-// UnixMilli is a time of the relay's clock in Unix milliseconds, for those who compare it with the starts of members.
-func (s *Starts) UnixMilli(at time.Duration) int64 { return s.epoch.Add(at).UnixMilli() }
+// observe notes how the machine's clock stands to the relay's own now.
+func (s *Starts) observe(now time.Duration) {
+	s.note(time.Duration(s.Wall().UnixNano())-now, stepLeast)
+}
+
+// note keeps an offset that differs by so much from all that are kept.
+func (s *Starts) note(offset, least time.Duration) {
+	for _, other := range s.offsets {
+		if (offset - other).Abs() < least {
+			return
+		}
+	}
+	s.offsets = append(s.offsets, offset)
+	s.offsets = s.offsets[max(0, len(s.offsets)-offsetsMost):]
+}
+
+// Heard says that a list has come from discovery, of which At was told.
+func (s *Starts) Heard() { s.heard = s.Clock() }
+
+// Dated says what discovery's own clock showed as it answered.
+func (s *Starts) Dated(date time.Time) {
+	now := s.Clock()
+	s.observe(now)
+	s.note(time.Duration(date.UnixNano())-now, datedLeast)
+}
+
+// UnixMilli is a time of the relay's clock in Unix milliseconds; of a member's start it is what discovery says.
+func (s *Starts) UnixMilli(name string, at time.Duration) int64 {
+	if listed, known := s.kept[name]; known && listed.at == at {
+		return int64(listed.unixMilli)
+	}
+	now := s.Clock()
+	return s.Wall().Add(at - now).UnixMilli()
+}
+
+// keep keeps a start, and lets go of those that were not listed for longest when there are too many.
+func (s *Starts) keep(name string, read start) {
+	if s.kept == nil {
+		s.kept = map[string]start{}
+	}
+	s.kept[name] = read
+	if len(s.kept) <= 2*keptMost {
+		return
+	}
+	times := make([]time.Duration, 0, len(s.kept))
+	for _, other := range s.kept {
+		times = append(times, other.listed)
+	}
+	slices.Sort(times)
+	oldest := times[len(times)-keptMost]
+	for other, start := range s.kept {
+		if start.listed < oldest {
+			delete(s.kept, other)
+		}
+	}
+}
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -142,6 +142,9 @@
 // answered takes the answer of a call; the others that are out have asked for the same.
 func (w *Watch) answered(c *call) {
 	list, err := w.read(c)
+	if !c.parser.Date.IsZero() {
+		w.Names.Starts.Dated(c.parser.Date)
+	}
 	if err != nil {
 		w.failed(c, err)
 		return
@@ -161,7 +164,9 @@
 	if list.Full {
 		kind = policy.ListFull
 	}
-	w.Told(kind, w.Names.Members(list))
+	members := w.Names.Members(list)
+	w.Names.Starts.Heard()
+	w.Told(kind, members)
 	if done := w.refreshed; done != nil {
 		w.refreshed = nil
 		done()
