--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -271,11 +271,18 @@
 // launch runs the program.
 func launch(t testing.TB, config string) *relay {
 	t.Helper()
-	r := &relay{t: t, cmd: exec.Command(program, "serve", "--config", config), log: &syncBuffer{},
+	return launchProgram(t, program, config)
+}
+
+// launchProgram runs some program as the relay, with more variables in its environment.
+func launchProgram(t testing.TB, path, config string, more ...string) *relay {
+	t.Helper()
+	r := &relay{t: t, cmd: exec.Command(path, "serve", "--config", config), log: &syncBuffer{},
 		done: make(chan error, 1), addr: map[string]string{}, path: config}
 	r.cmd.Stderr = r.log
 	r.cmd.Env = append(os.Environ(), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "EDGE_CONFIG=", "EDGE_OPERATOR=",
 		"TMPDIR="+filepath.Dir(config)) // private, and shared by all that run with this file
+	r.cmd.Env = append(r.cmd.Env, more...)
 	if err := r.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/integration/wall_clock_test.go
@@ -0,0 +1,121 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// troubled is a relay that runs in trouble: its wall clock is stepped and its system calls fail as the test says. It is
+// the test program of cmd/dahliarudder, which starts itself as the relay; the built program has no switch for that.
+type troubled struct {
+	*relay
+	file   string
+	number int
+}
+
+// failing is what befalls some of the relay's system calls.
+type failing struct {
+	Call  string  `json:"call"`
+	Errno string  `json:"errno"`
+	Short bool    `json:"short"`
+	Part  float64 `json:"part"`
+	Times int     `json:"times"`
+}
+
+// troubledProgram builds that program, once.
+var troubledProgram = sync.OnceValues(func() (string, error) {
+	path := filepath.Join(filepath.Dir(program), "troubled")
+	out, err := exec.Command("go", "test", "-c", "-o", path, "dahliarudder/cmd/dahliarudder").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, out)
+	}
+	return path, err
+})
+
+// newTroubled starts one, in no trouble yet but for a clock that is wrong by step.
+func newTroubled(t testing.TB, config string, fronts int, step time.Duration) *troubled {
+	t.Helper()
+	path, err := troubledProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &troubled{file: filepath.Join(t.TempDir(), "trouble")}
+	r.write(t, step)
+	r.relay = launchProgram(t, path, config, "RELAY_TROUBLE="+r.file)
+	r.serves(fronts)
+	return r
+}
+
+func (r *troubled) write(t testing.TB, step time.Duration, plan ...failing) {
+	t.Helper()
+	r.number++
+	text, err := json.Marshal(map[string]any{"number": r.number, "step_ms": step.Milliseconds(), "failing": plan})
+	if err == nil {
+		err = os.WriteFile(r.file+".new", text, 0o600)
+	}
+	if err == nil {
+		err = os.Rename(r.file+".new", r.file)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// trouble has the relay's clock be wrong by step, and its calls fail by the plan, from its return on.
+func (r *troubled) trouble(step time.Duration, plan ...failing) {
+	r.t.Helper()
+	r.write(r.t, step, plan...)
+	r.logged(fmt.Sprintf("trouble %d begins", r.number))
+}
+
+// TestStateWallStepped: a relay that comes back after a step of its wall clock takes its state for as old as it really is.
+func TestStateWallStepped(t *testing.T) {
+	t.Parallel()
+	for _, step := range []time.Duration{time.Hour, -time.Hour, 2 * time.Second, -2 * time.Second} {
+		t.Run(step.String(), func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, "s-00000001", nil)
+			d := newDiscovery(t, b.member())
+			dir := filepath.Join(t.TempDir(), "state")
+			config := configure(t, d, map[string]any{"operator": "127.0.0.1:0", "state": map[string]any{"dir": dir, "every_ms": 1000}})
+			first := newTroubled(t, config, 2, 0)
+			first.open(1, "").want("UP ")
+			snapshot := filepath.Join(dir, "snapshot")
+			until(t, "a snapshot", func() bool { _, err := os.Stat(snapshot); return err == nil })
+			first.cmd.Process.Signal(syscall.SIGKILL)
+			<-first.done
+			written, err := os.Stat(snapshot)
+			if err != nil {
+				t.Fatal(err)
+			}
+			least := time.Since(written.ModTime()) - timeSlack
+			next := newTroubled(t, config, 2, step)
+			most := time.Since(written.ModTime()) + time.Second // which it may have taken from its making to the disk
+			answer, err := http.Get("http://" + next.addr["operator"] + "/-/recovery")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer answer.Body.Close()
+			var said struct {
+				From string `json:"from"`
+				Age  int64  `json:"age_ms"`
+			}
+			text, _ := io.ReadAll(answer.Body)
+			if err := json.Unmarshal(text, &said); err != nil {
+				t.Fatal(err)
+			}
+			if age := time.Duration(said.Age) * time.Millisecond; said.From != "snapshot" || age < least || age > most {
+				t.Errorf("came back with %s; the state was %v to %v old", text, least, most)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/peering/peering_test.go
@@ -0,0 +1,81 @@
+package peering
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/internal/peers"
+)
+
+// freeAddress is an address of the loopback that nobody has now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr().String()
+}
+
+// among makes services that know of each other, each with a wall clock that the test steps.
+func among(t *testing.T, b *looptest.Bench, n int) (all []*Service, steps []time.Duration) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(t.Output())
+	steps = make([]time.Duration, n)
+	var known []string
+	for i := range n {
+		addr := freeAddress(t)
+		s := New(Options{Loop: b.Loop, Log: log, Name: fmt.Sprint("n", i), Listen: addr, Address: addr, Known: known, Keys: peers.Keys{[]byte("a key of thirty-two bytes or more")},
+			Configured: n, Seed: uint64(i), Wall: func() time.Time { return time.UnixMilli(1700000000000).Add(b.Loop.Now() + steps[i]) },
+			Own:  func() (peers.Phase, uint64, uint64, uint64) { return peers.Serving, 1, 0, 0 },
+			Seen: func() peers.Digest { return peers.Digest{} }, Ahead: func() {}, Share: func(float64) {}})
+		if s.sock == nil {
+			t.Fatal("no address")
+		}
+		known = []string{addr}
+		t.Cleanup(s.Leave)
+		all = append(all, s)
+	}
+	return all, steps
+}
+
+// TestWallStepped: relays whose wall clocks are stepped by an hour, either way, go on hearing each other: budgets stay
+// divided by all that live.
+func TestWallStepped(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour} {
+		b := looptest.New(t, 64)
+		all, steps := among(t, b, 3)
+		live := func() int {
+			least := len(all)
+			for _, s := range all {
+				n, _ := s.Shares()
+				least = min(least, n)
+			}
+			return least
+		}
+		passes := func(d time.Duration) {
+			for range int(d / (20 * time.Millisecond)) {
+				b.Pass(20 * time.Millisecond)
+			}
+		}
+		passes(10 * time.Second)
+		if n := live(); n != len(all)-1 && n != len(all) {
+			t.Fatalf("%d of %d live before any step", n, len(all))
+		}
+		before := live()
+		for i := range all {
+			steps[i] += step
+			passes(20 * time.Second)
+			if n := live(); n != before {
+				t.Fatalf("stepped by %v at %d: %d live, %d before", step, i, n, before)
+			}
+		}
+	}
+}
