Kept state is as old as the machine's uptime says; peers' datagrams carry clocks that only run on

Envelopes carry each side's own clock in the same field: only differences were ever used, so older builds understand them.

--- a/cmd/dahliarudder/state.go
+++ b/cmd/dahliarudder/state.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"dahliarudder/internal/config"
@@ -23,6 +25,25 @@
 	out    chan []byte // what is to be written; one waits at most
 }
 
+// moment is now by both clocks of this machine. Where the system does not tell how long it has been up, the wall clock
+// stands alone.
+func moment() snapshot.Moment {
+	m := snapshot.Moment{Wall: wallClock()}
+	boot, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return m
+	}
+	text, err := os.ReadFile("/proc/uptime")
+	if err != nil {
+		return m
+	}
+	seconds, _, _ := strings.Cut(string(text), " ")
+	if up, err := strconv.ParseFloat(seconds, 64); err == nil {
+		m.Boot, m.Up = strings.TrimSpace(string(boot)), time.Duration(up*float64(time.Second))
+	}
+	return m
+}
+
 // resumeFrom goes on from the snapshot, if there is one to be believed. The list that is held already stands.
 func (r *relay) resumeFrom(c config.State) {
 	r.came = &recovery{From: "nothing", Away: []snapshot.Part{}, dir: c.Dir, out: make(chan []byte, 1)}
@@ -38,7 +59,7 @@
 	if !known || s.Watched != r.cfg.Discovery { // a generation means nothing but where it was given
 		held.Generation = 0
 	}
-	age, away, err := s.Believe(wallClock(), r.cfg.Name, held.Generation, snapshot.Ages(r.core.Limits().AskWithin))
+	age, away, err := s.Believe(moment(), r.cfg.Name, held.Generation, snapshot.Ages(r.core.Limits().AskWithin))
 	if err != nil {
 		r.thrown("snapshot", err)
 		return
@@ -102,7 +123,8 @@
 
 func (r *relay) snapshot() *snapshot.Snapshot {
 	list, _ := r.watch.List()
-	s := &snapshot.Snapshot{Name: r.cfg.Name, Written: wallClock().UnixMilli(), List: list, Watched: r.cfg.Discovery, Learned: r.core.Learned()}
+	s := &snapshot.Snapshot{Name: r.cfg.Name, List: list, Watched: r.cfg.Discovery, Learned: r.core.Learned()}
+	s.Mark(moment())
 	if r.peers != nil {
 		s.Peers = r.peers.Addresses()
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -36,7 +36,7 @@
 	Keys       peers.Keys
 	Configured int // relays
 	Seed       uint64
-	Wall       func() time.Time
+	Wall       func() time.Time // numbers this process, above the earlier ones of its name
 	// Own says what this relay does: its phase, the generation of its list, its open flows, and how many requests it has had.
 	Own func() (phase peers.Phase, generation, flows, requests uint64)
 	// Seen is what it saw itself of members and zones.
@@ -145,10 +145,14 @@
 	s.tick = s.Loop.After(s.m.Next()-s.Loop.Now(), s.due)
 }
 
+// milliseconds is the relay's own clock as it stands on a datagram. Only its differences count, so it need not be the
+// wall clock, which may be stepped.
+func milliseconds(now time.Duration) uint64 { return uint64(now.Milliseconds()) }
+
 // heard takes a datagram.
 func (s *Service) heard(from string, b []byte) {
 	now := s.Loop.Now()
-	name, content, err := s.open.Open(now, uint64(s.Wall().UnixMilli()), from, b)
+	name, content, err := s.open.Open(now, milliseconds(now), from, b)
 	if err != nil {
 		return // counted by its reason
 	}
@@ -181,7 +185,7 @@
 			continue
 		}
 		content, _ := o.Message.Append(nil, peers.DatagramMost-peers.Overhead)
-		b := s.seal.Seal(content, uint64(s.Wall().UnixMilli()))
+		b := s.seal.Seal(content, milliseconds(s.Loop.Now()))
 		if _, known := s.out[o.Name]; known || len(s.out) < peers.PeersMost {
 			s.out[o.Name] += len(b)
 		}
--- a/internal/peers/envelope.go
+++ b/internal/peers/envelope.go
@@ -34,7 +34,8 @@
 	Overhead = fixed + nameMost + tagSize
 	// windowSize is how far behind the newest number a datagram may come.
 	windowSize = 64
-	// lateMost is how much older than the least delayed one a datagram may be: clocks may be minutes apart.
+	// lateMost is how much older than the least delayed one a datagram may be. The clocks of the two sides have zeros of
+	// their own, so only differences of their differences count.
 	lateMost = 30 * time.Second
 	// forgetAfter is when a sender that fell silent may begin anew with an earlier start: its clock was set back.
 	forgetAfter = time.Minute
@@ -92,11 +93,11 @@
 	seq   uint64
 }
 
-// Seal returns an envelope. Wall is the sender's clock in milliseconds.
-func (s *Sealer) Seal(content []byte, wall uint64) []byte {
+// Seal returns an envelope. Clock is the sender's, in milliseconds from any zero; it only runs on.
+func (s *Sealer) Seal(content []byte, clock uint64) []byte {
 	s.seq++
 	b := append([]byte{version}, mark(s.Keys[0])...)
-	for _, v := range []uint64{s.Start, s.seq, wall} {
+	for _, v := range []uint64{s.Start, s.seq, clock} {
 		b = binary.BigEndian.AppendUint64(b, v)
 	}
 	b = append(append(append(b, byte(len(s.Name))), s.Name...), content...)
@@ -118,9 +119,9 @@
 	Refused map[string]int // by reason
 }
 
-// Open returns the sender's name and the content.
-func (o *Opener) Open(now time.Duration, wall uint64, from string, b []byte) (name string, content []byte, err error) {
-	if name, content, err = o.open(now, wall, from, b); err != nil {
+// Open returns the sender's name and the content. Clock is the receiver's, in milliseconds from any zero; it only runs on.
+func (o *Opener) Open(now time.Duration, clock uint64, from string, b []byte) (name string, content []byte, err error) {
+	if name, content, err = o.open(now, clock, from, b); err != nil {
 		if o.Refused == nil {
 			o.Refused = map[string]int{}
 		}
@@ -129,7 +130,7 @@
 	return name, content, err
 }
 
-func (o *Opener) open(now time.Duration, wall uint64, from string, b []byte) (string, []byte, error) {
+func (o *Opener) open(now time.Duration, clock uint64, from string, b []byte) (string, []byte, error) {
 	if len(b) < fixed+tagSize || len(b) > DatagramMost {
 		return "", nil, ErrSize
 	}
@@ -150,13 +151,13 @@
 		return "", nil, ErrTag
 	}
 	at := body[1+markSize:]
-	start, seq, clock := binary.BigEndian.Uint64(at), binary.BigEndian.Uint64(at[8:]), binary.BigEndian.Uint64(at[16:])
+	start, seq, sent := binary.BigEndian.Uint64(at), binary.BigEndian.Uint64(at[8:]), binary.BigEndian.Uint64(at[16:])
 	size := int(at[24])
 	if size == 0 || size > nameMost || len(at) < 25+size {
 		return "", nil, ErrSize
 	}
 	name := string(at[25 : 25+size])
-	return name, at[25+size:], o.fresh(now, name, from, start, seq, int64(wall)-int64(clock))
+	return name, at[25+size:], o.fresh(now, name, from, start, seq, int64(clock)-int64(sent))
 }
 
 // fresh refuses what is repeated, older than what is allowed, or of an earlier process of that name.
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -34,10 +34,19 @@
 	peersMost = 64
 )
 
+// Moment is a time by both clocks of a machine: the wall clock, which may be stepped, and how long the machine has been up.
+type Moment struct {
+	Wall time.Time
+	Boot string        // names this run of the machine; empty if that cannot be told
+	Up   time.Duration // since it began
+}
+
 // Snapshot is what is kept.
 type Snapshot struct {
 	Name    string       `json:"name"`
 	Written int64        `json:"written_ms"` // Unix time
+	Boot    string       `json:"boot,omitempty"`
+	Up      int64        `json:"up_ns,omitempty"` // with Boot: as in Moment
 	List    *pool.List   `json:"list"`
 	Watched string       `json:"watched"` // where that list's generation means something
 	Learned core.Learned `json:"learned"`
@@ -103,10 +112,24 @@
 	Why  string `json:"why"`
 }
 
+// Mark notes when a snapshot is made.
+func (s *Snapshot) Mark(now Moment) {
+	s.Written, s.Boot, s.Up = now.Wall.UnixMilli(), now.Boot, int64(now.Up)
+}
+
+// age is how long ago a snapshot was made. It is exact if the machine has been up since; else the wall clock tells, which
+// may have been stepped.
+func (s *Snapshot) age(now Moment) (age time.Duration, exact bool) {
+	if s.Boot != "" && s.Boot == now.Boot {
+		return now.Up - time.Duration(s.Up), true
+	}
+	return now.Wall.Sub(time.UnixMilli(s.Written)), false
+}
+
 // Believe takes out of a snapshot what cannot be believed now, and moves its ages on. The generation is that of the list that the relay
 // holds otherwise; a list that is no newer is not taken. An error says that nothing is left.
-func (s *Snapshot) Believe(now time.Time, name string, generation uint64, l Limits) (age time.Duration, out []Part, err error) {
-	age = now.Sub(time.UnixMilli(s.Written))
+func (s *Snapshot) Believe(now Moment, name string, generation uint64, l Limits) (age time.Duration, out []Part, err error) {
+	age, exact := s.age(now)
 	switch {
 	case s.Name != name:
 		return age, nil, fmt.Errorf("%w: %q", ErrName, s.Name)
@@ -116,6 +139,10 @@
 		return age, nil, fmt.Errorf("%w: %v", ErrOld, age)
 	}
 	age = max(age, 0)
+	grown := time.Duration(0) // by how much what has just come up is surely older by now
+	if exact {
+		grown = age
+	}
 	away := func(what, format string, args ...any) { out = append(out, Part{what, fmt.Sprintf(format, args...)}) }
 	if s.List != nil && s.List.Generation <= generation {
 		away("list", "generation %d, held is %d", s.List.Generation, generation)
@@ -137,12 +164,12 @@
 		}
 		m.Age += age
 		if m.Up > 0 {
-			m.Up += age
+			m.Up += grown
 		}
 		p.Servers[id] = m
 	}
 	for name, ago := range s.Learned.Back {
-		s.Learned.Back[name] = ago + age
+		s.Learned.Back[name] = ago + grown
 	}
 	return age, out, nil
 }
