--- a/cmd/dahliarudder/fleet.go
+++ b/cmd/dahliarudder/fleet.go
@@ -53,7 +53,7 @@
 	var err error
 	r.fleet, err = fleet.Start(fleet.Options{Config: c, Name: r.cfg.Name, Zone: zone, Start: r.peers.Start(), Program: program,
 		Settings: r.cfg.Digest(), Keys: r.cfg.Peers.Keys(), ColdFrom: set.Guarantees.ColdFrom, ColdFor: settings.Span(set.Guarantees.Cold),
-		Wall: time.Now, Log: r.log, Post: r.loop.Post, Look: r.look, Follow: r.heed,
+		Wall: steadyWall(), Log: r.log, Post: r.loop.Post, Look: r.look, Follow: r.heed,
 		Pause: r.pauseTrial})
 	if err != nil {
 		return err
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -59,6 +59,14 @@
 // wallClock is the machine's clock, which may be stepped. Nothing that lasts is measured by it. Only tests change it.
 var wallClock = time.Now
 
+// steadyWall is a wall clock that is read once and runs on from there, so that spans are those of real time.
+func steadyWall() func() time.Time { return wallClock }
+
+// runName names this life of the relay in the store of record.
+func runName(name, seed string, at time.Time) string {
+	return fmt.Sprintf("%s/%s/%d", name, seed, at.UnixMicro())
+}
+
 // serve runs the relay until it is told to stop. Reload reads the configuration
 // again.
 func serve(cfg *config.Config, reload func(*config.Config) (*config.Config, error), caught *signals, log *logrus.Logger) error {
@@ -195,7 +203,7 @@
 	cfg, loop := r.cfg, r.loop
 	var ledger core.Ledger
 	if cfg.Store != nil {
-		run := fmt.Sprintf("%s/%s/%d", cfg.Name, cfg.Seed, wallClock().UnixMicro())
+		run := runName(cfg.Name, cfg.Seed, wallClock())
 		if r.store, err = store.Open(*cfg.Store, run, wallClock().Add(-r.clock()), r.log); err != nil {
 			return err
 		}
