--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -60,11 +60,15 @@
 var wallClock = time.Now
 
 // steadyWall is a wall clock that is read once and runs on from there, so that spans are those of real time.
-func steadyWall() func() time.Time { return wallClock }
+func steadyWall() func() time.Time {
+	began := wallClock()
+	return func() time.Time { return began.Add(time.Since(began)) } // by its monotonic part
+}
 
-// runName names this life of the relay in the store of record.
+// runName names this life of the relay in the store of record. The time alone may come again: a record under a name that
+// was used before would be taken for written.
 func runName(name, seed string, at time.Time) string {
-	return fmt.Sprintf("%s/%s/%d", name, seed, at.UnixMicro())
+	return fmt.Sprintf("%s/%s/%d-%08x", name, seed, at.UnixMicro(), rand.Uint32())
 }
 
 // serve runs the relay until it is told to stop. Reload reads the configuration
