Failing test: the stand-ins see two attempts out where the first one's connection has ended

The stand-in learns of the end in the first connection's goroutine, which may run after the second one's.

--- /dev/null
+++ b/internal/standin/tries_test.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"testing"
+)
+
+// publisherTo is a connection to a node that may publish.
+func publisherTo(t *testing.T, n *Node) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", n.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	fmt.Fprint(c, "CONNECT {}\r\nPING\r\n")
+	var got []byte
+	for buf := make([]byte, 512); len(got) < 6 || string(got[len(got)-6:]) != "PONG\r\n"; {
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, buf[:n]...)
+	}
+	return c
+}
+
+// publishes sends a publication and wants it acknowledged, if ack says so.
+func publishes(c net.Conn, text string, ack bool) {
+	fmt.Fprintf(c, "PUB s %d\r\n%s\r\n", len(text), text)
+	if ack {
+		fmt.Fprint(c, "PING\r\n")
+		io.ReadFull(c, make([]byte, 6))
+	}
+}
+
+// TestTriesOrder: an attempt has ended once its connection has: a sender that tries elsewhere as soon as the first
+// connection is over, by whoever's end, is not taken to have two out; one that does not wait is.
+func TestTriesOrder(t *testing.T) {
+	for what, over := range map[string]func(n *Node, c net.Conn){
+		"ended by the node":   func(n *Node, c net.Conn) { n.DropAll(); io.ReadAll(c) },
+		"killed":              func(n *Node, c net.Conn) { n.Kill(); io.ReadAll(c) },
+		"reset by the sender": func(_ *Node, c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"ended by the sender": func(_ *Node, c net.Conn) { c.Close() },
+		"not ended":           nil,
+	} {
+		t.Run(what, func(t *testing.T) {
+			const rounds = 200
+			broken := 0
+			for range rounds {
+				k, err := NewCluster(2)
+				if err != nil {
+					t.Fatal(err)
+				}
+				k.Tries = NewTries()
+				k.Nodes[0].Set(Silent)
+				first, second := publisherTo(t, k.Nodes[0]), publisherTo(t, k.Nodes[1])
+				for n := range 16 {
+					publishes(first, fmt.Sprint("text ", n), false)
+				}
+				for k.Nodes[0].Taken() < 16 {
+				}
+				if over != nil {
+					over(k.Nodes[0], first)
+				}
+				for n := range 16 {
+					publishes(second, fmt.Sprint("text ", n), true)
+				}
+				if len(k.Tries.Broken()) > 0 {
+					broken++
+				}
+				k.Close()
+			}
+			if want := map[bool]int{true: rounds}[over == nil]; broken != want {
+				t.Errorf("two out in %d of %d rounds, want %d", broken, rounds, want)
+			}
+		})
+	}
+}
