Stand-ins know from the kernel whether an attempt's connection has ended

Change: Tries.Begin takes the connection and returns the attempt; what its sender has ended, or the member closed, no longer overlaps.

--- a/integration/crossing_rig_test.go
+++ b/integration/crossing_rig_test.go
@@ -95,8 +95,7 @@
 		return
 	}
 	a := &attempt{Conn: c, member: m, id: words[1], lines: make(chan string, arrivalsMost), ended: make(chan struct{})}
-	a.over = sync.OnceFunc(func() { m.tries.End(a.id) })
-	m.tries.Begin(a.id)
+	a.over = m.tries.Begin(a.id, c).End
 	m.mu.Lock()
 	m.lines = append(m.lines, arrival{a.id, time.Now()})
 	auto := m.auto
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -338,8 +338,9 @@
 		f.Work += m.Bearing.Group
 	}
 	m.mu.Unlock()
+	var try *Try
 	if m.Tries != nil {
-		m.Tries.Begin(f.ID)
+		try = m.Tries.Begin(f.ID, c)
 	}
 	if m.Begun != nil {
 		m.Begun(f.Attempt)
@@ -347,8 +348,8 @@
 	itself := true
 	// Over before the answer is written: the next attempt may be there before this goroutine goes on.
 	over := sync.OnceFunc(func() {
-		if m.Tries != nil {
-			m.Tries.End(f.ID)
+		if try != nil {
+			try.End()
 		}
 		if m.Ended != nil {
 			m.Ended(f.Attempt, itself)
--- a/internal/standin/nats.go
+++ b/internal/standin/nats.go
@@ -77,8 +77,8 @@
 	headers bool
 	noResp  bool
 	echo    bool
-	out     []string // counted publications that are not acknowledged
-	hushed  bool     // acknowledges nothing any more
+	out     []*Try // counted publications that are not acknowledged
+	hushed  bool   // acknowledges nothing any more
 
 	mu     sync.Mutex // of what is written
 	ready  *sync.Cond
@@ -247,8 +247,8 @@
 	for _, s := range c.subs {
 		o.remove(s)
 	}
-	for _, id := range c.out {
-		o.Tries.End(id)
+	for _, try := range c.out {
+		try.End()
 	}
 	o.mu.Unlock()
 	c.close()
@@ -409,8 +409,8 @@
 			c.hushed = true
 		}
 		if !c.hushed {
-			for _, id := range c.out {
-				k.Tries.End(id)
+			for _, try := range c.out {
+				try.End()
 			}
 			c.out = nil
 		}
@@ -434,14 +434,13 @@
 		mode = Silent
 	}
 	if k.Tries != nil {
-		id := string(payload[header:])
-		k.Tries.Begin(id)
+		try := k.Tries.Begin(string(payload[header:]), c.c)
 		k.mu.Lock()
 		c.node.taken++
-		c.out = append(c.out, id)
 		if mode == Refuses {
-			k.Tries.End(id)
-			c.out = c.out[:len(c.out)-1]
+			try.End()
+		} else {
+			c.out = append(c.out, try)
 		}
 		k.mu.Unlock()
 	}
