--- a/integration/nats_test.go
+++ b/integration/nats_test.go
@@ -413,3 +413,60 @@
 		t.Errorf("got %s", m.Data)
 	}
 }
+
+// TestProcessorAsksAgain: a proxy that has had no answer in time asks again, by the same name, on its connection or on
+// another one of its own. Both calls speak of one request: never are there two attempts out.
+func TestProcessorAsksAgain(t *testing.T) {
+	s := newNATSSite(t, 3)
+	first, second := s.connect(nats.CustomInboxPrefix("_dahlia.inbox")), s.connect(nats.CustomInboxPrefix("_dahlia.inbox"))
+	call := func(c *nats.Conn, subject, text string) (v processorVerdict) {
+		t.Helper()
+		m := must[*nats.Msg](t)(c.Request("_dahlia."+subject, []byte(text), patience))
+		if err := json.Unmarshal(m.Data, &v); err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	report := func(c *nats.Conn, v processorVerdict, outcome string) processorVerdict {
+		t.Helper()
+		return call(c, "report", fmt.Sprintf(`{"id":%d,"try":%d,"outcome":%q}`, v.ID, v.Try, outcome))
+	}
+	const ask = `{"name":"r1","class":"pay-status","tenant":"water","wait_ms":2900}`
+	same := func(what string, got, want processorVerdict) {
+		t.Helper()
+		if got != want {
+			t.Errorf("%s: %+v, want %+v", what, got, want)
+		}
+	}
+	v := call(first, "pick", ask)
+	again := call(first, "pick", ask)
+	same("asked again", again, v)
+	next := report(first, v, "connect_failed")
+	if next.Verdict != "send" || next.ID != v.ID || next.Try != 1 {
+		t.Fatalf("after a failed connection: %+v", next)
+	}
+	elsewhere := call(second, "pick", ask)
+	same("asked on another connection", elsewhere, next)
+	if late := report(second, v, "ok"); late.Verdict != "unknown" {
+		t.Errorf("a report of the attempt before: %+v", late)
+	}
+	if up := report(second, next, "up"); up.Verdict != "up" {
+		t.Errorf("up: %+v", up)
+	}
+	if up := call(second, "pick", ask); up.Verdict != "up" || up.ID != next.ID || up.Try != next.Try {
+		t.Errorf("asked once more of an open flow: %+v", up)
+	}
+	first.Close() // it is the other one's by now
+	if done := report(second, next, "ok"); done.Verdict != "served" {
+		t.Errorf("at its end: %+v", done)
+	}
+	if fresh := call(second, "pick", ask); fresh.Verdict != "send" || fresh.ID == next.ID {
+		t.Errorf("the name is free again: %+v", fresh)
+	}
+	if other := call(second, "pick", strings.Replace(ask, "r1", "r2", 1)); other.Verdict != "send" {
+		t.Errorf("another name: %+v", other)
+	}
+	second.Close()
+	s.stop()
+	s.record(map[string]int{"served": 1, "left": 2})
+}
--- a/internal/core/feed_test.go
+++ b/internal/core/feed_test.go
@@ -438,3 +438,38 @@
 		}
 	}
 }
+
+// TestFeedWindow: a message that may have been taken is sent again only within the window of its first such attempt, and
+// has its answer all the same.
+func TestFeedWindow(t *testing.T) {
+	for _, c := range []struct {
+		class int
+		after time.Duration // from the first attempt until the second link stands
+		tries int
+	}{
+		{keyedAll, 890 * time.Millisecond, 2}, {keyedAll, 910 * time.Millisecond, 1}, {safeClass, 910 * time.Millisecond, 2},
+	} {
+		r := newRigOf(t, classesText, list(2, policy.Ready))
+		p := &pipe{r: r, tries: map[uint64]int{}, due: map[uint64]time.Duration{}, answers: map[uint64]Answer{}}
+		p.f = r.Feed(Request{Class: c.class, Load: 0.01, Wait: 2 * time.Second}, FeedLimits{Messages: 10, Bytes: 1 << 20}, p)
+		p.put(1)
+		p.f.Stands()
+		first := r.now
+		r.now += 800 * time.Millisecond
+		p.lose(policy.Reset, p.written)
+		if p.to == nil {
+			t.Fatalf("class %d: no second link", c.class)
+		}
+		r.now = first + c.after
+		p.f.Stands()
+		if p.tries[1] != c.tries {
+			t.Errorf("class %d: the second link stood %v after the first send: %d attempts, want %d", c.class, c.after, p.tries[1], c.tries)
+		}
+		if p.take(1); c.tries == 1 {
+			r.pass(2 * time.Second)
+		}
+		if want := map[int]Answer{1: Failed, 2: Served}[c.tries]; p.answers[1] != want {
+			t.Errorf("class %d, after %v: answered %q, want %s", c.class, c.after, p.answers[1], want)
+		}
+	}
+}
--- a/internal/netloop/channel_test.go
+++ b/internal/netloop/channel_test.go
@@ -177,3 +177,39 @@
 		t.Errorf("taken in by %v", got)
 	}
 }
+
+// TestChannelResetAfterMessages: what the other process has said before it ended is heard, though it left unread what was
+// said to it: the kernel shows that as a reset, before the messages.
+func TestChannelResetAfterMessages(t *testing.T) {
+	for what, send := range map[string]bool{"heard": false, "found by a send": true} {
+		b := looptest.New(t, 32)
+		near := &ends{}
+		path := filepath.Join(t.TempDir(), "sock")
+		l, err := b.ListenChannel(path, func(fd int) { near.join(b, fd) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(l.Close)
+		far, err := netloop.DialChannel(path, looptest.Patience)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Until("the other end", func() bool { return near.c != nil })
+		if err := near.c.Send([]byte("unread")); err != nil {
+			t.Fatal(err)
+		}
+		for n := range 3 {
+			if err := netloop.Say(far, fmt.Append(nil, "note ", n)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		unix.Close(far) // before a round of the loop
+		if send {
+			near.c.Send([]byte("more"))
+		}
+		b.Until("the end", func() bool { return near.over != nil })
+		if got := string(bytes.Join(near.got, []byte(","))); got != "note 0,note 1,note 2" {
+			t.Errorf("%s: got %q, ended with %v", what, got, near.over)
+		}
+	}
+}
