Notes before a reset are heard; published messages keep their window; the processor knows who asks again

Change: a channel reads on after the kernel's reset until all that waits is heard; what may have been taken bounds a message's time by its window; a request that a proxy carries is found by login and name, and a further call for it gets the verdict that stands, or the next one.

--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -89,9 +89,14 @@
 func (c *Core) Feed(q Request, l FeedLimits, carrier Carrier) *Feed {
 	c.last++
 	class := c.set.Classes[q.Class]
-	f := &Feed{c: c, q: q, carrier: carrier, name: c.last, w: window.New(window.Limits{Messages: l.Messages,
-		Most: l.Bytes, Attempts: c.set.MaxAttempts, Aim: class.Aim,
-		Repeat: class.Effect == policy.Safe || class.Effect == policy.Keyed && class.Scope == policy.ScopeAll})}
+	limits := window.Limits{Messages: l.Messages, Most: l.Bytes, Attempts: c.set.MaxAttempts, Aim: class.Aim}
+	switch {
+	case class.Effect == policy.Safe:
+		limits.Repeat = true
+	case class.Effect == policy.Keyed && class.Scope == policy.ScopeAll:
+		limits.Repeat, limits.Within = class.Window > 0, class.Window
+	}
+	f := &Feed{c: c, q: q, carrier: carrier, name: c.last, w: window.New(limits)}
 	c.feeds[f.name] = f
 	return f
 }
--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -362,7 +362,7 @@
 		s.end()
 	}
 	for id, a := range c.asked {
-		a.expire.Stop()
+		a.forget()
 		c.f.Core.Left(id)
 	}
 	for _, l := range append([]*link(nil), c.links...) {
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -58,6 +58,7 @@
 	Name string
 
 	clients map[*client]struct{}
+	carried map[string]*asked // requests that proxies carry themselves, by login and name
 	probes  map[policy.ServerID]*probe
 	routes  []route
 	gauge   *gauge.Gauge
@@ -97,7 +98,7 @@
 // New makes a front on the core.
 func New(loop *netloop.Loop, c *core.Core, log logrus.FieldLogger, name string, cfg Config, sec *Security) *Front {
 	cfg.fill()
-	f := &Front{Loop: loop, Core: c, Log: log, Config: cfg, Name: name, clients: map[*client]struct{}{},
+	f := &Front{Loop: loop, Core: c, Log: log, Config: cfg, Name: name, clients: map[*client]struct{}{}, carried: map[string]*asked{},
 		probes: map[policy.ServerID]*probe{}, members: map[policy.ServerID]*told{},
 		gauge: gauge.New(cfg.MemberFlows, c.Limits().Balancers), offers: offers{payload: cfg.MaxPayload}}
 	for _, r := range append(cfg.Routes, Route{">", cfg.Class, cfg.Tenant}) {
--- a/internal/front/nats/processor.go
+++ b/internal/front/nats/processor.go
@@ -61,10 +61,13 @@
 	c       *client
 	id      core.ID
 	try     int
-	reply   string   // where the proxy waits for a verdict; empty if nowhere
-	control string   // where it takes others
-	kept    *verdict // the last one that had nowhere to go
-	over    bool     // it has its final answer, and is not open
+	reply   string        // where the proxy waits for a verdict; empty if nowhere
+	control string        // where it takes others
+	kept    *verdict      // the last one that had nowhere to go
+	until   time.Duration // when the attempt that is out is given up
+	stands  *verdict      // send or up: what the proxy was last told of the attempt that is out, or of the open flow; nil if there is none
+	key     string        // by which it is found when it is asked for again; empty if it has no name
+	over    bool          // it has its final answer, and is not open
 	expire  *netloop.Timer
 }
 
@@ -100,6 +103,11 @@
 }
 
 func (c *client) pick(q pick, reply string) {
+	key := c.requestKey(q.Name)
+	if a := c.f.carried[key]; a != nil {
+		a.askedAgain(c, q, reply)
+		return
+	}
 	set := c.f.Core.Settings
 	class, ok := set.Class(q.Class)
 	tenant, ok2 := set.Tenant(q.Tenant)
@@ -124,10 +132,59 @@
 	a := &asked{c: c, reply: reply, control: q.Control}
 	a.id = c.f.Core.Open(r, a)
 	if !a.over {
-		if c.asked == nil {
-			c.asked = map[core.ID]*asked{}
+		a.key = key
+		a.hold(c)
+	}
+}
+
+// requestKey is by what a request of that name is found again, asked for on any connection of the same login. A request
+// without a name is never found.
+func (c *client) requestKey(name string) string {
+	if name == "" {
+		return ""
+	}
+	var login struct {
+		User  string `json:"user"`
+		Token string `json:"auth_token"`
+		NKey  string `json:"nkey"`
+		JWT   string `json:"jwt"`
+	}
+	json.Unmarshal(c.connect, &login) // it was read when it came
+	text, _ := json.Marshal(login)
+	return string(text) + name
+}
+
+// hold makes a request that client's.
+func (a *asked) hold(c *client) {
+	if c.asked == nil {
+		c.asked = map[core.ID]*asked{}
+	}
+	a.c, c.asked[a.id] = c, a
+	if a.key != "" {
+		c.f.carried[a.key] = a
+	}
+}
+
+// askedAgain is a call for a request that is held already: its proxy has not had the answer to an earlier one. It gets
+// what stands, and whatever comes next.
+func (a *asked) askedAgain(c *client, q pick, reply string) {
+	delete(a.c.asked, a.id)
+	a.hold(c)
+	if q.Control != "" {
+		a.control = q.Control
+	}
+	switch {
+	case a.kept != nil:
+		a.reply = reply
+		a.give(*a.kept)
+	case a.stands != nil:
+		v := *a.stands
+		if v.WaitMS > 0 {
+			v.WaitMS = max(1, (a.until - c.f.Loop.Now()).Milliseconds())
 		}
-		c.asked[a.id] = a
+		c.say(reply, v)
+	default:
+		a.reply = reply
 	}
 }
 
@@ -148,7 +205,9 @@
 		return
 	case o.Outcome == "up":
 		v := verdict{Verdict: "up", ID: a.id, Try: a.try}
-		if !c.f.Core.Up(a.id, a.try) {
+		if c.f.Core.Up(a.id, a.try) {
+			a.stands = &v
+		} else {
 			v.Verdict = "unknown"
 		}
 		c.say(reply, v)
@@ -158,7 +217,7 @@
 	case !known:
 		c.say(reply, verdict{Verdict: "error", ID: a.id, Try: a.try, Error: "unknown outcome"})
 	default:
-		a.reply = reply
+		a.reply, a.stands = reply, nil
 		c.f.Core.Ended(a.id, a.try, result, settings.Report(o.Load))
 		if !c.f.Core.Holds(a.id) && !a.over { // that was its end
 			v := verdict{Verdict: "ended", ID: a.id, Try: a.try}
@@ -190,7 +249,7 @@
 
 // final gives the last verdict; one that nobody takes is kept for a while.
 func (a *asked) final(v verdict) {
-	a.over = true
+	a.over, a.stands = true, nil
 	a.expire.Stop()
 	a.expire = a.c.f.Loop.After(keepVerdict, a.forget)
 	a.give(v)
@@ -199,17 +258,22 @@
 func (a *asked) forget() {
 	a.expire.Stop()
 	delete(a.c.asked, a.id)
+	if a.c.f.carried[a.key] == a {
+		delete(a.c.f.carried, a.key)
+	}
 }
 
 // Send tells the proxy to make an attempt. Its silence ends the attempt as any
 // other's.
 func (a *asked) Send(id core.ID, to *core.Member, try int, wait time.Duration) {
-	a.id, a.try = id, try
-	a.give(verdict{Verdict: "send", ID: id, Try: try, Member: to.Name, Addr: to.Addr, WaitMS: wait.Milliseconds()})
+	v := verdict{Verdict: "send", ID: id, Try: try, Member: to.Name, Addr: to.Addr, WaitMS: wait.Milliseconds()}
+	a.id, a.try, a.stands, a.until = id, try, &v, a.c.f.Loop.Now()+wait
+	a.give(v)
 }
 
 // Cancel tells the proxy to abandon its attempt, if it takes such word.
 func (a *asked) Cancel(try int) {
+	a.stands = nil
 	if a.control != "" {
 		a.c.say(a.control, verdict{Verdict: "cancel", ID: a.id, Try: try})
 	}
--- a/internal/netloop/channel.go
+++ b/internal/netloop/channel.go
@@ -1,6 +1,7 @@
 package netloop
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -25,6 +26,8 @@
 	l     *Loop
 	fd    int // -1 once given back
 	wait  []message
+	broke error  // how it ended, while what came before is still heard
+	retry *Timer // until epoll is asked again
 	heard func(text []byte, fds []int)
 	end   func(error)
 }
@@ -74,7 +77,8 @@
 		m.fds = append(m.fds, twin)
 	}
 	c.wait = append(c.wait, m)
-	return c.l.watch(unix.EPOLL_CTL_MOD, c.fd, unix.EPOLLIN|unix.EPOLLOUT)
+	c.watch()
+	return nil
 }
 
 func (m *message) close() {
@@ -91,6 +95,7 @@
 	for _, m := range c.wait {
 		m.close()
 	}
+	c.retry.Stop()
 	c.l.drop(c.fd, &c.l.budget)
 	c.fd, c.wait = -1, nil
 }
@@ -103,12 +108,12 @@
 			break
 		}
 		if err != nil {
-			c.fail(err)
-			return
+			c.broke = err // what has come before it is heard first
+			break
 		}
 		m.close()
 		if c.wait = c.wait[1:]; len(c.wait) == 0 {
-			c.l.watch(unix.EPOLL_CTL_MOD, c.fd, unix.EPOLLIN)
+			c.watch()
 		}
 	}
 	for range readMost {
@@ -116,17 +121,36 @@
 			return
 		}
 		text, fds, err := receive(c.fd, unix.MSG_DONTWAIT)
-		if errors.Is(err, unix.EAGAIN) {
+		switch {
+		case errors.Is(err, unix.EAGAIN) && c.broke == nil:
 			return
-		}
-		if err != nil {
-			c.fail(err)
+		case errors.Is(err, unix.ECONNRESET) && c.broke == nil:
+			c.broke = err // the kernel shows it once, before the messages that wait
+			continue
+		case err != nil:
+			c.fail(cmp.Or(c.broke, err))
 			return
 		}
 		c.heard(text, fds)
 	}
 }
 
+// watch has epoll tell of what comes, and of room while messages wait. Where the system has no means for that now it is
+// tried again.
+func (c *Channel) watch() {
+	if c.fd < 0 {
+		return
+	}
+	var want uint32 = unix.EPOLLIN
+	if len(c.wait) > 0 {
+		want |= unix.EPOLLOUT
+	}
+	if c.l.watch(unix.EPOLL_CTL_MOD, c.fd, want) != nil {
+		c.retry.Stop()
+		c.retry = c.l.After(meansPause, c.watch)
+	}
+}
+
 func (c *Channel) fail(err error) {
 	c.Close()
 	c.end(err)
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -23,6 +23,7 @@
 	Attempts int           // of one message
 	Aim      time.Duration // within which an acknowledgement is wanted
 	Repeat   bool          // what may have been taken may be sent again
+	Within   time.Duration // for how long after the first such attempt; 0: without end
 }
 
 // Message is one of them.
@@ -227,11 +228,11 @@
 		case answered:
 			continue
 		case refused:
-			m.ran = true
+			w.mayHaveRun(m)
 			ended(m, Turned)
 		case out:
 			if m.Offset <= left {
-				m.ran = true
+				w.mayHaveRun(m)
 				ended(m, Lost)
 			} else {
 				ended(m, NotLeft)
@@ -260,6 +261,14 @@
 	w.shed()
 }
 
+// mayHaveRun notes that the latest attempt of a message may have been taken. The first such one bounds its time.
+func (w *Window) mayHaveRun(m *Message) {
+	if !m.ran && w.Within > 0 {
+		m.Due = min(m.Due, m.Sent+w.Within)
+	}
+	m.ran = true
+}
+
 // GiveUp has the oldest messages given up that wait and whose time is over by then: each is handed
 // to up with whether it may have been taken. What is out stays: its link must end first.
 func (w *Window) GiveUp(by time.Duration, up func(m *Message, ran bool)) {
