--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -5,6 +5,8 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -140,6 +142,35 @@
 	}
 }
 
+// TestTwoWriters: two processes of one relay, as during an upgrade, never leave a snapshot that is not whole.
+func TestTwoWriters(t *testing.T) {
+	dir := t.TempDir()
+	var writers sync.WaitGroup
+	for n := range 2 {
+		s := sample()
+		s.Peers = slices.Repeat([]string{"127.0.0.1:2"}, 60*n) // of another length
+		b, err := s.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			for range 300 {
+				if err := Write(dir, b); err != nil {
+					t.Error(err)
+					return
+				}
+				if s, err := Read(dir); err != nil || s == nil {
+					t.Errorf("read %v, %v", s, err)
+					return
+				}
+			}
+		}()
+	}
+	writers.Wait()
+}
+
 func FuzzDecode(f *testing.F) {
 	b, _ := sample().Encode()
 	f.Add(b)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"dahliarudder/internal/core"
 	"dahliarudder/policy"
@@ -93,3 +94,37 @@
 		t.Error("a lost record was not told")
 	}
 }
+
+// TestTellsTrouble: a store that fails for a while says so once, and once that it works again, however often it tries.
+func TestTellsTrouble(t *testing.T) {
+	s, _ := open(t, 0)
+	log, hook := test.NewNullLogger()
+	s.log = log
+	told := func(level logrus.Level) (n int) {
+		for _, e := range hook.AllEntries() {
+			if e.Level == level {
+				n++
+			}
+		}
+		return n
+	}
+	for trouble := 1; trouble <= 2; trouble++ {
+		if _, err := s.db.Exec("ALTER TABLE requests RENAME TO elsewhere"); err != nil {
+			t.Fatal(err)
+		}
+		s.Answer(&core.Request{}, core.ID(trouble), 0, core.Served, 0)
+		until(t, "the failure", func() bool { return !s.Ready() })
+		time.Sleep(3 * pauseLeast) // a few tries more
+		if _, err := s.db.Exec("ALTER TABLE elsewhere RENAME TO requests"); err != nil {
+			t.Fatal(err)
+		}
+		until(t, "the recovery", s.Ready)
+		until(t, "the word of it", func() bool { return told(logrus.InfoLevel) >= trouble })
+		if bad, good := told(logrus.ErrorLevel), told(logrus.InfoLevel); bad != trouble || good != trouble {
+			t.Errorf("after %d troubles: %d times told of one, %d times of its end", trouble, bad, good)
+		}
+	}
+	if err := s.Close(20 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
