One way of replacing files whole; the end of trouble with state and store is logged

Change: internal/atomicfile (lock, write, sync, rename, sync of the directory) serves both; state and store log the end of a trouble as well; a failed write no longer counts as the last one written. TestTwo of bans looked for files by the old temporary name; it wants bans.json alone beside the lock.

--- a/cmd/dahliarudder/state.go
+++ b/cmd/dahliarudder/state.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// wrote notes how the last write of a snapshot went, and tells when that has changed.
+func (r *relay) wrote(err error) {
+	failed := r.came.Failed != ""
+	switch {
+	case err == nil && failed:
+		r.log.Info("state: snapshots are written again")
+	case err != nil && !failed:
+		r.log.WithError(err).Error("state: a snapshot could not be written")
+	}
+	if err != nil {
+		r.came.Failed = err.Error()
+		return
+	}
+	r.came.Failed, r.came.at = "", r.clock()
+}
+
 // keep writes a snapshot now and then, off the loop: a slow disk holds nobody up, and what it has not taken is not queued.
 func (r *relay) keep(every time.Duration) {
 	c := r.came
@@ -93,14 +109,7 @@
 		for b := range c.out {
 			err := snapshot.Write(c.dir, b)
 			r.loop.Post(func() {
-				if c.at = r.clock(); err != nil {
-					if c.Failed == "" {
-						r.log.WithError(err).Error("state: a snapshot could not be written")
-					}
-					c.Failed = err.Error()
-				} else {
-					c.Failed = ""
-				}
+				r.wrote(err)
 			})
 		}
 	}()
@@ -108,7 +117,7 @@
 	again = func() {
 		if r.core.Usable() { // one who knows nothing does not write that over what it knew
 			if b, err := r.snapshot().Encode(); err != nil { // here: what it holds is the module's own
-				c.Failed = err.Error()
+				r.wrote(err)
 			} else {
 				select {
 				case c.out <- b:
--- a/integration/folder_test.go
+++ b/integration/folder_test.go
@@ -31,32 +31,35 @@
 		return text
 	}
 	const failed, works = "a snapshot could not be written", "snapshots are written again"
-	for n := 1; n <= 2; n++ {
-		if err := os.Symlink(fullDisk, path+".new"); err != nil {
-			t.Fatal(err)
-		}
-		until(t, "the trouble", func() bool { return strings.Count(r.log.String(), failed) == n })
-		before := whole()
-		r.open(n, "").want("UP ")
-		if n == 2 { // and the process is killed amid it
-			r.cmd.Process.Signal(syscall.SIGKILL)
-			<-r.done
-			if !bytes.Equal(whole(), before) {
-				t.Error("the last whole state is another one")
-			}
-			next := start(t, config, 2)
-			next.logged("goes on from its snapshot")
-			next.open(n+1, "").want("UP ")
-			next.stop()
-			break
-		}
-		if err := os.Remove(path + ".new"); err != nil {
-			t.Fatal(err)
-		}
-		until(t, "the next whole state", func() bool { return !bytes.Equal(whole(), before) })
-		r.logged(works)
-		if got := strings.Count(r.log.String(), works); got != n {
-			t.Errorf("the end of the trouble is told %d times", got)
+	told := func(text string, n int) {
+		t.Helper()
+		if got := strings.Count(r.log.String(), text); got != n {
+			t.Errorf("%q is told %d times, want %d", text, got, n)
 		}
 	}
+	before := whole()
+	if err := os.Symlink(fullDisk, path+".new"); err != nil { // for one write: the relay clears away what that has left
+		t.Fatal(err)
+	}
+	r.logged(works)
+	told(failed, 1)
+	told(works, 1)
+	until(t, "the next whole state", func() bool { return !bytes.Equal(whole(), before) })
+
+	if err := os.MkdirAll(filepath.Join(path+".new", "in the way"), 0o700); err != nil { // for all that follow
+		t.Fatal(err)
+	}
+	until(t, "the trouble", func() bool { return strings.Count(r.log.String(), failed) == 2 })
+	before = whole()
+	r.open(1, "").want("UP ")
+	r.cmd.Process.Signal(syscall.SIGKILL)
+	<-r.done
+	told(works, 1)
+	if !bytes.Equal(whole(), before) {
+		t.Error("the last whole state is another one")
+	}
+	next := start(t, config, 2)
+	next.logged("goes on from its snapshot")
+	next.open(2, "").want("UP ")
+	next.stop()
 }
--- /dev/null
+++ b/internal/atomicfile/atomicfile_test.go
@@ -0,0 +1,89 @@
+package atomicfile
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"golang.org/x/sys/unix"
+)
+
+// TestWriteFails: whichever step fails, by whatever a full or broken disk answers, the file holds its old content or the
+// new one, whole; the error is told, nothing is left beside the file, and the next write is well.
+func TestWriteFails(t *testing.T) {
+	for _, errno := range []unix.Errno{unix.ENOSPC, unix.EIO, unix.EDQUOT} {
+		for step, failing := range map[string]func(c *calls){
+			"write": func(c *calls) { c.write = func(*os.File, []byte) (int, error) { return 0, errno } },
+			"short write": func(c *calls) {
+				c.write = func(f *os.File, b []byte) (int, error) {
+					n, _ := f.Write(b[:len(b)/2])
+					return n, errno
+				}
+			},
+			"sync":   func(c *calls) { c.sync = func(*os.File) error { return errno } },
+			"close":  func(c *calls) { c.close = func(f *os.File) error { return errors.Join(f.Close(), errno) } },
+			"rename": func(c *calls) { c.rename = func(string, string) error { return errno } },
+			"sync of the directory": func(c *calls) {
+				c.sync = func(f *os.File) error {
+					if info, err := f.Stat(); err != nil || info.IsDir() {
+						return errno
+					}
+					return f.Sync()
+				}
+			},
+		} {
+			t.Run(step+" "+unix.ErrnoName(errno), func(t *testing.T) {
+				path := filepath.Join(t.TempDir(), "file")
+				holds := func(want string) {
+					t.Helper()
+					if text, err := os.ReadFile(path); err != nil || string(text) != want {
+						t.Errorf("holds %q, %v, want %q", text, err, want)
+					}
+					if all, err := os.ReadDir(filepath.Dir(path)); err != nil || len(all) != 1 {
+						t.Errorf("%v beside the file, %v", all, err)
+					}
+				}
+				if err := Write(path, []byte("the old content")); err != nil {
+					t.Fatal(err)
+				}
+				whole := system
+				failing(&system)
+				err := Write(path, []byte("another one"))
+				system = whole
+				if !errors.Is(err, errno) {
+					t.Errorf("ended with %v", err)
+				}
+				if step == "sync of the directory" {
+					holds("another one")
+				} else {
+					holds("the old content")
+				}
+				if err := Write(path, []byte("the last one")); err != nil {
+					t.Fatal(err)
+				}
+				holds("the last one")
+			})
+		}
+	}
+}
+
+// TestHalfWritten: what a process has left behind that was killed amid a write is no content, and in nobody's way.
+func TestHalfWritten(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "file")
+	if err := Write(path, []byte("the old content")); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path+suffix, []byte("half of a much longer one that was never fini"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := os.ReadFile(path); err != nil || string(text) != "the old content" {
+		t.Errorf("%q, %v", text, err)
+	}
+	if err := Write(path, []byte("new")); err != nil {
+		t.Fatal(err)
+	}
+	if text, err := os.ReadFile(path); err != nil || string(text) != "new" {
+		t.Errorf("%q, %v", text, err)
+	}
+}
--- a/internal/bans/bans.go
+++ b/internal/bans/bans.go
@@ -13,6 +13,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"dahliarudder/internal/atomicfile"
 )
 
 // Dir makes the directory in which a relay of that name keeps its state, below the
@@ -83,23 +85,7 @@
 	if err != nil {
 		return fmt.Errorf("bans: %w", err)
 	}
-	return f.replace(text)
-}
-
-func (f File) replace(text []byte) error {
-	next, err := os.CreateTemp(f.Dir, "bans-*")
-	if err != nil {
-		return fmt.Errorf("bans: %w", err)
-	}
-	_, err = next.Write(text)
-	if err == nil {
-		err = next.Sync()
-	}
-	if err = errors.Join(err, next.Close()); err == nil {
-		err = os.Rename(next.Name(), f.path())
-	}
-	if err != nil {
-		os.Remove(next.Name())
+	if err := atomicfile.Write(f.path(), text); err != nil {
 		return fmt.Errorf("bans: %w", err)
 	}
 	return nil
--- a/internal/bans/bans_test.go
+++ b/internal/bans/bans_test.go
@@ -81,7 +81,7 @@
 	if got := read(t, File{dir}); len(got) != 40 {
 		t.Errorf("%d names of 40", len(got))
 	}
-	if left, _ := filepath.Glob(filepath.Join(dir, "bans-*")); len(left) > 0 {
+	if left, _ := filepath.Glob(filepath.Join(dir, "bans?*")); !slices.Equal(left, []string{filepath.Join(dir, "bans.json")}) {
 		t.Errorf("left over: %v", left)
 	}
 }
--- a/internal/snapshot/file.go
+++ b/internal/snapshot/file.go
@@ -8,26 +8,14 @@
 	"path/filepath"
 
 	"golang.org/x/sys/unix"
+
+	"dahliarudder/internal/atomicfile"
 )
 
 const file = "snapshot"
 
 // Write puts an encoded snapshot in the place of the one in a directory: whole, or not at all.
-func Write(dir string, b []byte) error {
-	fresh := filepath.Join(dir, file+".new")
-	f, err := os.OpenFile(fresh, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(b)
-	if err == nil {
-		err = f.Sync()
-	}
-	if err = errors.Join(err, f.Close()); err == nil {
-		err = os.Rename(fresh, filepath.Join(dir, file))
-	}
-	return err
-}
+func Write(dir string, b []byte) error { return atomicfile.Write(filepath.Join(dir, file), b) }
 
 // Read reads what is there. Nothing there is no error, and no snapshot.
 func Read(dir string) (*Snapshot, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -208,6 +208,9 @@
 		s.failing = err != nil
 		s.mu.Unlock()
 		if err == nil {
+			if failed {
+				s.log.Info("the store works again")
+			}
 			pause = pauseLeast
 			continue
 		}
