--- a/integration/rig_test.go
+++ b/integration/rig_test.go
@@ -373,7 +373,8 @@
 type client struct {
 	t testing.TB
 	net.Conn
-	in *bufio.Reader
+	in  *bufio.Reader
+	got string // its final answer, where that was noted
 }
 
 func (r *relay) dial() *client {
@@ -389,7 +390,7 @@
 	}
 	r.t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(patience))
-	return &client{r.t, c, bufio.NewReader(c)}
+	return &client{t: r.t, Conn: c, in: bufio.NewReader(c)}
 }
 
 // open sends a first line for request number n.
