--- /dev/null
+++ b/integration/short_stop_test.go
@@ -0,0 +1,93 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// withDeadlines are the settings used here with other deadlines of the two classes, and aims to match.
+func withDeadlines(first, second time.Duration) json.RawMessage {
+	return json.RawMessage(strings.NewReplacer(
+		`"aim-ms":500,"deadline-ms":3000`, fmt.Sprintf(`"aim-ms":%d,"deadline-ms":%d`, first.Milliseconds()/4, first.Milliseconds()),
+		`"aim-ms":500,"deadline-ms":2000`, fmt.Sprintf(`"aim-ms":%d,"deadline-ms":%d`, second.Milliseconds()/4, second.Milliseconds()),
+	).Replace(settingsText))
+}
+
+// TestStopShortDeadlines: with short deadlines SIGKILL may come soon after SIGTERM. Until then clients go on sending on open
+// connections, members hang, some in the middle of a line, and signals come in series. Every client has its MOVE or its
+// answer, and the process has ended, before that.
+func TestStopShortDeadlines(t *testing.T) {
+	for _, longest := range []time.Duration{600 * time.Millisecond, time.Second, 2 * time.Second} {
+		t.Run(longest.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newCrossing(t, 4, map[string]any{"settings": withDeadlines(longest, longest/2)})
+			var flows []*client
+			var hung []*client
+			for n := range 12 {
+				c := s.openFor(n, longest)
+				a := s.attempt()
+				a.up()
+				c.want("UP ")
+				if n%4 == 3 { // its member hangs in the middle of a line, for good
+					a.write("GOT ha")
+					if _, err := io.ReadFull(c.in, make([]byte, len("GOT ha"))); err != nil {
+						t.Fatal(err)
+					}
+					hung = append(hung, c)
+				} else {
+					flows = append(flows, c)
+				}
+			}
+			var held []*client
+			for n := range 4 { // of these no member says a word
+				held = append(held, s.openFor(100+n, longest))
+				s.attempt()
+			}
+			since := s.terminate()
+			kill := time.AfterFunc(time.Until(since.Add(longest+stopReserve)), func() { s.cmd.Process.Kill() })
+			defer kill.Stop()
+			var writers sync.WaitGroup
+			for _, c := range append(append([]*client(nil), flows...), hung...) {
+				writers.Add(1)
+				go func() {
+					defer writers.Done()
+					for _, err := fmt.Fprint(c, "a line\r\n"); err == nil; _, err = fmt.Fprint(c, "a line\r\n") {
+						time.Sleep(time.Millisecond)
+					}
+				}()
+			}
+			for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
+				s.cmd.Process.Signal(signal)
+			}
+			late := s.openFor(200, longest)
+			late.want("BUSY")
+			for _, c := range flows {
+				c.want("MOVE")
+			}
+			for _, c := range held {
+				if answer := c.line(); !strings.HasPrefix(answer, "BUSY") && answer != "ERR" {
+					t.Errorf("a held request got %q", answer)
+				}
+			}
+			for _, c := range hung { // between two lines MOVE has no place: a polite end is all there is
+				if line := c.line(); line != io.EOF.Error() {
+					t.Errorf("amid a line came %q", line)
+				}
+			}
+			s.ends()
+			took := time.Since(since)
+			t.Logf("gone %v after SIGTERM", took.Round(time.Millisecond))
+			writers.Wait()
+			if took > longest+stopReserve {
+				t.Errorf("the process ended %v after SIGTERM, killed after %v", took, longest+stopReserve)
+			}
+			s.checkTries()
+		})
+	}
+}
