--- a/internal/rehearsal/file.go
+++ b/internal/rehearsal/file.go
@@ -62,11 +62,13 @@
 		Again    [2]float64 `json:"again_ms"` // after a break
 		Line     float64    `json:"line_ms"`  // how often one says something
 		Well     float64    `json:"well_ms"`  // within which it is answered, if it is served well
+		Leave    float64    `json:"leave"`    // part of the tries whose client goes before its answer
 	} `json:"clients"`
 	Faults      []Fault   `json:"faults"`
 	Variants    []Variant `json:"variants"`
 	Repetitions int       `json:"repetitions"` // of each draw
 	Seeds       int       `json:"seeds"`       // how many draws: of this seed and those after it
+	Settle      bool      `json:"settle"`      // in the end what relays still hold is held against what they held before clients came
 
 	at map[string]int
 }
@@ -101,6 +103,8 @@
 	To    []string `json:"to"`
 	Rough
 	Late float64         `json:"late_ms"` // of discovery
+	Idle int             `json:"idle"`    // of a crowd: connections to each relay
+	Also bool            `json:"series"`  // of term: SIGHUP and SIGTERM in series with it
 	Lose bool            `json:"lose_state"`
 	Old  bool            `json:"old_state"` // as the last copy_state left it
 	Call string          `json:"call"`      // to the fleet, such as "POST /-/releases"; asked again until it is agreed
@@ -125,6 +129,7 @@
 	"silent": {"s", "well"}, "failing": {"s", "well"}, "well": {"s", ""}, "die": {"s", "return"}, "return": {"s", ""},
 	"drain": {"s", "return"}, "replace": {"s", ""},
 	"down": {"discovery", "up"}, "up": {"discovery", ""}, "late": {"discovery", "on_time"}, "on_time": {"discovery", ""},
+	"crowd": {"n", "disperse"}, "disperse": {"n", ""}, "trouble": {"n", "calm"}, "calm": {"n", ""}, "pause": {"n", "continue"},
 	"old": {"discovery", ""}, "call": {"n", ""}, "copy_state": {"n", ""}, "configure": {"n", ""},
 	"cut": {"link", "heal"}, "cut_one_way": {"link", "heal"}, "rough": {"link", "heal"}, "heal": {"link", ""}, "reset": {"link", ""}, "stall": {"link", ""},
 }
@@ -226,7 +231,7 @@
 		{"clients.stay_ms", f.Clients.Stay, 100, 1e8}, {"clients.load", f.Clients.Load[0], 0, f.Clients.Load[1]},
 		{"clients.again_ms", f.Clients.Again[0], 0, f.Clients.Again[1]}, {"clients.line_ms", f.Clients.Line, 20, 1e5},
 		{"clients.groups", float64(f.Clients.Groups), 1, 1e9}, {"clients.well_ms", f.Clients.Well, 1, 1e5}, {"repetitions", float64(f.Repetitions), 1, 100},
-		{"seeds", float64(f.Seeds), 1, 1000},
+		{"seeds", float64(f.Seeds), 1, 1000}, {"clients.leave", f.Clients.Leave, 0, 1},
 	} {
 		if !(c.v >= c.low && c.v <= c.top) {
 			return f.fault(c.key, "%v is not from %v to %v", c.v, c.low, c.top)
@@ -280,7 +285,7 @@
 	}{
 		{"at_ms", x.At, 0, f.Seconds * 1000}, {"for_ms", x.For, 0, 1e8}, {"every_ms", x.Every, 0, 1e7}, {"part", x.Part, 0, 1},
 		{"count", float64(x.Count), 0, 1e4}, {"loss", x.Loss, 0, 1}, {"repeat", x.Repeat, 0, 1}, {"delay_ms", x.Delay, 0, 1e5},
-		{"jitter_ms", x.Jitter, 0, 1e5}, {"kb_per_s", x.Rate, 0, 1e6}, {"late_ms", x.Late, 0, 1e5},
+		{"jitter_ms", x.Jitter, 0, 1e5}, {"idle", float64(x.Idle), 0, 10000}, {"kb_per_s", x.Rate, 0, 1e6}, {"late_ms", x.Late, 0, 1e5},
 	} {
 		if !(c.v >= c.low && c.v <= c.top) {
 			return f.fault(key+"."+c.key, "%v is not from %v to %v", c.v, c.low, c.top)
--- a/internal/rehearsal/judge.go
+++ b/internal/rehearsal/judge.go
@@ -38,9 +38,19 @@
 	CutOff      = "a client cut off without MOVE"
 	LeftWaiting = "a client left waiting on a flow that has stopped"
 	Crash       = "a relay ended by itself"
+	SentForGone = "an attempt for a client that has gone"
+	Repeated    = "run again though its effect or its window does not allow it"
+	FalseHope   = "refused though it may have run"
+	NotReady    = "a relay not ready in time"
+	Leaking     = "descriptors that were not given back"
+	OverLimit   = "a relay over its limit of memory"
 	// waitMost is how long a flow may bring nothing back from a member that runs.
 	waitMost     = 7 * time.Second
 	lateAtMember = 50 * time.Millisecond // the protocol's page: each limit is so much longer on sockets
+	// goneMost is how long after its client has gone an attempt may still begin.
+	goneMost = 100 * time.Millisecond
+	// Of all starts nine in ten may take readyMost to be ready, and none readyLast.
+	readyMost, readyLast = 10 * time.Second, 30 * time.Second
 	// answerWindow: of two ends of one flow that were seen within it, either may have come first.
 	answerWindow = 250 * time.Millisecond
 )
@@ -59,15 +69,43 @@
 	// Late is how late the rehearsal itself was at worst; it is set before Close.
 	Late time.Duration
 
+	ready    []start
 	requests map[string]*request
 	members  map[string]*judged
 	told     map[[2]string]telling // relay, member
 	troubled map[string][]span     // when a relay, or its ways, had an excuse
+	crowded  map[string][]span     // when idle clients filled its descriptors: new connections may be shut unread then
 	breaks   []Break
 }
 
+// Effect is what a class of requests allows.
+type Effect struct {
+	Kind   EffectKind
+	Window time.Duration // of Keyed
+}
+
+// EffectKind says when a request may be run again.
+type EffectKind int
+
+// The kinds of effects.
+const (
+	Safe   EffectKind = iota // at any time
+	Keyed                    // anywhere, within its window
+	Unsafe                   // never
+)
+
+// start is one start of a relay, and how long it took to be ready.
+type start struct {
+	relay    string
+	at, took time.Duration
+}
+
 type request struct {
 	relay         string
+	effect        Effect
+	left          time.Duration // when its client has gone, or has ended its sending; 0: not
+	begun         time.Duration // the latest attempt
+	ran           time.Duration // the first attempt that may have run; 0: none
 	asked, within time.Duration
 	answer        string
 	answered      time.Duration
@@ -104,7 +142,7 @@
 
 // NewJudge begins with nothing.
 func NewJudge(r Rules) *Judge {
-	return &Judge{Rules: r, requests: map[string]*request{}, members: map[string]*judged{}, told: map[[2]string]telling{}, troubled: map[string][]span{}}
+	return &Judge{Rules: r, requests: map[string]*request{}, members: map[string]*judged{}, told: map[[2]string]telling{}, troubled: map[string][]span{}, crowded: map[string][]span{}}
 }
 
 func (j *Judge) broken(at time.Duration, rule, relay, format string, args ...any) {
@@ -144,6 +182,34 @@
 	}
 }
 
+// Crowd says that idle clients fill a relay's descriptors from now on; Disperse ends that.
+func (j *Judge) Crowd(at time.Duration, relay string) {
+	j.crowded[relay] = append(j.crowded[relay], span{at, 0})
+}
+
+// Disperse ends the last Crowd of a relay.
+func (j *Judge) Disperse(at time.Duration, relay string) {
+	if all := j.crowded[relay]; len(all) > 0 {
+		all[len(all)-1].to = at
+	}
+}
+
+// Ready is a relay that took so long from its start until it was ready.
+func (j *Judge) Ready(at time.Duration, relay string, took time.Duration) {
+	j.ready = append(j.ready, start{relay, at, took})
+}
+
+// Kept is what a relay holds after its clients have gone: descriptors, of which it held so many before they came, and the
+// most memory that it had, in MB, of what it may have; 0: without bound.
+func (j *Judge) Kept(at time.Duration, relay string, descriptors, before int, memory, most float64) {
+	if descriptors > before {
+		j.broken(at, Leaking, relay, "%d, before there were clients %d", descriptors, before)
+	}
+	if most > 0 && memory > most {
+		j.broken(at, OverLimit, relay, "%.0f of %.0f MB", memory, most)
+	}
+}
+
 // Restarted is a relay that has forgotten what it was told.
 func (j *Judge) Restarted(relay string) {
 	for k := range j.told {
@@ -154,7 +220,12 @@
 }
 
 func (j *Judge) excused(relay string, from, to time.Duration) bool {
-	for _, s := range j.troubled[relay] {
+	return meet(j.troubled[relay], from, to)
+}
+
+// meet says whether some span meets the time between.
+func meet(all []span, from, to time.Duration) bool {
+	for _, s := range all {
 		if s.from <= to && (s.to == 0 || s.to >= from) {
 			return true
 		}
@@ -176,8 +247,15 @@
 }
 
 // Asked is a request whose last byte is written to a relay, with the time that its client waits.
-func (j *Judge) Asked(at time.Duration, id, relay string, within time.Duration) {
-	j.requests[id] = &request{relay: relay, asked: at, within: within}
+func (j *Judge) Asked(at time.Duration, id, relay string, within time.Duration, effect Effect) {
+	j.requests[id] = &request{relay: relay, asked: at, within: within, effect: effect}
+}
+
+// Left is a client that has closed its connection before an answer, or has only ended its sending and still reads.
+func (j *Judge) Left(at time.Duration, id string, reads bool) {
+	if r := j.requests[id]; r != nil && r.answer == "" {
+		r.left, r.gaveUp = at, !reads
+	}
 }
 
 // Answered is a line that came back before the flow was up, or one after the final answer that is none of the flow's.
@@ -190,6 +268,9 @@
 		j.broken(at, TwoAnswers, r.relay, "%s: %q after %q", id, line, r.answer)
 		return
 	}
+	if r.effect.Kind == Unsafe && strings.HasPrefix(line, "BUSY") && (r.ran > 0 || r.out > 0) {
+		j.broken(at, FalseHope, r.relay, "%s: %q", id, line)
+	}
 	r.answer, r.answered = line, at
 	if strings.HasPrefix(line, "UP ") && line != r.receipt {
 		j.broken(at, FalseAnswer, r.relay, "%s: %q, made was %q", id, line, r.receipt)
@@ -219,7 +300,9 @@
 		j.requests[id] = r
 		j.broken(at, FalseAnswer, relay, "%s: an attempt at %s that no client asked for", id, member)
 	}
+	j.mayBegin(at, id, r)
 	r.attempts++
+	r.begun = at
 	if r.out++; r.out == 2 {
 		r.both, r.second = at, member
 	}
@@ -242,6 +325,17 @@
 	return j.weigh(at, member, m)
 }
 
+// mayBegin judges whether an attempt may begin now.
+func (j *Judge) mayBegin(at time.Duration, id string, r *request) {
+	late := lateAtMember + j.Late
+	if r.left > 0 && at > r.left+goneMost+late {
+		j.broken(at, SentForGone, r.relay, "%s: %v after", id, at-r.left)
+	}
+	if r.ran > 0 && (r.effect.Kind == Unsafe || r.effect.Kind == Keyed && at > r.ran+r.effect.Window+late) {
+		j.broken(at, Repeated, r.relay, "%s: %v after the first attempt", id, at-r.ran)
+	}
+}
+
 // weigh sums what a cold member was sent in the last FallFor.
 func (j *Judge) weigh(at time.Duration, member string, m *judged) bool {
 	for len(m.came) > 0 && m.came[0].at <= at-j.Rules.FallFor {
@@ -279,9 +373,12 @@
 	}
 }
 
-// Over is the end of an attempt. Itself: the member ended it.
-func (j *Judge) Over(at time.Duration, id, member string, load float64, itself bool) {
+// Over is the end of an attempt. Itself: the member ended it; turned: it was turned away, and has not run.
+func (j *Judge) Over(at time.Duration, id, member string, load float64, itself, turned bool) {
 	if r := j.requests[id]; r != nil {
+		if !turned && r.ran == 0 {
+			r.ran = r.begun
+		}
 		if r.out--; r.out == 1 {
 			j.overlap(at, id, r)
 		}
@@ -302,7 +399,7 @@
 		}
 		due := r.asked + r.within + j.Rules.Slack + lateAtMember + j.Late
 		switch {
-		case r.answer == "" && !r.gaveUp && due < at && !j.excused(r.relay, r.asked, due):
+		case r.answer == "" && !r.gaveUp && due < at && !j.excused(r.relay, r.asked, due) && !meet(j.crowded[r.relay], r.asked, due):
 			j.broken(due, NoAnswer, r.relay, "%s within %v", id, r.within)
 		case r.answer != "" && r.answered > due && !j.excused(r.relay, r.asked, r.answered):
 			j.broken(r.answered, NoAnswer, r.relay, "%s: %q %v after it was asked, the client waits %v", id, r.answer, r.answered-r.asked, r.within)
@@ -311,8 +408,25 @@
 			j.broken(r.cut, CutOff, r.relay, "%s", id)
 		}
 	}
+	j.judgeStarts()
 	sort.SliceStable(j.breaks, func(a, b int) bool {
 		return j.breaks[a].At < j.breaks[b].At || j.breaks[a].At == j.breaks[b].At && j.breaks[a].What < j.breaks[b].What
 	})
 	return j.breaks
 }
+
+// judgeStarts judges how soon relays were ready.
+func (j *Judge) judgeStarts() {
+	slow := 0
+	for _, s := range j.ready {
+		if s.took > readyMost {
+			slow++
+		}
+		if s.took > readyLast {
+			j.broken(s.at, NotReady, s.relay, "%v", s.took)
+		}
+	}
+	if 10*slow > len(j.ready) {
+		j.broken(0, NotReady, "", "%d of %d starts took over %v", slow, len(j.ready), readyMost)
+	}
+}
--- a/internal/rehearsal/plan.go
+++ b/internal/rehearsal/plan.go
@@ -34,6 +34,8 @@
 	To      string // the other end of a link
 	Rough   Rough
 	Late    time.Duration
+	Idle    int
+	Also    bool
 	Lose    bool
 	Old     bool
 	Call    string // method and path
@@ -136,7 +138,7 @@
 	}
 	for i, w := range whom {
 		at := Millis(x.At + float64(i)*x.Every)
-		step := Step{At: at, Do: x.Do, Who: w[0], To: w[1], Rough: x.Rough, Late: Millis(x.Late), Lose: x.Lose, Old: x.Old, Call: x.Call, Body: x.Body, Fault: number}
+		step := Step{At: at, Do: x.Do, Who: w[0], To: w[1], Rough: x.Rough, Late: Millis(x.Late), Idle: x.Idle, Also: x.Also, Lose: x.Lose, Old: x.Old, Call: x.Call, Body: x.Body, Fault: number}
 		p.Steps = append(p.Steps, step)
 		if x.For > 0 {
 			step.At, step.Do = at+Millis(x.For), verbs[x.Do].undo
--- a/internal/rehearse/clients.go
+++ b/internal/rehearse/clients.go
@@ -14,6 +14,7 @@
 
 	"dahliarudder/internal/rehearsal"
 	"dahliarudder/internal/settings"
+	"dahliarudder/policy"
 )
 
 // silentMost is when a client ends a flow that brings nothing back: after the judge's own limit.
@@ -34,6 +35,9 @@
 		go func() {
 			for ctx.Err() == nil {
 				ok := f.ping(n)
+				if ok {
+					f.admitted(n)
+				}
 				f.lock.Lock()
 				if now := time.Now(); ok {
 					f.heard[n.name], f.in[n.name] = now, true
@@ -52,6 +56,17 @@
 	}
 }
 
+// admitted notes how long a process took to be ready, the first time that it is.
+func (f *front) admitted(n *relay) {
+	f.with(func(at time.Duration) {
+		if n.readied == n.starts {
+			return
+		}
+		n.readied = n.starts
+		f.judge.Ready(at, n.name, at-n.began)
+	})
+}
+
 func (f *front) ping(n *relay) bool {
 	c, err := net.DialTimeout("tcp", f.reach[n.name], time.Second)
 	if err != nil {
@@ -134,7 +149,8 @@
 			} else if retry {
 				f.line += ",r=1"
 			}
-			f.patience = settings.Span(class.Deadline)
+			f.patience, f.effect = settings.Span(class.Deadline), effectOf(r.set.Policy().Classes[s.Class])
+			f.leaves = r.leaving(rng, f.patience)
 			how, busy := f.open(ctx)
 			r.with(func(time.Duration) { r.answers[how]++ })
 			switch how {
@@ -165,6 +181,8 @@
 	tags     []string
 	id, line string
 	patience time.Duration
+	effect   rehearsal.Effect
+	leaves   *leaving // nil: its client waits
 	end      time.Duration
 	wanted   time.Duration // since when the client wants to be connected
 	lines    chan string
@@ -177,7 +195,7 @@
 		return "refused", 0
 	}
 	defer c.Close()
-	f.with(func(at time.Duration) { f.judge.Asked(at, f.id, f.n.name, f.patience) })
+	f.with(func(at time.Duration) { f.judge.Asked(at, f.id, f.n.name, f.patience, f.effect) })
 	if _, err := io.WriteString(c, f.line+"\r\n"); err != nil {
 		f.with(func(at time.Duration) { f.judge.GaveUp(f.id) })
 		return "refused", 0
@@ -201,6 +219,11 @@
 	}()
 	give := time.NewTimer(f.patience + 500*time.Millisecond) // the judge calls late what comes after the deadline
 	defer give.Stop()
+	if f.leaves != nil {
+		if f.leave(c) {
+			return "left", 0
+		}
+	}
 	select {
 	case <-ctx.Done():
 		f.with(func(time.Duration) { f.judge.GaveUp(f.id) })
@@ -213,6 +236,8 @@
 		}
 		f.with(func(at time.Duration) { f.judge.Answered(at, f.id, line) })
 		switch {
+		case f.leaves != nil: // it has ended its sending, and has its answer
+			return "left", 0
 		case strings.HasPrefix(line, "UP "):
 			return f.hold(ctx, c), 0
 		case strings.HasPrefix(line, "BUSY"):
@@ -318,3 +343,69 @@
 		}
 	}
 }
+
+// leaving is how a client goes that does not wait for its answer.
+type leaving struct {
+	after time.Duration // it has asked
+	how   leaveMode
+}
+
+type leaveMode int
+
+const (
+	leaveByClose     leaveMode = iota
+	leaveByReset               // with a reset
+	leaveByHalfClose           // it ends its sending alone, and still reads
+	leaveModes
+)
+
+// leaving draws whether and how a client goes early.
+func (r *run) leaving(rng *rand.Rand, patience time.Duration) *leaving {
+	if rng.Float64() >= r.File.Clients.Leave {
+		return nil
+	}
+	// Half of them at once, where the relay is still placing them.
+	l := &leaving{how: leaveMode(rng.IntN(int(leaveModes)))}
+	if rng.IntN(2) == 0 {
+		l.after = time.Duration(rng.Float64() * float64(patience) / 2)
+	}
+	return l
+}
+
+// leave goes as drawn, unless an answer comes first. It returns true if nothing more is read.
+func (f *flow) leave(c net.Conn) (gone bool) {
+	wait := time.NewTimer(f.leaves.after)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case line, ok := <-f.lines:
+		if ok {
+			f.with(func(at time.Duration) { f.judge.Answered(at, f.id, line) })
+		}
+		return true // its flow, if it has one, ends here
+	}
+	tcp := c.(*net.TCPConn)
+	switch f.leaves.how {
+	case leaveByReset:
+		tcp.SetLinger(0)
+		tcp.Close()
+	case leaveByClose:
+		tcp.Close()
+	case leaveByHalfClose:
+		tcp.CloseWrite()
+	}
+	reads := f.leaves.how == leaveByHalfClose
+	f.with(func(at time.Duration) { f.judge.Left(at, f.id, reads) })
+	return !reads
+}
+
+// effectOf is what the judge is told of a class.
+func effectOf(class policy.Class) rehearsal.Effect {
+	switch class.Effect {
+	case policy.Unsafe:
+		return rehearsal.Effect{Kind: rehearsal.Unsafe}
+	case policy.Keyed:
+		return rehearsal.Effect{Kind: rehearsal.Keyed, Window: class.Window}
+	}
+	return rehearsal.Effect{}
+}
--- a/internal/rehearse/false_test.go
+++ b/internal/rehearse/false_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -92,6 +93,9 @@
 	}
 }
 
+// often is the scripts that break their rule only under conditions of the rehearsal's.
+var often = map[string]bool{"cold": true, "draining": true, "sent late": true, "deaf": true, "ends at once": true}
+
 var brokeOnce atomic.Bool
 
 func serveFalsely(client net.Conn, script string, pick func(string) string) {
@@ -106,7 +110,7 @@
 		return
 	}
 	at := pick("SERVING")
-	if script != "cold" && script != "draining" && brokeOnce.Swap(true) {
+	if !often[script] && brokeOnce.Swap(true) {
 		script = "" // once is enough
 	}
 	switch script {
@@ -114,14 +118,40 @@
 		io.WriteString(client, "BUSY 9000\r\nBUSY 9000\r\n")
 		return
 	case "no answer":
-		io.Copy(io.Discard, in)
+		carry(io.Discard, in)
 		return
 	case "false answer":
 		io.WriteString(client, "UP s0/0000000000000000\r\n")
-		io.Copy(io.Discard, in)
+		carry(io.Discard, in)
 		return
 	case "crash":
 		os.Exit(1)
+	case "sent late": // whatever its client does meanwhile
+		time.Sleep(time.Second)
+	case "leaks":
+		for range 40 {
+			syscall.Open(os.DevNull, syscall.O_RDONLY, 0)
+		}
+	case "repeats", "false hope":
+		for range 2 {
+			if other, err := net.Dial("tcp", at); err == nil {
+				io.WriteString(other, line)
+				bufio.NewReader(other).ReadString('\n')
+				other.Close()
+				time.Sleep(100 * time.Millisecond) // the member has seen the end of it
+			}
+			if script == "false hope" {
+				io.WriteString(client, "BUSY 9000\r\n")
+				return
+			}
+		}
+		io.WriteString(client, "ERR\r\n")
+		return
+	case "deaf": // who ends its sending is taken to have gone
+		if _, err := in.ReadByte(); err == nil {
+			return
+		}
+		return
 	case "draining":
 		if drains := pick("DRAINING"); drains != "" {
 			at = drains
@@ -161,11 +191,16 @@
 		time.Sleep(10 * time.Second) // the member's side stays
 		return
 	case "waiting":
-		io.Copy(io.Discard, in)
+		carry(io.Discard, in)
 		return
 	}
-	go func() { io.Copy(member, in); member.(*net.TCPConn).CloseWrite() }()
-	io.Copy(client, out)
+	go func() { carry(member, in); member.(*net.TCPConn).CloseWrite() }()
+	carry(client, out)
+}
+
+// carry copies without the system's splice, for which the runtime keeps pipes that would be taken for a leak.
+func carry(to io.Writer, from io.Reader) {
+	io.Copy(struct{ io.Writer }{to}, struct{ io.Reader }{from})
 }
 
 // TestFalseRelays: the judge catches each rule that a scripted relay breaks, and nothing else; the relay that breaks none is
@@ -187,6 +222,8 @@
 		"honest": "", "two answers": rehearsal.TwoAnswers, "no answer": rehearsal.NoAnswer, "false answer": rehearsal.FalseAnswer,
 		"two out": rehearsal.TwoOut, "too many": rehearsal.TooMany, "draining": rehearsal.Draining, "cold": rehearsal.Overdriven,
 		"cut off": rehearsal.CutOff, "waiting": rehearsal.LeftWaiting, "crash": rehearsal.Crash,
+		"sent late": rehearsal.SentForGone, "repeats": rehearsal.Repeated, "false hope": rehearsal.FalseHope, "leaks": rehearsal.Leaking,
+		"deaf": rehearsal.NoAnswer, "ends at once": rehearsal.CutOff,
 	} {
 		t.Run(script, func(t *testing.T) {
 			t.Parallel()
@@ -194,13 +231,21 @@
 			if script == "cold" {
 				step = `{"at_ms":1500,"do":"replace","who":["s0"]}`
 			}
-			if script == "waiting" {
+			effect, leave := "read_like", 0.0
+			switch script {
+			case "waiting":
 				seconds = 12
+			case "sent late", "deaf":
+				leave = 1
+			case "repeats", "false hope":
+				effect = "non_idempotent"
+			case "ends at once":
+				step = `{"at_ms":3000,"do":"term","who":["n0"]}`
 			}
-			f, err := rehearsal.Decode(fmt.Appendf(nil, `{"config":"config.json","change":{"script":%q},"seed":3,"seconds":%d,"from_ms":1000,
+			f, err := rehearsal.Decode(fmt.Appendf(nil, `{"config":"config.json","settle":true,"change":{"script":%q,"settings":{"classes":[{"name":"pay","aim-ms":500,"deadline-ms":2500,"worth":1,"effect":%q,"key-scope":"all"}]}},"seed":3,"seconds":%d,"from_ms":1000,
 			 "relays":{"count":1},"members":{"count":3,"cores":[1,1],"open_ms":40,"leave_ms":3000},"front":{"ping_ms":200},
-			 "clients":{"standing":5,"per_second":%d,"stay_ms":20000,"load":[0.001,0.001],"line_ms":200},"faults":[%s]}`,
-				script, seconds, map[bool]int{true: 24, false: 6}[script == "cold"], step))
+			 "clients":{"standing":5,"per_second":%d,"stay_ms":20000,"load":[0.001,0.001],"line_ms":200,"leave":%g},"faults":[%s]}`,
+				script, effect, seconds, map[bool]int{true: 24, false: 6}[script == "cold"], leave, step))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -216,6 +261,9 @@
 			if rule != "" && broken[rule] == 0 || len(broken) > 1 || rule == "" && len(broken) > 0 {
 				t.Errorf("found %v, want %q\n%v", broken, rule, x.Broken)
 			}
+			if rule == rehearsal.CutOff && script == "ends at once" && broken[rule] < 3 {
+				t.Errorf("%d clients cut off as the relay ended at once", broken[rule])
+			}
 			if rule == "" && x.Service < 0.5 {
 				t.Errorf("%.2f well served; answers %v", x.Service, x.Answers)
 			}
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -133,6 +135,9 @@
 		n.signal(syscall.SIGSTOP, false)
 	case "continue":
 		n.signal(syscall.SIGCONT, false)
+		if s.Fault >= 0 && r.File.Faults[s.Fault].Do == "pause" {
+			return
+		}
 		r.with(func(at time.Duration) {
 			r.judge.Calm(at+awakens, n.name)
 			r.views.back(at, n.name)
@@ -149,15 +154,18 @@
 			return
 		}
 		n.signal(syscall.SIGHUP, false)
+	case "pause": // too short to excuse anything
+		n.signal(syscall.SIGSTOP, false)
+	case "crowd":
+		r.crowd(n, s.Idle)
+	case "disperse":
+		r.disperse(n)
+	case "trouble", "calm":
+		if err := n.trouble(s.Body); err != nil {
+			r.Say("%s has no trouble: %v\n", n.name, err)
+		}
 	case "term":
-		n.remember()
-		n.signal(syscall.SIGTERM, true)
-		go func() {
-			time.Sleep(frontLearns)
-			r.front.out(n.name)
-			<-n.done
-			r.down(n)
-		}()
+		r.terminate(n, s.Also)
 	case "start":
 		go func() { // an end that takes its time comes first
 			<-n.done
@@ -169,6 +177,90 @@
 	}
 }
 
+// series is what comes with a SIGTERM of a series, in its order, and how far apart.
+var series = []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP}
+
+const seriesEvery = 50 * time.Millisecond
+
+// terminate tells a relay to end, and kills it when the page allows that at the earliest. Nothing is excused for it: the
+// judge holds it to an answer for all that it has taken, and to MOVE before each end.
+func (r *run) terminate(n *relay, also bool) {
+	n.remember()
+	n.signal(syscall.SIGTERM, true)
+	kill := time.AfterFunc(r.killAfter(), func() { n.signal(syscall.SIGKILL, true) })
+	go func() {
+		if also {
+			for _, s := range series {
+				time.Sleep(seriesEvery)
+				n.signal(s, true)
+			}
+		}
+	}()
+	go func() {
+		time.Sleep(frontLearns)
+		r.front.out(n.name)
+		<-n.done
+		kill.Stop()
+		r.with(func(at time.Duration) { r.views.gone(at, n.name) })
+	}()
+}
+
+const (
+	// longestCounted is the most that clients' deadlines count in when SIGKILL may come, and killReserve what is added.
+	longestCounted = 3 * time.Second
+	killReserve    = 700 * time.Millisecond
+)
+
+// killAfter is how long after SIGTERM SIGKILL comes at the earliest.
+func (r *run) killAfter() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range r.set.Policy().Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, longestCounted) + killReserve
+}
+
+// crowd has idle clients come to a relay that say nothing and stay.
+func (r *run) crowd(n *relay, many int) {
+	r.with(func(at time.Duration) { r.judge.Crowd(at, n.name) })
+	go func() {
+		for range many {
+			c, err := net.DialTimeout("tcp", n.listen, time.Second)
+			if err != nil {
+				return
+			}
+			n.idlers.add(c)
+		}
+	}()
+}
+
+// disperse ends them.
+func (r *run) disperse(n *relay) {
+	n.idlers.closeAll()
+	r.with(func(at time.Duration) { r.judge.Disperse(at+awakens, n.name) })
+}
+
+// idlers are connections that say nothing. Once closed, no more is taken in until the next crowd.
+type idlers struct {
+	mu  sync.Mutex
+	all []net.Conn
+}
+
+func (i *idlers) add(c net.Conn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.all = append(i.all, c)
+}
+
+func (i *idlers) closeAll() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, c := range i.all {
+		c.Close()
+	}
+	i.all = nil
+}
+
 // again starts the next process of a relay that has ended, unless the play is over.
 func (n *relay) again() {
 	n.with(func(at time.Duration) {
--- a/internal/rehearse/relay.go
+++ b/internal/rehearse/relay.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"dahliarudder/internal/atomicfile"
 	"dahliarudder/internal/rehearsal"
 	"dahliarudder/internal/rollout"
 )
@@ -31,6 +32,12 @@
 	record, calls                      string            // of the fleet
 	reach                              map[string]string // the voters, by name
 
+	idlers   idlers
+	troubles int
+	readied  int           // the last of its starts that was ready
+	began    time.Duration // when its process started
+	held     int           // descriptors, when it was ready for the first time
+
 	cmd    *exec.Cmd
 	done   chan struct{}
 	how    string // it ended
@@ -127,7 +134,8 @@
 	}
 	cmd := exec.Command(n.program, "serve", "--config", filepath.Join(n.dir, "config.json"))
 	cmd.Stderr, cmd.Stdout, cmd.Dir = log, log, state
-	cmd.Env = append(os.Environ(), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "EDGE_CONFIG=", "EDGE_OPERATOR=", "TMPDIR="+state)
+	cmd.Env = append(os.Environ(), "EDGE_NAME=", "EDGE_LISTEN=", "EDGE_DISCOVERY=", "EDGE_CONFIG=", "EDGE_OPERATOR=", "TMPDIR="+state,
+		"RELAY_TROUBLE="+filepath.Join(n.dir, "trouble")) // read by test programs that start themselves as the relay
 	// A group of its own: Ctrl-C is for the rehearsal, which ends them itself; and they never outlive it.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -137,6 +145,7 @@
 	n.mu.Lock()
 	n.cmd, n.done, n.how, n.wanted = cmd, done, "", false
 	n.starts++
+	n.began = n.now()
 	n.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
@@ -222,6 +231,32 @@
 	return os.WriteFile(path, text, 0o600)
 }
 
+// trouble has a test program's wall clock be off and its system calls fail as the text says; nothing ends that.
+func (n *relay) trouble(text json.RawMessage) error {
+	n.troubles++
+	t := map[string]any{}
+	if len(text) > 0 {
+		if err := json.Unmarshal(text, &t); err != nil {
+			return err
+		}
+	}
+	t["number"] = n.troubles
+	whole, err := json.Marshal(t)
+	if err != nil {
+		return err
+	}
+	return atomicfile.Write(filepath.Join(n.dir, "trouble"), whole)
+}
+
+// descriptors is how many its process holds.
+func (n *relay) descriptors() int {
+	n.mu.Lock()
+	pid := n.cmd.Process.Pid
+	n.mu.Unlock()
+	all, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	return len(all)
+}
+
 // look reads what the process has used so far and what it has sent to others.
 func (n *relay) look() (cpu, memory float64, bytes int) {
 	n.mu.Lock()
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -198,6 +198,9 @@
 	x.began = time.Now() // the time line begins when all are ready
 	x.mu.Unlock()
 	x.play(ctx)
+	if x.File.Settle && ctx.Err() == nil {
+		x.settle(ctx)
+	}
 	out := x.result(v, repetition)
 	if ctx.Err() != nil {
 		out.Invalid = "it was cut short"
@@ -339,7 +342,7 @@
 		delete(open, a.From)
 		mu.Unlock()
 		if was {
-			r.with(func(at time.Duration) { r.judge.Over(at, a.ID, m.name, a.Load, itself) })
+			r.with(func(at time.Duration) { r.judge.Over(at, a.ID, m.name, a.Load, itself, a.Turned) })
 		}
 	}
 	m.Made = func(a standin.Attempt, up string) { r.with(func(time.Duration) { r.judge.Made(a.ID, up) }) }
@@ -431,6 +434,9 @@
 			}
 		}
 		if in == len(r.relays) {
+			for _, n := range r.relays {
+				n.held = n.descriptors()
+			}
 			return nil
 		}
 		if time.Now().After(end) || ctx.Err() != nil {
@@ -484,6 +490,34 @@
 	})
 }
 
+const (
+	// settleWithin is how long relays have to give back what their clients used: connections that probes keep end after the
+	// settings' keepalive, and ended ones linger for a second.
+	settleWithin = 12 * time.Second
+	// settleLeast are the descriptors that the judge allows beyond those held at first: a call to discovery and one beside it,
+	// which may be under way at any time, and what the runtime opens.
+	settleLeast = 6
+)
+
+// settle holds what relays still hold, once all clients have gone, against what they held before any came.
+func (r *run) settle(ctx context.Context) {
+	set := struct {
+		Memory float64 `json:"memory_mb"`
+	}{}
+	json.Unmarshal(r.config["limits"], &set)
+	for _, n := range r.relays {
+		if n.ended() != "" {
+			continue
+		}
+		for end := time.Now().Add(settleWithin); n.descriptors() > n.held+settleLeast && time.Now().Before(end); {
+			sleep(ctx, 20*time.Millisecond)
+		}
+		held := n.descriptors()
+		_, memory, _ := n.look()
+		r.with(func(at time.Duration) { r.judge.Kept(at, n.name, held, n.held+settleLeast, memory, set.Memory) })
+	}
+}
+
 // progress says each second how it stands.
 func (r *run) progress(ctx context.Context) {
 	for sleep(ctx, time.Second) {
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -52,6 +52,7 @@
 	Group      string
 	Load       float64
 	Work       time.Duration // of the new connection
+	Turned     bool          // at its end: it was turned away, and has not run
 }
 
 // Member is the stand-in for a pool member that speaks the platform's protocol. Its fields are set before it is opened.
@@ -364,6 +365,7 @@
 	}
 	switch mode {
 	case ModeBusy:
+		f.Turned = true
 		over()
 		fmt.Fprint(c, "BUSY inflight=9\r\n")
 		return
@@ -379,6 +381,7 @@
 		return
 	}
 	if !m.take(c, f) {
+		f.Turned = true
 		over()
 		fmt.Fprint(c, "BUSY\r\n")
 		return
