Failing test: advice to rejected clients; test: restarted relays are ready in time

Seen by reading: a stop, a request with no time left and the store's trouble tell 500 ms whatever max-retry-after-ms says, and retry-after is not read at all. TestReadyInTime (discovery down, slow, mute, gone; state that cannot be read; ten relays each) holds.

--- /dev/null
+++ b/integration/ready_test.go
@@ -0,0 +1,60 @@
+package integration
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// readyMost is within which nine in ten restarted relays have to be ready.
+const readyMost = 10 * time.Second
+
+// TestReadyInTime: relays that come back while discovery is down, slow, crowded or says nothing, or while what was kept cannot
+// be read, are ready in time, all of them, by the list that they last held; and they serve.
+func TestReadyInTime(t *testing.T) {
+	t.Parallel()
+	for what, trouble := range map[string]func(t *testing.T, d *discovery, dir string){
+		"down":  func(_ *testing.T, d *discovery, _ string) { d.SetDown(true) },
+		"slow":  func(_ *testing.T, d *discovery, _ string) { d.SetLate(2 * time.Second) },
+		"mute":  func(_ *testing.T, d *discovery, _ string) { d.SetLate(time.Hour) },
+		"gone":  func(_ *testing.T, d *discovery, _ string) { d.Close() },
+		"state": func(t *testing.T, _ *discovery, dir string) { write(t, filepath.Join(dir, "snapshot"), "half of one") },
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			const relays = 10
+			b := newBackend(t, "s-00000001", nil)
+			d := newDiscovery(t, b.member())
+			dir := filepath.Join(t.TempDir(), "state")
+			if err := os.Mkdir(dir, 0o700); err != nil {
+				t.Fatal(err)
+			}
+			var all []*relay
+			trouble(t, d, dir)
+			began := time.Now()
+			for n := range relays {
+				more := map[string]any{"name": fmt.Sprint("n", n)}
+				if what == "state" {
+					more["state"] = map[string]any{"dir": dir}
+				}
+				all = append(all, launch(t, configure(t, d, more)))
+			}
+			slow := 0
+			for n, r := range all {
+				r.serves(1)
+				c := r.dial()
+				c.say("PING")
+				c.want("PONG")
+				if took := time.Since(began); took > readyMost {
+					slow++
+				}
+				r.open(n, "").want("UP ")
+			}
+			if slow > relays/10 {
+				t.Errorf("%d of %d relays took over %v", slow, relays, readyMost)
+			}
+		})
+	}
+}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -39,6 +39,7 @@
 	moved   int
 	wait    time.Duration
 	to      string
+	after   time.Duration // as it was rejected
 }
 
 func (s *side) Send(id ID, to *Member, try int, wait time.Duration) {
@@ -50,10 +51,13 @@
 		s.r.t.Errorf("send: try %d, %d out, answers %v, wait %v", try, s.out, s.answers, wait)
 	}
 }
-func (s *side) Cancel(int)           { s.out-- }
-func (s *side) Reject(time.Duration) { s.final("rejected") }
-func (s *side) Fail()                { s.final("failed") }
-func (s *side) Move()                { s.moved++; s.out-- }
+func (s *side) Cancel(int) { s.out-- }
+func (s *side) Reject(after time.Duration) {
+	s.after = after
+	s.final("rejected")
+}
+func (s *side) Fail() { s.final("failed") }
+func (s *side) Move() { s.moved++; s.out-- }
 func (s *side) final(answer string) {
 	if s.answers = append(s.answers, answer); len(s.answers) > 1 || s.out > 0 {
 		s.r.t.Errorf("answers %v with %d attempts out", s.answers, s.out)
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -453,3 +453,32 @@
 		}
 	}
 }
+
+// TestAdvice: whoever rejects, for whatever cause, tells the client to come again after no longer than clients heed, and
+// tells it nothing where the settings say that clients get no advice.
+func TestAdvice(t *testing.T) {
+	for limits, most := range map[string]time.Duration{
+		`"max-attempts":3,"retry-after":true,"max-retry-after-ms":200`:   200 * time.Millisecond,
+		`"max-attempts":3,"max-retry-after-ms":200`:                      200 * time.Millisecond,
+		`"max-attempts":3,"retry-after":false,"max-retry-after-ms":2000`: 0,
+	} {
+		text := strings.Replace(classesText, `"max-attempts":3`, limits, 1)
+		for what, reject := range map[string]func(r *rig) *side{
+			"no room":      func(r *rig) *side { s := r.bring(safeClass, 2*time.Second); r.pass(2 * time.Second); return s },
+			"no time":      func(r *rig) *side { return r.bring(safeClass, 0) },
+			"a stop":       func(r *rig) *side { r.Stop(); return r.bring(safeClass, 2*time.Second) },
+			"a stop's end": func(r *rig) *side { s := r.bring(safeClass, 2*time.Second); r.Stop(); r.Finish(); return s },
+			"the ledger":   func(r *rig) *side { r.shut = true; return r.bring(safeClass, 2*time.Second) },
+		} {
+			r := newRigOf(t, text, list(2, policy.Draining))
+			s := reject(r)
+			if s.got() != "rejected" || s.after > most || s.after < 0 {
+				t.Errorf("%s, %s: %s, after %v, at most %v", limits, what, s.got(), s.after, most)
+			}
+		}
+		r := newRigOf(t, text, nil)
+		if after := r.Advice(time.Hour); after > most {
+			t.Errorf("%s: advice for fronts of %v, at most %v", limits, after, most)
+		}
+	}
+}
