--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -254,7 +255,7 @@
 func (f *Feed) Cancel(int) { f.back(policy.Cancelled, f.carrier.Cut()) }
 
 // Reject has the feed ask again. What has no time left until then is answered at once.
-func (f *Feed) Reject(after time.Duration) { f.pause(after) }
+func (f *Feed) Reject(after time.Duration) { f.pause(cmp.Or(after, feedAgain)) }
 
 // Fail does the same.
 func (f *Feed) Fail() { f.pause(feedAgain) }
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -247,6 +247,3 @@
 	}
 	c.facade.Recall(now, l.Policy)
 }
-
-// Advice is how soon a rejected client is told to come again.
-func (c *Core) Advice(after time.Duration) time.Duration { return after }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -213,6 +213,15 @@
 	}
 }
 
+// Advice is how soon a rejected client is told to come again that should do so after some time: no later than clients
+// heed, and 0, which is no advice, where the settings have none.
+func (c *Core) Advice(after time.Duration) time.Duration {
+	if advised := c.Settings.Limits.RetryAfter; advised != nil && !*advised {
+		return 0
+	}
+	return min(after, c.set.MaxRetryAfter)
+}
+
 // answer rejects or fails a request, once. What is out of it is abandoned.
 func (c *Core) answer(r *request, a Answer, after time.Duration) {
 	was := r.state
@@ -222,6 +231,7 @@
 	c.abandon(r, was)
 	c.record(r, a)
 	if a == Rejected {
+		after = c.Advice(after)
 		c.Counts.Away += after
 		r.v.Reject(after)
 	} else {
--- a/internal/front/line/client.go
+++ b/internal/front/line/client.go
@@ -178,7 +178,7 @@
 	v.c.Spare(nil)
 	v.f.ids[v.open.id] = v
 	if v.f.Loop.Short() {
-		v.Reject(crowdAfter)
+		v.Reject(v.f.Core.Advice(crowdAfter))
 		return
 	}
 	v.id = v.f.Core.Open(v.open.request, v)
--- a/internal/front/line/line.go
+++ b/internal/front/line/line.go
@@ -76,7 +76,7 @@
 // Leave ends the connections on which nothing was asked yet. BUSY answers who asks in that very moment.
 func (f *Front) Leave() {
 	for v := range f.fresh {
-		v.retryAfter = crowdAfter
+		v.retryAfter = f.Core.Advice(crowdAfter)
 		v.on(clientStopped)
 	}
 }
--- /dev/null
+++ b/internal/front/line/quiet_test.go
@@ -0,0 +1,58 @@
+package line
+
+import (
+	"testing"
+	"time"
+
+	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
+)
+
+// TestLongQuiet: after hours in which nothing happened the first request is served by its first attempt; trouble that
+// begins then is met as at any time: a member that drains gets nothing, a silent one is left in time, a client that goes is
+// heard.
+func TestLongQuiet(t *testing.T) {
+	for _, quiet := range []time.Duration{time.Hour, 30 * 24 * time.Hour} {
+		g := newRig(t, 2)
+		for range 100 {
+			g.Pass(quiet / 100)
+		}
+		c, at, m := g.flowAnywhere()
+		c.Say("a line\r\n")
+		m.Lines("a line")
+		for range 7 * 4 { // nothing comes back
+			g.Pass(sweepEvery)
+		}
+		c.Lines("MOVE")
+		c.WantEnd()
+		for range 100 {
+			g.Pass(quiet / 100)
+		}
+		g.list(at, policy.Draining)
+		before := g.Core.Counts.Attempts
+		c = g.ask(firstLine)
+		other, m := g.anyAttempt()
+		if other == at {
+			t.Errorf("%v: an attempt at a member that drains", quiet)
+		}
+		c.Finish()
+		c.Lines("BUSY")
+		c.WantEnd()
+		m.WantReset()
+		g.unsent()
+		g.clean()
+		if g.Core.Counts.Attempts != before+1 {
+			t.Errorf("%v: %d attempts, %d before", quiet, g.Core.Counts.Attempts, before)
+		}
+	}
+}
+
+// flowAnywhere is a client whose flow is open, and its member.
+func (g *rig) flowAnywhere() (c *looptest.Peer, at int, m *looptest.Peer) {
+	g.T.Helper()
+	c = g.ask(firstLine)
+	at, m = g.anyAttempt()
+	m.Say("UP x\r\n")
+	c.Lines("UP x")
+	return c, at, m
+}
--- a/internal/netloop/bytes_test.go
+++ b/internal/netloop/bytes_test.go
@@ -97,3 +97,32 @@
 		t.Errorf("%d of 20 timers", fired)
 	}
 }
+
+// TestNoDelay: small writes leave at once on every kind of connection: one the system still held back would go with a reset.
+func TestNoDelay(t *testing.T) {
+	calls := netloop.Kernel()
+	set := map[int]bool{} // descriptors
+	calls.SetsockoptInt = func(fd, level, option, value int) error {
+		if level == unix.IPPROTO_TCP && option == unix.TCP_NODELAY && value == 1 {
+			set[fd] = true
+		}
+		return unix.SetsockoptInt(fd, level, option, value)
+	}
+	b := looptest.NewFaulty(t, 16, calls)
+	wants := func(what string, n int) {
+		t.Helper()
+		if len(set) != n {
+			t.Errorf("%s: held back on all but %d connections, want %d", what, len(set), n)
+		}
+		clear(set)
+	}
+	e, _ := pair(b)
+	wants("accepted", 1)
+	fd, _ := e.c.Detach()
+	b.Turn()
+	b.Loop.Attach(fd, nil, e)
+	wants("attached", 1)
+	s := b.Listen()
+	b.Loop.Dial(s.Addr(), moment, &end{})
+	wants("dialled", 1)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,7 @@
 		Keepalive      float64 `json:"keepalive-ms"`
 		MaxAttempts    int     `json:"max-attempts"`
 		MaxRetryAfter  float64 `json:"max-retry-after-ms"`
+		RetryAfter     *bool   `json:"retry-after"` // whether clients get advice; absent: they do
 		Probes         bool    `json:"probes"`
 	} `json:"limits"`
 	Prices struct {
