--- a/internal/rehearsal/file.go
+++ b/internal/rehearsal/file.go
@@ -222,8 +222,8 @@
 		v        float64
 		low, top float64
 	}{
-		{"seconds", f.Seconds, 1, 3600}, {"from_ms", f.From, 0, f.Seconds * 1000}, {"relays.count", float64(f.Relays.Count), 1, 300},
-		{"members.count", float64(f.Members.Count), 1, 300}, {"relays.views_ms", f.Relays.Views, 0, 1e5}, {"relays.host_ms", f.Relays.Host, 0, 1e5}, {"relays.voters", float64(f.Relays.Voters), 1, 5}, {"members.cores", f.Members.Cores[0], 0.01, f.Members.Cores[1]},
+		{"seconds", f.Seconds, 1, 3600}, {"from_ms", f.From, 0, f.Seconds * 1000}, {"relays.count", float64(f.Relays.Count), 1, 900},
+		{"members.count", float64(f.Members.Count), 1, 3200}, {"relays.views_ms", f.Relays.Views, 0, 1e5}, {"relays.host_ms", f.Relays.Host, 0, 1e5}, {"relays.voters", float64(f.Relays.Voters), 1, 5}, {"members.cores", f.Members.Cores[0], 0.01, f.Members.Cores[1]},
 		{"members.most", float64(f.Members.Most), 0, 1e6}, {"members.open_ms", f.Members.Open, 0, 1e4}, {"members.group_ms", f.Members.Group, 0, 1e4},
 		{"members.report_ms", f.Members.Report, 0, 1e5}, {"members.rough", f.Members.Rough, 0, 0.9}, {"members.leave_ms", f.Members.Leave, 0, 1e6},
 		{"discovery.lag_ms", f.Discovery.Lag, 0, 1e5}, {"front.ping_ms", f.Front.Ping, 10, 1e5}, {"front.notice_ms", f.Front.Notice, 10, 1e5},
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -62,6 +62,10 @@
 	CPU    float64 `json:"cpu_s"`
 	Memory float64 `json:"memory_mb"`
 	Peers  int     `json:"bytes_to_relays"`
+	// Of others: connections made to members, bytes of lists read from discovery; and the most descriptors held.
+	Connections int `json:"connections_made"`
+	ListBytes   int `json:"list_bytes"`
+	Descriptors int `json:"descriptors_most"`
 }
 
 // Peers is how relays saw each other, where they do.
@@ -83,7 +87,8 @@
 	x := &Result{Variant: v.Name, Play: repetition, Seed: r.plan.Seed, SetUp: map[string]float64{}, Late: map[string]float64{}, Broken: []rehearsal.Break{}}
 	for _, n := range r.relays {
 		cpu, memory, bytes := n.look()
-		x.Relays = append(x.Relays, Relay{n.name, n.starts, cpu, memory, n.bytes + bytes})
+		x.Relays = append(x.Relays, Relay{Name: n.name, Starts: n.starts, CPU: cpu, Memory: memory, Peers: n.bytes + bytes,
+			Connections: r.used[n.name].connections, ListBytes: r.used[n.name].listBytes, Descriptors: r.used[n.name].descriptors})
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -60,12 +60,16 @@
 	fresh   map[string]*rehearsal.Peak // new connections of each member, as part of what it can take
 	out     outs
 	answers map[string]int
-	tries   int // of all sessions
-	most    int // of one
+	used    map[string]*usage // by relay
+	tries   int               // of all sessions
+	most    int               // of one
 	open    int
 	closing bool
 }
 
+// usage is what a relay has used of others, and the most descriptors that it was seen to hold.
+type usage struct{ connections, listBytes, descriptors int }
+
 // way is one link, which all connections of a pair pass that the file breaks.
 type way struct {
 	there, back standin.Rough
@@ -170,7 +174,7 @@
 	own.File = r.File.For(v)
 	x := &run{Rehearsal: &own, set: set, config: config, program: r.Program, plan: rehearsal.Draw(own.File, site(set), seed),
 		dir:   filepath.Join(r.Work, fmt.Sprintf("%s-%d", strings.Map(plain, v.Name), repetition)),
-		given: map[string]bool{}, led: map[int]string{}, members: map[string]*member{}, ways: map[[2]string]*way{}, fresh: map[string]*rehearsal.Peak{}, answers: map[string]int{},
+		given: map[string]bool{}, led: map[int]string{}, members: map[string]*member{}, ways: map[[2]string]*way{}, fresh: map[string]*rehearsal.Peak{}, answers: map[string]int{}, used: map[string]*usage{},
 		setUp: hdrhistogram.New(1, 600e6, 3), late: hdrhistogram.New(1, 600e6, 3),
 		lists: &rehearsal.Peak{Over: 100 * time.Millisecond}, probes: &rehearsal.Peak{Over: time.Second}}
 	if v.Program != "" {
@@ -233,7 +237,7 @@
 			}
 			*at = addr
 		}
-		r.relays = append(r.relays, n)
+		r.relays, r.used[n.name] = append(r.relays, n), &usage{}
 	}
 	var list []standin.Entry
 	for i := range r.File.Members.Count {
@@ -247,6 +251,7 @@
 	r.disc.SetLag(rehearsal.Millis(r.File.Discovery.Lag))
 	r.disc.Called = func(string) { r.with(func(at time.Duration) { r.lists.Add(at, 1) }) }
 	r.disc.Told = r.told
+	r.disc.Wrote = func(relay string, bytes int) { r.with(func(time.Duration) { r.used[relay].listBytes += bytes }) }
 	r.front = &front{run: r, reach: map[string]string{}, heard: map[string]time.Time{}, in: map[string]bool{}}
 	if _, on := r.config["fleet"]; on {
 		for _, n := range r.relays {
@@ -347,6 +352,7 @@
 	}
 	m.Made = func(a standin.Attempt, up string) { r.with(func(time.Duration) { r.judge.Made(a.ID, up) }) }
 	m.Ended = over
+	m.Joined = func(via string) { r.with(func(time.Duration) { r.used[via].connections++ }) }
 	m.Probed = func() { r.with(func(at time.Duration) { r.probes.Add(at, 1) }) }
 	for _, n := range r.relays {
 		addr, err := m.Open(n.name)
@@ -521,6 +527,10 @@
 // progress says each second how it stands.
 func (r *run) progress(ctx context.Context) {
 	for sleep(ctx, time.Second) {
+		for _, n := range r.relays {
+			held := n.descriptors()
+			r.with(func(time.Duration) { r.used[n.name].descriptors = max(r.used[n.name].descriptors, held) })
+		}
 		r.with(func(at time.Duration) {
 			asked, _ := r.service.At()
 			if i := int(at/time.Second) - 1; i >= 0 && i < len(asked) {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -35,6 +35,8 @@
 type Discovery struct {
 	// Told is called, if set, with each list that a reader has been written.
 	Told func(reader string, entries []Entry)
+	// Wrote is called, if set, with how many bytes of a list a reader has been written.
+	Wrote func(reader string, bytes int)
 	// Called is called, if set, at the start of each call.
 	Called func(reader string)
 
@@ -210,7 +212,18 @@
 		return
 	}
 	list := d.list(since, where)
-	if json.NewEncoder(w).Encode(list) == nil && d.Told != nil {
+	text, err := json.Marshal(list)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if _, err := w.Write(append(text, '\n')); err != nil {
+		return
+	}
+	if d.Wrote != nil {
+		d.Wrote(reader, len(text))
+	}
+	if d.Told != nil {
 		d.Told(reader, list.Instances)
 	}
 }
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -65,6 +65,7 @@
 	Ended   func(a Attempt, itself bool) // called at its end; itself: the member ended it
 	Flaw    Flaw                         // of its build
 	Probed  func()                       // called with each probe
+	Joined  func(via string)             // called with each connection
 
 	mu      sync.Mutex
 	doors   []*door
@@ -277,6 +278,9 @@
 var openLine = regexp.MustCompile(`^OPEN [0-9a-f]{16} [0-9a-f]{16} \S+$`)
 
 func (m *Member) serve(c net.Conn, via string) {
+	if m.Joined != nil {
+		m.Joined(via)
+	}
 	m.mu.Lock()
 	m.all[c] = true
 	m.mu.Unlock()
