Tests: the longest line, a changed address, and what a plain relay opens

TestLineBound names the protocol's 4,096 bytes, where TestLimit went by the code's own constant; TestPlain reads the process's sockets, children and files from the system.

--- /dev/null
+++ b/integration/plain_test.go
@@ -0,0 +1,60 @@
+package integration
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestPlain: a relay with a plain configuration is one process that listens where clients come and nowhere else, by TCP
+// alone, and writes no file.
+func TestPlain(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, "s-00000001", nil)
+	d := newDiscovery(t, b.member())
+	r := start(t, configure(t, d, nil), 1)
+	until(t, "the first watch", func() bool { return d.Calls() > 1 })
+	r.open(1, "").want("UP ")
+	pid := r.cmd.Process.Pid
+	own := map[string]bool{} // sockets, by inode
+	paths, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	for _, path := range paths {
+		if to, err := os.Readlink(path); err == nil {
+			own[strings.Trim(strings.TrimPrefix(to, "socket:"), "[]")] = true
+		}
+	}
+	const listening = "0A"
+	listeners := 0
+	for _, table := range []string{"tcp", "tcp6", "udp", "udp6", "unix"} {
+		text, err := os.ReadFile("/proc/net/" + table)
+		if err != nil {
+			continue // this system has none
+		}
+		for _, line := range strings.Split(string(text), "\n") {
+			fields := strings.Fields(line)
+			switch inode := 9; {
+			case len(fields) < 10 && table != "unix" || len(fields) < 7:
+			case table == "unix" && own[fields[6]]:
+				t.Errorf("a Unix socket: %s", line)
+			case table == "unix":
+			case table != "tcp" && own[fields[inode]]:
+				t.Errorf("a socket of %s: %s", table, line)
+			case own[fields[inode]] && fields[3] == listening:
+				listeners++
+			}
+		}
+	}
+	if listeners != 1 {
+		t.Errorf("%d sockets listen", listeners)
+	}
+	if children, err := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/children", pid, pid)); err == nil && len(strings.TrimSpace(string(children))) > 0 {
+		t.Errorf("children: %s", children)
+	}
+	files, err := os.ReadDir(filepath.Dir(r.path))
+	if err != nil || len(files) != 1 {
+		t.Errorf("files: %v, %v", files, err)
+	}
+	r.stop()
+}
--- a/internal/front/line/first_line_test.go
+++ b/internal/front/line/first_line_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"dahliarudder/internal/netloop/looptest"
+	"dahliarudder/policy"
 )
 
 // TestFirstLineInPieces: a first line that comes byte by byte, in less than the time for it, is one.
@@ -155,3 +157,48 @@
 		})
 	}
 }
+
+// longestLine is the protocol's, its CRLF included.
+const longestLine = 4096
+
+// TestLineBound: a first line of the longest length is a request and goes on whole; one byte more is none.
+func TestLineBound(t *testing.T) {
+	for extra, served := range map[int]bool{0: true, 1: false} {
+		g := newRig(t, 1)
+		c := g.Dial(g.addr)
+		pad := ",x="
+		pad += strings.Repeat("y", longestLine+extra-len(firstLine)-len(pad)-2)
+		c.Say(firstLine + pad + "\r\n")
+		if !served {
+			c.Lines("ERR")
+			c.WantEnd()
+			g.unsent()
+			continue
+		}
+		m := g.servers[0].Accept()
+		if got := m.Line(); !strings.HasSuffix(got, pad) || len(got) > longestLine-2 {
+			t.Errorf("the member got %d bytes", len(got))
+		}
+		m.Say("UP x\r\n")
+		c.Lines("UP x")
+	}
+}
+
+// TestAddressChanges: a member's address that discovery has changed is the one that the next attempt and the next probe go to.
+func TestAddressChanges(t *testing.T) {
+	g := newRig(t, 1)
+	next := g.Listen()
+	g.openFlow()
+	g.Members[0].Addr = next.Addr()
+	g.Core.Pool(policy.ListDelta, g.Members[:1])
+	c := g.ask(firstLineOf(2))
+	m := next.Accept()
+	m.Line()
+	m.Say("UP y\r\n")
+	c.Lines("UP y")
+	g.f.Probe(&g.Members[0])
+	next.Accept().Lines("STATS")
+}
+
+// firstLineOf is firstLine with another id.
+func firstLineOf(n int) string { return strings.Replace(firstLine, "aa ", fmt.Sprintf("%02x ", n), 1) }
