A group's first servers are picked without sorting the fleet

Change: firstOf keeps the first groupReach while it walks the list once; the order, ties too, is as before.

--- a/policy/placement.go
+++ b/policy/placement.go
@@ -75,13 +75,19 @@
 
 // candidates sorts the servers that may be sent to into tiers.
 func (b *Balancer) candidates(now time.Duration, r *request) (tiered [tiers][]*server) {
-	key, grouped := b.affinity(r), b.set.Groups && r.Group != 0
+	key := b.affinity(r)
+	if b.set.Groups && r.Group != 0 { // one slice for all zones, of the first in the order of its key
+		list := b.firstOf(now, r, key)
+		n := min(len(list), groupSlice)
+		tiered[homeHere], tiered[foreignHere] = list[:n:n], list[n:]
+		return tiered
+	}
 	for _, s := range b.servers {
 		if !b.usable(now, r, s) {
 			continue
 		}
 		tier := foreignHere
-		if !grouped && s.Zone != b.set.Zone { // a group has one slice: one in each zone would be paid for there
+		if s.Zone != b.set.Zone {
 			tier = foreignAway
 		}
 		if key == 0 && slices.Contains(b.slices[r.Tenant], s) {
@@ -95,20 +101,45 @@
 	for tier := homeHere; key != 0 && tier < tiers; tier += 2 {
 		list := tiered[tier+foreignHere]
 		for _, s := range list {
-			if s.rank = rendezvous(uint64(s.ID), key, s.Weight); b.set.Groups && s.holds(key) {
-				s.rank = math.Inf(1) // the group is paid for there
-			}
+			s.rank = b.rankOf(s, key)
 		}
 		slices.SortStableFunc(list, func(x, y *server) int { return cmp.Compare(y.rank, x.rank) })
-		if grouped {
-			list = list[:min(len(list), groupReach)]
-		}
 		n := min(len(list), groupSlice)
 		tiered[tier], tiered[tier+foreignHere] = list[:n:n], list[n:]
 	}
 	return tiered
 }
 
+// rankOf is a server's place in the order of a key: the highest comes first.
+func (b *Balancer) rankOf(s *server, key uint64) float64 {
+	if b.set.Groups && s.holds(key) {
+		return math.Inf(1) // the group is paid for there
+	}
+	return rendezvous(uint64(s.ID), key, s.Weight)
+}
+
+// firstOf is the groupReach usable servers that come first in the order of a group's key. No more is sorted:
+// in a large fleet doing so for each request took most of a relay's time.
+func (b *Balancer) firstOf(now time.Duration, r *request, key uint64) []*server {
+	first := make([]*server, 0, groupReach+1)
+	for _, s := range b.servers {
+		if !b.usable(now, r, s) {
+			continue
+		}
+		s.rank = b.rankOf(s, key)
+		if len(first) == groupReach && s.rank <= first[groupReach-1].rank {
+			continue
+		}
+		at := len(first)
+		for at > 0 && first[at-1].rank < s.rank { // behind its equals, which come before it in the list
+			at--
+		}
+		first = slices.Insert(first, at, s)
+		first = first[:min(len(first), groupReach)]
+	}
+	return first
+}
+
 // usable says whether a server may be sent this request at all, room aside.
 func (b *Balancer) usable(now time.Duration, r *request, s *server) bool {
 	return !slices.Contains(r.tried, s.ID) && r.maySendTo(b, now, s) && now >= s.until &&
