Failing test: a keyed class without a window; malformed lines of their own id

A planted fault (an unknown tenant taken for the first) was not seen by TestMalformed: its lines carried the id of a request that was open, which is refused by itself. They have one of their own now; the fault is seen.

--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -482,3 +482,16 @@
 		}
 	}
 }
+
+// TestNoWindow: a class whose repeats are told apart by a key, but for no time that the settings name, is never repeated once it
+// may have run.
+func TestNoWindow(t *testing.T) {
+	for _, window := range []string{`,"window-ms":0`, ``, `,"window-ms":-1`} {
+		r := newRigOf(t, strings.ReplaceAll(classesText, `,"window-ms":900`, window), list(2, policy.Ready))
+		s := r.bring(keyedAll, 2*time.Second)
+		s.ends(policy.Reset)
+		if r.pass(2 * time.Second); s.tries != 1 || s.got() == "" {
+			t.Errorf("%q: %d attempts, answers %v", window, s.tries, s.answers)
+		}
+	}
+}
--- a/internal/front/line/first_line_test.go
+++ b/internal/front/line/first_line_test.go
@@ -90,29 +90,29 @@
 	}
 }
 
-// malformedLines is first lines that are none, by cause.
+// malformedLines is first lines that are none, by cause. Their id is none that is open: that would be a cause by itself.
 var malformedLines = map[string]string{
 	"empty":            "\r\n",
-	"no CR":            firstLine + "\n",
+	"no CR":            firstLineOf(0xac) + "\n",
 	"a word":           "HELLO\r\n",
 	"another protocol": "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
 	"a handshake":      "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\n",
 	"too long":         "OPEN " + strings.Repeat("x", maxLine),
 	"no end":           strings.Repeat("x", 64*maxLine),
-	"a byte":           "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,g=\x00\r\n",
+	"a byte":           "OPEN 00000000000000ac 00000000000000bb c=pay,t=water,g=\x00\r\n",
 	"an id":            "OPEN zz 00000000000000bb c=pay,t=water\r\n",
 	"an id of none":    "OPEN  00000000000000bb c=pay,t=water\r\n",
-	"a key":            "OPEN 00000000000000aa -1 c=pay,t=water\r\n",
-	"a class":          "OPEN 00000000000000aa 00000000000000bb c=none,t=water\r\n",
-	"no class":         "OPEN 00000000000000aa 00000000000000bb t=water\r\n",
-	"a tenant":         "OPEN 00000000000000aa 00000000000000bb c=pay,t=none\r\n",
-	"no tenant":        "OPEN 00000000000000aa 00000000000000bb c=pay\r\n",
-	"a value":          "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,d=soon\r\n",
-	"a wait below 0":   "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,d=-1\r\n",
-	"a pair":           "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,d\r\n",
-	"a pair twice":     "OPEN 00000000000000aa 00000000000000bb c=pay,t=water,c=pay\r\n",
-	"no list":          "OPEN 00000000000000aa 00000000000000bb\r\n",
-	"too many words":   firstLine + " more\r\n",
+	"a key":            "OPEN 00000000000000ac -1 c=pay,t=water\r\n",
+	"a class":          "OPEN 00000000000000ac 00000000000000bb c=none,t=water\r\n",
+	"no class":         "OPEN 00000000000000ac 00000000000000bb t=water\r\n",
+	"a tenant":         "OPEN 00000000000000ac 00000000000000bb c=pay,t=none\r\n",
+	"no tenant":        "OPEN 00000000000000ac 00000000000000bb c=pay\r\n",
+	"a value":          "OPEN 00000000000000ac 00000000000000bb c=pay,t=water,d=soon\r\n",
+	"a wait below 0":   "OPEN 00000000000000ac 00000000000000bb c=pay,t=water,d=-1\r\n",
+	"a pair":           "OPEN 00000000000000ac 00000000000000bb c=pay,t=water,d\r\n",
+	"a pair twice":     "OPEN 00000000000000ac 00000000000000bb c=pay,t=water,c=pay\r\n",
+	"no list":          "OPEN 00000000000000ac 00000000000000bb\r\n",
+	"too many words":   firstLineOf(0xac) + " more\r\n",
 	"PING and more":    "PING x\r\n",
 }
 
