--- a/policy/settings.go
+++ b/policy/settings.go
@@ -30,7 +30,7 @@
 		span(&c.Deadline, 2*time.Second)
 		span(&c.Aim, c.Deadline/4)
 		span(&c.MessageAim, c.Aim)
-		span(&c.Window, c.Deadline)
+		c.Window = max(c.Window, 0) // without one a repeat is never known to be harmless
 		c.Worth = within(c.Worth, 1e-6, 1e9, 1)
 	}
 	s.Tenants = slices.Clone(s.Tenants)
