--- a/internal/rehearse/clients.go
+++ b/internal/rehearse/clients.go
@@ -152,7 +152,10 @@
 			f.patience, f.effect = settings.Span(class.Deadline), effectOf(r.set.Policy().Classes[s.Class])
 			f.leaves = r.leaving(rng, f.patience)
 			how, busy := f.open(ctx)
-			r.with(func(time.Duration) { r.answers[how]++ })
+			r.with(func(at time.Duration) {
+				r.answers[how]++
+				r.used[n.name].answered(at, how == "rejected" || how == "failed")
+			})
 			switch how {
 			case "ended":
 				return
--- a/internal/rehearse/result.go
+++ b/internal/rehearse/result.go
@@ -14,6 +14,12 @@
 	"dahliarudder/internal/rehearsal"
 )
 
+const (
+	// turnedMost is for how long the operators' page lets a relay turn away all that it gets, turnedFew or more.
+	turnedMost = 4 * time.Second
+	turnedFew  = 15
+)
+
 // lateMost is how late one in a hundred of the rehearsal's own acts may be: beyond it, what is measured is the rehearsal.
 const lateMost = 50.0
 
@@ -39,6 +45,8 @@
 	Lists   float64            `json:"list_calls_in_100_ms_most"`
 	Probes  float64            `json:"probes_a_s"`
 	Relays  []Relay            `json:"relays"`
+	// Spell is the longest time for which some relay has turned away all that came to it, turnedFew or more.
+	Spell time.Duration `json:"refusals_on_end_ns"`
 	// Out is how many were out together at most: relays that no front sends to, members that are down or cold. Cores is the least that members bore.
 	Out struct {
 		Relays  int     `json:"relays"`
@@ -112,6 +120,9 @@
 		x.Back = &s
 	}
 	x.Answers, x.TryMost = r.answers, r.most
+	for _, u := range r.used {
+		x.Spell = max(x.Spell, u.longest)
+	}
 	x.Tries = float64(r.tries) / float64(max(len(r.plan.Sessions), 1))
 	for _, p := range r.fresh {
 		x.Fresh = max(x.Fresh, p.Most)
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -68,7 +68,29 @@
 }
 
 // usage is what a relay has used of others, and the most descriptors that it was seen to hold.
-type usage struct{ connections, listBytes, descriptors int }
+type usage struct {
+	connections, listBytes, descriptors int
+
+	refused int           // answers in a row that turned a client away, with no attempt in between
+	since   time.Duration // the first of them
+	longest time.Duration // that a row of turnedFew or more has lasted
+}
+
+// answered notes a final answer of the relay's, attempted that it has tried a member.
+func (u *usage) answered(at time.Duration, refused bool) {
+	if !refused {
+		u.refused = 0
+		return
+	}
+	if u.refused++; u.refused == 1 {
+		u.since = at
+	}
+	if u.refused >= turnedFew {
+		u.longest = max(u.longest, at-u.since)
+	}
+}
+
+func (u *usage) attempted() { u.refused = 0 }
 
 // way is one link, which all connections of a pair pass that the file breaks.
 type way struct {
@@ -395,6 +417,7 @@
 	falls := false
 	r.with(func(at time.Duration) {
 		falls = r.judge.Begun(at, a.ID, a.Via, m.name, a.Work, a.Load)
+		r.used[a.Via].attempted()
 		if work := a.Work.Seconds(); work > 0 {
 			age := time.Duration(1 << 62)
 			if m.entry.Started > 0 {
