Where lists are pushed the relay watches from its first moment, and polls an agent that is down

Cause: only a module that has to ask began the watch; with discovery automatic nobody did. Change: the watch begins as the process is built.

--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -229,6 +229,9 @@
 	r.watch.Told = r.core.Pool
 	if set := r.core.Limits(); set.Subscribe {
 		loop.After(pool.FirstBy(set.AskWithin, r.watch.Random), r.watch.Ask)
+	} else { // what the agent has counts from the first moment
+		r.watch.Pushed = r.core.Grace()
+		r.watch.Ask()
 	}
 	if cfg.Fronts.NATS != nil {
 		r.nats = nats.New(loop, r.core, r.log, cfg.Name, *cfg.Fronts.NATS, cfg.Security())
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -166,6 +166,9 @@
 	return c
 }
 
+// Grace is how long after a member's leaving is told something may still be sent there.
+func (c *Core) Grace() time.Duration { return c.grace }
+
 // Held is how many requests are on their way or stand as open flows.
 func (c *Core) Held() int { return len(c.requests) }
 
--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -30,13 +30,33 @@
 	pauseMost  = time.Second
 )
 
+// timing is how long the steps of a call may take that does not wait for news.
+type timing struct {
+	dial       time.Duration // until its connection stands
+	answer     time.Duration // until its answer is late
+	giveUp     time.Duration // after that, until it is given up
+	pauseFirst time.Duration // the span of the pause after the first failure
+	pauseMost  time.Duration // and after many
+}
+
+// asking is where discovery is asked: it is one service for all relays, with a queue.
+var asking = timing{dial: dialWithin, answer: queueMost, giveUp: patience - queueMost, pauseFirst: pauseFirst, pauseMost: pauseMost}
+
+// pushing is where lists are pushed. An agent of the relay's own has them, and what it has counts as told at once, also as
+// it comes back after an outage. From then on there is the grace for sends that were under way: in the worst order the
+// last step before its return was swallowed, so a step and a pause have to take less than that together.
+func pushing(grace time.Duration) timing {
+	step := grace / 4
+	return timing{dial: step, answer: step, pauseFirst: step, pauseMost: step}
+}
+
 // pause is how long to wait before the next call when so many have failed in a row; random is from 0 to 1.
-func pause(failures int, random float64) time.Duration {
-	span := pauseFirst
-	for i := 1; i < failures && span < pauseMost; i++ {
+func (t timing) pause(failures int, random float64) time.Duration {
+	span := t.pauseFirst
+	for i := 1; i < failures && span < t.pauseMost; i++ {
 		span *= 2
 	}
-	span = min(span, pauseMost)
+	span = min(span, t.pauseMost)
 	return span/2 + time.Duration(random*float64(span/2))
 }
 
--- a/internal/pool/call.go
+++ b/internal/pool/call.go
@@ -61,7 +61,7 @@
 func (w *Watch) dial(wait time.Duration) {
 	c := &call{w: w, wait: wait}
 	w.calls = append(w.calls, c)
-	c.conn = w.Dial(w.Addr, dialWithin, c)
+	c.conn = w.Dial(w.Addr, w.timing().dial, c)
 }
 
 // again makes the next call on the same connection.
@@ -90,7 +90,15 @@
 	if c.wait > 0 {
 		return c.wait + lateAfter
 	}
-	return queueMost
+	return c.w.timing().answer
+}
+
+// giveUpAfter is how long after its answer was late the call is given up.
+func (c *call) giveUpAfter() time.Duration {
+	if c.wait > 0 {
+		return patience - lateAfter
+	}
+	return c.w.timing().giveUp
 }
 
 func (c *call) await(d time.Duration, then func()) {
@@ -104,7 +112,11 @@
 // late says that the answer should have come by now. The call stays for the rest of its time.
 func (c *call) late() {
 	c.state = c.state.next(callOverdue)
-	c.await(c.wait+patience-c.lateBy(), func() { c.w.failed(c, ErrLate) })
+	if c.giveUpAfter() == 0 {
+		c.w.failed(c, ErrLate)
+		return
+	}
+	c.await(c.giveUpAfter(), func() { c.w.failed(c, ErrLate) })
 	c.w.late()
 }
 
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -23,6 +23,8 @@
 	Log   logrus.FieldLogger
 	// Dial connects to discovery, by descriptors that clients cannot use up.
 	Dial func(addr string, within time.Duration, h netloop.Handler) *netloop.Conn
+	// Pushed is, where lists are pushed, the grace after what the agent has counts as told; 0 where discovery is asked.
+	Pushed time.Duration
 	// Random draws from 0 to 1, for pauses.
 	Random func() float64
 
@@ -202,7 +204,15 @@
 	} else {
 		w.Log.WithError(err).Debug("discovery call failed")
 	}
-	w.pausing = w.Loop.After(pause(w.failures, w.Random()), w.resume)
+	w.pausing = w.Loop.After(w.timing().pause(w.failures, w.Random()), w.resume)
+}
+
+// timing is that of the calls that do not wait.
+func (w *Watch) timing() timing {
+	if w.Pushed > 0 {
+		return pushing(w.Pushed)
+	}
+	return asking
 }
 
 // resume makes the next call after a pause. It does not wait for news: whether it is answered shows at once.
--- a/internal/pool/watch_test.go
+++ b/internal/pool/watch_test.go
@@ -229,7 +229,7 @@
 			t.Fatalf("failure %d: state %d, %d calls", i, r.state, len(r.calls))
 		}
 		r.Ask() // the decision module's wish changes nothing
-		r.Pass(pause(failures, 1) - time.Millisecond)
+		r.Pass(asking.pause(failures, 1) - time.Millisecond)
 		if len(r.calls) != 0 {
 			t.Fatalf("failure %d: no pause", i)
 		}
@@ -322,7 +322,7 @@
 // TestPause: pauses grow to their most, and are spread over the half of their span.
 func TestPause(t *testing.T) {
 	for failures, span := range map[int]time.Duration{1: pauseFirst, 2: 2 * pauseFirst, 3: pauseMost, 4: pauseMost, 1000: pauseMost} {
-		if low, high := pause(failures, 0), pause(failures, 1); low != span/2 || high != span {
+		if low, high := asking.pause(failures, 0), asking.pause(failures, 1); low != span/2 || high != span {
 			t.Errorf("after %d failures %v to %v, want %v to %v", failures, low, high, span/2, span)
 		}
 	}
