--- a/policy/cost_test.go
+++ b/policy/cost_test.go
@@ -32,3 +32,32 @@
 		t.Errorf("%.0f bytes for a request with 1,440 servers, %.0f with 90", many, few)
 	}
 }
+
+// TestChangeCost: nor does what a change of the list costs where connections go by their groups: the tenants' slices, which
+// those do not use, are not made anew for each change.
+func TestChangeCost(t *testing.T) {
+	const changes = 400
+	cost := func(servers int) float64 {
+		set := settings()
+		set.Groups = true
+		f := Begin(t0, set, 1)
+		all := fleet(servers, 2)
+		f.Report(t0, Pool{Kind: ListFull, Servers: all})
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for i := range changes {
+			changed := all[i%servers]
+			changed.State = []State{Draining, Ready}[i%2]
+			f.Report(t0, Pool{Kind: ListDelta, Servers: []Server{changed}})
+			f.Pick(t0, Request{ID: RequestID(i + 1), Group: 7, Deadline: t0 + 2*time.Second, Load: 0.01})
+			f.Report(t0, Left{ID: RequestID(i + 1)})
+		}
+		runtime.ReadMemStats(&after)
+		return float64(after.TotalAlloc-before.TotalAlloc) / changes
+	}
+	few, many := cost(90), cost(1440)
+	t.Logf("%.0f bytes for a change with 90 servers, %.0f with 1,440", few, many)
+	if many > 1.4*few {
+		t.Errorf("%.0f bytes for a change with 1,440 servers, %.0f with 90", many, few)
+	}
+}
