A tenant's home slice is made when it is asked for, not with each change of the list

Change: Members forgets the slices, home makes them; the list is sorted only where a server was added. The decisions are as before.

--- a/policy/members.go
+++ b/policy/members.go
@@ -65,9 +65,11 @@
 			}
 		}
 	}
+	before := len(b.servers)
 	for _, e := range list {
 		b.listed(now, how, e)
 	}
+	added := len(b.servers) > before
 	for _, s := range b.servers {
 		if s.State != Ready { // its clients come again before it cuts them off
 			b.empty(s)
@@ -80,8 +82,18 @@
 		}
 		return false
 	})
-	slices.SortFunc(b.servers, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
-	b.slice()
+	if added {
+		slices.SortFunc(b.servers, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+	}
+	b.slices = nil // made anew when they are asked for: in a large fleet changes come faster than requests
+}
+
+// homeSlice is the home slice of a tenant.
+func (b *Balancer) homeSlice(tenant int) []*server {
+	if b.slices == nil {
+		b.slice()
+	}
+	return b.slices[tenant]
 }
 
 func (b *Balancer) listed(now time.Duration, how ListKind, e Server) {
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -90,7 +90,7 @@
 		if s.Zone != b.set.Zone {
 			tier = foreignAway
 		}
-		if key == 0 && slices.Contains(b.slices[r.Tenant], s) {
+		if key == 0 && slices.Contains(b.homeSlice(r.Tenant), s) {
 			tier -= foreignHere
 		}
 		tiered[tier] = append(tiered[tier], s)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -176,7 +176,7 @@
 	})
 	b.Members(t0, ListCached, shuffled)
 	ids := func(b *Balancer, tenant int) (ids []ServerID) {
-		for _, s := range b.slices[tenant] {
+		for _, s := range b.homeSlice(tenant) {
 			ids = append(ids, s.ID)
 		}
 		return ids
@@ -214,7 +214,7 @@
 }
 
 func (g *rig) home(tenant int, id ServerID) bool {
-	for _, s := range g.slices[tenant] {
+	for _, s := range g.homeSlice(tenant) {
 		if s.ID == id {
 			return true
 		}
