--- a/integration/nats_test.go
+++ b/integration/nats_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -470,3 +471,44 @@
 	s.stop()
 	s.record(map[string]int{"served": 1, "left": 2})
 }
+
+// TestNATSLeft: publications of a client that goes while they are out, or wait for a place, are not tried again; those of
+// others are.
+func TestNATSLeft(t *testing.T) {
+	for what, mode := range map[string]standin.Mode{"out at a silent node": standin.Silent, "refused by a node": standin.Refuses, "reset by a node": standin.Resets} {
+		t.Run(what, func(t *testing.T) {
+			k := newCluster(t, 2)
+			r := natsRelay(t, k, nil)
+			for _, o := range k.Nodes {
+				o.Set(mode)
+			}
+			c := r.natsDial()
+			c.want("INFO ")
+			c.say("CONNECT {}\r\nPUB s 7\r\nleaving")
+			taken := func() (n int) {
+				for _, o := range k.Nodes {
+					n += o.Taken()
+				}
+				return n
+			}
+			until(t, "the first attempt", func() bool { return taken() > 0 })
+			c.Conn.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			until(t, "the end of its links", func() bool { return k.Nodes[0].Conns()+k.Nodes[1].Conns() == 0 })
+			before := taken()
+			for _, o := range k.Nodes {
+				o.Set(standin.Works)
+			}
+			other := r.natsDial() // what it says is taken after all that was under way
+			other.want("INFO ")
+			other.say("CONNECT {}\r\nPUB s 5\r\nstays\r\nPING")
+			other.want("PONG")
+			if n := taken() - before; n != 1 {
+				t.Errorf("%d publications after the client had gone, one of them another's", n)
+			}
+			for _, broken := range k.Tries.Broken() {
+				t.Error(broken)
+			}
+		})
+	}
+}
