Rehearsal: the calm ends the trouble, and a cut registry is not yet told

Change: calm writes an empty trouble; told counts from the heal; the sockets are drawn after the flows.

--- a/internal/rehearsal/soak.go
+++ b/internal/rehearsal/soak.go
@@ -22,7 +22,9 @@
 	f.Clients.Stay, f.Clients.Line = float64(d.between(2000, 20000)), float64(d.between(50, 400))
 	f.Clients.Load, f.Clients.Groups = [2]float64{0.01, 0.03}, d.between(5, 100)
 	f.Clients.Again, f.Clients.Leave = [2]float64{float64(d.between(1, 50)), float64(d.between(100, 1500))}, 0.15
-	sockets := d.between(160, 512)
+	// Two descriptors a flow, for all that may stand at once, at one relay if need be: the page's limits fit their traffic.
+	flows := float64(f.Clients.Standing) + f.Clients.Rate*min(f.Clients.Stay/1000, f.Seconds)
+	sockets := 150 + int(3*flows) + d.between(0, 200)
 	var err error
 	if f.Change, err = json.Marshal(d.change(f, sockets)); err != nil {
 		return nil, err
--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -161,6 +161,9 @@
 	case "disperse":
 		r.disperse(n)
 	case "trouble", "calm":
+		if s.Do == "calm" {
+			s.Body = nil
+		}
 		if err := n.trouble(s.Body); err != nil {
 			r.Say("%s has no trouble: %v\n", n.name, err)
 		}
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -432,8 +432,34 @@
 	}
 }
 
-// told is what discovery has written to a relay.
+// toldWithin is how long after discovery could be reached again what it has to tell counts as told, arrived or not.
+const toldWithin = 6 * time.Second
+
+// told is what discovery has written to a relay. Behind a cut it was written to the forwarder alone: then it counts once
+// the way has been whole for so long as the page gives.
 func (r *run) told(relay string, entries []standin.Entry) {
+	if r.cutOff(relay) {
+		go func() {
+			for r.cutOff(relay) {
+				time.Sleep(20 * time.Millisecond)
+			}
+			time.Sleep(toldWithin)
+			r.judgeTold(relay, entries)
+		}()
+		return
+	}
+	r.judgeTold(relay, entries)
+}
+
+// cutOff says that nothing passes between discovery and a relay.
+func (r *run) cutOff(relay string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.ways[[2]string{relay, "discovery"}]
+	return w != nil && (w.there.Cut || w.back.Cut) && !r.closing
+}
+
+func (r *run) judgeTold(relay string, entries []standin.Entry) {
 	r.with(func(at time.Duration) {
 		for _, e := range entries {
 			r.judge.Told(at, relay, e.ID, e.Lifecycle, r.since(e.Started))
