--- a/internal/standin/pipe.go
+++ b/internal/standin/pipe.go
@@ -231,7 +231,7 @@
 			if err != nil {
 				failed = err
 				over.Store(true)
-				if ended != nil {
+				if ended != nil && !errors.Is(err, net.ErrClosed) { // else the pipe has closed it, after the other side
 					ended()
 				}
 				return
--- a/internal/standin/pipe_test.go
+++ b/internal/standin/pipe_test.go
@@ -133,3 +133,41 @@
 		t.Errorf("800 bytes at 1000 a second took %v", took)
 	}
 }
+
+// TestPipeGone: a connection that the far side has reset is not one that the calling side has ended.
+func TestPipeGone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p, err := NewPipe(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	gone := make(chan string, 1)
+	p.Gone = func(from string) { gone <- from }
+	calling, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer calling.Close()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	far.(*net.TCPConn).SetLinger(0)
+	far.Close()
+	if _, err := calling.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the reset did not pass")
+	}
+	for open := 1; open > 0; { // both ways have ended once the pipe holds nothing
+		p.mu.Lock()
+		open = len(p.all)
+		p.mu.Unlock()
+	}
+	if len(gone) > 0 {
+		t.Errorf("%s counts as ended by the calling side", <-gone)
+	}
+}
