--- a/internal/pool/watch_test.go
+++ b/internal/pool/watch_test.go
@@ -306,6 +306,33 @@
 	r.want(drained)
 }
 
+// TestQueueAfterRefusal: discovery that has refused a call is up, and full. The next call has no other one beside it for as long as it
+// may stand in the longest queue, since discovery that refuses the other one may fail both; a call that was swallowed has one after that.
+func TestQueueAfterRefusal(t *testing.T) {
+	const queue = 3 * time.Second // the longest of three sites
+	r := newRig(t)
+	r.Ask()
+	p := r.server.Accept()
+	p.Want(r.text(41, watchWait))
+	p.Say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+	r.Until("the failure", func() bool { return r.state == watchPausing })
+	r.Pass(pauseFirst)
+	queued := r.server.Accept()
+	queued.Want(r.text(41, 0))
+	r.Pass(queue)
+	if len(r.calls) != 1 {
+		t.Fatalf("%d calls while one stands in the queue", len(r.calls))
+	}
+	r.Pass(lateAfter)
+	if len(r.calls) != callsMost {
+		t.Fatalf("%d calls after the longest queue", len(r.calls))
+	}
+	r.server.Accept().Want(r.text(41, 0))
+	queued.Say(changes(43))
+	queued.Want(r.text(43, watchWait))
+	r.want(drained)
+}
+
 // TestBudget: the steps of a watch in the worst order add up to less than the protocol's time, each failure once.
 func TestBudget(t *testing.T) {
 	const noticed = watchWait + lateAfter                           // the watch fell silent as its call was written
