Discovery: after a refused call no second one beside the next while it may stand in the queue

Cause: a call that stood in discovery's queue for 2 s got a second one beside it; that was refused at once, and discovery failed both. Change: after a refusal, which shows that discovery is up and full, the second call comes after 3.25 s, the longest queue of three sites and a margin.

--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -19,6 +19,10 @@
 	// answers calls one after another and refuses at once what would stand too long; where that is 2 to 3 s (three
 	// sites), a call that was taken in has its answer by then or shortly after.
 	queueMost = toldAfterWait
+	// queueAfterRefusal is the same after discovery has refused a call: it is up then, and full. The longest queue of three
+	// sites lets a call stand for 3 s, half of toldWithin. A second call beside one that stands so long would be refused,
+	// and discovery may fail the first one with it: 17 of 32 relays had no answer for 20 s (throng+brink, ferry-boarding).
+	queueAfterRefusal = toldWithin/2 + lateAfter/2
 	// patience is how long after its wait a call is given up. Sooner, the relay would leave a queue in which it has
 	// stood for nothing, and discovery would answer nobody.
 	patience = 2 * toldAfterWait
@@ -34,20 +38,21 @@
 type timing struct {
 	dial       time.Duration // until its connection stands
 	answer     time.Duration // until its answer is late
-	giveUp     time.Duration // after that, until it is given up
+	refused    time.Duration // the same where the call before was refused
+	giveUp     time.Duration // until it is given up
 	pauseFirst time.Duration // the span of the pause after the first failure
 	pauseMost  time.Duration // and after many
 }
 
 // asking is where discovery is asked: it is one service for all relays, with a queue.
-var asking = timing{dial: dialWithin, answer: queueMost, giveUp: patience - queueMost, pauseFirst: pauseFirst, pauseMost: pauseMost}
+var asking = timing{dial: dialWithin, answer: queueMost, refused: queueAfterRefusal, giveUp: patience, pauseFirst: pauseFirst, pauseMost: pauseMost}
 
 // pushing is where lists are pushed. An agent of the relay's own has them, and what it has counts as told at once, also as
 // it comes back after an outage. From then on there is the grace for sends that were under way: in the worst order the
 // last step before its return was swallowed, so a step and a pause have to take less than that together.
 func pushing(grace time.Duration) timing {
 	step := grace / 4
-	return timing{dial: step, answer: step, pauseFirst: step, pauseMost: step}
+	return timing{dial: step, answer: step, refused: step, giveUp: step, pauseFirst: step, pauseMost: step}
 }
 
 // pause is how long to wait before the next call when so many have failed in a row; random is from 0 to 1.
--- a/internal/pool/call.go
+++ b/internal/pool/call.go
@@ -54,6 +54,7 @@
 	parser http1.Parser
 	state  callState
 	wait   time.Duration // how long discovery may hold it
+	lateBy time.Duration // how long after it was written its answer is late
 	within *netloop.Timer
 }
 
@@ -82,13 +83,17 @@
 		c.wait = 0
 	}
 	c.conn.Write(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nAccept: application/json\r\n\r\n", path, c.w.Addr))
-	c.await(c.lateBy(), c.late)
+	c.lateBy = c.answerWithin()
+	c.await(c.lateBy, c.late)
 }
 
-// lateBy is how long after the call was written its answer is late.
-func (c *call) lateBy() time.Duration {
-	if c.wait > 0 {
+// answerWithin is how long after the call is written its answer is late.
+func (c *call) answerWithin() time.Duration {
+	switch {
+	case c.wait > 0:
 		return c.wait + lateAfter
+	case c.w.refused:
+		return c.w.timing().refused
 	}
 	return c.w.timing().answer
 }
@@ -96,9 +101,9 @@
 // giveUpAfter is how long after its answer was late the call is given up.
 func (c *call) giveUpAfter() time.Duration {
 	if c.wait > 0 {
-		return patience - lateAfter
+		return c.wait + patience - c.lateBy
 	}
-	return c.w.timing().giveUp
+	return c.w.timing().giveUp - c.lateBy
 }
 
 func (c *call) await(d time.Duration, then func()) {
@@ -112,6 +117,7 @@
 // late says that the answer should have come by now. The call stays for the rest of its time.
 func (c *call) late() {
 	c.state = c.state.next(callOverdue)
+	c.w.refused = false
 	if c.giveUpAfter() == 0 {
 		c.w.failed(c, ErrLate)
 		return
--- a/internal/pool/watch.go
+++ b/internal/pool/watch.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -34,6 +35,7 @@
 	state      watchState
 	calls      []*call // that are out, the oldest first
 	failures   int     // in a row
+	refused    bool    // the last of them by an answer: discovery is up, and full or failing
 	pausing    *netloop.Timer
 	refreshed  func() // called once when what is out has been answered
 }
@@ -131,7 +133,7 @@
 		return
 	}
 	w.hangUp()
-	w.Addr, w.known, w.failures = addr, false, 0
+	w.Addr, w.known, w.failures, w.refused = addr, false, 0, false
 	w.dial(watchWait)
 }
 
@@ -155,7 +157,7 @@
 	keep := !c.parser.Closes && c.conn != nil
 	w.drop(c, keep)
 	w.hangUp()
-	w.failures = 0
+	w.failures, w.refused = 0, false
 	w.hold(list)
 	if keep { // first: the gap between two calls of a watch is bounded
 		c.again(watchWait)
@@ -177,11 +179,17 @@
 
 func (w *Watch) read(c *call) (*List, error) {
 	if c.parser.Status != 200 {
-		return nil, fmt.Errorf("discovery answered %d", c.parser.Status)
+		return nil, refusal(c.parser.Status)
 	}
 	return Decode(c.parser.Body)
 }
 
+// refusal is the status with which discovery refused a call.
+type refusal int
+
+// Error names the status.
+func (r refusal) Error() string { return fmt.Sprintf("discovery answered %d", int(r)) }
+
 // callsMost is how many calls are out at once: one that is late, and one beside it.
 const callsMost = 2
 
@@ -196,6 +204,8 @@
 // failed ends a call that has failed. While another one is out that is in time, that is waited for.
 func (w *Watch) failed(c *call, err error) {
 	w.drop(c, false)
+	var refused refusal
+	w.refused = errors.As(err, &refused)
 	if slices.ContainsFunc(w.calls, (*call).inTime) || !w.step(watchFailed) {
 		return
 	}
