Rehearsal: what was written behind a cut counts by its newest, and a return counts at the heal

Cause: a deletion written behind a cut counted 6 s after the heal although the member's return had been written since (soak seeds 160, 179), and a return counted as late as bad news (180). Change: only the newest entry of a member counts; one that serves counts as the way is whole again.

--- a/internal/rehearse/faults.go
+++ b/internal/rehearse/faults.go
@@ -62,6 +62,9 @@
 		w.there, w.back = rough, rough
 	case "heal":
 		w.there, w.back = standin.Rough{}, standin.Rough{}
+		if s.To == "discovery" {
+			r.tellBehind(s.Who)
+		}
 	}
 	if w.udp != nil {
 		w.udp.Cut(w.there.Cut)
@@ -329,7 +332,7 @@
 	now := time.Now()
 	m.Start(now)
 	r.mu.Lock()
-	m.entry.Started, m.entry.Lifecycle = now.UnixMilli(), "SERVING"
+	m.entry.Started, m.entry.Lifecycle = now.UnixMilli(), standin.Serving
 	r.judge.Member(m.name, r.plan.Cores[m.index], r.since(m.entry.Started))
 	entry := m.entry
 	r.mu.Unlock()
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -65,6 +65,8 @@
 	most    int               // of one
 	open    int
 	closing bool
+	written map[[2]string]int           // by relay and member: how many times discovery has written to the one of the other
+	behind  map[[2]string]standin.Entry // and the last of it that was written behind a cut
 }
 
 // usage is what a relay has used of others, and the most descriptors that it was seen to hold.
@@ -196,7 +198,7 @@
 	own.File = r.File.For(v)
 	x := &run{Rehearsal: &own, set: set, config: config, program: r.Program, plan: rehearsal.Draw(own.File, site(set), seed),
 		dir:   filepath.Join(r.Work, fmt.Sprintf("%s-%d", strings.Map(plain, v.Name), repetition)),
-		given: map[string]bool{}, led: map[int]string{}, members: map[string]*member{}, ways: map[[2]string]*way{}, fresh: map[string]*rehearsal.Peak{}, answers: map[string]int{}, used: map[string]*usage{},
+		given: map[string]bool{}, led: map[int]string{}, members: map[string]*member{}, ways: map[[2]string]*way{}, fresh: map[string]*rehearsal.Peak{}, answers: map[string]int{}, used: map[string]*usage{}, written: map[[2]string]int{}, behind: map[[2]string]standin.Entry{},
 		setUp: hdrhistogram.New(1, 600e6, 3), late: hdrhistogram.New(1, 600e6, 3),
 		lists: &rehearsal.Peak{Over: 100 * time.Millisecond}, probes: &rehearsal.Peak{Over: time.Second}}
 	if v.Program != "" {
@@ -398,7 +400,7 @@
 	if len(r.set.HostTypes) > 0 {
 		kind = r.set.HostTypes[i%len(r.set.HostTypes)]
 	}
-	m.entry = standin.Entry{ID: m.ID, Addr: m.Addr(), Zone: m.zone, Kind: kind, Lifecycle: "SERVING", Weight: 1}
+	m.entry = standin.Entry{ID: m.ID, Addr: m.Addr(), Zone: m.zone, Kind: kind, Lifecycle: standin.Serving, Weight: 1}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.members[m.ID] = m
@@ -435,36 +437,53 @@
 // toldWithin is how long after discovery could be reached again what it has to tell counts as told, arrived or not.
 const toldWithin = 6 * time.Second
 
-// told is what discovery has written to a relay. Behind a cut it was written to the forwarder alone: then it counts once
-// the way has been whole for so long as the page gives.
+// told is what discovery has written to a relay. Behind a cut it was written to the forwarder alone, see tellBehind.
 func (r *run) told(relay string, entries []standin.Entry) {
-	if r.cutOff(relay) {
-		go func() {
-			for r.cutOff(relay) {
-				time.Sleep(20 * time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range entries {
+		key := [2]string{relay, e.ID}
+		r.written[key]++
+		if r.cutOff(relay) {
+			r.behind[key] = e
+			continue
+		}
+		delete(r.behind, key)
+		r.judgeTold(relay, e)
+	}
+}
+
+// tellBehind is called as the way between a relay and discovery is whole again. A member that serves may be used from then on; any
+// other change counts as told once the way has been whole for so long as the page gives, unless something newer was written.
+func (r *run) tellBehind(relay string) {
+	for key, e := range r.behind {
+		if key[0] != relay {
+			continue
+		}
+		delete(r.behind, key)
+		if e.Lifecycle == standin.Serving {
+			r.judgeTold(relay, e)
+			continue
+		}
+		written := r.written[key]
+		time.AfterFunc(toldWithin, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if r.written[key] == written {
+				r.judgeTold(relay, e)
 			}
-			time.Sleep(toldWithin)
-			r.judgeTold(relay, entries)
-		}()
-		return
+		})
 	}
-	r.judgeTold(relay, entries)
 }
 
 // cutOff says that nothing passes between discovery and a relay.
 func (r *run) cutOff(relay string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	w := r.ways[[2]string{relay, "discovery"}]
 	return w != nil && (w.there.Cut || w.back.Cut) && !r.closing
 }
 
-func (r *run) judgeTold(relay string, entries []standin.Entry) {
-	r.with(func(at time.Duration) {
-		for _, e := range entries {
-			r.judge.Told(at, relay, e.ID, e.Lifecycle, r.since(e.Started))
-		}
-	})
+func (r *run) judgeTold(relay string, e standin.Entry) {
+	r.judge.Told(r.now(), relay, e.ID, e.Lifecycle, r.since(e.Started))
 }
 
 // since is a start in the rehearsal's time; 0: long ago.
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -28,6 +28,9 @@
 	Instances  []Entry `json:"instances"`
 }
 
+// Serving is the lifecycle of a member that takes new flows.
+const Serving = "SERVING"
+
 // Deleted is the lifecycle of a member that is gone, among changes only.
 const Deleted = "DELETED"
 
