--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -137,3 +137,47 @@
 		}
 	}
 }
+
+// burst is a quiet warm-up up to a part of it, then more requests at each relay than it may send, all at once.
+func (p *coldPlay) burst(part float64) {
+	now, joins := t0, t0+3*time.Second
+	p.cold.Started = joins
+	for _, f := range p.relays {
+		p.do(joins, f, f.Report(joins, Pool{ListDelta, []Server{p.cold}}))
+	}
+	for now = joins; now < joins+time.Duration(part*float64(p.set.ColdFor)); now += 100 * ms {
+		for _, f := range p.relays {
+			p.do(now, f, f.Tick(now))
+		}
+	}
+	const pressed = 1000 // so many requests come within the shortest window that the plays have, and fill all members
+	for id := RequestID(1); id <= pressed; id++ {
+		f := p.relays[int(id)%len(p.relays)]
+		now += ms
+		p.do(now, f, f.Pick(now, Request{ID: id, Load: 1, Deadline: now + 2*time.Second}))
+	}
+}
+
+// TestColdBurst: what relays have saved up while nobody came stays under what one window allows as all of them use it at once.
+func TestColdBurst(t *testing.T) {
+	for _, relays := range []int{2, 30, 60} {
+		for _, part := range []float64{0.3, 0.6, 0.85} {
+			t.Run(fmt.Sprintf("%d relays, %.0f%% warm", relays, 100*part), func(t *testing.T) {
+				set := settings()
+				set.FallFor = 1500 * ms
+				sent := 0
+				for seed := range uint64(5) {
+					p := newColdPlay(seed, relays, set)
+					p.burst(part)
+					sent += len(p.sent)
+					if over := p.over(); over > 0 {
+						t.Errorf("seed %d: %.1f over of %d sent", seed, over, len(p.sent))
+					}
+				}
+				if sent == 0 {
+					t.Error("nothing was sent: the play shows nothing")
+				}
+			})
+		}
+	}
+}
