Slow start: what a relay saved while nothing was asked of a cold member is not spent at once

Change: when nothing was asked of a member for a window of its fall, its budget begins anew, with a new draw, as for one that is just listed.

--- a/policy/slow_start.go
+++ b/policy/slow_start.go
@@ -35,6 +35,10 @@
 	}
 	// In mean loads a second: filling it over its warm-up, at the part of its capacity that it surely has.
 	rate := coldPart * b.set.FallMultiple * k / b.set.ColdFor.Seconds() / rivals
+	if now-s.coldRefilled > b.set.FallFor && s.coldTokens+rate*(now-s.coldRefilled).Seconds() >= 0 {
+		// Nothing was asked of it for a window. What many proxies save in such a time they could use all at once.
+		b.chill(now, s)
+	}
 	s.coldTokens = min(s.coldTokens+rate*(now-s.coldRefilled).Seconds(), 1)
 	s.coldRefilled = now
 	// What it bears now, as far as a window allows, is there from the start, by the same draw: tokens that
