--- a/internal/pool/budget.go
+++ b/internal/pool/budget.go
@@ -21,7 +21,7 @@
 	queueMost = toldAfterWait
 	// queueAfterRefusal is the same after discovery has refused a call: it is up then, and full. The longest queue of three
 	// sites lets a call stand for 3 s, half of toldWithin. A second call beside one that stands so long would be refused,
-	// and discovery may fail the first one with it: 17 of 32 relays had no answer for 20 s (throng+brink, ferry-boarding).
+	// and discovery may fail the first one with it: 17 of 32 relays had none for 9 to 22 s (throng+brink, ferry-boarding).
 	queueAfterRefusal = toldWithin/2 + lateAfter/2
 	// patience is how long after its wait a call is given up. Sooner, the relay would leave a queue in which it has
 	// stood for nothing, and discovery would answer nobody.
