Review, case 1: servers take 1.5 s, so that a slow start of the relay leaves time

Cause: a relay that takes a second to start would miss the window of 0.6 s between its start and the first reports.

Change: what a server takes, in the test and its claim.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	callers   = 12                     // requests of each wave
-	serving   = 900 * time.Millisecond // what a server takes for a request
-	giveUp    = 3 * time.Second        // the class's deadline
-	callLimit = time.Second            // of the proxy, for one call
+	callers   = 12                      // requests of each wave
+	serving   = 1500 * time.Millisecond // what a server takes for a request
+	giveUp    = 3 * time.Second         // the class's deadline
+	callLimit = time.Second             // of the proxy, for one call
 )
 
 // verdict is the relay's answer to a call of the proxy.
