--- a/review/2/main.go
+++ b/review/2/main.go
@@ -155,8 +155,11 @@
 	cluster.Attempts, cluster.LoadSubject = fakes.NewAttemptCounter(), "node.load"
 	cluster.LoadReport = func(n *fakes.NATSNode) string { return `{"x0":0.1,"x1":0,"inflight":10}` }
 	var entries []fakes.Entry
+	links := map[*fakes.NATSNode]*fakes.TCPProxy{}
 	for _, n := range cluster.Nodes {
-		entries = append(entries, fakes.Entry{ID: n.ID, Addr: n.Addr, Zone: "kirkton", Kind: "fast-pair", Lifecycle: fakes.Serving, Weight: 1})
+		links[n], err = fakes.NewTCPProxy(n.Addr)
+		c.Must(err)
+		entries = append(entries, fakes.Entry{ID: n.ID, Addr: links[n].Addr(), Zone: "kirkton", Kind: "fast-pair", Lifecycle: fakes.Serving, Weight: 1})
 	}
 	discovery := fakes.NewDiscovery(entries...)
 	at, err := discovery.Open("relay", nil)
@@ -197,7 +200,8 @@
 		// The one that has got the most.
 		busiest := slices.MaxFunc(cluster.Nodes, func(a, b *fakes.NATSNode) int { return a.Published() - b.Published() })
 		c.Logf("server %s hangs", busiest.ID)
-		busiest.SetMode(fakes.NodeSilent)
+		silent := fakes.Impairment{Cut: true}
+		links[busiest].SetImpairment(silent, silent)
 	}
 	if restarts {
 		relay.Signal(syscall.SIGTERM)
