Review: the records of cases 1 and 2 tell each request

Cause: a record has to tell what was sent, answered and run; case 2 told counts, case 1 nothing of single sound clients.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -48,13 +48,13 @@
 }
 
 // open sends one request, and keeps its connection for life if it is served. The client sends a line
-// every 2 s.
-func open(listen string, id uint64, life time.Duration, t *tally) {
+// every 2 s. It returns the first answer.
+func open(listen string, id uint64, life time.Duration, t *tally) (answer string) {
 	conn, err := net.DialTimeout("tcp", listen, time.Second)
 	if err != nil {
 		t.other.Add(1)
 		time.Sleep(100 * time.Millisecond)
-		return
+		return err.Error()
 	}
 	defer conn.Close()
 	fmt.Fprintf(conn, "OPEN %016x 7f3a9c21e0b4d655 c=pay-status,t=water,d=2000,g=%016x\r\n", id, id%64)
@@ -66,19 +66,21 @@
 		t.up.Add(1)
 	case strings.HasPrefix(line, "BUSY"):
 		t.busy.Add(1)
-		return
+		return line
 	default:
 		t.other.Add(1)
-		return
+		return line
 	}
 	for end := time.Now().Add(life); time.Now().Before(end); time.Sleep(2 * time.Second) {
 		fmt.Fprintf(conn, "STATUS\r\n")
 	}
 	fmt.Fprintf(conn, "END\r\n")
 	conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	answer = line
 	for line = ""; line != "BYE" && err == nil; line = strings.Fields(line + " ?")[0] {
 		line, err = in.ReadString('\n')
 	}
+	return answer
 }
 
 func main() {
@@ -116,7 +118,9 @@
 	var stop atomic.Bool
 	go func() {
 		for id := uint64(1); !stop.Load(); id++ {
-			go open(listen, id, soundLife, sound)
+			go func() {
+				c.Logf("sound client %016x: OPEN -> %q", id, open(listen, id, soundLife, sound))
+			}()
 			time.Sleep(time.Second / soundRate)
 		}
 	}()
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -79,6 +79,7 @@
 			return
 		case line == "+OK":
 			c.taken++
+			c.Logf("%s: +OK, %d in all", c.name, c.taken)
 		case strings.HasPrefix(line, "-ERR"):
 			c.Logf("%s: %s", c.name, line)
 			for _, p := range c.published {
@@ -103,6 +104,7 @@
 		p.sent = time.Now()
 		c.published = append(c.published, p)
 		c.mu.Unlock()
+		c.Logf("%s publishes %s", c.name, p.subject)
 		if _, err := fmt.Fprintf(c.conn, "PUB %s 8\r\npayment!\r\n", p.subject); err != nil {
 			return
 		}
@@ -154,6 +156,7 @@
 	c.Must(err)
 	cluster.Attempts, cluster.LoadSubject = fakes.NewAttemptCounter(), "node.load"
 	cluster.LoadReport = func(n *fakes.NATSNode) string { return `{"x0":0.1,"x1":0,"inflight":10}` }
+	cluster.Watch(func(subject, _ string) { c.Logf("a server accepts %s", subject) })
 	var entries []fakes.Entry
 	links := map[*fakes.NATSNode]*fakes.TCPProxy{}
 	for _, n := range cluster.Nodes {
