Store: the queue has limits in records and bytes, rejections cannot fill it

Cause: the queue's limit stopped the admission of requests, but each rejection is a record of its own and was queued beyond it. Whoever was rejected for the queue's sake made it longer.

Change: rejections without an attempt are queued below the admission limits (records and bytes) only, and counted beyond them, by whatever they were rejected. Ready gets the most that all unanswered requests and messages and all open flows may still add; it has to fit between the admission limits and the maxima, so no record of an accepted request is refused. The maxima hold for all. Metrics in the line "counts": store_queued, store_bytes, store_unrecorded, store_lost.

--- a/cmd/dahliarudder/build.go
+++ b/cmd/dahliarudder/build.go
@@ -58,7 +58,9 @@
 		return nil
 	}
 	run := runName(r.cfg.Name, r.cfg.Seed, wallClock())
-	r.store, err = store.Open(*r.cfg.Store, run, wallClock().Add(-r.clock()), r.log)
+	cfg := *r.cfg.Store
+	cfg.MaxBytes = int(r.cfg.Limits.MemoryMB * storeMemoryFraction * (1 << 20))
+	r.store, err = store.Open(cfg, run, wallClock().Add(-r.clock()), r.log)
 	return err
 }
 
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -30,6 +30,8 @@
 	bufferMemoryFraction = 0.25
 	// feedMemoryFraction of the memory limit is for messages of feeds, queued or in flight.
 	feedMemoryFraction = 0.125
+	// storeMemoryFraction of the memory limit is for records that the store has not written yet.
+	storeMemoryFraction = 0.125
 	// storeFlushTimeout is how long the store may take to write its last records when the process
 	// ends.
 	storeFlushTimeout = 3 * time.Second
@@ -156,6 +158,11 @@
 		if r.peers != nil {
 			line["relays"], line["shared_by"] = r.peers.BudgetDivisor()
 		}
+		if r.store != nil {
+			stats := r.store.Stats()
+			line["store_queued"], line["store_bytes"] = stats.Queued, stats.QueuedBytes
+			line["store_unrecorded"], line["store_lost"] = stats.Unrecorded, stats.Lost
+		}
 		r.log.WithFields(line).Info("counts")
 		r.logCounts(every, now)
 	})
--- a/integration/postgres_rig_test.go
+++ b/integration/postgres_rig_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // postgres is a fake PostgreSQL server, written from the public description of its protocol. It
@@ -20,6 +21,8 @@
 	mu      sync.Mutex
 	rows    map[string]map[string][]string // by table and primary key
 	failAll bool                           // simple queries other than ROLLBACK fail, so that nothing is committed
+	delay   time.Duration                  // before each answer
+	silent  chan struct{}                  // if not nil, answers wait until it is closed
 }
 
 // primaryKeyColumns is the number of leading columns that are the primary key, by table.
@@ -41,6 +44,26 @@
 	p.failAll = failAll
 }
 
+// setDelay sets how long each answer takes from now on.
+func (p *postgres) setDelay(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
+}
+
+// setSilent makes the server stop answering, or answer again.
+func (p *postgres) setSilent(silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.silent != nil {
+		close(p.silent)
+		p.silent = nil
+	}
+	if silent {
+		p.silent = make(chan struct{})
+	}
+}
+
 // tableRows returns the rows of a table, in no order.
 func (p *postgres) tableRows(name string) (out [][]string) {
 	p.mu.Lock()
@@ -98,6 +121,13 @@
 
 func (s *pgSession) sendReady() {
 	s.skipToSync = false
+	s.mu.Lock()
+	delay, silent := s.delay, s.silent
+	s.mu.Unlock()
+	time.Sleep(delay)
+	if silent != nil {
+		<-silent
+	}
 	s.send('Z', s.status)
 	s.out.Flush()
 }
--- a/internal/core/answers.go
+++ b/internal/core/answers.go
@@ -53,6 +53,7 @@
 
 // recordAnswer counts and records the final answer of a request.
 func (c *Core) recordAnswer(r *request, a Answer) {
+	c.unansweredRequests.remove(r.Name)
 	switch a {
 	case Served:
 		c.Counts.Served++
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,8 +65,9 @@
 
 // Recorder records attempts and answers. Its methods must not block.
 type Recorder interface {
-	// Ready reports whether it can record what follows. If not, the core rejects new requests.
-	Ready() bool
+	// Ready reports whether it can record all that follows from the requests that the core has not
+	// answered yet, a new one included. If not, the core rejects the new one.
+	Ready(owed RecordBacklog) bool
 	// RecordAttempt records the end of an attempt, or of the flow that it became.
 	RecordAttempt(q *Request, id ID, attempt int, member string, start, end time.Duration, result policy.Result)
 	// RecordAnswer records a final answer.
@@ -110,6 +111,9 @@
 	feeds     map[ID]*Feed
 	feedBytes int // of the messages of all feeds
 
+	unansweredRequests unanswered
+	unansweredMessages unanswered
+
 	pendingActions []policy.Action
 	applying       bool // a call of apply is running
 	dispatchPaused bool
--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -151,8 +151,9 @@
 	m.ID, m.Deadline = uint64(c.lastID), now+f.request.TimeLeft
 	c.Counts.Messages.Accepted++
 	f.lastUsed = now
+	c.unansweredMessages.add(m.Name)
 	switch {
-	case c.Recorder != nil && !c.Recorder.Ready(): // a message that cannot be recorded must not be sent
+	case !c.recorderReady(): // a message that cannot be recorded must not be sent
 		f.rejectUnaccepted(&m, text, stopRetryAfter)
 		return
 	case f.state == feedBackoff && m.Deadline <= f.retryAt:
--- a/internal/core/feed_answers.go
+++ b/internal/core/feed_answers.go
@@ -34,6 +34,7 @@
 
 // recordAnswer counts and records the final answer of a message.
 func (f *Feed) recordAnswer(m *window.Message, a Answer) {
+	f.core.unansweredMessages.remove(m.Name)
 	counts := &f.core.Counts.Messages
 	switch a {
 	case Served:
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -43,6 +43,7 @@
 	m.flows++
 	c.Counts.Requests++
 	c.Counts.Attempts++
+	c.unansweredRequests.add(r.Name)
 	c.recordAnswer(r, Served)
 	c.notifyPolicy(policy.ExistingFlow{Request: r.policyRequest(), Member: m.ID})
 	if !c.AcceptsClients() {
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -23,7 +23,8 @@
 	now      time.Duration
 	wakeAt   time.Duration // when the core wants its next Tick
 	records  []string
-	notReady bool // the recorder cannot record
+	notReady bool          // the recorder cannot record
+	owed     RecordBacklog // the latest argument of Ready
 }
 
 // downstream is a Downstream that records the calls that it receives, and checks that they are
@@ -68,7 +69,10 @@
 	}
 }
 
-func (h *harness) Ready() bool { return !h.notReady }
+func (h *harness) Ready(owed RecordBacklog) bool {
+	h.owed = owed
+	return !h.notReady
+}
 
 func (h *harness) RecordAttempt(_ *Request, id ID, attempt int, _ string, _, _ time.Duration, _ policy.Result) {
 	h.records = append(h.records, fmt.Sprintf("attempt %d.%d", id, attempt))
--- a/internal/core/model_test.go
+++ b/internal/core/model_test.go
@@ -54,7 +54,7 @@
 
 // ---- Recorder ----
 
-func (m *model) Ready() bool { return !m.notReady }
+func (m *model) Ready(RecordBacklog) bool { return !m.notReady }
 func (m *model) RecordAttempt(_ *Request, id ID, attempt int, _ string, _, _ time.Duration, _ policy.Result) {
 	m.record(fmt.Sprintf("attempt %d.%d", id, attempt))
 }
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -17,10 +17,11 @@
 	r := &request{Request: q, id: c.lastID, downstream: d, deadline: now + q.TimeLeft}
 	c.requests[r.id] = r
 	c.Counts.Requests++
+	c.unansweredRequests.add(q.Name)
 	switch {
 	case c.stopping:
 		c.answer(r, Rejected, stopRetryAfter)
-	case c.Recorder != nil && !c.Recorder.Ready():
+	case !c.recorderReady():
 		c.answer(r, Rejected, stopRetryAfter)
 	case q.TimeLeft <= 0:
 		c.answer(r, Rejected, stopRetryAfter)
--- a/internal/front/line/line_test.go
+++ b/internal/front/line/line_test.go
@@ -170,7 +170,7 @@
 // resultRecorder is a core.Recorder that keeps the results of all attempts.
 type resultRecorder []policy.Result
 
-func (l *resultRecorder) Ready() bool { return true }
+func (l *resultRecorder) Ready(core.RecordBacklog) bool { return true }
 func (l *resultRecorder) RecordAttempt(_ *core.Request, _ core.ID, _ int, _ string, _, _ time.Duration, r policy.Result) {
 	*l = append(*l, r)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,6 +25,8 @@
 	Driver string `json:"driver"` // sqlite or postgres
 	DSN    string `json:"dsn"`
 	Queue  int    `json:"queue"` // queued records at which new requests are rejected; 0 for defaultQueue
+	// MaxBytes is the most bytes of records that may be queued; 0 for defaultMaxBytes.
+	MaxBytes int `json:"-"`
 }
 
 // Check returns an error if the configuration is not valid.
@@ -42,7 +44,6 @@
 }
 
 const (
-	defaultQueue = 4096            // records
 	maxBatch     = 512             // records in one transaction
 	writeTimeout = 5 * time.Second // for one transaction, and for creating the tables
 	minBackoff   = 50 * time.Millisecond
@@ -73,10 +74,11 @@
 	return fmt.Sprintf("INSERT INTO %s (%s) VALUES (%s) ON CONFLICT DO NOTHING", table, columns, strings.Join(placeholders, ", "))
 }
 
-// record is one row of either table.
-type record struct {
-	isAttempt bool // a row of the table attempts; otherwise of requests
-	values    []any
+// Stats describes the queue of a store.
+type Stats struct {
+	Queued, QueuedBytes int // records that are not written yet; their bytes
+	Unrecorded          int // rejections that were not recorded, since the queue had reached its admission limit
+	Lost                int // other records that were not recorded, since the queue had reached its maximum
 }
 
 // Store is an open store. Its writer goroutine runs from Open to Close.
@@ -85,14 +87,15 @@
 	log           logrus.FieldLogger
 	run           string    // value of the column run
 	epoch         time.Time // wall-clock time of clock time 0
-	queueLimit    int       // queued records from which on Ready reports false
 	insertAttempt string
 	insertRequest string
 
-	mu      sync.Mutex
-	queue   []record
-	failing bool // the latest write failed
-	closing bool
+	mu       sync.Mutex
+	queue    recordQueue
+	stats    Stats // without Queued and QueuedBytes
+	skipping bool  // rejections are not recorded; reset by endSkipping
+	failing  bool  // the latest write failed
+	closing  bool
 
 	wake       chan struct{}
 	writerDone chan struct{}
@@ -111,13 +114,10 @@
 		db.Close()
 		return nil, err
 	}
-	s := &Store{db: db, log: log, run: run, epoch: epoch, queueLimit: cfg.Queue,
+	s := &Store{db: db, log: log, run: run, epoch: epoch, queue: recordQueue{queueLimits: newQueueLimits(cfg)},
 		insertAttempt: insertStatement(cfg.Driver, "attempts", "run, request, try, member, result, start_us, end_us"),
 		insertRequest: insertStatement(cfg.Driver, "requests", "run, id, name, class, tenant, answer, tries, at_us"),
 		wake:          make(chan struct{}, 1), writerDone: make(chan struct{})}
-	if s.queueLimit == 0 {
-		s.queueLimit = defaultQueue
-	}
 	ctx, stop := context.WithCancel(context.Background())
 	s.stopWriter = stop
 	go s.runWriter(ctx)
@@ -151,13 +151,22 @@
 	return nil
 }
 
-// Ready reports whether new requests would be recorded: writes succeed, the store is not closing, and
-// the queue is below its limit. Records of requests that were accepted are queued regardless, so the
-// queue may exceed the limit.
-func (s *Store) Ready() bool {
+// Ready reports whether a new request would be recorded: writes succeed, the store is not closing, the
+// queue is below its admission limits, and all that admitted requests may still add, the new one
+// included, fits above them. What an admitted request adds is therefore queued whatever the store does.
+func (s *Store) Ready(owed core.RecordBacklog) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.failing && !s.closing && s.queue.belowAdmission() && s.queue.fits(owed)
+}
+
+// Stats returns the current figures of the queue.
+func (s *Store) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.failing && !s.closing && len(s.queue) < s.queueLimit
+	stats := s.stats
+	stats.Queued, stats.QueuedBytes = len(s.queue.records), s.queue.bytes
+	return stats
 }
 
 // resultNames are the results as stored in the column result; they must not change.
@@ -168,14 +177,20 @@
 
 // RecordAttempt queues a record of an attempt that has ended. The first attempt has number 0.
 func (s *Store) RecordAttempt(_ *core.Request, id core.ID, attempt int, member string, start, end time.Duration, result policy.Result) {
-	s.enqueue(record{true, []any{s.run, int64(id), int64(attempt), member, resultNames[result], s.timestamp(start),
-		s.timestamp(end)}})
+	s.enqueue(record{table: attemptsTable, request: id, number: attempt, member: member, result: resultNames[result],
+		start: start, end: end})
 }
 
-// RecordAnswer queues a record of a request's final answer.
+// RecordAnswer queues a record of a request's final answer. The rejection of a request that no member
+// has got is recorded only while the queue is below its admission limits, and counted otherwise.
 func (s *Store) RecordAnswer(q *core.Request, id core.ID, at time.Duration, answer core.Answer, attempts int) {
-	s.enqueue(record{false, []any{s.run, int64(id), sanitizeText(q.Name), int64(q.Class), int64(q.Tenant), string(answer),
-		int64(attempts), s.timestamp(at)}})
+	r := record{table: requestsTable, request: id, number: attempts, result: string(answer), name: sanitizeText(q.Name),
+		class: q.Class, tenant: q.Tenant, end: at}
+	if answer == core.Rejected && attempts == 0 {
+		s.enqueueUnplaced(r)
+	} else {
+		s.enqueue(r)
+	}
 }
 
 // sanitizeText replaces bytes that a text column cannot store. A name that the database rejects
@@ -184,6 +199,7 @@
 	return strings.ReplaceAll(strings.ToValidUTF8(name, "?"), "\x00", "?")
 }
 
+// timestamp returns a time of the relay's clock as stored.
 func (s *Store) timestamp(at time.Duration) int64 { return s.epoch.Add(at).UnixMicro() }
 
 // Close writes the queued records, waits at most timeout for that, stops the writer and closes the
@@ -200,12 +216,13 @@
 		<-s.writerDone
 	}
 	s.stopWriter()
-	s.mu.Lock()
-	left := len(s.queue)
-	s.mu.Unlock()
+	stats := s.Stats()
+	if stats.Unrecorded > 0 {
+		s.log.WithField("unrecorded", stats.Unrecorded).Warn("rejections were not recorded")
+	}
 	err := s.db.Close()
-	if left > 0 {
-		return fmt.Errorf("store: %d records were not written in time", left)
+	if missing := stats.Queued + stats.Lost; missing > 0 {
+		return fmt.Errorf("store: %d records were not written in time", missing)
 	}
 	return err
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -41,9 +41,12 @@
 // waitWritten waits until no record is queued.
 func (s *Store) waitWritten(t *testing.T) {
 	t.Helper()
-	waitFor(t, "the queue to be written", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.queue) == 0 })
+	waitFor(t, "the queue to be written", func() bool { return s.Stats().Queued == 0 })
 }
 
+// isReady reports whether the store is ready while no request is unanswered.
+func (s *Store) isReady() bool { return s.Ready(core.RecordBacklog{}) }
+
 func (s *Store) countRows(t *testing.T, query string) (n int) {
 	t.Helper()
 	if err := s.db.QueryRow(query).Scan(&n); err != nil {
@@ -68,8 +71,8 @@
 	if n := s.countRows(t, "SELECT count(*) FROM attempts WHERE result = 'reset' AND end_us - start_us = 1000000"); n != 1 {
 		t.Errorf("%d rows for the attempt in table attempts, want 1", n)
 	}
-	if err := s.Close(20 * time.Second); err != nil || s.Ready() {
-		t.Errorf("Close() = %v, then Ready() = %v; want nil, false", err, s.Ready())
+	if err := s.Close(20 * time.Second); err != nil || s.isReady() {
+		t.Errorf("Close() = %v, then Ready() = %v; want nil, false", err, s.isReady())
 	}
 }
 
@@ -84,13 +87,13 @@
 		s.RecordAnswer(&core.Request{}, id, 0, core.Served, 0)
 	}
 	waitFor(t, "a write to fail", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.failing })
-	if s.Ready() {
+	if s.isReady() {
 		t.Error("Ready() = true while writes fail, want false")
 	}
 	if _, err := s.db.Exec("ALTER TABLE elsewhere RENAME TO requests"); err != nil {
 		t.Fatal(err)
 	}
-	waitFor(t, "the store to be ready again", s.Ready)
+	waitFor(t, "the store to be ready again", s.isReady)
 	waitFor(t, "all nine records to be written", func() bool { return s.countRows(t, "SELECT count(*) FROM requests") == 9 })
 	if err := s.Close(20 * time.Second); err != nil {
 		t.Error(err)
@@ -129,12 +132,12 @@
 			t.Fatal(err)
 		}
 		s.RecordAnswer(&core.Request{}, core.ID(outage), 0, core.Served, 0)
-		waitFor(t, "the outage to be noticed", func() bool { return !s.Ready() })
+		waitFor(t, "the outage to be noticed", func() bool { return !s.isReady() })
 		time.Sleep(3 * minBackoff) // time for some retries
 		if _, err := s.db.Exec("ALTER TABLE elsewhere RENAME TO requests"); err != nil {
 			t.Fatal(err)
 		}
-		waitFor(t, "the store to be ready again", s.Ready)
+		waitFor(t, "the store to be ready again", s.isReady)
 		waitFor(t, "the end of the outage to be logged", func() bool { return logged(logrus.InfoLevel) >= outage })
 		if failures, recoveries := logged(logrus.ErrorLevel), logged(logrus.InfoLevel); failures != outage || recoveries != outage {
 			t.Errorf("after %d outages: %d failures and %d recoveries logged, want %d each",
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -2,18 +2,59 @@
 
 import (
 	"context"
+	"database/sql"
 	"fmt"
 	"time"
 )
 
-// enqueue appends a record to the queue and wakes the writer.
+// enqueue queues a record and wakes the writer. A record beyond the maximum of the queue is lost.
 func (s *Store) enqueue(r record) {
 	s.mu.Lock()
-	s.queue = append(s.queue, r)
+	queued := s.queue.push(r)
+	firstLost := !queued && s.stats.Lost == 0
+	if !queued {
+		s.stats.Lost++
+	}
 	s.mu.Unlock()
+	if firstLost {
+		s.log.Error("the store's queue has reached its maximum; records are lost")
+	}
 	s.wakeWriter()
 }
 
+// enqueueUnplaced queues the answer of a request that no member has got, unless the queue has reached
+// its admission limit. Nothing was admitted for it, so there may be any number of such requests.
+func (s *Store) enqueueUnplaced(r record) {
+	s.mu.Lock()
+	if s.queue.belowAdmission() {
+		s.mu.Unlock()
+		s.enqueue(r)
+		return
+	}
+	s.stats.Unrecorded++
+	began := !s.skipping
+	s.skipping = true
+	s.mu.Unlock()
+	if began {
+		s.log.Warn("the store's queue is full; requests are rejected and their rejections not recorded")
+	}
+}
+
+// endSkipping logs the end of a period in which rejections were not recorded, once the queue has
+// emptied to half of its admission limit.
+func (s *Store) endSkipping() {
+	s.mu.Lock()
+	ended := s.skipping && s.queue.belowHalfAdmission()
+	unrecorded := s.stats.Unrecorded
+	if ended {
+		s.skipping = false
+	}
+	s.mu.Unlock()
+	if ended {
+		s.log.WithField("unrecorded", unrecorded).Info("the store's queue has space again; rejections are recorded")
+	}
+}
+
 // wakeWriter makes the writer check the queue. It never blocks.
 func (s *Store) wakeWriter() {
 	select {
@@ -29,7 +70,7 @@
 	backoff := minBackoff
 	for {
 		s.mu.Lock()
-		batch := s.queue[:min(len(s.queue), maxBatch)]
+		batch := s.queue.batch(maxBatch)
 		closing := s.closing
 		s.mu.Unlock()
 		if len(batch) == 0 {
@@ -42,7 +83,7 @@
 		err := s.commit(ctx, batch)
 		s.mu.Lock()
 		if err == nil {
-			s.queue = append([]record(nil), s.queue[len(batch):]...)
+			s.queue.remove(len(batch))
 		}
 		wasFailing := s.failing
 		s.failing = err != nil
@@ -51,6 +92,7 @@
 			if wasFailing {
 				s.log.Info("the store works again") // logged once per outage, like the error below
 			}
+			s.endSkipping()
 			backoff = minBackoff
 			continue
 		}
@@ -75,12 +117,8 @@
 		return fmt.Errorf("beginning a transaction: %w", err)
 	}
 	defer tx.Rollback() // no effect after Commit
-	for _, r := range batch {
-		statement := s.insertRequest
-		if r.isAttempt {
-			statement = s.insertAttempt
-		}
-		if _, err := tx.ExecContext(ctx, statement, r.values...); err != nil {
+	for i := range batch {
+		if err := s.insert(ctx, tx, &batch[i]); err != nil {
 			return fmt.Errorf("inserting a record: %w", err)
 		}
 	}
@@ -89,3 +127,16 @@
 	}
 	return nil
 }
+
+// insert inserts one record.
+func (s *Store) insert(ctx context.Context, tx *sql.Tx, r *record) (err error) {
+	switch r.table {
+	case attemptsTable:
+		_, err = tx.ExecContext(ctx, s.insertAttempt, s.run, int64(r.request), int64(r.number), r.member, r.result,
+			s.timestamp(r.start), s.timestamp(r.end))
+	case requestsTable:
+		_, err = tx.ExecContext(ctx, s.insertRequest, s.run, int64(r.request), r.name, int64(r.class), int64(r.tenant), r.result,
+			int64(r.number), s.timestamp(r.end))
+	}
+	return err
+}
