NATS: a client is closed only once each command read from it has its answer

Cause: in lame duck mode the migration or rejection of one subscription closed the whole client, whatever its feeds held. Besides, a stop counted requests and no messages, its last step answered no messages and closed no NATS client, and every failure (malformed command, limits, expired login, silent or slow client, memory) closed at once.

Change: client_close.go has all ways in which the relay ends a client; it closes when nothing waits for an answer, and rejects new publications from 0.5 s on, so that it comes to an end. After a failure further bytes are discarded. A stop counts messages; at its end the core answers them and the front closes its clients. A connection over the loop's memory limit is ended by its handler, which can still write. Closed at once are clients that are gone, and those that do not read (unsent bytes over the limit).

--- a/cmd/dahliarudder/stop.go
+++ b/cmd/dahliarudder/stop.go
@@ -42,9 +42,10 @@
 	r.loop.After(stopPollInterval, func() { r.pollUntil(done, next) })
 }
 
-// openRequests returns how many requests have no final answer, or one that is not sent yet.
+// openRequests returns how many requests and messages have no final answer, or one that is not sent
+// yet.
 func (r *relay) openRequests() int {
-	open := r.core.ActiveRequests()
+	open := r.core.ActiveRequests() + r.core.UnansweredMessages()
 	if r.lineFront != nil {
 		open = max(open, r.lineFront.OpenRequests())
 	}
@@ -56,12 +57,14 @@
 func (r *relay) closeAndExit() {
 	r.core.FinishStop()
 	r.closeIdleConnections() // frees descriptors for connections that are still in a listener's queue
+	r.closeNATSClients()
 	for _, l := range append(r.listeners, r.successorListener) {
 		l.Close()
 	}
 	earliest, latest := r.loop.Now()+stopLingerTime, r.loop.Now()+stopOverrun
 	r.pollUntil(func() bool {
 		r.closeIdleConnections() // those accepted from a listener's queue since
+		r.closeNATSClients()
 		now := r.loop.Now()
 		return now >= latest || now >= earliest && r.openRequests() == 0 && r.listenersClosed()
 	}, r.loop.Stop)
@@ -74,6 +77,13 @@
 	}
 }
 
+// closeNATSClients closes the clients of the NATS front, whose publications the core has answered.
+func (r *relay) closeNATSClients() {
+	if r.natsFront != nil {
+		r.natsFront.CloseClients()
+	}
+}
+
 func (r *relay) closeStore() error {
 	if r.store == nil {
 		return nil
--- /dev/null
+++ b/integration/nats_close_test.go
@@ -0,0 +1,183 @@
+package integration
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+
+	"dahliarudder/internal/fakes"
+	"dahliarudder/internal/window"
+)
+
+// natsClosing is a relay in front of two nodes, and a client with a subscription at one of them and
+// publications in flight at a node that does not answer.
+type natsClosing struct {
+	*relay
+	k *fakes.NATSCluster
+	d *discovery
+	c *client
+}
+
+// closingMemoryMB is the memory limit of the relay.
+const closingMemoryMB = 16
+
+// closingPublications is how many publications the client has in flight.
+const closingPublications = 8
+
+// closingMaxPayload is the payload limit of the front.
+const closingMaxPayload = 1 << 20
+
+func newNATSClosing(t *testing.T) *natsClosing {
+	t.Helper()
+	s := &natsClosing{k: newCluster(t, 2)}
+	s.d = newDiscovery(t, natsMembers(s.k)...)
+	front := map[string]any{"listen": "127.0.0.1:0", "class": "pay-status", "tenant": "water", "max_payload": closingMaxPayload}
+	s.relay = start(t, configure(t, s.d, map[string]any{"fronts": map[string]any{"nats": front}, "operator": "127.0.0.1:0",
+		"limits": map[string]any{"cores": 1, "memory_mb": closingMemoryMB, "sockets": 1024}}), 2)
+	s.c = s.natsDial()
+	s.c.wantLine("INFO ")
+	s.c.send(`CONNECT {"verbose":true,"headers":true}` + "\r\nSUB status 1\r\nPUB job.first 5\r\nfirst\r\nPING")
+	for _, want := range []string{"+OK", "+OK", "+OK", "PONG"} {
+		s.c.wantLine(want)
+	}
+	return s
+}
+
+// sendPartialPublication sends so many bytes of a large publication. It does not wait until the relay reads
+// them.
+func (s *natsClosing) sendPartialPublication(c *client, size int) {
+	go fmt.Fprintf(c, "PUB job.large %d\r\n%s", closingMaxPayload, strings.Repeat("x", size))
+}
+
+// publishInFlight publishes, and waits until a node that does not answer has at least so many of them.
+func (s *natsClosing) publishInFlight(publications, inFlight int) {
+	s.t.Helper()
+	feedNode := s.k.Nodes[0]
+	if s.k.Nodes[1].Published() > 0 {
+		feedNode = s.k.Nodes[1]
+	}
+	before := feedNode.Published()
+	feedNode.SetMode(fakes.NodeSilent)
+	var burst strings.Builder
+	for n := range publications {
+		payload := fmt.Sprint("work", n)
+		fmt.Fprintf(&burst, "PUB job.%d %d\r\n%s\r\n", n, len(payload), payload)
+	}
+	io.WriteString(s.c, burst.String())
+	waitFor(s.t, "publications to be in flight", func() bool { return feedNode.Published()-before >= inFlight })
+}
+
+// wantAnswered reads until the relay ends the connection, and checks that each publication got one answer.
+// It returns the last line.
+func (s *natsClosing) wantAnswered(publications int) (last string) {
+	s.t.Helper()
+	answered := 0
+	for {
+		line, err := s.c.in.ReadString('\n')
+		if err != nil {
+			if err != io.EOF {
+				s.t.Errorf("the connection ended with %v, want an orderly close", err)
+			}
+			break
+		}
+		line = strings.TrimSuffix(line, "\r\n")
+		if line == "+OK" || strings.HasPrefix(line, `-ERR 'Permissions Violation for Publish to "job.`) {
+			answered++
+		}
+		last = line
+	}
+	if answered != publications {
+		s.t.Errorf("%d answers before the relay ended the connection, want %d, one for each publication", answered, publications)
+	}
+	return last
+}
+
+// TestNATSCloseAnswers guards against publications that the relay has read and never answers, since it
+// closes their client while they are in flight.
+func TestNATSCloseAnswers(t *testing.T) {
+	for name, end := range map[string]func(s *natsClosing) (lastLine string){
+		"stop": func(s *natsClosing) string { s.cmd.Process.Signal(syscall.SIGTERM); return "" },
+		"drain by an operator": func(s *natsClosing) string {
+			s.mustPut("/-/drain")
+			return ""
+		},
+		"drain of the members during a drain": func(s *natsClosing) string {
+			s.mustPut("/-/drain")
+			for _, node := range s.k.Nodes {
+				s.d.SetLifecycle(node.ID, "DRAINING")
+			}
+			return ""
+		},
+		"upgrade": func(s *natsClosing) string {
+			s.startSuccessor(2)
+			s.cmd.Process.Signal(syscall.SIGTERM)
+			return ""
+		},
+		"malformed command": func(s *natsClosing) string {
+			s.c.send("NONSENSE")
+			return "-ERR 'Unknown Protocol Operation'"
+		},
+		"payload over the limit": func(s *natsClosing) string {
+			s.c.send(fmt.Sprintf("PUB job.large %d\r\n", closingMaxPayload+1))
+			return "-ERR 'Maximum Payload Violation'"
+		},
+		"memory limit": func(s *natsClosing) string {
+			for sent := 0; sent < closingMemoryMB<<20; sent += closingMaxPayload / 2 { // a quarter is for the buffers
+				filler := s.natsDial()
+				filler.send("CONNECT {}")
+				s.sendPartialPublication(filler, closingMaxPayload/2)
+			}
+			s.sendPartialPublication(s.c, closingMaxPayload/2)
+			return "-ERR 'Memory Limit Exceeded'"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newNATSClosing(t)
+			s.publishInFlight(closingPublications, closingPublications)
+			want := end(s)
+			if last := s.wantAnswered(closingPublications); want != "" && last != want {
+				t.Errorf("the last line is %q, want %q", last, want)
+			}
+			checkAttemptCounter(t, s.k.Attempts)
+		})
+	}
+}
+
+// TestNATSCloseBurst guards against publications that the relay has read and not yet taken, since the feed of
+// their client is full, and that get no answer when it stops.
+func TestNATSCloseBurst(t *testing.T) {
+	const burst = 1500 // more than fits into the window of a feed
+	s := newNATSClosing(t)
+	s.publishInFlight(burst, window.InitialWindow)
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	s.wantAnswered(burst)
+}
+
+// TestNATSCloseVerdicts guards against a proxy that never gets the verdict on a request that the relay has
+// taken, since the relay closes the connection when its subscription is migrated in a drain.
+func TestNATSCloseVerdicts(t *testing.T) {
+	s := newNATSClosing(t)
+	call := func(subject, text string) {
+		s.c.send(fmt.Sprintf("PUB _dahlia.%s _dahlia.inbox.p %d\r\n%s", subject, len(text), text))
+	}
+	s.c.send("SUB _dahlia.inbox.p 2")
+	call("pick", `{"name":"p1","class":"pay-status","tenant":"water"}`)
+	s.c.wantLine("+OK") // of SUB
+	s.c.wantLine("MSG _dahlia.inbox.p 2 ")
+	verdict := s.c.wantLine(`{"verdict":"send"`)
+	s.c.wantLine("+OK") // of the call
+	id := strings.Split(strings.Split(verdict, `"id":`)[1], ",")[0]
+	s.mustPut("/-/drain")
+	waitFor(t, "the subscription to leave its node", func() bool {
+		n := s.k.Subscriptions("status")
+		return n[0]+n[1] == 0
+	})
+	call("report", fmt.Sprintf(`{"id":%s,"try":0,"outcome":"ok"}`, id))
+	s.c.wantLine("MSG _dahlia.inbox.p 2 ")
+	s.c.wantLine(`{"verdict":"served"`)
+	s.c.wantLine("+OK")
+	s.c.wantLine(io.EOF.Error())
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -176,6 +176,9 @@
 // ActiveRequests returns how many requests are waiting, in flight or open flows.
 func (c *Core) ActiveRequests() int { return len(c.requests) }
 
+// UnansweredMessages returns how many messages of feeds have no final answer.
+func (c *Core) UnansweredMessages() int { return c.unansweredMessages.count }
+
 // IsActive reports whether a request is waiting, in flight or an open flow.
 func (c *Core) IsActive(id ID) bool { return c.requests[id] != nil }
 
--- a/internal/core/feed.go
+++ b/internal/core/feed.go
@@ -82,6 +82,7 @@
 	capacityDenied bool          // HasCapacity returned false; OnCapacity is to be called
 	countedBytes   int           // its share of Core.feedBytes
 	queueMember    *member       // the member in whose feedQueue it waits; nil if in none
+	rejectsNew     bool          // RejectNew was called
 	closed         bool
 }
 
@@ -156,6 +157,9 @@
 	case !c.recorderReady(): // a message that cannot be recorded must not be sent
 		f.rejectUnaccepted(&m, text, stopRetryAfter)
 		return
+	case f.rejectsNew || f.state == feedBackoff && c.stopping:
+		f.rejectUnaccepted(&m, text, stopRetryAfter)
+		return
 	case f.state == feedBackoff && m.Deadline <= f.retryAt:
 		f.rejectUnaccepted(&m, text, f.retryAt-now)
 		return
@@ -171,6 +175,18 @@
 	f.scheduleTimer()
 }
 
+// RejectNew makes Publish reject all further messages. The feed keeps those that it has accepted.
+func (f *Feed) RejectNew() { f.rejectsNew = true }
+
+// settle gives each message its final answer at once, whether or not a member still has it.
+func (f *Feed) settle() {
+	f.requeueInFlight(policy.Cancelled, f.transport.Disconnect())
+	f.window.Expire(forever, func(m *window.Message, maybeProcessed bool) {
+		f.answerExpired(m, maybeProcessed, stopRetryAfter)
+	})
+	f.updateMemoryUse()
+}
+
 // Connected reports that the link is established and takes messages.
 func (f *Feed) Connected() {
 	if f.state != feedPlacing || !f.core.FlowEstablished(f.flowID, f.attemptNumber) {
--- a/internal/core/feed_test.go
+++ b/internal/core/feed_test.go
@@ -433,6 +433,45 @@
 	}
 }
 
+// TestFeedFinishStopInFlight guards against messages that a stop leaves without an answer: those in flight
+// at its end fail, as the member may have processed them, and those that were not sent are rejected.
+func TestFeedFinishStopInFlight(t *testing.T) {
+	h := newHarness(t, 1)
+	tr := newFeedTransport(h, 40)
+	tr.publish(1)
+	tr.feed.Connected()
+	tr.publish(29)
+	sent := len(tr.inFlight)
+	if sent == 0 || sent == 30 {
+		t.Fatalf("%d of 30 messages in flight, want some", sent)
+	}
+	h.Stop()
+	h.advance(h.StopTimeout() / 3) // before any flow is migrated
+	h.FinishStop()
+	if failed, rejected := tr.countAnswers(Failed), tr.countAnswers(Rejected); failed != sent || rejected != 30-sent {
+		t.Errorf("%d messages failed and %d rejected, want %d and %d", failed, rejected, sent, 30-sent)
+	}
+	if h.UnansweredMessages() != 0 {
+		t.Errorf("UnansweredMessages() = %d after the end of the stop, want 0", h.UnansweredMessages())
+	}
+}
+
+// TestFeedRejectNew checks that a feed whose client is being closed rejects new messages at once, and
+// still answers those that it has accepted.
+func TestFeedRejectNew(t *testing.T) {
+	h := newHarness(t, 1)
+	tr := newFeedTransport(h, 40)
+	tr.publish(2)
+	tr.feed.Connected()
+	tr.feed.RejectNew()
+	if tr.publish(3); tr.countAnswers(Rejected) != 3 || len(tr.inFlight) != 2 {
+		t.Errorf("%d of three new messages rejected, %d earlier ones in flight; want 3, 2", tr.countAnswers(Rejected), len(tr.inFlight))
+	}
+	if tr.acknowledge(2); tr.countAnswers(Served) != 2 {
+		t.Errorf("%d of the two accepted messages served, want both", tr.countAnswers(Served))
+	}
+}
+
 // TestFeedPauseDispatch checks that a pause of dispatch holds back messages too, and that a member
 // that became unavailable during the pause gets none afterwards.
 func TestFeedPauseDispatch(t *testing.T) {
--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // This file implements the drain and the graceful shutdown of a relay.
 
@@ -82,8 +86,8 @@
 	}
 }
 
-// FinishStop ends a stop whose time is over: requests without a final answer get one, and all
-// open flows are migrated at once.
+// FinishStop ends a stop whose time is over: requests and messages without a final answer get one,
+// and all open flows are migrated at once.
 func (c *Core) FinishStop() {
 	for _, r := range c.requestsInOrder() {
 		switch r.state {
@@ -93,4 +97,7 @@
 			c.abort(r)
 		}
 	}
+	for _, id := range slices.Sorted(maps.Keys(c.feeds)) {
+		c.feeds[id].settle()
+	}
 }
--- a/internal/front/nats/client.go
+++ b/internal/front/nats/client.go
@@ -53,6 +53,10 @@
 	fenceActive       bool               // a fence is pending
 	fencedSeq         uint64             // the messages of publications up to this one have arrived on all links
 	halfClosed        bool               // the client has closed its sending side while commands were pending
+	closing           bool               // it is closed once each command that was read has its answer
+	closingTimer      *netloop.Timer     // of closingGrace
+	rejecting         bool               // publications and calls of the processor are rejected
+	failure           error              // sent before it is closed; what is read from now on is discarded; nil for none
 	closed            bool
 }
 
@@ -90,7 +94,7 @@
 		return 0
 	}
 	used := 0
-	for !c.closed {
+	for !c.closed && c.failure == nil {
 		m, n, err := parseCommand(b[used:], c.front.MaxControlLine, c.front.MaxPayload)
 		if err != nil {
 			c.fail(err)
@@ -126,7 +130,7 @@
 		c.fail(errAuthorization)
 		return true
 	}
-	if len(c.responses) > c.front.MaxSubscriptions+c.front.WindowMessages {
+	if len(c.responses) > c.front.MaxSubscriptions+c.front.WindowMessages && !(c.rejecting && m.isPublication()) {
 		return false // limits the memory for a client that keeps sending commands while responses are pending
 	}
 	switch m.op {
@@ -177,7 +181,7 @@
 	c.timer.Stop()
 	c.timer = c.front.Loop.After(c.front.pingInterval(), func() {
 		if c.pingsOut++; c.pingsOut > c.front.MaxPingsOut {
-			c.fail(errStaleConnection)
+			c.abort(errStaleConnection)
 			return
 		}
 		c.write([]byte(pingLine))
@@ -193,44 +197,12 @@
 			return false
 		}
 	}
-	return c.isQuiescent() && len(c.proxied) == 0
+	return c.isAnswered()
 }
 
 // sendError sends -ERR without closing the connection.
 func (c *client) sendError(text string) { c.write(fmt.Appendf(nil, "-ERR '%s'\r\n", text)) }
 
-// fail sends -ERR and closes the connection.
-func (c *client) fail(err error) {
-	c.sendError(err.Error())
-	c.close()
-}
-
-// close ends the client with its publishers, subscriptions, proxied requests and links. Every path
-// that ends a client calls it.
-func (c *client) close() {
-	if c.closed {
-		return
-	}
-	c.closed = true
-	delete(c.front.clients, c)
-	c.timer.Stop()
-	c.expiryTimer.Stop()
-	for _, p := range c.publishers {
-		p.feed.Close()
-	}
-	for _, s := range c.subscriptions {
-		s.end()
-	}
-	for id, p := range c.proxied {
-		p.remove()
-		c.front.Core.ClientGone(id)
-	}
-	for _, l := range append([]*link(nil), c.links...) {
-		l.close()
-	}
-	c.conn.Finish()
-}
-
 // deliverLocal delivers a message from the relay itself to a subscription of the client that
 // matches its subject.
 func (c *client) deliverLocal(m command) {
--- a/internal/front/nats/client_auth.go
+++ b/internal/front/nats/client_auth.go
@@ -122,7 +122,7 @@
 		c.permissions = id.Permissions
 		c.replies = auth.NewReplyTracker(id.Permissions)
 		if !id.Expires.IsZero() {
-			c.expiryTimer = c.front.Loop.After(time.Until(id.Expires), func() { c.fail(errAuthExpired) })
+			c.expiryTimer = c.front.Loop.After(time.Until(id.Expires), func() { c.abort(errAuthExpired) })
 		}
 		onSuccess()
 	}
--- /dev/null
+++ b/internal/front/nats/client_close.go
@@ -0,0 +1,132 @@
+package nats
+
+import (
+	"math"
+	"time"
+)
+
+// This file ends clients. A client that the relay ends by itself is closed gracefully: everything that
+// was read from it gets its answer first. Only a client that has gone is closed at once.
+
+// closingGrace is how long publications are still accepted from a client that is being closed. After
+// that they are rejected, so that a client that never pauses comes to its end.
+const closingGrace = 500 * time.Millisecond
+
+// closeOnceAnswered closes the client when each command that was read has its answer.
+func (c *client) closeOnceAnswered() {
+	if c.closing || c.closed {
+		return
+	}
+	c.closing = true
+	c.closingTimer = c.front.Loop.After(closingGrace, c.rejectPublications)
+	c.scheduleResume()
+}
+
+// rejectPublications rejects publications and calls of the processor from now on, those included that
+// were read and have waited so far.
+func (c *client) rejectPublications() {
+	c.rejecting = true
+	for _, p := range c.publishers {
+		p.feed.RejectNew()
+	}
+	c.scheduleResume()
+}
+
+// Overflow implements netloop's OverflowHandler.
+func (c *client) Overflow() { c.abort(errMemory) }
+
+// abort closes the client with -ERR for a reason that is not in its latest command. What was read and
+// has not been executed is rejected.
+func (c *client) abort(err error) {
+	if c.closed || c.failure != nil {
+		return
+	}
+	c.rejectPublications()
+	c.conn.ResumeReading()
+	c.fail(err)
+}
+
+// fail closes the client with -ERR because of its latest command. What else it sends is discarded, and
+// each earlier command gets its answer first.
+func (c *client) fail(err error) {
+	if c.closed || c.failure != nil {
+		return
+	}
+	c.closing, c.failure = true, err
+	c.closeIfAnswered()
+}
+
+// closeIfAnswered closes a client that is being closed, if nothing that was read waits for its answer.
+func (c *client) closeIfAnswered() {
+	if !c.closing || !c.isAnswered() {
+		return
+	}
+	if c.failure != nil {
+		c.sendError(c.failure.Error())
+	}
+	c.close()
+}
+
+// isAnswered reports whether each command that was read from the client has its answer. Some may wait for
+// the check of CONNECT, or for scheduleResume; after a failure none does.
+func (c *client) isAnswered() bool {
+	waiting := c.authenticating || c.resumeScheduled
+	return c.isQuiescent() && len(c.proxied) == 0 && (!waiting || c.failure != nil)
+}
+
+// closeNow closes the client at the end of the process. The core has answered all publications and
+// requests; the answers go out without waiting for members.
+func (c *client) closeNow() {
+	if c.failure == nil {
+		c.rejectPublications()
+		c.conn.ResumeReading()
+	}
+	for _, s := range c.subscriptions {
+		s.rejectPending(resubscribeBackoff)
+	}
+	for _, r := range c.responses {
+		if r.subscription != nil {
+			r.subscription.finishDrain()
+		}
+	}
+	c.fencedSeq = math.MaxUint64
+	c.flushResponses()
+	if c.failure != nil {
+		c.sendError(c.failure.Error())
+	}
+	c.close()
+}
+
+// close ends the client with its publishers, subscriptions, proxied requests and links. Every path
+// that ends a client calls it.
+func (c *client) close() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	delete(c.front.clients, c)
+	c.timer.Stop()
+	c.expiryTimer.Stop()
+	c.closingTimer.Stop()
+	for _, p := range c.publishers {
+		p.feed.Close()
+	}
+	for _, s := range c.subscriptions {
+		s.end()
+	}
+	for id, p := range c.proxied {
+		p.remove()
+		c.front.Core.ClientGone(id)
+	}
+	for _, l := range append([]*link(nil), c.links...) {
+		l.close()
+	}
+	c.conn.Finish()
+}
+
+// CloseClients closes all clients at the end of the process, after the core's FinishStop.
+func (f *Front) CloseClients() {
+	for c := range f.clients {
+		c.closeNow()
+	}
+}
--- a/internal/front/nats/command.go
+++ b/internal/front/nats/command.go
@@ -37,6 +37,9 @@
 	payload     []byte
 }
 
+// isPublication reports whether the command is a publication.
+func (m *command) isPublication() bool { return m.op == opPub || m.op == opHPub }
+
 // lineOverhead is the maximum size in bytes of a protocol line without its subjects and names.
 const lineOverhead = 64
 
--- a/internal/front/nats/errors.go
+++ b/internal/front/nats/errors.go
@@ -21,4 +21,5 @@
 	errAuthExpired         protocolError = "User Authentication Expired"
 	errSlowConsumer        protocolError = "Slow Consumer"
 	errStaleConnection     protocolError = "Stale Connection"
+	errMemory              protocolError = "Memory Limit Exceeded"
 )
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -148,11 +148,12 @@
 		switch {
 		case f.lameDuck && now-f.lameDuckSince >= core.StopNotice && c.isIdle():
 			c.close()
-		case c.slowSince > 0 && now-c.slowSince >= f.slowTimeout():
+		case c.failure == nil && c.slowSince > 0 && now-c.slowSince >= f.slowTimeout():
 			f.Counts.SlowConsumers++
 			f.Log.WithField("client", c.remote).WithField("unsent", c.conn.Unsent()).Warn("slow consumer")
-			c.fail(errSlowConsumer)
+			c.abort(errSlowConsumer)
 		}
+		c.closeIfAnswered()
 		for _, l := range c.links {
 			l.checkLiveness(now)
 		}
--- a/internal/front/nats/processor.go
+++ b/internal/front/nats/processor.go
@@ -154,6 +154,10 @@
 	if q.Group != "" {
 		r.Group = hash(q.Group)
 	}
+	if c.rejecting {
+		c.sendVerdict(reply, verdict{Verdict: verdictReject, AfterMS: resubscribeBackoff.Milliseconds()})
+		return
+	}
 	if len(c.proxied) >= c.front.MaxSubscriptions { // limits the memory for requests that are not removed yet
 		c.sendVerdict(reply, verdict{Verdict: verdictReject, AfterMS: verdictRetention.Milliseconds()})
 		return
@@ -291,6 +295,7 @@
 func (p *proxiedRequest) remove() {
 	p.expiryTimer.Stop()
 	delete(p.client.proxied, p.requestID)
+	p.client.scheduleResume() // a client that is being closed may have waited for it
 	if p.client.front.proxied[p.key] == p {
 		delete(p.client.front.proxied, p.key)
 	}
--- a/internal/front/nats/publisher.go
+++ b/internal/front/nats/publisher.go
@@ -38,14 +38,14 @@
 			c.denyPublish(m.subject)
 			return true
 		}
-		if c.pendingSubscribes > 0 || c.oldestUnanswered() <= c.publishSeq {
+		if !c.rejecting && (c.pendingSubscribes > 0 || c.oldestUnanswered() <= c.publishSeq) {
 			return false
 		}
 		c.handleProxyCall(m)
 		c.respondOK()
 		return true
 	}
-	if c.pendingSubscribes > 0 {
+	if c.pendingSubscribes > 0 && !c.rejecting {
 		return false
 	}
 	p := c.lastPublisher
@@ -57,7 +57,7 @@
 			return true
 		}
 	}
-	if !p.feed.HasCapacity() {
+	if !c.rejecting && !p.feed.HasCapacity() {
 		return false
 	}
 	c.publishSeq++
@@ -65,7 +65,7 @@
 	if c.front.Core.Recorder != nil {
 		message.Name = "PUB " + string(m.subject)
 	}
-	if c.options.Verbose {
+	if c.options.Verbose && !c.rejecting {
 		c.responses = append(c.responses, response{seq: c.publishSeq, text: okLine})
 	}
 	if !c.wantsEcho() {
@@ -119,6 +119,9 @@
 	p := &publisher{client: c, destination: to, oldestReplySID: 1, nextReplySID: 1}
 	name := "FEED " + strconv.Itoa(to.class) + " " + strconv.Itoa(to.tenant)
 	p.feed = c.front.Core.NewFeed(c.front.newRequest(name, to), core.FeedLimits{Messages: c.front.WindowMessages, Bytes: c.front.WindowBytes}, p)
+	if c.rejecting {
+		p.feed.RejectNew()
+	}
 	c.publishers = append(c.publishers, p)
 	return p
 }
--- a/internal/front/nats/responses.go
+++ b/internal/front/nats/responses.go
@@ -67,6 +67,7 @@
 		if c.halfClosed && c.isQuiescent() {
 			c.close()
 		}
+		c.closeIfAnswered()
 	})
 }
 
--- a/internal/front/nats/subscription.go
+++ b/internal/front/nats/subscription.go
@@ -235,7 +235,7 @@
 func (s *subscription) Migrate() {
 	s.leaveMember()
 	if s.client.front.lameDuck {
-		s.client.front.Loop.After(0, s.client.close)
+		s.client.closeOnceAnswered()
 		return
 	}
 	s.pendingSince = s.client.front.Loop.Now()
@@ -259,7 +259,8 @@
 func (s *subscription) retry(after time.Duration) {
 	f := s.client.front
 	if f.lameDuck {
-		f.Loop.After(0, s.client.close)
+		s.rejectPending(after)
+		s.client.closeOnceAnswered()
 		return
 	}
 	if to := f.destination([]byte(s.subject)); !s.warned && f.Loop.Now()+after-s.pendingSince >= f.Core.PolicySettings().Classes[to.class].Deadline {
@@ -272,6 +273,22 @@
 	s.placeAfter(max(after, resubscribeBackoff))
 }
 
+// rejectPending answers the client's SUB with an error, in the place of +OK, if it has no answer yet.
+func (s *subscription) rejectPending(after time.Duration) {
+	if s.acknowledged {
+		return
+	}
+	c := s.client
+	for i := range c.responses {
+		if r := &c.responses[i]; r.subscription == s && r.text == okLine {
+			r.text = ""
+		}
+	}
+	c.front.Counts.Rejected++
+	c.sendError(fmt.Sprintf("Permissions Violation for Subscription to %q: rejected, come again in %d ms", s.subject, after.Milliseconds()))
+	s.acknowledge()
+}
+
 // linkLost ends the attempt, or the active subscription, after the link has ended.
 func (s *subscription) linkLost(result policy.Result) {
 	wasActive := s.active
--- a/internal/netloop/conn.go
+++ b/internal/netloop/conn.go
@@ -48,6 +48,15 @@
 	End(err error)
 }
 
+// OverflowHandler is a Handler that ends a connection itself when its unread bytes exceed the loop's
+// memory limit. Without it the connection is closed, and End gets ErrOverflow.
+type OverflowHandler interface {
+	Handler
+	// Overflow tells the handler to end the connection soon, and to consume all further bytes until then.
+	// Bytes that are unread when it returns are dropped.
+	Overflow()
+}
+
 // Conn is a TCP connection, with or without TLS. It owns its descriptor and its buffers.
 type Conn struct {
 	loop    *Loop
--- a/internal/netloop/conn_read.go
+++ b/internal/netloop/conn_read.go
@@ -74,7 +74,7 @@
 		if !c.finishing {
 			c.receive(c.loop.readBuffer[:n])
 			if c.unread.size() > DefaultReadLimit && c.loop.overMemoryLimit() {
-				c.fail(ErrOverflow)
+				c.overflow()
 				return
 			}
 		} else if c.discarded += n; c.discarded > maxLingerBytes {
@@ -90,6 +90,19 @@
 	}
 }
 
+// overflow ends a connection whose unread bytes no longer fit into the loop's memory limit. Its handler
+// may still write, if it is an OverflowHandler.
+func (c *Conn) overflow() {
+	h, ok := c.handler.(OverflowHandler)
+	if !ok {
+		c.fail(ErrOverflow)
+		return
+	}
+	h.Overflow()
+	c.dropUnread()
+	c.countBuffered()
+}
+
 // readLimit returns how many bytes to read at once; 0 if the connection should not be read now.
 func (c *Conn) readLimit() int {
 	limit := len(c.loop.readBuffer)
