Ids that come back are told apart from those of other processes

Cause: request ids counted from 1 in each process, and a report names its request by id and try alone. The same holds at the successor of an upgrade and at another relay. Dahlia-Origin (relay name and a number from 1), the one reply subject of all requests for load reports, and the sequence numbers of gossip's probes had the same weakness.

Change: request ids begin at a random number of 51 bits in each process (not from the configured seed, which is the same after a restart) and stay below 2^52, exact as a JSON number; the record has the same ids. The origin has a random number for the process, each request for a load report a reply subject of its own, gossip's sequence numbers a random start. The spread of migrations is computed from the number of a request in its process.

--- a/cmd/dahliarudder/build.go
+++ b/cmd/dahliarudder/build.go
@@ -73,7 +73,7 @@
 	if r.store != nil { // a nil *store.Store in the interface would not be nil
 		recorder = r.store
 	}
-	r.core = core.New(core.Options{Settings: r.mapper.Settings, Seed: cfg.SeedNumber(), Clock: r.clock, LoopTime: loop.RoundStart, Recorder: recorder,
+	r.core = core.New(core.Options{Settings: r.mapper.Settings, Seed: cfg.SeedNumber(), FirstID: randomFirstID(), Clock: r.clock, LoopTime: loop.RoundStart, Recorder: recorder,
 		Watch: r.watch.Start, FeedMemoryLimit: int(cfg.Limits.MemoryMB * feedMemoryFraction * (1 << 20)),
 		Probe: r.checkHealth, Wake: r.scheduleTick})
 	r.watch.OnUpdate = r.core.UpdateMembers
--- a/cmd/dahliarudder/serve.go
+++ b/cmd/dahliarudder/serve.go
@@ -72,6 +72,10 @@
 	return fmt.Sprintf("%s/%s/%d-%08x", name, seed, at.UnixMicro(), rand.Uint32())
 }
 
+// randomFirstID returns where the request IDs of this process begin. Proxies return them, also to another
+// process than the one they are from, so the seed, which is the same after a restart, does not determine it.
+func randomFirstID() core.ID { return core.ID(rand.Uint64N(uint64(core.MaxFirstID))) }
+
 // serve runs the relay until SIGTERM, SIGINT or an order of the fleet. reload reads the
 // configuration again.
 func serve(cfg *config.Config, reload func(*config.Config) (*config.Config, error), sigs *signals, log *logrus.Logger) error {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -78,6 +78,9 @@
 type Options struct {
 	Settings *settings.Settings
 	Seed     uint64
+	// FirstID is the ID before that of the first request. The IDs of processes differ if each starts at a random one,
+	// below MaxFirstID.
+	FirstID  ID
 	Clock    func() time.Duration
 	LoopTime func() time.Duration   // start of the event loop's current round, used for messages; Clock if nil
 	Wake     func(at time.Duration) // schedules one call of Tick, in place of an earlier scheduled one
@@ -92,6 +95,10 @@
 	FeedMemoryLimit int
 }
 
+// MaxFirstID is the limit of Options.FirstID. It leaves as many IDs again until the limit of policy.RequestID,
+// which a JSON number holds exactly.
+const MaxFirstID ID = 1 << 51
+
 // Core is the state of one relay. All its methods must be called from one goroutine.
 type Core struct {
 	Options
@@ -158,6 +165,7 @@
 		feeds:     map[ID]*Feed{},
 		ejections: map[string]bool{},
 		tickAt:    math.MaxInt64,
+		lastID:    o.FirstID,
 	}
 	if c.drainGrace = settings.Duration(o.Settings.Guarantees.DrainGrace); c.drainGrace <= 0 {
 		c.drainGrace = defaultDrainGrace
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -155,7 +155,7 @@
 		t.Fatal(err)
 	}
 	h := &harness{t: t, now: time.Hour, wakeAt: math.MaxInt64}
-	h.Core = New(Options{Settings: set, Seed: 7, Clock: func() time.Duration { return h.now },
+	h.Core = New(Options{Settings: set, Seed: 7, FirstID: MaxFirstID - 1, Clock: func() time.Duration { return h.now },
 		Wake: func(at time.Duration) { h.wakeAt = at }, Probe: func(*Member) {}, Watch: func() {}, Recorder: h})
 	h.UpdateMembers(policy.ListCached, members)
 	return h
--- a/internal/core/migration.go
+++ b/internal/core/migration.go
@@ -66,7 +66,7 @@
 	}
 	r.migrationDeferred, c.migrationsDeferred = true, true
 	// Multiples of the golden ratio spread the flows of one relay evenly.
-	part := math.Mod(float64(r.id)*math.Phi, 1)
+	part := math.Mod(float64(r.id-c.FirstID)*math.Phi, 1)
 	c.migrateForMemberAt(r, max(c.Clock(), r.member.unavailableSince+time.Duration(part*float64(spread))))
 	return true
 }
--- a/internal/core/request_test.go
+++ b/internal/core/request_test.go
@@ -242,3 +242,16 @@
 		t.Errorf("%d attempts, answers %v; want none and a rejection", d.attempts, d.answers)
 	}
 }
+
+// TestFirstID guards against reports on requests of one process that count for those of another: the ids
+// begin where the options say, and stay below the limit of the policy's ids.
+func TestFirstID(t *testing.T) {
+	h := newHarness(t, 1)
+	first, second := h.openRequest(), h.openRequest()
+	if first.id != MaxFirstID || second.id != MaxFirstID+1 {
+		t.Errorf("ids %d and %d, want %d and the next", first.id, second.id, MaxFirstID)
+	}
+	if h.FlowEstablished(1, 0) || !h.FlowEstablished(first.id, 0) {
+		t.Error("an id of another process was accepted, or the request's own was not")
+	}
+}
--- a/internal/front/nats/health_check.go
+++ b/internal/front/nats/health_check.go
@@ -20,12 +20,15 @@
 	id     policy.MemberID
 	addr   string
 	conn   *netloop.Conn
+	reply  string // reply subject of the request for a load report
 	sentAt time.Duration
 	timer  *netloop.Timer
 }
 
-// healthCheckReplySubject is the reply subject of the request for a load report.
-const healthCheckReplySubject = "_dahlia.load.reply"
+// healthCheckReplyPrefix is the first part of the reply subject of a request for a load report. The front's
+// instance and the number of the health check follow, since all members share one space of subjects: each
+// would get the reports of the others.
+const healthCheckReplyPrefix = "_dahlia.load.reply"
 
 // CheckHealth requests a load report from a member and passes the result to the core. For a member
 // without load reports, the load is estimated.
@@ -37,7 +40,8 @@
 	if f.healthChecks[to.ID] != nil {
 		return
 	}
-	h := &healthCheck{front: f, id: to.ID, addr: to.Addr}
+	f.lastCheckID++
+	h := &healthCheck{front: f, id: to.ID, addr: to.Addr, reply: fmt.Sprintf("%s.%s.%d", healthCheckReplyPrefix, f.instance, f.lastCheckID)}
 	f.healthChecks[to.ID] = h
 	h.timer = f.Loop.After(healthCheckTimeout, func() { h.finish(policy.Timeout, policy.NoReport) })
 	h.conn = f.Loop.Dial(to.Addr, f.Core.PolicySettings().ConnectTimeout, h)
@@ -110,7 +114,7 @@
 	text, _ := json.Marshal(options)
 	out := fmt.Sprintf("CONNECT %s\r\n", text)
 	if h.front.LoadSubject != "" {
-		out += fmt.Sprintf("SUB %s 1\r\nPUB %s %s 0\r\n\r\n", healthCheckReplySubject, h.front.LoadSubject, healthCheckReplySubject)
+		out += fmt.Sprintf("SUB %s 1\r\nPUB %s %s 0\r\n\r\n", h.reply, h.front.LoadSubject, h.reply)
 	}
 	h.sentAt = h.front.Loop.Now()
 	h.conn.Queue([]byte(out + pingLine))
--- a/internal/front/nats/nats.go
+++ b/internal/front/nats/nats.go
@@ -7,6 +7,8 @@
 import (
 	"crypto/tls"
 	"hash/fnv"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -38,6 +40,9 @@
 // message still fits into the loop's buffers.
 const linkHighWater = 48 << 10
 
+// instanceBase is the number base of Front.instance, for short names.
+const instanceBase = 36
+
 // unsentLimit returns limit, or a quarter of it while the loop is short of buffer memory.
 func (f *Front) unsentLimit(limit int) int {
 	if f.Loop.MemoryPressure() {
@@ -62,6 +67,8 @@
 	memberInfos   map[policy.MemberID]*memberInfo
 	advertised    advertisedInfo
 	lastClientID  uint64
+	lastCheckID   uint64        // number of the latest health check
+	instance      string        // random; differs between processes
 	lameDuck      bool          // the relay is shutting down or draining
 	lameDuckSince time.Duration // when EnterLameDuck was called
 	Counts        Counts
@@ -87,6 +94,7 @@
 	f := &Front{Loop: loop, Core: c, Log: log, Config: cfg, Name: name, clients: map[*client]struct{}{}, proxied: map[string]*proxiedRequest{},
 		healthChecks: map[policy.MemberID]*healthCheck{}, memberInfos: map[policy.MemberID]*memberInfo{},
 		loadEstimate: loadestimate.New(cfg.MemberFlows, c.PolicySettings().Balancers), advertised: advertisedInfo{maxPayload: cfg.MaxPayload}}
+	f.instance = strconv.FormatUint(rand.Uint64(), instanceBase)
 	for _, r := range append(cfg.Routes, Route{">", cfg.Class, cfg.Tenant}) {
 		resolved := route{subject: r.Subject}
 		resolved.to.class, _ = c.Settings.Class(r.Class)
--- a/internal/front/nats/nats_test.go
+++ b/internal/front/nats/nats_test.go
@@ -266,7 +266,8 @@
 	if got := m.ReadLine(); !strings.HasPrefix(got, "CONNECT {") {
 		t.Fatalf("first line to the member = %q, want CONNECT", got)
 	}
-	m.ExpectLines("SUB "+healthCheckReplySubject+" 1", "PUB node.load "+healthCheckReplySubject+" 0", "", "PING")
-	m.Send("MSG " + healthCheckReplySubject + " 1 9\r\n{\"x0\":0.5}\r\n")
+	reply := f.healthChecks[r.Members[0].ID].reply
+	m.ExpectLines("SUB "+reply+" 1", "PUB node.load "+reply+" 0", "", "PING")
+	m.Send("MSG " + reply + " 1 9\r\n{\"x0\":0.5}\r\n")
 	r.WaitFor("the end of the health check", func() bool { return len(f.healthChecks) == 0 })
 }
--- a/internal/front/nats/origin.go
+++ b/internal/front/nats/origin.go
@@ -10,8 +10,11 @@
 // so the members cannot recognize them.
 const originHeader = "Dahlia-Origin: "
 
-// originID returns the value of originHeader for this client.
-func (c *client) originID() string { return c.front.Name + "-" + strconv.FormatUint(c.id, 10) }
+// originID returns the value of originHeader for this client. Other processes, of this relay too, number
+// their clients alike, so it contains the front's instance.
+func (c *client) originID() string {
+	return c.front.Name + "-" + c.front.instance + "-" + strconv.FormatUint(c.id, 10)
+}
 
 // addOrigin returns a copy of a publication with originHeader added.
 func (c *client) addOrigin(m *command) *command {
--- a/internal/gossip/membership.go
+++ b/internal/gossip/membership.go
@@ -76,13 +76,17 @@
 	rng       *rand.Rand
 }
 
+// maxFirstSeq is the limit of the first sequence number of probes.
+const maxFirstSeq = 1 << 32
+
 // New returns a Membership. Self must have Name, Addr, Zone and an incarnation higher than any that
 // this relay used before, such as the wall clock in milliseconds. If the group has a higher one, the
 // relay exceeds it as soon as it receives it.
 func New(now time.Duration, self Update, seeds []string, rng *rand.Rand) *Membership {
 	self.State, self.Phase = Alive, cmp.Or(self.Phase, Starting)
 	m := &Membership{self: self, seeds: seeds, rng: rng, peers: map[string]*Peer{}, suspects: map[string]*Peer{},
-		broadcasts: map[string]*Peer{}, indirectProbes: map[uint64]indirectProbe{}, lastTick: now}
+		broadcasts: map[string]*Peer{}, indirectProbes: map[uint64]indirectProbe{}, lastTick: now,
+		seq: rng.Uint64N(maxFirstSeq)} // an ack for a probe of an earlier process of this relay must not match
 	m.due.probe = now + m.jitter(probeInterval)
 	m.due.sync = now // at once, since no peer is known yet
 	m.due.reconnect, m.due.expire = now+reconnectInterval, now+goneRetention
--- a/internal/gossip/membership_test.go
+++ b/internal/gossip/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strconv"
@@ -290,3 +291,14 @@
 		t.Errorf("the live relay n3 was considered dead for %v, want at most 2s", worst)
 	}
 }
+
+// TestProbeSequenceDiffers guards against an ack for a probe of an earlier process that counts for a probe
+// of this one: each process begins its sequence numbers elsewhere.
+func TestProbeSequenceDiffers(t *testing.T) {
+	self := Update{Name: "n0", Addr: "127.0.0.1:1", Zone: "a", Incarnation: 1}
+	first := New(time.Hour, self, nil, rand.New(rand.NewPCG(1, 1)))
+	second := New(time.Hour, self, nil, rand.New(rand.NewPCG(1, 2)))
+	if first.seq == second.seq {
+		t.Errorf("both processes begin after the sequence number %d, want different ones", first.seq)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,8 +50,7 @@
 	maxBackoff   = 2 * time.Second
 )
 
-// schema creates the tables. The column run identifies one process of one relay, since request ids
-// start again in each process.
+// schema creates the tables. The column run identifies one process of one relay.
 var schema = []string{
 	`CREATE TABLE IF NOT EXISTS requests (run TEXT NOT NULL, id BIGINT NOT NULL, name TEXT NOT NULL,
  class BIGINT NOT NULL, tenant BIGINT NOT NULL, answer TEXT NOT NULL, tries BIGINT NOT NULL,
