--- a/integration/nats_close_test.go
+++ b/integration/nats_close_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"strings"
 	"syscall"
 	"testing"
@@ -29,11 +30,13 @@
 // closingMaxPayload is the payload limit of the front.
 const closingMaxPayload = 1 << 20
 
-func newNATSClosing(t *testing.T) *natsClosing {
+// newNATSClosing starts the relay with further keys of its front.
+func newNATSClosing(t *testing.T, extra map[string]any) *natsClosing {
 	t.Helper()
 	s := &natsClosing{k: newCluster(t, 2)}
 	s.d = newDiscovery(t, natsMembers(s.k)...)
 	front := map[string]any{"listen": "127.0.0.1:0", "class": "pay-status", "tenant": "water", "max_payload": closingMaxPayload}
+	maps.Copy(front, extra)
 	s.relay = start(t, configure(t, s.d, map[string]any{"fronts": map[string]any{"nats": front}, "operator": "127.0.0.1:0",
 		"limits": map[string]any{"cores": 1, "memory_mb": closingMemoryMB, "sockets": 1024}}), 2)
 	s.c = s.natsDial()
@@ -135,7 +138,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s := newNATSClosing(t)
+			s := newNATSClosing(t, nil)
 			s.publishInFlight(closingPublications, closingPublications)
 			want := end(s)
 			if last := s.wantAnswered(closingPublications); want != "" && last != want {
@@ -146,11 +149,20 @@
 	}
 }
 
+// TestNATSCloseSilentClient guards against the same where a client answers no PING.
+func TestNATSCloseSilentClient(t *testing.T) {
+	s := newNATSClosing(t, map[string]any{"ping_interval_ms": 700, "ping_max": 1})
+	s.publishInFlight(closingPublications, closingPublications)
+	if last, want := s.wantAnswered(closingPublications), "-ERR 'Stale Connection'"; last != want {
+		t.Errorf("the last line is %q, want %q", last, want)
+	}
+}
+
 // TestNATSCloseBurst guards against publications that the relay has read and not yet taken, since the feed of
 // their client is full, and that get no answer when it stops.
 func TestNATSCloseBurst(t *testing.T) {
 	const burst = 1500 // more than fits into the window of a feed
-	s := newNATSClosing(t)
+	s := newNATSClosing(t, nil)
 	s.publishInFlight(burst, window.InitialWindow)
 	s.cmd.Process.Signal(syscall.SIGTERM)
 	s.wantAnswered(burst)
@@ -159,7 +171,7 @@
 // TestNATSCloseVerdicts guards against a proxy that never gets the verdict on a request that the relay has
 // taken, since the relay closes the connection when its subscription is migrated in a drain.
 func TestNATSCloseVerdicts(t *testing.T) {
-	s := newNATSClosing(t)
+	s := newNATSClosing(t, nil)
 	call := func(subject, text string) {
 		s.c.send(fmt.Sprintf("PUB _dahlia.%s _dahlia.inbox.p %d\r\n%s", subject, len(text), text))
 	}
--- a/integration/store_limit_test.go
+++ b/integration/store_limit_test.go
@@ -145,6 +145,43 @@
 	}
 }
 
+// TestStoreQueueNATS guards against the same with publications and calls of the processor.
+func TestStoreQueueNATS(t *testing.T) {
+	p := newPostgres(t)
+	t.Cleanup(func() { p.setSilent(false) })
+	k := newCluster(t, 2)
+	front := map[string]any{"listen": "127.0.0.1:0", "class": "pay-status", "tenant": "water"}
+	r := start(t, configure(t, newDiscovery(t, natsMembers(k)...), map[string]any{"fronts": map[string]any{"nats": front},
+		"store": map[string]any{"driver": "postgres", "dsn": p.dsn(), "queue": storeQueue}}), 1)
+	c := r.natsDial()
+	c.wantLine("INFO ")
+	c.send("CONNECT {}\r\nSUB _dahlia.inbox.p 1")
+	p.setSilent(true)
+	rejections := 0
+	for rejections < storeRejections {
+		pick := `{"class":"pay-status","tenant":"water"}`
+		c.send(fmt.Sprintf("PUB job.one 0\r\n\r\nPING\r\nPUB _dahlia.pick _dahlia.inbox.p %d\r\n%s", len(pick), pick))
+		for line := ""; !strings.HasPrefix(line, `{"verdict"`); { // the answers come in order
+			line = c.wantLine("")
+			if strings.HasPrefix(line, "-ERR") || strings.HasPrefix(line, `{"verdict":"reject"`) {
+				rejections++
+			}
+		}
+	}
+	p.setSilent(false)
+	c.Close()
+	r.stop()
+	rejected := 0
+	for _, row := range p.tableRows("requests") {
+		if row[5] == "rejected" {
+			rejected++
+		}
+	}
+	if rejected > storeQueue {
+		t.Errorf("%d of %d rejections were queued for the record, want at most %d", rejected, rejections, storeQueue)
+	}
+}
+
 // TestStoreQueueStop guards against rejections that fill the queue while the relay stops and its store
 // does not keep up, and against a store that delays the end of the process beyond its time to write.
 func TestStoreQueueStop(t *testing.T) {
