--- a/integration/nats_close_test.go
+++ b/integration/nats_close_test.go
@@ -168,6 +168,17 @@
 	s.wantAnswered(burst)
 }
 
+// TestNATSCloseSubscribe guards against two answers, or none, to a subscription that comes during a stop.
+func TestNATSCloseSubscribe(t *testing.T) {
+	s := newNATSClosing(t, nil)
+	s.cmd.Process.Signal(syscall.SIGTERM)
+	s.waitLogged("msg=stopping")
+	s.c.send("SUB late 2\r\nPING")
+	s.c.wantLine(`-ERR 'Permissions Violation for Subscription to "late": rejected`)
+	s.c.wantLine("PONG")
+	s.c.wantLine(io.EOF.Error())
+}
+
 // TestNATSCloseVerdicts guards against a proxy that never gets the verdict on a request that the relay has
 // taken, since the relay closes the connection when its subscription is migrated in a drain.
 func TestNATSCloseVerdicts(t *testing.T) {
--- a/internal/front/nats/subscription.go
+++ b/internal/front/nats/subscription.go
@@ -79,7 +79,7 @@
 	c.pendingSubscribes++
 	s.place()
 	text := ""
-	if c.options.Verbose {
+	if c.options.Verbose && !s.acknowledged { // else it was rejected at once
 		text = okLine
 	}
 	c.respond(response{subscription: s, text: text})
