--- a/integration/nats_close_test.go
+++ b/integration/nats_close_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"io"
 	"maps"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 
+	"github.com/nats-io/nats.go"
+
 	"dahliarudder/internal/fakes"
 	"dahliarudder/internal/window"
 )
@@ -158,6 +161,23 @@
 	}
 }
 
+// TestNATSCloseSlowClient guards against the same where a client does not read what it has subscribed to.
+func TestNATSCloseSlowClient(t *testing.T) {
+	const messages, size = 512, 32 << 10 // more than the sockets' buffers hold
+	s := newNATSClosing(t, map[string]any{"slow_after_ms": 300})
+	s.publishInFlight(closingPublications, closingPublications)
+	at := slices.IndexFunc(s.k.Subscriptions("status"), func(n int) bool { return n > 0 })
+	flood := must[*nats.Conn](t)(nats.Connect("nats://"+s.k.Nodes[at].Addr, nats.NoReconnect()))
+	defer flood.Close()
+	for range messages {
+		flood.Publish("status", make([]byte, size))
+	}
+	s.waitLogged("slow consumer")
+	if last, want := s.wantAnswered(closingPublications), "-ERR 'Slow Consumer'"; last != want {
+		t.Errorf("the last line is %.100q, want %q", last, want)
+	}
+}
+
 // TestNATSCloseBurst guards against publications that the relay has read and not yet taken, since the feed of
 // their client is full, and that get no answer when it stops.
 func TestNATSCloseBurst(t *testing.T) {
