NATS: a proxy whose connection fails gets its final verdicts, and the connection ends

Now each request without a final answer gets it at the failure (core.GiveUp), and open flows do not hold the connection. TestNATSCloseFailedProxy fails before this commit with an order to send a second attempt, and on with no verdict at all.

--- a/integration/nats_close_test.go
+++ b/integration/nats_close_test.go
@@ -203,24 +203,59 @@
 // taken, since the relay closes the connection when its subscription is migrated in a drain.
 func TestNATSCloseVerdicts(t *testing.T) {
 	s := newNATSClosing(t, nil)
-	call := func(subject, text string) {
-		s.c.send(fmt.Sprintf("PUB _dahlia.%s _dahlia.inbox.p %d\r\n%s", subject, len(text), text))
-	}
-	s.c.send("SUB _dahlia.inbox.p 2")
-	call("pick", `{"name":"p1","class":"pay-status","tenant":"water"}`)
-	s.c.wantLine("+OK") // of SUB
-	s.c.wantLine("MSG _dahlia.inbox.p 2 ")
-	verdict := s.c.wantLine(`{"verdict":"send"`)
-	s.c.wantLine("+OK") // of the call
-	id := strings.Split(strings.Split(verdict, `"id":`)[1], ",")[0]
+	s.c.sendLines("SUB _dahlia.inbox.p 2")
+	s.c.wantLine("+OK")
+	id := s.pick("p1")
 	s.mustPut("/-/drain")
 	waitFor(t, "the subscription to leave its node", func() bool {
 		n := s.k.Subscriptions("status")
 		return n[0]+n[1] == 0
 	})
-	call("report", fmt.Sprintf(`{"id":%s,"try":0,"outcome":"ok"}`, id))
-	s.c.wantLine("MSG _dahlia.inbox.p 2 ")
-	s.c.wantLine(`{"verdict":"served"`)
+	s.report(id, "ok", "served")
+	s.c.wantLine(io.EOF.Error())
+}
+
+// TestNATSCloseFailedProxy guards against a proxy that gets no final verdict when its connection ends for an
+// error, and against a connection that does not end for the sake of an open flow.
+func TestNATSCloseFailedProxy(t *testing.T) {
+	s := newNATSClosing(t, nil)
+	s.c.sendLines("SUB _dahlia.inbox.p 2")
 	s.c.wantLine("+OK")
+	s.report(s.pick("open"), "up", "up")
+	s.pick("in flight")
+	s.c.sendLines("NONSENSE")
+	s.wantVerdict("cancel")
+	s.wantVerdict("reject") // the class is idempotent
+	s.c.wantLine("-ERR 'Unknown Protocol Operation'")
 	s.c.wantLine(io.EOF.Error())
 }
+
+// callProcessor calls the processor, which answers on the subject _dahlia.inbox.p.
+func (s *natsClosing) callProcessor(subject, text string) {
+	s.t.Helper()
+	s.c.send(fmt.Sprintf("PUB _dahlia.%s _dahlia.inbox.p %d\r\n%s", subject, len(text), text))
+}
+
+// wantVerdict reads a verdict and returns its line.
+func (s *natsClosing) wantVerdict(want string) string {
+	s.t.Helper()
+	s.c.wantLine("MSG _dahlia.inbox.p 2 ")
+	return s.c.wantLine(`{"verdict":"` + want + `"`)
+}
+
+// pick opens a request and returns its id.
+func (s *natsClosing) pick(name string) (id string) {
+	s.t.Helper()
+	s.callProcessor("pick", fmt.Sprintf(`{"name":%q,"class":"pay-status","tenant":"water","control":"_dahlia.inbox.p"}`, name))
+	verdict := s.wantVerdict("send")
+	s.c.wantLine("+OK")
+	return strings.Split(strings.Split(verdict, `"id":`)[1], ",")[0]
+}
+
+// report reports the outcome of a request's first attempt, and checks the verdict.
+func (s *natsClosing) report(id, outcome, want string) {
+	s.t.Helper()
+	s.callProcessor("report", fmt.Sprintf(`{"id":%s,"try":0,"outcome":%q}`, id, outcome))
+	s.wantVerdict(want)
+	s.c.wantLine("+OK")
+}
--- a/internal/core/answers.go
+++ b/internal/core/answers.go
@@ -8,6 +8,14 @@
 
 // This file gives requests their final answers.
 
+// GiveUp gives a request its final answer at once, if it has none yet: the client can no longer report on
+// its attempt.
+func (c *Core) GiveUp(id ID) {
+	if r := c.requests[id]; r != nil && !r.state.final() && r.state != serving {
+		c.abort(r)
+	}
+}
+
 // abort rejects or fails a request without a decision of the policy, and notifies the policy.
 func (c *Core) abort(r *request) {
 	c.notifyPolicy(policy.ClientGone{ID: r.id})
--- a/internal/front/nats/client_close.go
+++ b/internal/front/nats/client_close.go
@@ -47,12 +47,16 @@
 }
 
 // fail closes the client with -ERR because of its latest command. What else it sends is discarded, and
-// each earlier command gets its answer first.
+// each earlier command gets its answer first. A proxy's requests get theirs at once, since its reports are
+// discarded too.
 func (c *client) fail(err error) {
 	if c.closed || c.failure != nil {
 		return
 	}
 	c.closing, c.failure = true, err
+	for id := range c.proxied {
+		c.front.Core.GiveUp(id)
+	}
 	c.closeIfAnswered()
 }
 
@@ -68,10 +72,10 @@
 }
 
 // isAnswered reports whether each command that was read from the client has its answer. Some may wait for
-// the check of CONNECT, or for scheduleResume; after a failure none does.
+// the check of CONNECT, for scheduleResume, or for a proxy's report; after a failure none does.
 func (c *client) isAnswered() bool {
-	waiting := c.authenticating || c.resumeScheduled
-	return c.isQuiescent() && len(c.proxied) == 0 && (!waiting || c.failure != nil)
+	waiting := c.authenticating || c.resumeScheduled || len(c.proxied) > 0
+	return c.isQuiescent() && (!waiting || c.failure != nil)
 }
 
 // closeNow closes the client at the end of the process. The core has answered all publications and
