--- a/review/standin-2/liar.go
+++ b/review/standin-2/liar.go
@@ -22,6 +22,8 @@
 	liarCapacity = 200.0
 	liarEvery    = 110 * time.Millisecond // between two clients at one relay
 	liarWatch    = 8600 * time.Millisecond
+	// fullReport is the load report of a member with 210 connections that can carry 200.
+	fullReport = "x0=1.05,x1=0,inflight=210"
 )
 
 // divisor finds the number in a relay's page on its peers.
@@ -80,7 +82,7 @@
 		return false, err
 	}
 	for _, m := range servers.members[:4] {
-		m.report = "x0=1.05,x1=0,inflight=210" // full
+		m.setReport(fullReport)
 	}
 	cold := servers.members[4]
 	cold.capacity = liarCapacity
@@ -149,6 +151,11 @@
 	time.Sleep(liarWatch)
 	mu.Lock()
 	defer mu.Unlock()
+	return overBudget(p, cold.id, startedAt, arrivals), nil
+}
+
+// overBudget reports whether a member that started cold got more requests than the rule allows in any span of 3 s.
+func overBudget(p *play, id string, startedAt time.Time, arrivals []time.Time) bool {
 	worst, worstText := 0.0, ""
 	for i, at := range arrivals {
 		first := 0
@@ -156,13 +163,13 @@
 			first++
 		}
 		age, count := at.Sub(startedAt), i-first+1
-		p.logf("%s got request %d at an age of %v; in the last 3 s %d, %.0f are allowed", cold.id, i+1, age, count, coldBudget(age))
+		p.logf("%s got request %d at an age of %v; in the last 3 s %d, %.0f are allowed", id, i+1, age, count, coldBudget(age))
 		if over := float64(count) / coldBudget(age); over > worst {
 			worst, worstText = over, fmt.Sprintf("%d requests in 3 s at an age of %v, where %.0f are allowed", count, age, coldBudget(age))
 		}
 	}
 	p.logf("requests at the cold member: %d; the fullest window: %s, %.2f times that", len(arrivals), worstText, worst)
-	return worst > 1, nil
+	return worst > 1
 }
 
 // clientsHolding opens connections at a relay that stay until the run ends.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -74,7 +74,7 @@
 	"pick":    playPick,
 	"lost":    playLost,
 	"restart": playRestart,
-	"pieces":  playPieces,
+	"reports": playReports,
 	"liar":    playLiar,
 }
 
--- a/review/standin-2/member.go
+++ b/review/standin-2/member.go
@@ -14,10 +14,9 @@
 	play     *play
 	id       string
 	flows    atomic.Int64
-	report   string                               // its load report, if it is not to tell its connections
+	report   atomic.Value                         // a string: its load report, if it is not to tell its connections
 	capacity float64                              // in connections, if above 0
 	quiet    bool                                 // its requests are not logged
-	pause    time.Duration                        // between the two pieces in which it writes a line, if above 0
 	setUp    time.Duration                        // what it takes before it answers a request
 	onOpen   func(relay, id string, at time.Time) // called when a request's line has arrived; may be nil
 	onEnd    func(id string)                      // called when the connection of a request has ended; may be nil
@@ -25,6 +24,9 @@
 
 func newMember(p *play, id string) (*member, error) { return &member{play: p, id: id}, nil }
 
+// setReport sets what the member reports of its load from now on.
+func (m *member) setReport(text string) { m.report.Store(text) }
+
 // openFor returns an address of the member for one relay.
 func (m *member) openFor(relay string) (string, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -55,8 +57,8 @@
 		}
 		line = strings.TrimRight(line, "\r\n")
 		switch {
-		case line == "STATS" && m.report != "":
-			fmt.Fprintf(c, "PONG %s\r\n", m.report)
+		case line == "STATS" && m.report.Load() != nil:
+			fmt.Fprintf(c, "PONG %s\r\n", m.report.Load())
 		case line == "STATS" && m.capacity > 0:
 			fmt.Fprintf(c, "PONG x0=%.3f,x1=0,inflight=%d\r\n", float64(m.flows.Load())/m.capacity, m.flows.Load())
 		case line == "STATS":
@@ -96,15 +98,6 @@
 			fmt.Fprint(c, "BYE\r\n")
 			return
 		}
-		if m.pause > 0 {
-			fmt.Fprint(c, "GOT ")
-			time.Sleep(m.pause)
-			if _, err := fmt.Fprint(c, line); err != nil {
-				m.play.logf("%s cannot write the rest of its line: %v", m.id, err)
-			}
-			m.play.logf("%s has written the rest of its line", m.id)
-			continue
-		}
 		fmt.Fprintf(c, "GOT %s", line)
 	}
 }
